--- /dev/null
+++ b/daemon/linker/server.go
@@ -0,0 +1,111 @@
+package linker
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+
+	"ebonyshunt.org/library/recorder"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Handler answers one call; its result is encoded as the body of the answer.
+type Handler func(ctx context.Context, from, method string, body json.RawMessage) (any, error)
+
+// Server answers the calls of peers.
+type Server struct {
+	host    string
+	clock   *recorder.Clock
+	handler Handler
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
+	bytes   Counter
+
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[*jsonrpc2.Conn]bool
+}
+
+// Serve answers calls on a listener until Close.
+func Serve(listener net.Listener, host string, clock *recorder.Clock, handler Handler) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	server := &Server{host: host, clock: clock, handler: handler, cancel: cancel, listener: listener, conns: map[*jsonrpc2.Conn]bool{}}
+	server.wait.Go(func() { server.accept(ctx) })
+	return server
+}
+
+// Bytes returns how many bytes went over the server's connections in both directions.
+func (server *Server) Bytes() int64 { return server.bytes.Total() }
+
+func (server *Server) accept(ctx context.Context) {
+	for {
+		raw, err := server.listener.Accept()
+		if err != nil {
+			return
+		}
+		stream := jsonrpc2.NewBufferedStream(server.bytes.Wrap(raw), jsonrpc2.VarintObjectCodec{})
+		conn := jsonrpc2.NewConn(ctx, stream, server, quiet)
+		server.mu.Lock()
+		server.conns[conn] = true
+		server.mu.Unlock()
+		server.wait.Go(func() {
+			<-conn.DisconnectNotify()
+			server.mu.Lock()
+			defer server.mu.Unlock()
+			delete(server.conns, conn)
+		})
+	}
+}
+
+// Handle answers one call of a peer, beside others of the same connection.
+func (server *Server) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	server.wait.Go(func() { server.handle(ctx, conn, request) })
+}
+
+func (server *Server) handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	answer, err := server.answer(ctx, conn, request)
+	if err != nil {
+		_ = conn.ReplyWithError(ctx, request.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()})
+		return
+	}
+	_ = conn.Reply(ctx, request.ID, answer)
+}
+
+func (server *Server) answer(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) (Envelope, error) {
+	if request.Params == nil {
+		return Envelope{}, Error.New("call %q without parameters", request.Method)
+	}
+	var call Envelope
+	if err := json.Unmarshal(*request.Params, &call); err != nil {
+		return Envelope{}, fmt.Errorf("call %q: %w", request.Method, err)
+	}
+	server.clock.See(call.Stamp)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-conn.DisconnectNotify():
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	result, err := server.handler(ctx, call.From, request.Method, call.Body)
+	if err != nil {
+		return Envelope{}, err
+	}
+	return seal(server.host, server.clock, result)
+}
+
+// Close ends all connections and waits for them.
+func (server *Server) Close() {
+	server.cancel()
+	_ = server.listener.Close()
+	server.mu.Lock()
+	for conn := range server.conns {
+		_ = conn.Close()
+	}
+	server.mu.Unlock()
+	server.wait.Wait()
+}
--- /dev/null
+++ b/daemon/lister/client.go
@@ -0,0 +1,91 @@
+// Package lister is the adapter to the platform's lagging list of hosts.
+package lister
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+
+	"ebonyshunt.org/library/sizer"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("lister")
+
+// The kinds of host.
+const (
+	KindEntry  = "entry"
+	KindWorker = "worker"
+)
+
+// Host is one line of the list.
+type Host struct {
+	Name     string     `json:"name"`
+	Kind     string     `json:"kind"`
+	Address  string     `json:"address"`
+	Zone     string     `json:"zone"`
+	Region   string     `json:"region"`
+	Rack     string     `json:"rack"`
+	Capacity sizer.Size `json:"capacity"`
+	Leaving  bool       `json:"leaving"`
+}
+
+// UnmarshalJSON decodes a host and refuses one without name, kind, zone or address.
+func (host *Host) UnmarshalJSON(data []byte) error {
+	type plain Host
+	var decoded plain
+	if err := json.Unmarshal(data, &decoded); err != nil {
+		return fmt.Errorf("decode host: %w", err)
+	}
+	if decoded.Name == "" || decoded.Zone == "" {
+		return Error.New("host without name or zone")
+	}
+	if decoded.Kind != KindEntry && decoded.Kind != KindWorker {
+		return Error.New("host %s of unknown kind %q", decoded.Name, decoded.Kind)
+	}
+	if _, err := netip.ParseAddrPort(decoded.Address); err != nil {
+		return fmt.Errorf("address of host %s: %w", decoded.Name, err)
+	}
+	*host = Host(decoded)
+	return nil
+}
+
+// List is all hosts that the platform believes live.
+type List struct {
+	Hosts []Host `json:"hosts"`
+}
+
+// Client fetches the list.
+type Client struct {
+	http *http.Client
+	url  string
+}
+
+// New returns a client of the list at an address.
+func New(client *http.Client, address string) *Client {
+	return &Client{http: client, url: "http://" + address + "/v1/hosts"}
+}
+
+// Fetch returns the list as the platform sees it, some seconds old.
+func (client *Client) Fetch(ctx context.Context) (List, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, client.url, nil)
+	if err != nil {
+		return List{}, fmt.Errorf("build list request: %w", err)
+	}
+	response, err := client.http.Do(request)
+	if err != nil {
+		return List{}, fmt.Errorf("fetch hosts: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return List{}, Error.New("hosts answered with status %d", response.StatusCode)
+	}
+	var list List
+	if err := json.NewDecoder(response.Body).Decode(&list); err != nil {
+		return List{}, fmt.Errorf("fetch hosts: %w", err)
+	}
+	return list, nil
+}
--- /dev/null
+++ b/daemon/server/jobs.go
@@ -0,0 +1,514 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"ebonyshunt.org/daemon/starter"
+	"ebonyshunt.org/library/decider"
+	"ebonyshunt.org/library/keeper"
+	"ebonyshunt.org/library/responder"
+)
+
+// jobRow is a job in the hands of its decider.
+type jobRow struct {
+	Job
+	expires time.Time
+	changed chan struct{} // closed at the next version
+	saving  bool
+	dirty   bool
+	regroup bool // a gang lost a member; the others end before it starts again
+}
+
+// workID names task number index of a job.
+func workID(job string, index int) string { return job + "/" + strconv.Itoa(index) }
+
+func splitWork(work string) (string, int) {
+	job, text, _ := strings.Cut(work, "/")
+	index, err := strconv.Atoi(text)
+	if err != nil {
+		return job, -1
+	}
+	return job, index
+}
+
+// submitJob accepts a job once another host holds a copy.
+func (tenure *tenure) submitJob(ctx context.Context, call SubmitJobCall) (JobAnswer, error) {
+	tenure.mu.Lock()
+	known, found := tenure.jobs[call.ID]
+	tenure.mu.Unlock()
+	if found {
+		return tenure.resubmitted(known, call), nil
+	}
+	row, problem := tenure.newJob(call)
+	if problem != nil {
+		return JobAnswer{Problem: problem}, nil
+	}
+	record, err := tenure.jobRecord(row)
+	if err != nil {
+		return JobAnswer{}, err
+	}
+	if err := tenure.keep(ctx, record); err != nil {
+		return JobAnswer{Problem: responder.Refuse(http.StatusServiceUnavailable, responder.CodeNotKept,
+			"the job cannot be kept beyond this host: %v", err).After(time.Second)}, nil
+	}
+	tenure.mu.Lock()
+	defer tenure.mu.Unlock()
+	if known, raced := tenure.jobs[call.ID]; raced {
+		return JobAnswer{Job: known.copy()}, nil
+	}
+	tenure.jobs[call.ID] = row
+	tenure.enqueueJob(row)
+	return JobAnswer{Job: row.copy()}, nil
+}
+
+func (tenure *tenure) resubmitted(known *jobRow, call SubmitJobCall) JobAnswer {
+	tenure.mu.Lock()
+	defer tenure.mu.Unlock()
+	before, _ := json.Marshal(known.Spec)
+	now, _ := json.Marshal(call.Spec)
+	if known.Team != call.Team || !bytes.Equal(before, now) {
+		return JobAnswer{Problem: responder.Refuse(http.StatusUnprocessableEntity, responder.CodeKeyReused,
+			"the idempotency key was used with another job")}
+	}
+	return JobAnswer{Job: known.copy()}
+}
+
+// newJob checks a job against the configuration and the zone's workers.
+func (tenure *tenure) newJob(call SubmitJobCall) (*jobRow, *responder.Problem) {
+	view := tenure.server.viewer.View()
+	service, found := view.Services[call.Spec.Service]
+	if !found {
+		return nil, responder.Refuse(http.StatusNotFound, responder.CodeNoService, "service %q is not configured", call.Spec.Service)
+	}
+	if call.Spec.Size.Zero() {
+		call.Spec.Size = service.Size
+	}
+	class := decider.Batch.String()
+	if queue, found := view.Queues[call.Spec.Queue]; found {
+		class = queue.Class
+	}
+	if call.Spec.Standing {
+		class = decider.Standing.String()
+	}
+	row := &jobRow{changed: make(chan struct{})}
+	row.Job = Job{
+		ID:        call.ID,
+		Team:      call.Team,
+		Zone:      tenure.zone,
+		Class:     class,
+		Spec:      call.Spec,
+		Tasks:     make([]JobTask, len(call.Spec.Tasks)),
+		Submitted: time.Now(),
+		Version:   1,
+	}
+	for i := range row.Tasks {
+		row.Tasks[i].State = JobQueued
+	}
+	tenure.mu.Lock()
+	defer tenure.mu.Unlock()
+	if reason := tenure.decider.NeverFits(row.work(0)); reason != "" {
+		return nil, responder.Refuse(http.StatusUnprocessableEntity, responder.CodeNeverFits, "zone %s: %s", tenure.zone, reason)
+	}
+	return row, nil
+}
+
+// work returns the decider's view of one task.
+func (row *jobRow) work(index int) decider.Work {
+	class, err := decider.ParseClass(row.Class)
+	if err != nil {
+		class = decider.Batch
+	}
+	task := row.Tasks[index]
+	work := decider.Work{
+		ID:         workID(row.ID, index),
+		Team:       row.Team,
+		Service:    row.Spec.Service,
+		Queue:      row.Spec.Queue,
+		Class:      class,
+		Size:       row.Spec.Size,
+		Job:        row.ID,
+		Idempotent: row.Spec.Idempotent || row.Spec.Standing,
+		Resumable:  row.Spec.Resumable,
+		Deadline:   row.Spec.Deadline,
+		Expected:   time.Duration(row.Spec.ExpectedMS) * time.Millisecond,
+		Resume:     task.Resume,
+		Attempt:    task.Attempts,
+		Avoid:      task.Avoid,
+	}
+	if row.Spec.Gang {
+		work.Gang = len(row.Tasks)
+	}
+	return work
+}
+
+func (row *jobRow) copy() *Job {
+	job := row.Job
+	job.Tasks = slices.Clone(row.Tasks)
+	return &job
+}
+
+func (tenure *tenure) enqueueJob(row *jobRow) {
+	for i, task := range row.Tasks {
+		if task.State == JobQueued {
+			tenure.enqueueTask(row, i)
+		}
+	}
+	tenure.poke()
+}
+
+func (tenure *tenure) enqueueTask(row *jobRow, index int) {
+	work := row.work(index)
+	tenure.decider.Enqueue(work, time.Now())
+	tenure.server.record("queued", work, "", "", "")
+}
+
+// jobRecord wraps a job for the keepers; the caller holds the lock or owns the row.
+func (tenure *tenure) jobRecord(row *jobRow) (keeper.Record, error) {
+	return tenure.newRecord(row.ID, kindJob, row.Version, row.Expires, row.Job)
+}
+
+// restoreJob takes over a job of an earlier term. What a claimed worker reported is known to the decider
+// already; a task that was started but that no worker reports is settled by what its worker's table proves.
+func (tenure *tenure) restoreJob(record keeper.Record) error {
+	var job Job
+	if err := json.Unmarshal(record.Data, &job); err != nil {
+		return fmt.Errorf("decode job: %w", err)
+	}
+	row := &jobRow{Job: job, changed: make(chan struct{}), expires: job.Expires}
+	tenure.jobs[job.ID] = row
+	for i := range row.Tasks {
+		tenure.restoreTask(row, i)
+	}
+	return nil
+}
+
+func (tenure *tenure) restoreTask(row *jobRow, index int) {
+	task := &row.Tasks[index]
+	if task.State.final() {
+		return
+	}
+	adopted, running := tenure.decider.Lookup(workID(row.ID, index))
+	switch {
+	case running && adopted.State == decider.Running:
+		task.State, task.Task, task.Worker = JobRunning, adopted.Grant.Task, adopted.Grant.Worker
+	case task.State == JobRunning && !tenure.decider.Disproved(task.Worker, task.Boot):
+		tenure.decider.Doubt(row.work(index), task.Task, task.Worker, task.Boot, time.Now())
+	default:
+		task.State = JobQueued
+		if !tenure.decider.AllClaimed() {
+			tenure.decider.Defer(row.work(index), time.Now())
+			return
+		}
+		tenure.enqueueTask(row, index)
+	}
+}
+
+// touch makes a new version of a job, wakes its watchers and copies it to the keepers.
+func (tenure *tenure) touch(row *jobRow) {
+	row.Version++
+	if row.Finished() && row.Expires.IsZero() {
+		row.Expires = time.Now().Add(jobKept)
+		row.expires = row.Expires
+	}
+	close(row.changed)
+	row.changed = make(chan struct{})
+	if row.saving {
+		row.dirty = true
+		return
+	}
+	row.saving = true
+	tenure.wait.Go(func() { tenure.save(row) })
+}
+
+// save copies a job until its latest version is kept.
+func (tenure *tenure) save(row *jobRow) {
+	for tenure.ctx.Err() == nil {
+		tenure.mu.Lock()
+		row.dirty = false
+		record, err := tenure.jobRecord(row)
+		tenure.mu.Unlock()
+		if err == nil {
+			err = tenure.keep(tenure.ctx, record)
+		}
+		tenure.mu.Lock()
+		if err == nil && !row.dirty {
+			row.saving = false
+			tenure.mu.Unlock()
+			return
+		}
+		tenure.mu.Unlock()
+		if err != nil {
+			sleep(tenure.ctx, controlRetry)
+		}
+	}
+}
+
+// startJobTask notes the attempt, with the keepers first where it must not run twice, and starts it.
+func (tenure *tenure) startJobTask(effect decider.Start) {
+	id, index := splitWork(effect.Work.ID)
+	row := tenure.jobs[id]
+	if row == nil || index < 0 || index >= len(row.Tasks) || row.Canceled {
+		tenure.decider.Completed(effect.Grant.Task, decider.NeverRan, 0, time.Now())
+		return
+	}
+	task := &row.Tasks[index]
+	task.State = JobRunning
+	task.Attempts = effect.Work.Attempt
+	task.Worker, task.Task, task.Boot = effect.Grant.Worker, effect.Grant.Task, effect.Grant.Boot
+	spec := row.Spec.Tasks[index]
+	tenure.touch(row)
+	record, err := tenure.jobRecord(row)
+	must := !effect.Work.Idempotent
+	tenure.wait.Go(func() {
+		if must && err == nil {
+			err = tenure.keep(tenure.ctx, record)
+		}
+		if err != nil {
+			tenure.settleStart(effect, decider.NeverRan)
+			return
+		}
+		tenure.sendJobTask(effect, spec)
+	})
+}
+
+func (tenure *tenure) sendJobTask(effect decider.Start, spec TaskSpec) {
+	label, err := decider.Label(effect.Work)
+	if err != nil {
+		tenure.settleStart(effect, decider.NeverRan)
+		return
+	}
+	ctx, cancel := context.WithTimeout(tenure.ctx, clientTimeout)
+	defer cancel()
+	response, err := tenure.server.workers.Send(ctx, starter.Start{
+		Grant:   effect.Grant,
+		Label:   label,
+		Size:    effect.Work.Size,
+		Service: effect.Work.Service,
+		Method:  http.MethodPost,
+		Target:  target(spec.Target),
+		Body:    bytes.NewReader(spec.Body),
+		Length:  int64(len(spec.Body)),
+		Async:   true,
+		Resume:  effect.Work.Resume,
+	})
+	if err != nil {
+		if provedUnsent(err) {
+			tenure.settleStart(effect, decider.NeverRan)
+		}
+		return
+	}
+	response.Body.Close()
+	tenure.mu.Lock()
+	defer tenure.mu.Unlock()
+	tenure.probe(effect.Grant.Worker)
+}
+
+// target returns a task's target as a path below the service.
+func target(text string) string {
+	if text == "" || text[0] == '/' || text[0] == '?' {
+		return text
+	}
+	return "/" + text
+}
+
+func (tenure *tenure) settleStart(effect decider.Start, ending decider.Ending) {
+	tenure.mu.Lock()
+	defer tenure.mu.Unlock()
+	tenure.decider.Completed(effect.Grant.Task, ending, 0, time.Now())
+	tenure.poke()
+}
+
+// jobTaskEnded decides what becomes of a job's task; the caller holds the lock.
+func (tenure *tenure) jobTaskEnded(effect decider.Ended) {
+	id, index := splitWork(effect.Work.ID)
+	row := tenure.jobs[id]
+	if row == nil || index < 0 || index >= len(row.Tasks) {
+		return
+	}
+	task := &row.Tasks[index]
+	if task.State.final() || (task.Task != "" && task.Task != effect.Task) {
+		return
+	}
+	task.Status = effect.Status
+	if effect.Checkpoint != "" {
+		task.Resume = effect.Checkpoint
+	}
+	task.State = row.after(task, effect)
+	if task.State == JobDone {
+		tenure.fetchAnswer(row, index, effect)
+	}
+	if task.State == JobQueued {
+		tenure.requeue(row, index, effect.Ending)
+	}
+	tenure.touch(row)
+}
+
+// after returns the state of a task after an ending.
+func (row *jobRow) after(task *JobTask, effect decider.Ended) JobTaskState {
+	again := row.Spec.Idempotent || row.Spec.Standing
+	switch {
+	case row.Canceled && effect.Ending != decider.Completed && effect.Ending != decider.Failed:
+		return JobCanceled
+	case row.Spec.Standing:
+		return JobQueued
+	case effect.Ending == decider.Completed:
+		return JobDone
+	case effect.Ending == decider.NeverRan:
+		return JobQueued
+	case effect.Ending == decider.Stopped && effect.Checkpoint != "":
+		return JobQueued
+	case effect.Ending == decider.Failed:
+		task.Avoid = append(task.Avoid, effect.Worker)
+		if again && task.Attempts < mostAttempts {
+			return JobQueued
+		}
+		return JobFailed
+	case again:
+		return JobQueued
+	}
+	return JobUnknown
+}
+
+// requeue starts a task again: alone, with its whole gang once all members have ended, or after a pause
+// for a standing one.
+func (tenure *tenure) requeue(row *jobRow, index int, ending decider.Ending) {
+	switch {
+	case row.Spec.Gang:
+		tenure.regroup(row)
+	case row.Spec.Standing && ending != decider.NeverRan:
+		tenure.wait.Go(func() {
+			sleep(tenure.ctx, standingPause)
+			tenure.mu.Lock()
+			defer tenure.mu.Unlock()
+			if row.Tasks[index].State == JobQueued {
+				tenure.enqueueTask(row, index)
+				tenure.poke()
+			}
+		})
+	default:
+		tenure.enqueueTask(row, index)
+	}
+}
+
+// regroup ends the other members of a gang that lost one, and queues all once none is left.
+func (tenure *tenure) regroup(row *jobRow) {
+	left := 0
+	for i := range row.Tasks {
+		if row.Tasks[i].State == JobRunning {
+			left++
+			tenure.decider.Cancel(workID(row.ID, i))
+		}
+	}
+	if left > 0 {
+		return
+	}
+	for i := range row.Tasks {
+		if !row.Spec.Idempotent && row.Tasks[i].State == JobUnknown {
+			return
+		}
+	}
+	for i := range row.Tasks {
+		row.Tasks[i].State = JobQueued
+		tenure.enqueueTask(row, i)
+	}
+}
+
+// fetchAnswer keeps the answer of a finished task, up to its bound.
+func (tenure *tenure) fetchAnswer(row *jobRow, index int, effect decider.Ended) {
+	worker, found := tenure.decider.AddressOf(effect.Worker)
+	if !found {
+		return
+	}
+	tenure.wait.Go(func() {
+		ctx, cancel := context.WithTimeout(tenure.ctx, clientTimeout)
+		defer cancel()
+		response, err := tenure.server.workers.Answer(ctx, worker, effect.Task)
+		if err != nil {
+			tenure.server.log.Warn("answer not fetched", "task", effect.Task, "error", err)
+			return
+		}
+		defer response.Body.Close()
+		body, err := io.ReadAll(io.LimitReader(response.Body, mostKept+1))
+		if err != nil || response.StatusCode != http.StatusOK {
+			tenure.server.log.Warn("answer not fetched", "task", effect.Task, "status", response.StatusCode, "error", err)
+			return
+		}
+		tenure.mu.Lock()
+		defer tenure.mu.Unlock()
+		task := &row.Tasks[index]
+		task.Cut = len(body) > mostKept
+		task.Answer = body[:min(len(body), mostKept)]
+		tenure.touch(row)
+	})
+}
+
+func (tenure *tenure) jobTaskExpired(work decider.Work) {
+	id, index := splitWork(work.ID)
+	row := tenure.jobs[id]
+	if row == nil || index < 0 || index >= len(row.Tasks) {
+		return
+	}
+	row.Tasks[index].State = JobExpired
+	tenure.touch(row)
+}
+
+// job returns a job, after its next version where the call waits for it.
+func (tenure *tenure) job(ctx context.Context, call JobCall) (JobAnswer, error) {
+	tenure.mu.Lock()
+	row, found := tenure.jobs[call.ID]
+	if !found || (call.Team != "" && row.Team != call.Team) {
+		tenure.mu.Unlock()
+		return JobAnswer{Problem: noJob(call.ID)}, nil
+	}
+	changed, version := row.changed, row.Version
+	tenure.mu.Unlock()
+	if call.WaitMS > 0 && version <= call.After {
+		timer := time.NewTimer(min(mostWait, time.Duration(call.WaitMS)*time.Millisecond))
+		defer timer.Stop()
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		case <-tenure.ctx.Done():
+			return JobAnswer{}, errNotDeciding
+		}
+	}
+	tenure.mu.Lock()
+	defer tenure.mu.Unlock()
+	return JobAnswer{Job: row.copy()}, nil
+}
+
+func noJob(id string) *responder.Problem {
+	return responder.Refuse(http.StatusNotFound, responder.CodeNotFound, "no job %s", id)
+}
+
+// cancelJob drops what is queued of a job and stops what runs.
+func (tenure *tenure) cancelJob(_ context.Context, call JobCall) (JobAnswer, error) {
+	tenure.mu.Lock()
+	defer tenure.mu.Unlock()
+	row, found := tenure.jobs[call.ID]
+	if !found || (call.Team != "" && row.Team != call.Team) {
+		return JobAnswer{Problem: noJob(call.ID)}, nil
+	}
+	row.Canceled = true
+	for i := range row.Tasks {
+		if row.Tasks[i].State.final() {
+			continue
+		}
+		if tenure.decider.Cancel(workID(row.ID, i)) {
+			row.Tasks[i].State = JobCanceled
+		}
+	}
+	tenure.touch(row)
+	tenure.poke()
+	return JobAnswer{Job: row.copy()}, nil
+}
--- /dev/null
+++ b/daemon/server/keys.go
@@ -0,0 +1,217 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"ebonyshunt.org/library/decider"
+	"ebonyshunt.org/library/keeper"
+	"ebonyshunt.org/library/responder"
+)
+
+const (
+	kindKey = "key"
+	kindJob = "job"
+)
+
+// keyRow is what is known under an idempotency key.
+type keyRow struct {
+	Taken   TakeKeyCall       `json:"taken"`
+	Outcome responder.Outcome `json:"outcome,omitempty"` // empty while in progress
+	Answer  *KeptResponse     `json:"answer,omitempty"`
+	Version int64             `json:"version"`
+	Expires time.Time         `json:"expires"`
+
+	expires   time.Time
+	contested bool // the holder may start nothing more
+}
+
+func keyID(key string) string { return "key:" + key }
+
+func (tenure *tenure) restoreKey(record keeper.Record) error {
+	var row keyRow
+	if err := json.Unmarshal(record.Data, &row); err != nil {
+		return fmt.Errorf("decode key row: %w", err)
+	}
+	row.expires = row.Expires
+	tenure.keys[record.ID] = &row
+	return nil
+}
+
+// takeKey registers a request under its key, or tells what became of an earlier one.
+func (tenure *tenure) takeKey(ctx context.Context, call TakeKeyCall) (KeyAnswer, error) {
+	tenure.mu.Lock()
+	row, known := tenure.keys[keyID(call.Key)]
+	tenure.mu.Unlock()
+	switch {
+	case !known:
+		return tenure.takeFresh(ctx, call)
+	case row.Taken.Request == call.Request:
+		return tenure.verify(row), nil
+	case row.Taken.Fingerprint != call.Fingerprint:
+		return KeyAnswer{Problem: responder.Refuse(http.StatusUnprocessableEntity, responder.CodeKeyReused,
+			"the idempotency key was used with another request")}, nil
+	case row.Outcome == "":
+		return tenure.inProgress(ctx, row, call)
+	}
+	return tenure.repeat(row), nil
+}
+
+// verify tells the holder of a key whether it may start its request; it asks once it has a grant.
+func (tenure *tenure) verify(row *keyRow) KeyAnswer {
+	tenure.mu.Lock()
+	defer tenure.mu.Unlock()
+	if row.contested {
+		return KeyAnswer{Problem: responder.Refuse(http.StatusConflict, responder.CodeInProgress,
+			"another request took over the idempotency key").After(time.Second)}
+	}
+	return KeyAnswer{Fresh: true}
+}
+
+// repeat answers a request whose key has an outcome.
+func (tenure *tenure) repeat(row *keyRow) KeyAnswer {
+	switch {
+	case row.Answer != nil:
+		return KeyAnswer{Answer: row.Answer}
+	case row.Outcome == responder.Unknown:
+		return KeyAnswer{Problem: responder.New(http.StatusBadGateway, responder.CodeUpstreamCut, responder.Unknown,
+			"the request under this key may have run; it is not run again")}
+	}
+	return KeyAnswer{Problem: responder.New(http.StatusConflict, responder.CodeAnswerGone, row.Outcome,
+		"the request under this key ended; its answer was too large to be kept")}
+}
+
+// takeFresh registers a key that is not known, and copies it before anything may start.
+func (tenure *tenure) takeFresh(ctx context.Context, call TakeKeyCall) (KeyAnswer, error) {
+	if problem := tenure.forgotten(call); problem != nil {
+		return KeyAnswer{Problem: problem}, nil
+	}
+	lifetime := tenure.server.viewer.View().Fleet.KeyLifetime
+	row := &keyRow{Taken: call, Version: 1, Expires: time.Now().Add(lifetime)}
+	row.expires = row.Expires
+	tenure.mu.Lock()
+	if _, raced := tenure.keys[keyID(call.Key)]; raced {
+		tenure.mu.Unlock()
+		return tenure.takeKey(ctx, call)
+	}
+	tenure.keys[keyID(call.Key)] = row
+	tenure.mu.Unlock()
+	if err := tenure.keepKey(ctx, row); err != nil {
+		tenure.mu.Lock()
+		delete(tenure.keys, keyID(call.Key))
+		tenure.mu.Unlock()
+		return KeyAnswer{Problem: responder.Refuse(http.StatusServiceUnavailable, responder.CodeNotKept,
+			"the idempotency key cannot be kept: %v", err).After(time.Second)}, nil
+	}
+	return KeyAnswer{Fresh: true}, nil
+}
+
+// forgotten refuses keys that may have been used before records were lost: a handle of an earlier term,
+// or any other key until one key lifetime after the loss.
+func (tenure *tenure) forgotten(call TakeKeyCall) *responder.Problem {
+	if !tenure.lost {
+		return nil
+	}
+	if call.Handle {
+		if handleTerm(call.Key) == tenure.term.Number {
+			return nil
+		}
+		return responder.New(http.StatusBadGateway, responder.CodeUpstreamCut, responder.Unknown,
+			"what happened under this handle was lost; it may have run and is not run again")
+	}
+	left := time.Until(tenure.begunAt.Add(tenure.server.viewer.View().Fleet.KeyLifetime))
+	if left <= 0 {
+		return nil
+	}
+	return responder.Refuse(http.StatusServiceUnavailable, responder.CodeNotKept,
+		"records of idempotency keys were lost; take a handle instead").After(left)
+}
+
+func (tenure *tenure) keepKey(ctx context.Context, row *keyRow) error {
+	record, err := tenure.newRecord(keyID(row.Taken.Key), kindKey, row.Version, row.Expires, row)
+	if err != nil {
+		return err
+	}
+	return tenure.keep(ctx, record)
+}
+
+// inProgress answers a request whose key is held by another. A holder whose entry host is gone is
+// resolved with the decider that placed it. The key is contested first: a holder that wakes up verifies
+// its key between its grant and its start, so what is proved not to have run cannot run later.
+func (tenure *tenure) inProgress(ctx context.Context, row *keyRow, call TakeKeyCall) (KeyAnswer, error) {
+	waiting := KeyAnswer{Problem: responder.Refuse(http.StatusConflict, responder.CodeInProgress,
+		"the request under this key is in progress").After(time.Second)}
+	holder := row.Taken
+	if tenure.holderAlive(holder) {
+		return waiting, nil
+	}
+	tenure.mu.Lock()
+	row.contested = true
+	tenure.mu.Unlock()
+	answer, err := tenure.resolveElsewhere(ctx, holder)
+	if err != nil || answer.Pending {
+		return waiting, nil
+	}
+	if answer.Known && answer.Ending == decider.NeverRan {
+		return tenure.retake(ctx, row, call)
+	}
+	if _, err := tenure.endKey(ctx, EndKeyCall{Key: holder.Key, Request: holder.Request, Outcome: responder.Unknown}); err != nil {
+		return waiting, nil
+	}
+	return tenure.repeat(row), nil
+}
+
+func (tenure *tenure) holderAlive(holder TakeKeyCall) bool {
+	if holder.Host == tenure.server.settings.Host {
+		_, present := tenure.server.requests.Load(holder.Request)
+		return holder.Incarnation == tenure.server.incarnation && present
+	}
+	peer, alive := tenure.server.peers.Peer(holder.Host, time.Now())
+	return alive && peer.Incarnation == holder.Incarnation
+}
+
+func (tenure *tenure) resolveElsewhere(ctx context.Context, holder TakeKeyCall) (ResolveAnswer, error) {
+	var answer ResolveAnswer
+	err := tenure.server.callDecider(ctx, holder.Zone, methodResolve, ResolveCall{Work: holder.Request}, &answer)
+	return answer, err
+}
+
+// retake gives a key to a new request after the former was proved not to have run.
+func (tenure *tenure) retake(ctx context.Context, row *keyRow, call TakeKeyCall) (KeyAnswer, error) {
+	tenure.mu.Lock()
+	row.Taken = call
+	row.contested = false
+	row.Version++
+	tenure.mu.Unlock()
+	if err := tenure.keepKey(ctx, row); err != nil {
+		return KeyAnswer{Problem: responder.Refuse(http.StatusServiceUnavailable, responder.CodeNotKept, "%v", err).After(time.Second)}, nil
+	}
+	return KeyAnswer{Fresh: true}, nil
+}
+
+// endKey notes the outcome of the request that holds a key; one that did not run frees the key.
+func (tenure *tenure) endKey(ctx context.Context, call EndKeyCall) (KeyAnswer, error) {
+	tenure.mu.Lock()
+	row, known := tenure.keys[keyID(call.Key)]
+	if !known || row.Taken.Request != call.Request || row.Outcome != "" {
+		tenure.mu.Unlock()
+		return KeyAnswer{}, nil
+	}
+	row.Version++
+	if call.Outcome == responder.NotRun {
+		row.Taken.Fingerprint = ""
+		row.Expires = time.Now()
+		delete(tenure.keys, keyID(call.Key))
+	} else {
+		row.Outcome = call.Outcome
+		row.Answer = call.Answer
+	}
+	tenure.mu.Unlock()
+	if err := tenure.keepKey(ctx, row); err != nil {
+		return KeyAnswer{}, err
+	}
+	return KeyAnswer{}, nil
+}
--- /dev/null
+++ b/daemon/server/ops.go
@@ -0,0 +1,229 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"ebonyshunt.org/daemon/linker"
+	"ebonyshunt.org/daemon/lister"
+	"ebonyshunt.org/library/decider"
+	"ebonyshunt.org/library/fencer"
+	"ebonyshunt.org/library/recorder"
+	"ebonyshunt.org/library/responder"
+	"ebonyshunt.org/library/sizer"
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+)
+
+// WorkerStatus is one worker as its decider sees it.
+type WorkerStatus struct {
+	Name     string     `json:"name"`
+	Zone     string     `json:"zone"`
+	Capacity sizer.Size `json:"capacity"`
+	Granted  sizer.Size `json:"granted"`
+	Tasks    int        `json:"tasks"`
+	Claimed  bool       `json:"claimed"`
+	Leaving  bool       `json:"leaving"`
+	Usable   bool       `json:"usable"` // not quarantined after failures
+	HeardMS  int64      `json:"heardMS"`
+}
+
+// TaskStatus is one queued or started work.
+type TaskStatus struct {
+	Work     string     `json:"work"`
+	Team     string     `json:"team"`
+	Queue    string     `json:"queue"`
+	Service  string     `json:"service"`
+	Class    string     `json:"class"`
+	State    string     `json:"state"`
+	Worker   string     `json:"worker,omitempty"`
+	Size     sizer.Size `json:"size"`
+	QueuedMS int64      `json:"queuedMS"`
+}
+
+// TeamStatus is one team in one zone.
+type TeamStatus struct {
+	Name     string     `json:"name"`
+	Share    float64    `json:"share"`
+	Limit    sizer.Size `json:"limit"` // across the fleet; 0 is unlimited
+	Slice    sizer.Size `json:"slice"` // of the zone
+	Used     sizer.Size `json:"used"`
+	Waiting  int        `json:"waiting"`
+	Dominant float64    `json:"dominant"` // present dominant share of the zone
+	Average  float64    `json:"average"`  // decayed dominant share
+}
+
+// status describes the zone, for operators.
+func (tenure *tenure) status() StatusAnswer {
+	now := time.Now()
+	tenure.mu.Lock()
+	defer tenure.mu.Unlock()
+	answer := StatusAnswer{Zone: tenure.zone, Term: tenure.term}
+	for _, worker := range tenure.decider.Workers() {
+		answer.Workers = append(answer.Workers, WorkerStatus{
+			Name:     worker.Name,
+			Zone:     tenure.zone,
+			Capacity: worker.Capacity,
+			Granted:  worker.Granted,
+			Tasks:    len(worker.Tasks),
+			Claimed:  worker.Claimed,
+			Leaving:  worker.Leaving,
+			Usable:   worker.Usable(now),
+			HeardMS:  now.Sub(worker.ClockAt).Milliseconds(),
+		})
+	}
+	for _, task := range tenure.decider.Tasks() {
+		answer.Tasks = append(answer.Tasks, taskStatus(task, now))
+	}
+	total := tenure.decider.Total()
+	for _, team := range tenure.decider.Teams() {
+		answer.Teams = append(answer.Teams, TeamStatus{
+			Name:     team.Name,
+			Share:    team.Share,
+			Limit:    team.Caps,
+			Slice:    team.Slice,
+			Used:     team.Used,
+			Waiting:  team.Waiting,
+			Dominant: team.Used.Dominant(total),
+			Average:  team.Average,
+		})
+	}
+	return answer
+}
+
+func taskStatus(task decider.Task, now time.Time) TaskStatus {
+	return TaskStatus{
+		Work:     task.ID,
+		Team:     task.Team,
+		Queue:    task.Queue,
+		Service:  task.Service,
+		Class:    task.Class.String(),
+		State:    task.State.String(),
+		Worker:   task.Grant.Worker,
+		Size:     task.Size,
+		QueuedMS: now.Sub(task.Queued).Milliseconds(),
+	}
+}
+
+// FleetStatus is the status of every zone whose decider answered.
+type FleetStatus struct {
+	Zones  []StatusAnswer `json:"zones"`
+	Silent []string       `json:"silent,omitempty"` // zones without an answer
+}
+
+func (server *Server) serveStatus(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), clientTimeout)
+	defer cancel()
+	zones := server.viewer.View().Fleet.Zones
+	answers := make([]StatusAnswer, len(zones))
+	var wait sync.WaitGroup
+	for i, zone := range zones {
+		wait.Go(func() { _ = server.callDecider(ctx, zone, methodStatus, struct{}{}, &answers[i]) })
+	}
+	wait.Wait()
+	var status FleetStatus
+	for i, answer := range answers {
+		if answer.Zone == "" {
+			status.Silent = append(status.Silent, zones[i])
+			continue
+		}
+		status.Zones = append(status.Zones, answer)
+	}
+	responder.WriteJSON(w, http.StatusOK, status)
+}
+
+// HostStatus is one entry host as this one sees it.
+type HostStatus struct {
+	Name     string      `json:"name"`
+	Zone     string      `json:"zone"`
+	Listed   bool        `json:"listed"`
+	Alive    bool        `json:"alive"`
+	Leaving  bool        `json:"leaving"`
+	Deciding bool        `json:"deciding"`
+	Term     fencer.Term `json:"term"`
+	AsOf     int64       `json:"asOf"`
+}
+
+func (server *Server) serveHosts(w http.ResponseWriter, _ *http.Request) {
+	hosts := map[string]HostStatus{}
+	for _, host := range server.listed() {
+		if host.Kind == lister.KindEntry {
+			hosts[host.Name] = HostStatus{Name: host.Name, Zone: host.Zone, Listed: true, Leaving: host.Leaving}
+		}
+	}
+	for _, peer := range server.peers.Alive(time.Now()) {
+		status := HostStatus{Name: peer.Name, Zone: peer.Zone, Alive: true, Leaving: peer.Leaving, Deciding: peer.Deciding, Term: peer.Term, AsOf: peer.AsOf}
+		status.Listed = hosts[peer.Name].Listed
+		hosts[peer.Name] = status
+	}
+	self := server.self()
+	hosts[self.Host] = HostStatus{
+		Name: self.Host, Zone: self.Zone, Listed: hosts[self.Host].Listed, Alive: true,
+		Leaving: self.Leaving, Deciding: self.Deciding, Term: self.Term, AsOf: self.AsOf,
+	}
+	var answer []HostStatus
+	for _, host := range hosts {
+		answer = append(answer, host)
+	}
+	slices.SortFunc(answer, func(a, b HostStatus) int { return strings.Compare(a.Name, b.Name) })
+	responder.WriteJSON(w, http.StatusOK, answer)
+}
+
+func (server *Server) peerTimelines(ctx context.Context, filter recorder.Filter) [][]recorder.Event {
+	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var lines [][]recorder.Event
+	var wait sync.WaitGroup
+	for address := range server.peerAddresses() {
+		wait.Go(func() {
+			var line []recorder.Event
+			if err := server.pool.Call(ctx, address, methodTimeline, filter, &line); err != nil {
+				server.log.Debug("time line not fetched", "peer", address, "error", err)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			lines = append(lines, line)
+		})
+	}
+	wait.Wait()
+	return lines
+}
+
+// serveWithdraw lets an operator end a request, wherever it is queued or runs.
+func (server *Server) serveWithdraw(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), clientTimeout)
+	defer cancel()
+	call := WorkCall{Work: chi.URLParam(r, "request")}
+	for _, zone := range server.viewer.View().Fleet.Zones {
+		if err := server.callDecider(ctx, zone, methodWithdraw, call, nil); err != nil {
+			server.log.Warn("withdrawal not told", "peerZone", zone, "error", err)
+		}
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// newJobID returns the ID of a job of a home zone; one under an idempotency key follows from the key.
+func newJobID(zone, key string) string {
+	if key == "" {
+		return "j." + zone + "." + uuid.NewString()
+	}
+	return "j." + zone + "." + uuid.NewSHA1(uuid.NameSpaceOID, []byte(key)).String()
+}
+
+// zoneOfJob returns the home zone in a job's ID.
+func zoneOfJob(id string) string {
+	zone, _ := strings.CutPrefix(id, "j.")
+	end := strings.LastIndex(zone, ".")
+	if end < 0 {
+		return ""
+	}
+	return zone[:end]
+}
+
+func unsent(err error) bool { return linker.ErrUnsent.Has(err) }
--- /dev/null
+++ b/daemon/server/publish.go
@@ -0,0 +1,250 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"ebonyshunt.org/daemon/logger"
+	"ebonyshunt.org/library/limiter"
+	"ebonyshunt.org/library/parser"
+	"ebonyshunt.org/library/recorder"
+	"ebonyshunt.org/library/replayer"
+	"ebonyshunt.org/library/responder"
+	"ebonyshunt.org/library/viewer"
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+)
+
+// rootOwner is the author of changes made with the settings' own key.
+const rootOwner = "root"
+
+const (
+	publishTimeout = 8 * time.Second
+	mostSection    = 1 << 20
+)
+
+// SectionChange is the body of a publication; the version it replaces comes in If-Match.
+type SectionChange struct {
+	ID   string `json:"id"` // the same on each resend
+	Text string `json:"text"`
+}
+
+// Published tells what version a section has now.
+type Published struct {
+	Section string `json:"section"`
+	Version int64  `json:"version"`
+}
+
+// Conflict is a problem with the version that stands in the way.
+type Conflict struct {
+	responder.Problem
+	Current  replayer.Version `json:"current"`
+	Mistakes parser.Mistakes  `json:"mistakes,omitempty"`
+}
+
+// operatorOf returns the operator who holds a key.
+func (server *Server) operatorOf(key string) (string, bool) {
+	digest := viewer.Digest(key)
+	if server.settings.RootDigest != "" && digest == server.settings.RootDigest {
+		return rootOwner, true
+	}
+	owner, found := server.viewer.View().Owners[digest]
+	return owner.Name, found
+}
+
+// SectionsAnswer is the configuration in force.
+type SectionsAnswer struct {
+	AsOf        int64              `json:"asOf"`
+	StaleMS     int64              `json:"staleMS"`
+	Sections    []replayer.Version `json:"sections"`
+	Undecodable []string           `json:"undecodable,omitempty"`
+	Skipped     int64              `json:"skipped,omitempty"` // log records that did not decode
+}
+
+func (server *Server) serveSections(w http.ResponseWriter, _ *http.Request) {
+	state := server.register.Since(0)
+	answer := SectionsAnswer{
+		AsOf:        state.AsOf,
+		StaleMS:     server.staleness().Milliseconds(),
+		Undecodable: server.viewer.View().Undecodable,
+		Skipped:     server.tailer.Skipped.Load(),
+	}
+	for _, version := range state.Sections {
+		if !version.Removed {
+			answer.Sections = append(answer.Sections, version)
+		}
+	}
+	responder.WriteJSON(w, http.StatusOK, answer)
+}
+
+// servePublish changes or removes one section, if it still has the version that the operator saw.
+func (server *Server) servePublish(w http.ResponseWriter, r *http.Request) {
+	author, _ := server.operator(r)
+	name := strings.ReplaceAll(chi.URLParam(r, "*"), "/", " ")
+	base, err := strconv.ParseInt(strings.Trim(r.Header.Get("If-Match"), `"`), 10, 64)
+	if err != nil {
+		server.refuse(w, "", responder.Refuse(http.StatusPreconditionRequired, responder.CodeBadRequest,
+			"send If-Match with the version of the section that you saw, 0 for a new one"))
+		return
+	}
+	change, problem := readChange(w, r)
+	if problem != nil {
+		server.refuse(w, "", problem)
+		return
+	}
+	record := replayer.Record{
+		Format:  replayer.Format,
+		ID:      change.ID,
+		Section: name,
+		Base:    base,
+		Author:  author,
+		Text:    change.Text,
+		Removed: r.Method == http.MethodDelete,
+	}
+	conflict := server.publish(r.Context(), &record)
+	if conflict != nil {
+		w.Header().Set("Content-Type", responder.MediaType)
+		w.WriteHeader(conflict.Status)
+		_ = json.NewEncoder(w).Encode(conflict)
+		return
+	}
+	version, _ := server.register.Get(name)
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatInt(version.Number, 10)))
+	responder.WriteJSON(w, http.StatusOK, Published{Section: name, Version: version.Number})
+}
+
+func readChange(w http.ResponseWriter, r *http.Request) (SectionChange, *responder.Problem) {
+	change := SectionChange{ID: uuid.NewString()}
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostSection))
+	if err != nil {
+		return change, badRequest("read section: %v", err)
+	}
+	if len(data) == 0 && r.Method == http.MethodDelete {
+		return change, nil
+	}
+	if err := json.Unmarshal(data, &change); err != nil {
+		return change, badRequest("decode section: %v", err)
+	}
+	if change.ID == "" {
+		return change, badRequest("section without id: make one and keep it when you send the change again")
+	}
+	return change, nil
+}
+
+// publish checks a record, appends it and waits until the log has decided. It returns nil once the
+// record is in force here. A record that is appended twice takes effect once, as its base is then gone.
+func (server *Server) publish(ctx context.Context, record *replayer.Record) *Conflict {
+	current, _ := server.register.Get(record.Section)
+	if current.ID == record.ID {
+		return nil
+	}
+	if conflict := server.checkRecord(record, current); conflict != nil {
+		return conflict
+	}
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	offset, err := server.logClient.Append(ctx, record)
+	server.Timeline.Record(recorder.Event{Kind: "sectionAppended", Section: record.Section, Detail: fmt.Sprintf("%s offset %d: %v", record.ID, offset, err)})
+	if err != nil && !logger.ErrUncertain.Has(err) {
+		problem := responder.Refuse(http.StatusServiceUnavailable, responder.CodeLog, "not published: %v", err)
+		return &Conflict{Problem: *problem.After(time.Second), Current: current}
+	}
+	return server.awaitRecord(ctx, record, offset)
+}
+
+// awaitRecord waits until the register shows what became of a record.
+func (server *Server) awaitRecord(ctx context.Context, record *replayer.Record, offset int64) *Conflict {
+	for {
+		server.mu.Lock()
+		moved := server.sectionsWait
+		server.mu.Unlock()
+		current, _ := server.register.Get(record.Section)
+		switch {
+		case current.ID == record.ID:
+			return nil
+		case current.Number != record.Base:
+			return conflictWith(current)
+		case offset > 0 && server.register.AsOf() >= offset:
+			return conflictWith(current)
+		}
+		select {
+		case <-moved:
+		case <-ctx.Done():
+			problem := responder.New(http.StatusGatewayTimeout, responder.CodeLog, responder.Unknown,
+				"the log has not shown record %s yet: send the same change with the same id again", record.ID)
+			return &Conflict{Problem: *problem.After(time.Second), Current: current}
+		}
+	}
+}
+
+func conflictWith(current replayer.Version) *Conflict {
+	problem := responder.Refuse(http.StatusPreconditionFailed, responder.CodeConflict,
+		"section %q is at version %d by %s", current.Section, current.Number, current.Author)
+	return &Conflict{Problem: *problem, Current: current}
+}
+
+// checkRecord checks a change against the section's owner and version and the sections in force.
+func (server *Server) checkRecord(record *replayer.Record, current replayer.Version) *Conflict {
+	if owner := ownerOf(current); owner != "" && owner != record.Author && record.Author != rootOwner {
+		problem := responder.Refuse(http.StatusForbidden, responder.CodeOwner, "section %q belongs to %s", record.Section, owner)
+		return &Conflict{Problem: *problem, Current: current}
+	}
+	if current.Number != record.Base {
+		return conflictWith(current)
+	}
+	if record.Removed {
+		return nil
+	}
+	section := parser.Section{Name: record.Section, Text: record.Text}
+	parsed, mistakes := parser.ParseSection("section", section)
+	if len(mistakes) == 0 {
+		mistakes = server.viewer.View().CheckReferences("section", section, parsed)
+	}
+	if len(mistakes) == 0 && record.Author != rootOwner && parsed.Owner != record.Author && current.Number == 0 {
+		mistakes = parser.Mistakes{{Section: record.Section, Key: "owner", Reason: fmt.Sprintf("a new section belongs to its author: set it to %s", record.Author)}}
+	}
+	if len(mistakes) > 0 {
+		problem := responder.Refuse(http.StatusUnprocessableEntity, responder.CodeCheck, "%s", mistakes.Error())
+		return &Conflict{Problem: *problem, Current: current, Mistakes: mistakes}
+	}
+	if team, isTeam := parsed.Body.(parser.Team); isTeam {
+		record.Limit = &team.Limit
+	}
+	return nil
+}
+
+func ownerOf(version replayer.Version) string {
+	if version.Number == 0 || version.Removed {
+		return ""
+	}
+	parsed, _ := parser.ParseSection("section", parser.Section{Name: version.Section, Text: version.Text})
+	return parsed.Owner
+}
+
+// serveForfeit gives up what a lost zone holds of all limits. The operators vouch that nothing of the
+// zone runs any more.
+func (server *Server) serveForfeit(w http.ResponseWriter, r *http.Request) {
+	zone := chi.URLParam(r, "zone")
+	for _, present := range server.viewer.View().Fleet.Zones {
+		if present == zone {
+			server.refuse(w, "", responder.Refuse(http.StatusConflict, responder.CodeConflict,
+				"zone %s is in [fleet] zones: take it out first", zone))
+			return
+		}
+	}
+	author, _ := server.operator(r)
+	record := replayer.Record{Format: replayer.Format, ID: uuid.NewString(), Author: author, Slice: &limiter.Record{Forfeit: zone}}
+	ctx, cancel := context.WithTimeout(r.Context(), publishTimeout)
+	defer cancel()
+	if _, err := server.logClient.Append(ctx, record); err != nil {
+		server.refuse(w, "", responder.New(http.StatusServiceUnavailable, responder.CodeLog, responder.Unknown, "%v", err).After(time.Second))
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/daemon/starter/client.go
@@ -0,0 +1,174 @@
+package starter
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+
+	"ebonyshunt.org/library/fencer"
+	"ebonyshunt.org/library/sizer"
+)
+
+// Client calls workers at any address.
+type Client struct {
+	http *http.Client
+}
+
+// New returns a client that uses the given transport.
+func New(client *http.Client) *Client {
+	return &Client{http: client}
+}
+
+// Start is one task to be started; Body is streamed, never gathered.
+type Start struct {
+	Grant   fencer.Grant
+	Label   string
+	Size    sizer.Size
+	Service string
+	Method  string
+	Target  string // path below the service, with query
+	Header  http.Header
+	Body    io.Reader
+	Length  int64 // -1 where unknown
+	Async   bool
+	Resume  string // checkpoint of an earlier attempt
+}
+
+// RefusedError says that the worker did not begin the task.
+type RefusedError struct {
+	Refusal fencer.Refusal
+}
+
+// Error formats the refusal.
+func (refused *RefusedError) Error() string {
+	return "worker refused the start: " + string(refused.Refusal)
+}
+
+// Send sends the start. A *RefusedError proves that the task did not run; the caller of Send
+// closes the response's body.
+func (client *Client) Send(ctx context.Context, start Start) (*http.Response, error) {
+	target := "http://" + start.Grant.Address + "/v1/run/" + url.PathEscape(start.Grant.Task) + "/" + start.Service + start.Target
+	request, err := http.NewRequestWithContext(ctx, start.Method, target, start.Body)
+	if err != nil {
+		return nil, fmt.Errorf("build start: %w", err)
+	}
+	if err := setHeaders(request, start); err != nil {
+		return nil, err
+	}
+	response, err := client.http.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("send start to %s: %w", start.Grant.Worker, err)
+	}
+	if refusal := response.Header.Get(HeaderRefusal); refusal != "" {
+		response.Body.Close()
+		return nil, &RefusedError{Refusal: fencer.Refusal(refusal)}
+	}
+	return response, nil
+}
+
+func setHeaders(request *http.Request, start Start) error {
+	grant, err := json.Marshal(start.Grant)
+	if err != nil {
+		return fmt.Errorf("encode grant: %w", err)
+	}
+	size, err := json.Marshal(start.Size)
+	if err != nil {
+		return fmt.Errorf("encode size: %w", err)
+	}
+	for name, values := range start.Header {
+		request.Header[name] = values
+	}
+	request.Header.Set(HeaderGrant, string(grant))
+	request.Header.Set(HeaderSize, string(size))
+	request.Header.Set(HeaderLabel, start.Label)
+	if start.Resume != "" {
+		request.Header.Set(HeaderResume, start.Resume)
+	}
+	if start.Async {
+		request.Header.Set("Prefer", PreferAsync)
+	}
+	request.ContentLength = start.Length
+	return nil
+}
+
+// Claim takes or renews ownership and returns what the worker runs.
+func (client *Client) Claim(ctx context.Context, address string, claim Claim) (Report, error) {
+	body, err := json.Marshal(claim)
+	if err != nil {
+		return Report{}, fmt.Errorf("encode claim: %w", err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/claim", bytes.NewReader(body))
+	if err != nil {
+		return Report{}, fmt.Errorf("build claim: %w", err)
+	}
+	response, err := client.http.Do(request)
+	if err != nil {
+		return Report{}, fmt.Errorf("claim worker at %s: %w", address, err)
+	}
+	defer response.Body.Close()
+	var report Report
+	if err := json.NewDecoder(response.Body).Decode(&report); err != nil {
+		return Report{}, fmt.Errorf("claim worker at %s: %w", address, err)
+	}
+	if response.StatusCode == http.StatusConflict {
+		return report, ErrFenced.New("worker %s belongs to %s", report.Worker, report.Term)
+	}
+	return report, nil
+}
+
+// Stop ends a task; a task that is not there counts as stopped.
+func (client *Client) Stop(ctx context.Context, address, task string, term fencer.Term) error {
+	return client.control(ctx, http.MethodDelete, address, url.PathEscape(task), term)
+}
+
+// Checkpoint ends a task with its progress kept; a later report carries the checkpoint.
+func (client *Client) Checkpoint(ctx context.Context, address, task string, term fencer.Term) error {
+	return client.control(ctx, http.MethodPost, address, url.PathEscape(task)+"/checkpoint", term)
+}
+
+// Throttle holds a task to its granted size.
+func (client *Client) Throttle(ctx context.Context, address, task string, term fencer.Term) error {
+	return client.control(ctx, http.MethodPost, address, url.PathEscape(task)+"/throttle", term)
+}
+
+func (client *Client) control(ctx context.Context, method, address, path string, term fencer.Term) error {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+"/v1/tasks/"+path, nil)
+	if err != nil {
+		return fmt.Errorf("build control call: %w", err)
+	}
+	text, err := json.Marshal(term)
+	if err != nil {
+		return fmt.Errorf("encode term: %w", err)
+	}
+	request.Header.Set(HeaderTerm, string(text))
+	response, err := client.http.Do(request)
+	if err != nil {
+		return fmt.Errorf("%s task %s: %w", method, path, err)
+	}
+	response.Body.Close()
+	if response.StatusCode == http.StatusConflict {
+		return ErrFenced.New("%s task %s", method, path)
+	}
+	if response.StatusCode >= http.StatusBadRequest && response.StatusCode != http.StatusNotFound {
+		return Error.New("%s task %s answered with status %d", method, path, response.StatusCode)
+	}
+	return nil
+}
+
+// Answer fetches the kept answer of an ended task; the caller closes its body.
+func (client *Client) Answer(ctx context.Context, address, task string) (*http.Response, error) {
+	target := "http://" + address + "/v1/tasks/" + url.PathEscape(task) + "/answer"
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return nil, fmt.Errorf("build answer request: %w", err)
+	}
+	response, err := client.http.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("fetch answer of %s: %w", task, err)
+	}
+	return response, nil
+}
--- /dev/null
+++ b/library/limiter/plan.go
@@ -0,0 +1,60 @@
+package limiter
+
+import "ebonyshunt.org/library/sizer"
+
+// Demand is what a zone runs and has queued of a team.
+type Demand struct {
+	Team   string
+	Used   sizer.Size
+	Queued sizer.Size
+}
+
+// Plan returns the change that a zone asks of an account, and false when it asks nothing.
+//
+// A zone keeps an even part of the limit as long as nobody lacks it, so that it can go on alone when it
+// is cut off. It releases what it does not use to zones that lack some, down to its floor, and whatever
+// is unused when the limit was lowered.
+func Plan(account Account, zone string, zones int, demand Demand) (Change, bool) {
+	even := account.Limit.Div(int64(max(1, zones)))
+	held := account.Held(zone)
+	needed := mask(demand.Used.Add(demand.Queued), account.Limit)
+	pool := account.Pool()
+	change := Change{Team: account.Team}
+	change.Release = release(account, zone, zones, held, needed)
+	if change.Release.Zero() {
+		goal := needed.Max(even)
+		lacking := goal.Sub(held).Max(sizer.Size{})
+		change.Take = lacking.Min(pool.Max(sizer.Size{}))
+		change.Want = needed.Sub(held.Add(change.Take)).Max(sizer.Size{})
+	}
+	idle := change.Release.Zero() && change.Take.Zero() && change.Want == account.want(zone)
+	return change, !idle
+}
+
+// Floor is what a zone never releases while the limit stays: half of an even part.
+func Floor(account Account, zones int) sizer.Size {
+	return account.Limit.Div(int64(floorDivisor * max(1, zones)))
+}
+
+const floorDivisor = 2
+
+func release(account Account, zone string, zones int, held, needed sizer.Size) sizer.Size {
+	pool := account.Pool()
+	excess := sizer.Size{}.Sub(pool).Max(sizer.Size{})
+	unused := held.Sub(needed).Max(sizer.Size{})
+	if !excess.Zero() {
+		return unused.Min(excess)
+	}
+	lacking := account.Wanted(zone).Sub(pool.Max(sizer.Size{})).Max(sizer.Size{})
+	spare := held.Sub(needed.Max(Floor(account, zones))).Max(sizer.Size{})
+	return spare.Min(lacking)
+}
+
+func (account Account) want(zone string) sizer.Size {
+	for _, slice := range account.Slices {
+		if slice.Zone == zone {
+			return slice.Want
+		}
+	}
+	return sizer.Size{}
+}
--- /dev/null
+++ b/library/sizer/size.go
@@ -0,0 +1,136 @@
+// Package sizer describes amounts of processors, memory and accelerators.
+package sizer
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("sizer")
+
+// Size is an amount of each kind of resource.
+type Size struct {
+	MilliCores   int64 `json:"milliCores"`
+	MemoryMB     int64 `json:"memoryMB"`
+	Accelerators int64 `json:"accelerators"`
+}
+
+// Add returns the sum of both sizes.
+func (size Size) Add(other Size) Size {
+	return Size{
+		MilliCores:   size.MilliCores + other.MilliCores,
+		MemoryMB:     size.MemoryMB + other.MemoryMB,
+		Accelerators: size.Accelerators + other.Accelerators,
+	}
+}
+
+// Sub returns size less other; members may become negative.
+func (size Size) Sub(other Size) Size {
+	return Size{
+		MilliCores:   size.MilliCores - other.MilliCores,
+		MemoryMB:     size.MemoryMB - other.MemoryMB,
+		Accelerators: size.Accelerators - other.Accelerators,
+	}
+}
+
+// Times returns the size multiplied by n.
+func (size Size) Times(n int64) Size {
+	return Size{
+		MilliCores:   size.MilliCores * n,
+		MemoryMB:     size.MemoryMB * n,
+		Accelerators: size.Accelerators * n,
+	}
+}
+
+// Div returns the size divided by n, rounded down.
+func (size Size) Div(n int64) Size {
+	return Size{
+		MilliCores:   size.MilliCores / n,
+		MemoryMB:     size.MemoryMB / n,
+		Accelerators: size.Accelerators / n,
+	}
+}
+
+// Min returns the smaller of each member.
+func (size Size) Min(other Size) Size {
+	return Size{
+		MilliCores:   min(size.MilliCores, other.MilliCores),
+		MemoryMB:     min(size.MemoryMB, other.MemoryMB),
+		Accelerators: min(size.Accelerators, other.Accelerators),
+	}
+}
+
+// Max returns the larger of each member.
+func (size Size) Max(other Size) Size {
+	return Size{
+		MilliCores:   max(size.MilliCores, other.MilliCores),
+		MemoryMB:     max(size.MemoryMB, other.MemoryMB),
+		Accelerators: max(size.Accelerators, other.Accelerators),
+	}
+}
+
+// Fits reports whether no member of size exceeds that of room.
+func (size Size) Fits(room Size) bool {
+	return size.MilliCores <= room.MilliCores &&
+		size.MemoryMB <= room.MemoryMB &&
+		size.Accelerators <= room.Accelerators
+}
+
+// Zero reports whether all members are zero.
+func (size Size) Zero() bool {
+	return size == Size{}
+}
+
+// Excess names the first member of size that exceeds room, or "".
+func (size Size) Excess(room Size) string {
+	switch {
+	case size.MilliCores > room.MilliCores:
+		return fmt.Sprintf("milliCores %d exceeds %d", size.MilliCores, room.MilliCores)
+	case size.MemoryMB > room.MemoryMB:
+		return fmt.Sprintf("memoryMB %d exceeds %d", size.MemoryMB, room.MemoryMB)
+	case size.Accelerators > room.Accelerators:
+		return fmt.Sprintf("accelerators %d exceeds %d", size.Accelerators, room.Accelerators)
+	}
+	return ""
+}
+
+// Dominant returns the largest fraction that size takes of total, in 0 to 1,
+// the dominant share of Ghodsi et al., "Dominant Resource Fairness" (NSDI 2011).
+func (size Size) Dominant(total Size) float64 {
+	share := fraction(size.MilliCores, total.MilliCores)
+	share = max(share, fraction(size.MemoryMB, total.MemoryMB))
+	return max(share, fraction(size.Accelerators, total.Accelerators))
+}
+
+// String formats the size for people.
+func (size Size) String() string {
+	text := fmt.Sprintf("%gc %dMB", float64(size.MilliCores)/1000, size.MemoryMB)
+	if size.Accelerators != 0 {
+		text += fmt.Sprintf(" %da", size.Accelerators)
+	}
+	return text
+}
+
+// UnmarshalJSON decodes a size and refuses negative members.
+func (size *Size) UnmarshalJSON(data []byte) error {
+	type plain Size
+	var decoded plain
+	if err := json.Unmarshal(data, &decoded); err != nil {
+		return fmt.Errorf("decode size: %w", err)
+	}
+	if decoded.MilliCores < 0 || decoded.MemoryMB < 0 || decoded.Accelerators < 0 {
+		return Error.New("negative member in %s", data)
+	}
+	*size = Size(decoded)
+	return nil
+}
+
+func fraction(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
