Run jobs to their end, on a fabric whose clock tests advance

Cause: the worker refused every job task as malformed, because a slash in a task's ID is escaped in a path; refused starts were then repeated each tick.

--- a/daemon/server/jobs.go
+++ b/daemon/server/jobs.go
@@ -29,15 +29,21 @@
 }
 
 // workID names task number index of a job.
-func workID(job string, index int) string { return job + "/" + strconv.Itoa(index) }
+func workID(job string, index int) string { return job + workSeparator + strconv.Itoa(index) }
 
+const workSeparator = "_"
+
+// splitWork returns the job and the number in a work's ID, -1 where there is none.
 func splitWork(work string) (string, int) {
-	job, text, _ := strings.Cut(work, "/")
-	index, err := strconv.Atoi(text)
+	at := strings.LastIndex(work, workSeparator)
+	if at < 0 {
+		return work, -1
+	}
+	index, err := strconv.Atoi(work[at+1:])
 	if err != nil {
-		return job, -1
+		return work, -1
 	}
-	return job, index
+	return work[:at], index
 }
 
 // submitJob accepts a job once another host holds a copy.
@@ -301,6 +307,7 @@
 		Resume:  effect.Work.Resume,
 	})
 	if err != nil {
+		tenure.server.log.Debug("start failed", "task", effect.Grant.Task, "worker", effect.Grant.Worker, "error", err)
 		if provedUnsent(err) {
 			tenure.settleStart(effect, decider.NeverRan)
 		}
@@ -385,20 +392,39 @@
 	case row.Spec.Gang:
 		tenure.regroup(row)
 	case row.Spec.Standing && ending != decider.NeverRan:
-		tenure.wait.Go(func() {
-			sleep(tenure.ctx, standingPause)
-			tenure.mu.Lock()
-			defer tenure.mu.Unlock()
-			if row.Tasks[index].State == JobQueued {
-				tenure.enqueueTask(row, index)
-				tenure.poke()
-			}
-		})
+		tenure.enqueueAfter(row, index, standingPause)
+	case row.Tasks[index].Attempts > freeAttempts:
+		tenure.enqueueAfter(row, index, attemptPause(row.Tasks[index].Attempts))
 	default:
 		tenure.enqueueTask(row, index)
 	}
 }
 
+// attemptPause doubles with each attempt beyond the first few, up to a ceiling.
+func attemptPause(attempts int) time.Duration {
+	doublings := min(attempts-freeAttempts-1, mostDoublings)
+	return firstPause << doublings
+}
+
+const (
+	freeAttempts  = 2
+	firstPause    = 50 * time.Millisecond
+	mostDoublings = 7
+)
+
+// enqueueAfter queues a task after a pause, if it still waits then.
+func (tenure *tenure) enqueueAfter(row *jobRow, index int, pause time.Duration) {
+	tenure.wait.Go(func() {
+		sleep(tenure.ctx, pause)
+		tenure.mu.Lock()
+		defer tenure.mu.Unlock()
+		if row.Tasks[index].State == JobQueued {
+			tenure.enqueueTask(row, index)
+			tenure.poke()
+		}
+	})
+}
+
 // regroup ends the other members of a gang that lost one, and queues all once none is left.
 func (tenure *tenure) regroup(row *jobRow) {
 	left := 0
--- /dev/null
+++ b/tests/path_test.go
@@ -0,0 +1,29 @@
+package tests
+
+import (
+	"testing"
+	"time"
+
+	"ebonyshunt.org/daemon/server"
+	"ebonyshunt.org/library/responder"
+)
+
+func TestPath(t *testing.T) {
+	t.Run("request", func(t *testing.T) {
+		inBubble(t, 2, func(h *harness) {
+			answer := h.post("entry-a-0", "?workMS=100")
+			if answer.status != 200 || answer.outcome != responder.Answered {
+				h.Fatalf("got %+v", answer)
+			}
+		})
+	})
+	t.Run("job", func(t *testing.T) {
+		inBubble(t, 2, func(h *harness) {
+			job := h.submit("entry-a-0", server.JobSpec{Service: "work", Idempotent: true, Tasks: tasks(20, "?workMS=500")})
+			job = h.awaitJob("entry-b-0", job.ID, time.Minute)
+			if job.Outcome() != responder.Answered || !job.Finished() {
+				h.Fatalf("got %+v", job.Tasks)
+			}
+		})
+	})
+}
