--- a/daemon/linker/pool.go
+++ b/daemon/linker/pool.go
@@ -65,11 +65,18 @@
 	bytes Counter
 }
 
+// link is one connection; turn holds a token while nobody is connecting.
 type link struct {
-	mu   sync.Mutex
+	turn chan struct{}
 	conn *jsonrpc2.Conn
 }
 
+func newLink() *link {
+	made := &link{turn: make(chan struct{}, 1)}
+	made.turn <- struct{}{}
+	return made
+}
+
 const connectTimeout = 300 * time.Millisecond
 
 // NewPool returns a pool of connections from the named host.
@@ -116,12 +123,16 @@
 	pool.mu.Lock()
 	found := pool.links[address]
 	if found == nil {
-		found = &link{}
+		found = newLink()
 		pool.links[address] = found
 	}
 	pool.mu.Unlock()
-	found.mu.Lock()
-	defer found.mu.Unlock()
+	select {
+	case <-found.turn:
+	case <-ctx.Done():
+		return nil, fmt.Errorf("wait for connection: %w", ctx.Err())
+	}
+	defer func() { found.turn <- struct{}{} }()
 	if found.conn != nil && !disconnected(found.conn) {
 		return found.conn, nil
 	}
@@ -157,8 +168,8 @@
 }
 
 func (link *link) close() {
-	link.mu.Lock()
-	defer link.mu.Unlock()
+	<-link.turn
+	defer func() { link.turn <- struct{}{} }()
 	if link.conn != nil {
 		_ = link.conn.Close()
 		<-link.conn.DisconnectNotify()
--- a/daemon/server/beat.go
+++ b/daemon/server/beat.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"ebonyshunt.org/daemon/linker"
@@ -79,7 +81,7 @@
 	var answer Beat
 	err := server.pool.Call(ctx, address, methodBeat, message, &answer)
 	if linker.ErrUnsent.Has(err) {
-		server.lost(address)
+		server.lost(address, err)
 		return
 	}
 	if err != nil {
@@ -91,11 +93,13 @@
 	}
 }
 
-// lost marks the peer at an address as dead, unless it was heard on another way meanwhile.
-func (server *Server) lost(address string) {
-	for _, peer := range server.peers.Alive(time.Now()) {
-		if peer.Address == address && time.Since(peer.Heard) > zoneBeat {
-			server.peers.Lost(peer.Name)
+// lost marks the peer at an address as dead, unless it was heard another way meanwhile. A refused
+// connection shows that its process is gone.
+func (server *Server) lost(address string, err error) {
+	gone := errors.Is(err, syscall.ECONNREFUSED)
+	for _, peer := range server.peers.Known() {
+		if peer.Address == address && (gone || time.Since(peer.Heard) > zoneBeat) {
+			server.peers.Lost(peer.Name, gone)
 		}
 	}
 }
@@ -117,6 +121,7 @@
 		Heard:       time.Now(),
 	})
 	server.confirmThrough(beat)
+	server.handBack(beat)
 	if beat.AsOf > server.register.AsOf() && server.fetching.CompareAndSwap(false, true) {
 		server.wait.Go(func() {
 			defer server.fetching.Store(false)
@@ -184,6 +189,9 @@
 	}
 	now := time.Now()
 	self := detector.Peer{Name: server.settings.Host, Zone: zone, Leaving: server.leaving.Load()}
+	if now.Sub(server.started) < peerTimeout {
+		return
+	}
 	if !server.peers.ShouldDecide(self, now) || len(server.zoneWorkers()) == 0 {
 		return
 	}
--- a/daemon/server/call.go
+++ b/daemon/server/call.go
@@ -30,7 +30,7 @@
 	}
 	err := server.pool.Call(ctx, peer.Address, method, body, result)
 	if linker.ErrUnsent.Has(err) {
-		server.lost(peer.Address)
+		server.lost(peer.Address, err)
 	}
 	return err
 }
--- a/daemon/server/jobs.go
+++ b/daemon/server/jobs.go
@@ -25,7 +25,7 @@
 	changed chan struct{} // closed at the next version
 	saving  bool
 	dirty   bool
-	regroup bool // a gang lost a member; the others end before it starts again
+	ends    []decider.Ended // that the keepers do not know yet
 }
 
 // workID names task number index of a job.
@@ -202,6 +202,12 @@
 	if task.State.final() {
 		return
 	}
+	if end, ended := tenure.early[workID(row.ID, index)]; ended {
+		delete(tenure.early, workID(row.ID, index))
+		task.Task = end.effect.Task
+		tenure.jobTaskEnded(end.effect)
+		return
+	}
 	adopted, running := tenure.decider.Lookup(workID(row.ID, index))
 	switch {
 	case running && adopted.State == decider.Running:
@@ -240,12 +246,19 @@
 	for tenure.ctx.Err() == nil {
 		tenure.mu.Lock()
 		row.dirty = false
+		ends := row.ends
+		row.ends = nil
 		record, err := tenure.jobRecord(row)
 		tenure.mu.Unlock()
 		if err == nil {
 			err = tenure.keep(tenure.ctx, record)
 		}
 		tenure.mu.Lock()
+		if err != nil {
+			row.ends = append(ends, row.ends...)
+		} else {
+			tenure.forget(ends)
+		}
 		if err == nil && !row.dirty {
 			row.saving = false
 			tenure.mu.Unlock()
@@ -258,6 +271,13 @@
 	}
 }
 
+// forget lets the workers drop tasks whose ends are with the keepers.
+func (tenure *tenure) forget(ends []decider.Ended) {
+	for _, end := range ends {
+		tenure.decider.Forget(end.Worker, end.Task)
+	}
+}
+
 // startJobTask notes the attempt, with the keepers first where it must not run twice, and starts it.
 func (tenure *tenure) startJobTask(effect decider.Start) {
 	id, index := splitWork(effect.Work.ID)
@@ -338,13 +358,19 @@
 func (tenure *tenure) jobTaskEnded(effect decider.Ended) {
 	id, index := splitWork(effect.Work.ID)
 	row := tenure.jobs[id]
-	if row == nil || index < 0 || index >= len(row.Tasks) {
+	if row == nil {
+		tenure.early[effect.Work.ID] = earlyEnd{effect: effect, at: time.Now()}
+		return
+	}
+	if index < 0 || index >= len(row.Tasks) {
 		return
 	}
 	task := &row.Tasks[index]
 	if task.State.final() || (task.Task != "" && task.Task != effect.Task) {
+		tenure.decider.Forget(effect.Worker, effect.Task)
 		return
 	}
+	row.ends = append(row.ends, effect)
 	task.Status = effect.Status
 	if effect.Checkpoint != "" {
 		task.Resume = effect.Checkpoint
--- a/daemon/server/keep.go
+++ b/daemon/server/keep.go
@@ -12,20 +12,66 @@
 	"ebonyshunt.org/library/recorder"
 )
 
-// keepFor keeps records for the decider of their home zone.
+// keepFor keeps records for the decider of their home zone, which takes in what was handed back to it.
 func (server *Server) keepFor(call KeepCall) (struct{}, error) {
+	tenure := server.deciding()
 	for _, record := range call.Records {
-		if record.Term.Less(server.peers.Term(record.Home)) && record.Home == server.settings.Zone {
+		own := record.Home == server.settings.Zone
+		if own && !call.HandedBack && record.Term.Less(server.peers.Term(record.Home)) {
 			return struct{}{}, Error.New("term %s is over", record.Term)
 		}
 		server.kept.Put(record)
-		if record.Home == server.settings.Zone {
-			server.knewZone.Store(true)
+		if !own {
+			continue
+		}
+		server.knewZone.Store(true)
+		if call.HandedBack && tenure != nil {
+			tenure.restoreLate(record)
 		}
 	}
 	return struct{}{}, nil
 }
 
+// handBack sends the kept records of a zone to a decider that is new to this host, in case it could not
+// gather them, or a former decider wrote them late.
+func (server *Server) handBack(beat Beat) {
+	if !beat.Deciding {
+		return
+	}
+	decider := beat.Incarnation + beat.Term.String()
+	server.mu.Lock()
+	known := server.handedBack[beat.Zone] == decider
+	server.handedBack[beat.Zone] = decider
+	server.mu.Unlock()
+	records := server.kept.Home(beat.Zone)
+	if known || len(records) == 0 {
+		return
+	}
+	server.wait.Go(func() {
+		ctx, cancel := context.WithTimeout(server.abandoned, clientTimeout)
+		defer cancel()
+		if err := server.pool.Call(ctx, beat.Address, methodKeep, KeepCall{Records: records, HandedBack: true}, nil); err != nil {
+			server.log.Debug("records not handed back", "peer", beat.Host, "error", err)
+			server.mu.Lock()
+			delete(server.handedBack, beat.Zone)
+			server.mu.Unlock()
+		}
+	})
+}
+
+// restoreLate takes in a record of an earlier term that the tenure does not know.
+func (tenure *tenure) restoreLate(record keeper.Record) {
+	tenure.mu.Lock()
+	defer tenure.mu.Unlock()
+	_, job := tenure.jobs[record.ID]
+	_, key := tenure.keys[record.ID]
+	if job || key || record.Term == tenure.term {
+		return
+	}
+	tenure.restore(record)
+	tenure.poke()
+}
+
 // keepers returns the peers that keep copies: every live host of the zone and one of another zone.
 func (server *Server) keepers() []detector.Peer {
 	var chosen []detector.Peer
--- a/daemon/server/keyed.go
+++ b/daemon/server/keyed.go
@@ -117,13 +117,15 @@
 	return answer, err
 }
 
-// verifyKey makes sure, between grant and start, that nobody took over the request's key.
+// verifyKey makes sure, between grant and start, that nobody took over the request's key. An answer that
+// took long may come from a decider that has been superseded since.
 func (server *Server) verifyKey(call *call) *responder.Problem {
 	if call.take == nil {
 		return nil
 	}
+	asked := time.Now()
 	answer, err := server.takeKey(call)
-	if err != nil {
+	if err != nil || time.Since(asked) > verifyBound {
 		return responder.Refuse(http.StatusServiceUnavailable, responder.CodeHome,
 			"zone %s, which keeps this idempotency key, cannot be reached", call.home).After(time.Second)
 	}
--- a/daemon/server/keys.go
+++ b/daemon/server/keys.go
@@ -43,6 +43,10 @@
 
 // takeKey registers a request under its key, or tells what became of an earlier one.
 func (tenure *tenure) takeKey(ctx context.Context, call TakeKeyCall) (KeyAnswer, error) {
+	if !tenure.authority(time.Now()) {
+		return KeyAnswer{Problem: responder.Refuse(http.StatusServiceUnavailable, responder.CodeHome,
+			"the decider of zone %s cannot answer for idempotency keys yet", tenure.zone).After(time.Second)}, nil
+	}
 	tenure.mu.Lock()
 	row, known := tenure.keys[keyID(call.Key)]
 	tenure.mu.Unlock()
--- a/daemon/server/server.go
+++ b/daemon/server/server.go
@@ -41,6 +41,7 @@
 	network     dialer.Network
 	log         *slog.Logger
 	incarnation string
+	started     time.Time
 	metrics     *metrics
 
 	Timeline *recorder.Ring
@@ -72,6 +73,7 @@
 	mu           sync.Mutex
 	leftAt       time.Time
 	tenure       *tenure
+	handedBack   map[string]string // by zone: the decider that has this host's copies
 	hosts        []lister.Host
 	hostsAt      time.Time
 	peerStale    time.Duration // of the freshest peer, at peerStaleAt
@@ -86,6 +88,7 @@
 	zoneBeat       = 250 * time.Millisecond
 	fleetBeat      = time.Second
 	peerTimeout    = 750 * time.Millisecond
+	fleetTimeout   = 3 * time.Second
 	listEvery      = time.Second
 	callTimeout    = 500 * time.Millisecond
 	retryRatio     = 0.1
@@ -120,6 +123,8 @@
 		network:      network,
 		log:          log.With("host", settings.Host, "zone", settings.Zone),
 		incarnation:  uuid.NewString(),
+		started:      time.Now(),
+		handedBack:   map[string]string{},
 		metrics:      newMetrics(),
 		Timeline:     ring,
 		register:     &replayer.Register{},
@@ -128,7 +133,7 @@
 		lists:        lister.New(client, settings.ListAddress),
 		workers:      starter.New(client),
 		transport:    client,
-		peers:        detector.New(peerTimeout),
+		peers:        detector.New(settings.Zone, peerTimeout, fleetTimeout),
 		pool:         linker.NewPool(network, settings.Host, ring.Clock),
 		kept:         &keeper.Table{},
 		gate:         admitter.New(settings.MostRequests),
--- a/daemon/server/tenure.go
+++ b/daemon/server/tenure.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,10 +32,12 @@
 	resolvers map[string][]chan struct{}  // by task, closed when it is settled
 	recent    map[string]recentEnd        // by work
 	jobs      map[string]*jobRow
+	early     map[string]earlyEnd // ends of tasks whose jobs are not known yet, by work
 	keys      map[string]*keyRow
 	lost      bool            // records of earlier terms may be missing
 	pending   *limiter.Record // slice record that the log has not shown yet
 	begunAt   time.Time
+	keysFrom  time.Time // before it, a former decider may still answer for keys
 
 	cancel context.CancelFunc
 	ctx    context.Context
@@ -44,9 +47,16 @@
 // claimCall paces the claims of one worker.
 type claimCall struct {
 	due    time.Time
+	owned  time.Time // when the last claim that the worker confirmed was sent
 	flying bool
 }
 
+// earlyEnd is an end that was reported before its job was known.
+type earlyEnd struct {
+	effect decider.Ended
+	at     time.Time
+}
+
 // recentEnd remembers how the last attempt of a work ended.
 type recentEnd struct {
 	task   string
@@ -64,6 +74,9 @@
 	controlRetry  = 300 * time.Millisecond
 	recentKept    = 10 * time.Minute
 	resolveWait   = 4 * time.Second
+	authoritySpan = 7 * time.Second // longer than claimEvery and its retry
+	authorityWait = authoritySpan + 2*verifyBound
+	verifyBound   = 500 * time.Millisecond // age at which an entry host drops an answer about a key
 	clientTimeout = 2 * time.Second
 )
 
@@ -89,15 +102,20 @@
 // begin claims the zone's workers under a new term and starts to decide, unless a later term shows up.
 func (server *Server) begin(ctx context.Context) {
 	zone := server.settings.Zone
-	term := server.peers.Term(zone).Next(server.settings.Host)
+	former := server.peers.Term(zone)
+	term := former.Next(server.settings.Host)
 	server.peers.See(zone, term)
 	tenure := server.newTenure(term)
+	if !server.surelyGone(former) {
+		tenure.keysFrom = time.Now().Add(authorityWait)
+	}
 	tenure.refresh()
 	tenure.claimAll(ctx)
-	if server.peers.Term(zone) != term || server.leaving.Load() {
+	if server.peers.Term(zone) != term || server.leaving.Load() || !tenure.anyClaimed() {
 		tenure.close()
 		return
 	}
+	tenure.tick()
 	tenure.gather(ctx)
 	server.mu.Lock()
 	server.tenure = tenure
@@ -108,6 +126,45 @@
 	server.wait.Go(func() { server.beatAll(ctx) })
 }
 
+// surelyGone reports whether the process that held a term cannot act under it any more.
+func (server *Server) surelyGone(former fencer.Term) bool {
+	if former.Zero() || former.Holder == server.settings.Host {
+		return true
+	}
+	for _, peer := range server.peers.Known() {
+		if peer.Name == former.Holder {
+			return peer.Gone || peer.Leaving
+		}
+	}
+	return false
+}
+
+func (tenure *tenure) anyClaimed() bool {
+	for _, worker := range tenure.decider.Workers() {
+		if worker.Claimed {
+			return true
+		}
+	}
+	return false
+}
+
+// authority reports whether this tenure alone answers for the zone's keys: most workers confirmed its
+// term a short while ago, and the authority of a former decider has run out.
+func (tenure *tenure) authority(now time.Time) bool {
+	if now.Before(tenure.keysFrom) {
+		return false
+	}
+	tenure.mu.Lock()
+	defer tenure.mu.Unlock()
+	confirmed := 0
+	for _, call := range tenure.calls {
+		if now.Sub(call.owned) < authoritySpan {
+			confirmed++
+		}
+	}
+	return 2*confirmed > len(tenure.calls)
+}
+
 func (server *Server) newTenure(term fencer.Term) *tenure {
 	tenure := &tenure{
 		server:    server,
@@ -120,6 +177,7 @@
 		resolvers: map[string][]chan struct{}{},
 		recent:    map[string]recentEnd{},
 		jobs:      map[string]*jobRow{},
+		early:     map[string]earlyEnd{},
 		keys:      map[string]*keyRow{},
 		begunAt:   time.Now(),
 	}
@@ -155,6 +213,11 @@
 			tenure.calls[worker.Name] = &claimCall{}
 		}
 	}
+	for name := range tenure.calls {
+		if !slices.ContainsFunc(workers, func(info decider.WorkerInfo) bool { return info.Name == name }) {
+			delete(tenure.calls, name)
+		}
+	}
 	tenure.poke()
 }
 
@@ -246,6 +309,8 @@
 	delete(tenure.resolvers, effect.Task)
 	if effect.Work.Job != "" {
 		tenure.jobTaskEnded(effect)
+	} else {
+		tenure.decider.Forget(effect.Worker, effect.Task)
 	}
 	tenure.poke()
 }
@@ -319,6 +384,9 @@
 	tenure.mu.Lock()
 	defer tenure.mu.Unlock()
 	call := tenure.calls[name]
+	if call == nil {
+		return
+	}
 	call.flying = false
 	call.due = now.Add(claimEvery)
 	next, found := tenure.decider.NextEnd(name, now)
@@ -329,8 +397,9 @@
 
 // claim asks one worker for ownership and its changes, and takes in its report.
 func (tenure *tenure) claim(ctx context.Context, name string) {
+	sent := time.Now()
 	tenure.mu.Lock()
-	next, found := tenure.decider.NextClaim(name, time.Now())
+	next, found := tenure.decider.NextClaim(name, sent)
 	tenure.mu.Unlock()
 	if !found {
 		return
@@ -356,6 +425,9 @@
 	tenure.mu.Lock()
 	defer tenure.mu.Unlock()
 	tenure.decider.Reported(name, convert(report), time.Now())
+	if call := tenure.calls[name]; call != nil && report.Term == tenure.term {
+		call.owned = sent
+	}
 	tenure.poke()
 }
 
@@ -427,6 +499,12 @@
 			delete(tenure.recent, work)
 		}
 	}
+	for work, end := range tenure.early {
+		if now.Sub(end.at) > recentKept {
+			tenure.decider.Forget(end.effect.Worker, end.effect.Task)
+			delete(tenure.early, work)
+		}
+	}
 	for id, row := range tenure.keys {
 		if row.expires.Before(now) {
 			delete(tenure.keys, id)
--- a/daemon/server/wire.go
+++ b/daemon/server/wire.go
@@ -105,7 +105,8 @@
 
 // KeepCall asks a peer to keep records.
 type KeepCall struct {
-	Records []keeper.Record `json:"records"`
+	Records    []keeper.Record `json:"records"`
+	HandedBack bool            `json:"handedBack,omitempty"` // to the decider of their home
 }
 
 // KeptCall asks a peer for the records of a home zone.
--- a/library/decider/report.go
+++ b/library/decider/report.go
@@ -49,6 +49,7 @@
 		return Claim{}, false
 	}
 	claim := Claim{Worker: name, Address: worker.Address, Boot: worker.Boot, Since: worker.Sequence, Forget: worker.forget}
+	worker.forget = nil
 	if worker.Boot == "" {
 		return claim, true
 	}
@@ -96,7 +97,6 @@
 		decider.sumCapacity()
 	}
 	worker.Clock, worker.ClockAt, worker.Sequence = report.Clock, now, report.Sequence
-	worker.forget = nil
 	for _, reported := range report.Tasks {
 		decider.reconcile(worker, reported, now)
 	}
@@ -105,6 +105,14 @@
 	}
 }
 
+// Forget lets a worker drop an ended task, once its end is known wherever it has to be. A worker that
+// misses this keeps the task until its memory is short.
+func (decider *Decider) Forget(workerName, taskID string) {
+	if worker, found := decider.workers[workerName]; found {
+		worker.forget = append(worker.forget, taskID)
+	}
+}
+
 // rebooted marks the worker's tasks as lost until it reports them or their leases have lapsed.
 func (decider *Decider) rebooted(worker *Worker, report Report, now time.Time) {
 	if worker.Boot != "" {
@@ -130,10 +138,8 @@
 	case reported.Running:
 		decider.adopt(worker, reported, now)
 	case known:
-		worker.forget = append(worker.forget, reported.ID)
 		decider.settle(task, reported.Ending, reported.Status, reported.Checkpoint, now)
 	default:
-		worker.forget = append(worker.forget, reported.ID)
 		decider.orphanEnded(worker, reported)
 	}
 }
--- a/library/detector/detector.go
+++ b/library/detector/detector.go
@@ -21,11 +21,14 @@
 	Deciding    bool
 	AsOf        int64 // offset of its configuration
 	Heard       time.Time
+	Gone        bool // its process was seen not to be there
 }
 
 // Detector holds the peers of one host.
 type Detector struct {
-	Timeout time.Duration // silence after which a peer is taken to be dead
+	Zone         string        // of this host
+	Timeout      time.Duration // silence after which a peer of the zone is taken to be dead
+	FleetTimeout time.Duration // the same for peers of other zones, which are heard less often
 
 	mu    sync.Mutex
 	peers map[string]Peer
@@ -33,8 +36,8 @@
 }
 
 // New returns a detector that knows nobody.
-func New(timeout time.Duration) *Detector {
-	return &Detector{Timeout: timeout, peers: map[string]Peer{}, terms: map[string]fencer.Term{}}
+func New(zone string, timeout, fleetTimeout time.Duration) *Detector {
+	return &Detector{Zone: zone, Timeout: timeout, FleetTimeout: fleetTimeout, peers: map[string]Peer{}, terms: map[string]fencer.Term{}}
 }
 
 // Heard takes a peer's word of itself. A host replaced under the same name starts anew.
@@ -45,13 +48,14 @@
 	detector.see(peer.Zone, peer.Term)
 }
 
-// Lost forgets a peer whose connection was refused or reset.
-func (detector *Detector) Lost(name string) {
+// Lost takes a peer that cannot be reached for dead; gone tells that its process surely ended.
+func (detector *Detector) Lost(name string, gone bool) {
 	detector.mu.Lock()
 	defer detector.mu.Unlock()
 	peer, known := detector.peers[name]
 	if known {
 		peer.Heard = time.Time{}
+		peer.Gone = gone
 		detector.peers[name] = peer
 	}
 }
@@ -83,19 +87,38 @@
 	var alive []Peer
 	for _, name := range slices.Sorted(maps.Keys(detector.peers)) {
 		peer := detector.peers[name]
-		if now.Sub(peer.Heard) < detector.Timeout {
+		if detector.alive(peer, now) {
 			alive = append(alive, peer)
 		}
 	}
 	return alive
 }
 
+// Known returns all peers that were ever heard, by name.
+func (detector *Detector) Known() []Peer {
+	detector.mu.Lock()
+	defer detector.mu.Unlock()
+	var known []Peer
+	for _, name := range slices.Sorted(maps.Keys(detector.peers)) {
+		known = append(known, detector.peers[name])
+	}
+	return known
+}
+
 // Peer returns what is known of a peer, and whether it is alive.
 func (detector *Detector) Peer(name string, now time.Time) (Peer, bool) {
 	detector.mu.Lock()
 	defer detector.mu.Unlock()
 	peer, known := detector.peers[name]
-	return peer, known && now.Sub(peer.Heard) < detector.Timeout
+	return peer, known && detector.alive(peer, now)
+}
+
+func (detector *Detector) alive(peer Peer, now time.Time) bool {
+	timeout := detector.FleetTimeout
+	if peer.Zone == detector.Zone {
+		timeout = detector.Timeout
+	}
+	return now.Sub(peer.Heard) < timeout
 }
 
 // Decider returns the live peer that decides for a zone under its latest term.
