Add the daemon's program, the command line, and scenarios that run them

Cause: operators and callers had no way in but raw HTTP. Change: ebonyshuntd with checked settings and a graceful SIGTERM; ebonyshunt with one file per sub-command; platform for the stand-ins; testscript scenarios of the main job, configuration, owners, bad requests and processes; a check of the house style's names.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+modules = library daemon platform command demo tests
+packages = $(foreach module,$(modules),./$(module)/...)
+
+.PHONY: build test race bench fmt lint demo
+
+build:
+	go build -o bin/ebonyshunt ./command
+	go build -o bin/ebonyshuntd ./daemon
+	go build -o bin/platform ./platform
+
+test:
+	go test -race $(packages)
+
+bench:
+	go run ./tests/bench
+
+fmt:
+	for module in $(modules); do (cd $$module && golangci-lint fmt ./...); done
+
+lint:
+	for module in $(modules); do (cd $$module && golangci-lint run ./...) || exit 1; done
+
+demo:
+	go run ./demo
--- /dev/null
+++ b/command/cmd_queue.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+)
+
+var cmdQueue = &command{
+	use:     "queue NAME",
+	short:   "Create or change a queue",
+	example: "ebonyshunt queue surveyLive --owner ops --team survey --class interactive --services photoCheck",
+	args:    cobra.ExactArgs(1),
+	flags: func(flags *pflag.FlagSet) {
+		flags.String("owner", "", "operator who may change the queue")
+		flags.String("team", "", "team whose work it takes")
+		flags.String("class", "", "urgent, interactive, batch or standing")
+		flags.String("services", "", "services that it takes, separated by commas")
+		flags.String("open", "", "true to take work without a key")
+		flags.String("maxQueued", "", "most works that may wait")
+		flags.String("weight", "", "weight among the team's queues")
+	},
+	run: func(invocation *invocation) error {
+		values := invocation.changedFlags("owner", "team", "class", "services", "open", "maxQueued", "weight")
+		return invocation.edit("queue "+invocation.args[0], values)
+	},
+}
--- /dev/null
+++ b/command/cmd_remove.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/spf13/cobra"
+)
+
+var cmdRemove = &command{
+	use:     "remove SECTION",
+	short:   "Remove a section; what runs of it ends, and no more of it starts",
+	example: "ebonyshunt remove 'queue surveyLive'",
+	args:    cobra.ExactArgs(1),
+	run: func(invocation *invocation) error {
+		current, err := invocation.sections()
+		if err != nil {
+			return err
+		}
+		version, found := current[invocation.args[0]]
+		if !found {
+			return fail(exitFailed, "no section [%s] is in force: see ebonyshunt show", invocation.args[0])
+		}
+		if _, err := invocation.publish(http.MethodDelete, version.Section, "", version.Number); err != nil {
+			return err
+		}
+		fmt.Fprintf(invocation.out, "[%s] removed\n", version.Section)
+		return nil
+	},
+}
--- /dev/null
+++ b/command/cmd_tasks.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+)
+
+var cmdTasks = &command{
+	use:     "tasks",
+	short:   "Show what waits and runs",
+	example: "ebonyshunt tasks --team survey",
+	args:    cobra.NoArgs,
+	flags: func(flags *pflag.FlagSet) {
+		flags.String("team", "", "only of this team")
+	},
+	run: func(invocation *invocation) error {
+		status, err := invocation.status()
+		if err != nil {
+			return err
+		}
+		team, _ := invocation.flags.GetString("team")
+		return invocation.show(status, func(w io.Writer) {
+			fmt.Fprintln(w, "WORK\tTEAM\tQUEUE\tSERVICE\tCLASS\tSTATE\tWORKER\tAGE")
+			for _, zone := range status.Zones {
+				for _, task := range zone.Tasks {
+					if team != "" && task.Team != team {
+						continue
+					}
+					age := time.Duration(task.QueuedMS) * time.Millisecond
+					fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", task.Work, task.Team, task.Queue, task.Service, task.Class, task.State, task.Worker, age)
+				}
+			}
+		})
+	},
+}
--- /dev/null
+++ b/command/cmd_withdraw.go
@@ -0,0 +1,13 @@
+package main
+
+import "github.com/spf13/cobra"
+
+var cmdWithdraw = &command{
+	use:     "withdraw KEY",
+	short:   "Withdraw a team's key, by the name of its section",
+	example: "ebonyshunt withdraw survey.field",
+	args:    cobra.ExactArgs(1),
+	run: func(invocation *invocation) error {
+		return invocation.edit("key "+invocation.args[0], map[string]string{"withdrawn": "true"})
+	},
+}
--- a/daemon/loader/settings.go
+++ b/daemon/loader/settings.go
@@ -69,7 +69,7 @@
 		}
 	}
 	slices.SortStableFunc(mistakes, func(a, b parser.Mistake) int { return a.Line - b.Line })
-	return settings, mistakes
+	return settings.WithDefaults(), mistakes
 }
 
 var sectionNames = []string{"host", "platform", "operators", "bounds"}
--- /dev/null
+++ b/daemon/main.go
@@ -0,0 +1,111 @@
+// Command ebonyshuntd is the daemon that runs on every entry host.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"ebonyshunt.org/daemon/dialer"
+	"ebonyshunt.org/daemon/loader"
+	"ebonyshunt.org/daemon/server"
+	"github.com/spf13/cobra"
+)
+
+// The exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+	exitLeft     = 3 // requests were abandoned
+)
+
+// errAbandoned says that a second signal cut requests off.
+var errAbandoned = errors.New("requests were abandoned")
+
+func main() {
+	command := newCommand()
+	if err := command.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "ebonyshuntd:", err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	var settings *settingsError
+	switch {
+	case errors.As(err, &settings):
+		return exitSettings
+	case errors.Is(err, errAbandoned):
+		return exitLeft
+	}
+	return exitFailed
+}
+
+// settingsError wraps the mistakes of a settings file.
+type settingsError struct{ err error }
+
+// Error lists the mistakes.
+func (settingsError *settingsError) Error() string {
+	return "settings refused:\n" + settingsError.err.Error()
+}
+
+func newCommand() *cobra.Command {
+	var path string
+	var check bool
+	command := &cobra.Command{
+		Use:           "ebonyshuntd --settings FILE",
+		Short:         "Serve requests on an entry host and decide for its zone when it is the one to do so",
+		Example:       "  ebonyshuntd --settings /etc/ebonyshuntd.ini --check\n  ebonyshuntd --settings /etc/ebonyshuntd.ini",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(command *cobra.Command, _ []string) error {
+			settings, err := loader.Load(path)
+			if err != nil {
+				return &settingsError{err: err}
+			}
+			if check {
+				fmt.Fprintf(command.OutOrStdout(), "%s: host %s in zone %s, no mistakes\n", path, settings.Host, settings.Zone)
+				return nil
+			}
+			return serve(settings, command.ErrOrStderr())
+		},
+	}
+	command.Flags().StringVar(&path, "settings", "ebonyshuntd.ini", "settings `FILE`")
+	command.Flags().BoolVar(&check, "check", false, "only check the settings")
+	return command
+}
+
+// serve runs the daemon until a signal; the first asks for a graceful shutdown, the second cuts it short.
+func serve(settings loader.Settings, out io.Writer) error {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(settings.LogLevel)); err != nil {
+		return fmt.Errorf("log level: %w", err)
+	}
+	log := slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: level}))
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+	started, err := server.Start(settings, dialer.TCP(), log)
+	if err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	<-signals
+	ctx, cancel := context.WithTimeout(context.Background(), settings.ShutdownGrace)
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	abandoned := started.Shutdown(ctx)
+	if len(abandoned) > 0 {
+		log.Warn("requests abandoned", "requests", abandoned)
+		return fmt.Errorf("%w: %d", errAbandoned, len(abandoned))
+	}
+	return nil
+}
--- a/daemon/server/job.go
+++ b/daemon/server/job.go
@@ -7,6 +7,7 @@
 
 	"ebonyshunt.org/library/responder"
 	"ebonyshunt.org/library/sizer"
+	"ebonyshunt.org/library/viewer"
 )
 
 // JobSpec is what a caller submits.
@@ -39,7 +40,7 @@
 )
 
 // UnmarshalJSON decodes a spec and refuses one without service or tasks, or with too many.
-func (spec *JobSpec) UnmarshalJSON(data []byte) error {
+func (jobSpec *JobSpec) UnmarshalJSON(data []byte) error {
 	type plain JobSpec
 	var decoded plain
 	if err := json.Unmarshal(data, &decoded); err != nil {
@@ -53,10 +54,19 @@
 	case decoded.ExpectedMS < 0:
 		return Error.New("job with a negative expectedMS")
 	}
-	*spec = JobSpec(decoded)
+	*jobSpec = JobSpec(decoded)
 	return nil
 }
 
+// digest identifies the spec, to tell a repeated submission from another one.
+func (jobSpec JobSpec) digest() string {
+	data, err := json.Marshal(jobSpec)
+	if err != nil {
+		return ""
+	}
+	return viewer.Digest(string(data))
+}
+
 // JobTaskState is where a task of a job stands.
 type JobTaskState string
 
@@ -72,8 +82,8 @@
 )
 
 // final reports whether the state is the last one.
-func (state JobTaskState) final() bool {
-	return state != JobQueued && state != JobRunning
+func (jobTaskState JobTaskState) final() bool {
+	return jobTaskState != JobQueued && jobTaskState != JobRunning
 }
 
 // JobTask is one task of a job.
@@ -97,6 +107,7 @@
 	Zone      string    `json:"zone"`
 	Class     string    `json:"class"`
 	Spec      JobSpec   `json:"spec"`
+	Digest    string    `json:"digest"` // of the spec as it was submitted
 	Tasks     []JobTask `json:"tasks"`
 	Canceled  bool      `json:"canceled,omitempty"`
 	Submitted time.Time `json:"submitted"`
--- a/daemon/server/jobs.go
+++ b/daemon/server/jobs.go
@@ -79,9 +79,7 @@
 func (tenure *tenure) resubmitted(known *jobRow, call SubmitJobCall) JobAnswer {
 	tenure.mu.Lock()
 	defer tenure.mu.Unlock()
-	before, _ := json.Marshal(known.Spec)
-	now, _ := json.Marshal(call.Spec)
-	if known.Team != call.Team || !bytes.Equal(before, now) {
+	if known.Team != call.Team || known.Digest != call.Spec.digest() {
 		return JobAnswer{Problem: responder.Refuse(http.StatusUnprocessableEntity, responder.CodeKeyReused,
 			"the idempotency key was used with another job")}
 	}
@@ -95,6 +93,7 @@
 	if !found {
 		return nil, responder.Refuse(http.StatusNotFound, responder.CodeNoService, "service %q is not configured", call.Spec.Service)
 	}
+	digest := call.Spec.digest()
 	if call.Spec.Size.Zero() {
 		call.Spec.Size = service.Size
 	}
@@ -112,6 +111,7 @@
 		Zone:      tenure.zone,
 		Class:     class,
 		Spec:      call.Spec,
+		Digest:    digest,
 		Tasks:     make([]JobTask, len(call.Spec.Tasks)),
 		Submitted: time.Now(),
 		Version:   1,
@@ -128,37 +128,37 @@
 }
 
 // work returns the decider's view of one task.
-func (row *jobRow) work(index int) decider.Work {
-	class, err := decider.ParseClass(row.Class)
+func (jobRow *jobRow) work(index int) decider.Work {
+	class, err := decider.ParseClass(jobRow.Class)
 	if err != nil {
 		class = decider.Batch
 	}
-	task := row.Tasks[index]
+	task := jobRow.Tasks[index]
 	work := decider.Work{
-		ID:         workID(row.ID, index),
-		Team:       row.Team,
-		Service:    row.Spec.Service,
-		Queue:      row.Spec.Queue,
+		ID:         workID(jobRow.ID, index),
+		Team:       jobRow.Team,
+		Service:    jobRow.Spec.Service,
+		Queue:      jobRow.Spec.Queue,
 		Class:      class,
-		Size:       row.Spec.Size,
-		Job:        row.ID,
-		Idempotent: row.Spec.Idempotent || row.Spec.Standing,
-		Resumable:  row.Spec.Resumable,
-		Deadline:   row.Spec.Deadline,
-		Expected:   time.Duration(row.Spec.ExpectedMS) * time.Millisecond,
+		Size:       jobRow.Spec.Size,
+		Job:        jobRow.ID,
+		Idempotent: jobRow.Spec.Idempotent || jobRow.Spec.Standing,
+		Resumable:  jobRow.Spec.Resumable,
+		Deadline:   jobRow.Spec.Deadline,
+		Expected:   time.Duration(jobRow.Spec.ExpectedMS) * time.Millisecond,
 		Resume:     task.Resume,
 		Attempt:    task.Attempts,
 		Avoid:      task.Avoid,
 	}
-	if row.Spec.Gang {
-		work.Gang = len(row.Tasks)
+	if jobRow.Spec.Gang {
+		work.Gang = len(jobRow.Tasks)
 	}
 	return work
 }
 
-func (row *jobRow) copy() *Job {
-	job := row.Job
-	job.Tasks = slices.Clone(row.Tasks)
+func (jobRow *jobRow) copy() *Job {
+	job := jobRow.Job
+	job.Tasks = slices.Clone(jobRow.Tasks)
 	return &job
 }
 
@@ -386,12 +386,12 @@
 }
 
 // after returns the state of a task after an ending.
-func (row *jobRow) after(task *JobTask, effect decider.Ended) JobTaskState {
-	again := row.Spec.Idempotent || row.Spec.Standing
+func (jobRow *jobRow) after(task *JobTask, effect decider.Ended) JobTaskState {
+	again := jobRow.Spec.Idempotent || jobRow.Spec.Standing
 	switch {
-	case row.Canceled && effect.Ending != decider.Completed && effect.Ending != decider.Failed:
+	case jobRow.Canceled && effect.Ending != decider.Completed && effect.Ending != decider.Failed:
 		return JobCanceled
-	case row.Spec.Standing:
+	case jobRow.Spec.Standing:
 		return JobQueued
 	case effect.Ending == decider.Completed:
 		return JobDone
--- a/daemon/server/keys.go
+++ b/daemon/server/keys.go
@@ -103,14 +103,22 @@
 	}
 	tenure.keys[keyID(call.Key)] = row
 	tenure.mu.Unlock()
-	if err := tenure.keepKey(ctx, row); err != nil {
+	err := tenure.keepKey(ctx, row)
+	if err != nil {
 		tenure.mu.Lock()
 		delete(tenure.keys, keyID(call.Key))
 		tenure.mu.Unlock()
-		return KeyAnswer{Problem: responder.Refuse(http.StatusServiceUnavailable, responder.CodeNotKept,
-			"the idempotency key cannot be kept: %v", err).After(time.Second)}, nil
 	}
-	return KeyAnswer{Fresh: true}, nil
+	return freshIf(err), nil
+}
+
+// freshIf hands a key over once it is kept beyond this host, and refuses it otherwise.
+func freshIf(err error) KeyAnswer {
+	if err == nil {
+		return KeyAnswer{Fresh: true}
+	}
+	return KeyAnswer{Problem: responder.Refuse(http.StatusServiceUnavailable, responder.CodeNotKept,
+		"the idempotency key cannot be kept: %v", err).After(time.Second)}
 }
 
 // forgotten refuses keys that may have been used before records were lost: a handle of an earlier term,
@@ -155,17 +163,23 @@
 	tenure.mu.Lock()
 	row.contested = true
 	tenure.mu.Unlock()
-	answer, err := tenure.resolveElsewhere(ctx, holder)
-	if err != nil || answer.Pending {
+	switch answer := tenure.resolveElsewhere(ctx, holder); {
+	case answer.Pending:
 		return waiting, nil
-	}
-	if answer.Known && answer.Ending == decider.NeverRan {
+	case answer.Known && answer.Ending == decider.NeverRan:
 		return tenure.retake(ctx, row, call)
 	}
-	if _, err := tenure.endKey(ctx, EndKeyCall{Key: holder.Key, Request: holder.Request, Outcome: responder.Unknown}); err != nil {
-		return waiting, nil
+	return tenure.giveUpKey(ctx, row, waiting), nil
+}
+
+// giveUpKey notes that what happened under a key is not known, and will not be.
+func (tenure *tenure) giveUpKey(ctx context.Context, row *keyRow, waiting KeyAnswer) KeyAnswer {
+	end := EndKeyCall{Key: row.Taken.Key, Request: row.Taken.Request, Outcome: responder.Unknown}
+	_, err := tenure.endKey(ctx, end)
+	if err == nil {
+		return tenure.repeat(row)
 	}
-	return tenure.repeat(row), nil
+	return waiting
 }
 
 func (tenure *tenure) holderAlive(holder TakeKeyCall) bool {
@@ -177,10 +191,14 @@
 	return alive && peer.Incarnation == holder.Incarnation
 }
 
-func (tenure *tenure) resolveElsewhere(ctx context.Context, holder TakeKeyCall) (ResolveAnswer, error) {
+// resolveElsewhere asks the decider that placed a request; while it cannot be asked, the end is pending.
+func (tenure *tenure) resolveElsewhere(ctx context.Context, holder TakeKeyCall) ResolveAnswer {
 	var answer ResolveAnswer
 	err := tenure.server.callDecider(ctx, holder.Zone, methodResolve, ResolveCall{Work: holder.Request}, &answer)
-	return answer, err
+	if err != nil {
+		return ResolveAnswer{Pending: true}
+	}
+	return answer
 }
 
 // retake gives a key to a new request after the former was proved not to have run.
@@ -190,10 +208,7 @@
 	row.contested = false
 	row.Version++
 	tenure.mu.Unlock()
-	if err := tenure.keepKey(ctx, row); err != nil {
-		return KeyAnswer{Problem: responder.Refuse(http.StatusServiceUnavailable, responder.CodeNotKept, "%v", err).After(time.Second)}, nil
-	}
-	return KeyAnswer{Fresh: true}, nil
+	return freshIf(tenure.keepKey(ctx, row)), nil
 }
 
 // endKey notes the outcome of the request that holds a key; one that did not run frees the key.
--- a/daemon/server/request.go
+++ b/daemon/server/request.go
@@ -344,8 +344,10 @@
 
 // hopByHop are the headers that concern one connection only (RFC 9110, section 7.6.1), and those that
 // do not leave the system.
-var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Authorization", "Idempotency-Key", "Content-Length", "Expect", "Prefer"}
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Authorization", "Idempotency-Key", "Content-Length", "Expect", "Prefer",
+}
 
 // forwarded returns the caller's headers that go to the worker.
 func forwarded(header http.Header) http.Header {
@@ -386,18 +388,18 @@
 }
 
 // Write passes a part of the answer on.
-func (copied *keptCopy) Write(data []byte) (int, error) {
-	if copied.keep && len(copied.kept.Body)+len(data) <= mostKept {
-		copied.kept.Body = append(copied.kept.Body, data...)
+func (keptCopy *keptCopy) Write(data []byte) (int, error) {
+	if keptCopy.keep && len(keptCopy.kept.Body)+len(data) <= mostKept {
+		keptCopy.kept.Body = append(keptCopy.kept.Body, data...)
 	} else {
-		copied.keep = false
-		copied.kept.Body = nil
+		keptCopy.keep = false
+		keptCopy.kept.Body = nil
 	}
-	count, err := copied.w.Write(data)
+	count, err := keptCopy.w.Write(data)
 	if err != nil {
 		return count, fmt.Errorf("write answer: %w", err)
 	}
-	if err := http.NewResponseController(copied.w).Flush(); err != nil {
+	if err := http.NewResponseController(keptCopy.w).Flush(); err != nil {
 		return count, fmt.Errorf("flush answer: %w", err)
 	}
 	return count, nil
--- a/daemon/server/trade.go
+++ b/daemon/server/trade.go
@@ -39,8 +39,8 @@
 // trade asks the log for changes of the zone's slices. A record is appended again until the log shows
 // it, which is harmless as its step counts once; the first record of a term only begins it.
 func (tenure *tenure) trade(ctx context.Context) {
-	record, any := tenure.nextTrade()
-	if !any {
+	record, due := tenure.nextTrade()
+	if !due {
 		return
 	}
 	tenure.refresh()
@@ -80,7 +80,7 @@
 	for _, team := range tenure.decider.Teams() {
 		account := tenure.server.register.Account(team.Name)
 		demand := limiter.Demand{Team: team.Name, Used: team.Used, Queued: team.Queued}
-		if change, any := limiter.Plan(account, tenure.zone, zones, demand); any {
+		if change, due := limiter.Plan(account, tenure.zone, zones, demand); due {
 			changes = append(changes, change)
 		}
 	}
--- a/daemon/starter/client.go
+++ b/daemon/starter/client.go
@@ -44,8 +44,8 @@
 }
 
 // Error formats the refusal.
-func (refused *RefusedError) Error() string {
-	return "worker refused the start: " + string(refused.Refusal)
+func (refusedError *RefusedError) Error() string {
+	return "worker refusedError the start: " + string(refusedError.Refusal)
 }
 
 // Send sends the start. A *RefusedError proves that the task did not run; the caller of Send
--- a/demo/run.go
+++ b/demo/run.go
@@ -224,7 +224,7 @@
 		}
 		time.Sleep(standingPoll)
 	}
-	fmt.Fprintf(show.out, "ledger watcher: %s on %s, now cancelled\n", job.Tasks[0].State, job.Tasks[0].Worker)
+	fmt.Fprintf(show.out, "ledger watcher: %s on %s, now canceled\n", job.Tasks[0].State, job.Tasks[0].Worker)
 	_, err = show.send(ctx, 0, http.MethodDelete, "/v1/jobs/"+job.ID, intakeKey, nil)
 	return err
 }
--- a/library/decider/lanes.go
+++ b/library/decider/lanes.go
@@ -75,7 +75,7 @@
 	}
 }
 
-// update sets what the lane is ordered by: the class of its head, one better for each ageing span that
+// update sets what the lane is ordered by: the class of its head, one better for each aging span that
 // it waited but never urgent, then the dominant share of its team over the team's weight.
 func (decider *Decider) update(lane *lane, now time.Time) {
 	team := decider.team(lane.key.team)
@@ -84,20 +84,25 @@
 	lane.rank = lane.key.class
 	if lane.rank != Urgent {
 		waited := now.Sub(lane.head().Queued)
-		lane.rank = max(Interactive, lane.key.class-Class(waited/decider.Settings.Ageing))
+		lane.rank = max(Interactive, lane.key.class-Class(waited/decider.Settings.Aging))
 	}
 }
 
 // laneHeap orders lanes by rank, score and age of their heads.
 type laneHeap []*lane
 
-func (lanes laneHeap) Len() int      { return len(lanes) }
-func (lanes laneHeap) Swap(i, j int) { lanes[i], lanes[j] = lanes[j], lanes[i] }
-func (lanes *laneHeap) Push(x any)   { *lanes = append(*lanes, x.(*lane)) }
+// Len returns the number of lanes.
+func (laneHeap laneHeap) Len() int { return len(laneHeap) }
+
+// Swap exchanges two lanes.
+func (laneHeap laneHeap) Swap(i, j int) { laneHeap[i], laneHeap[j] = laneHeap[j], laneHeap[i] }
+
+// Push adds a lane at the end, as container/heap asks.
+func (laneHeap *laneHeap) Push(x any) { *laneHeap = append(*laneHeap, x.(*lane)) }
 
 // Less reports whether lane i is served before lane j.
-func (lanes laneHeap) Less(i, j int) bool {
-	a, b := lanes[i], lanes[j]
+func (laneHeap laneHeap) Less(i, j int) bool {
+	a, b := laneHeap[i], laneHeap[j]
 	if a.rank != b.rank {
 		return a.rank < b.rank
 	}
@@ -112,10 +117,10 @@
 }
 
 // Pop removes the last lane, as container/heap asks.
-func (lanes *laneHeap) Pop() any {
-	last := len(*lanes) - 1
-	popped := (*lanes)[last]
-	*lanes = (*lanes)[:last]
+func (laneHeap *laneHeap) Pop() any {
+	last := len(*laneHeap) - 1
+	popped := (*laneHeap)[last]
+	*laneHeap = (*laneHeap)[:last]
 	return popped
 }
 
@@ -138,16 +143,27 @@
 // deadlineHeap orders tasks by deadline; tasks that left the queue are skipped when met.
 type deadlineHeap []*Task
 
-func (tasks deadlineHeap) Len() int           { return len(tasks) }
-func (tasks deadlineHeap) Less(i, j int) bool { return tasks[i].Deadline.Before(tasks[j].Deadline) }
-func (tasks deadlineHeap) Swap(i, j int)      { tasks[i], tasks[j] = tasks[j], tasks[i] }
-func (tasks *deadlineHeap) Push(x any)        { *tasks = append(*tasks, x.(*Task)) }
+// Len returns the number of tasks.
+func (deadlineHeap deadlineHeap) Len() int { return len(deadlineHeap) }
+
+// Less reports whether task i is due before task j.
+func (deadlineHeap deadlineHeap) Less(i, j int) bool {
+	return deadlineHeap[i].Deadline.Before(deadlineHeap[j].Deadline)
+}
+
+// Swap exchanges two tasks.
+func (deadlineHeap deadlineHeap) Swap(i, j int) {
+	deadlineHeap[i], deadlineHeap[j] = deadlineHeap[j], deadlineHeap[i]
+}
+
+// Push adds a task at the end, as container/heap asks.
+func (deadlineHeap *deadlineHeap) Push(x any) { *deadlineHeap = append(*deadlineHeap, x.(*Task)) }
 
 // Pop removes the last task, as container/heap asks.
-func (tasks *deadlineHeap) Pop() any {
-	last := len(*tasks) - 1
-	popped := (*tasks)[last]
-	(*tasks)[last] = nil
-	*tasks = (*tasks)[:last]
+func (deadlineHeap *deadlineHeap) Pop() any {
+	last := len(*deadlineHeap) - 1
+	popped := (*deadlineHeap)[last]
+	(*deadlineHeap)[last] = nil
+	*deadlineHeap = (*deadlineHeap)[:last]
 	return popped
 }
--- a/library/decider/placement.go
+++ b/library/decider/placement.go
@@ -48,9 +48,9 @@
 		return filled
 	case Spread:
 		return -float64(service.countOn(worker))*spreadWeight - filled
-	default:
-		return service.learned.speedOf(worker.Name) - filled/fastFillDivisor
+	case Fast:
 	}
+	return service.learned.speedOf(worker.Name) - filled/fastFillDivisor
 }
 
 const (
--- a/library/decider/tables.go
+++ b/library/decider/tables.go
@@ -119,7 +119,7 @@
 type Settings struct {
 	StartWindow time.Duration // within which a granted start has to reach its worker
 	TaskLease   time.Duration
-	Ageing      time.Duration // wait after which work counts as one class more pressing
+	Aging       time.Duration // wait after which work counts as one class more pressing
 	ReserveWait time.Duration // wait after which blocked work gets a reservation
 	PreemptWait time.Duration // wait after which urgent work preempts
 	ShareMemory time.Duration // half-life of the average share
@@ -130,7 +130,7 @@
 	return Settings{
 		StartWindow: 2 * time.Second,
 		TaskLease:   20 * time.Second,
-		Ageing:      30 * time.Second,
+		Aging:       30 * time.Second,
 		ReserveWait: 3 * time.Second,
 		PreemptWait: 100 * time.Millisecond,
 		ShareMemory: 10 * time.Minute,
--- /dev/null
+++ b/tests/script_test.go
@@ -0,0 +1,120 @@
+package tests
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"ebonyshunt.org/demo/builder"
+	"ebonyshunt.org/library/sizer"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// programs are built once for all scripts.
+var programs = map[string]string{
+	"ebonyshunt":  "ebonyshunt.org/command",
+	"ebonyshuntd": "ebonyshunt.org/daemon",
+	"platform":    "ebonyshunt.org/platform",
+	"demo":        "ebonyshunt.org/demo",
+}
+
+// TestScripts runs each scenario against a cell on loopback, with the programs as processes.
+func TestScripts(t *testing.T) {
+	bin := t.TempDir()
+	for name, path := range programs {
+		build := exec.Command("go", "build", "-o", filepath.Join(bin, name), path)
+		if output, err := build.CombinedOutput(); err != nil {
+			t.Fatalf("build %s: %v\n%s", name, err, output)
+		}
+	}
+	testscript.Run(t, testscript.Params{
+		Dir:   "scripts",
+		Setup: func(env *testscript.Env) error { return setUpScript(env, bin) },
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"retry": retry,
+			"port":  port,
+			"dup":   dup,
+		},
+		RequireExplicitExec: true,
+	})
+}
+
+// setUpScript starts a cell of one zone with a configuration in force.
+func setUpScript(env *testscript.Env, bin string) error {
+	env.Setenv("PATH", bin+string(os.PathListSeparator)+env.Getenv("PATH"))
+	size := sizer.Size{MilliCores: 4000, MemoryMB: 8192}
+	var zones []builder.Zone
+	for _, name := range zoneNames {
+		zones = append(zones, builder.Zone{Name: name, Hosts: 1, Workers: []builder.Group{{Prefix: "w", Count: 1, Capacity: size}}})
+	}
+	cell, err := builder.Build(builder.Plan{Zones: zones, RootKey: rootKey})
+	if err != nil {
+		return err
+	}
+	env.Defer(func() { _ = cell.Close() })
+	ctx, cancel := context.WithTimeout(context.Background(), scriptSetUp)
+	defer cancel()
+	if err := cell.Publish(ctx, cell.Names[0], document()); err != nil {
+		return err
+	}
+	var hosts []string
+	for _, name := range cell.Names {
+		if err := cell.Ready(ctx, name); err != nil {
+			return err
+		}
+		hosts = append(hosts, cell.Hosts[name].Settings.HTTPAddress)
+	}
+	env.Setenv("EBONYSHUNT_HOSTS", strings.Join(hosts, ","))
+	env.Setenv("EBONYSHUNT_KEY", rootKey)
+	env.Setenv("HOST", hosts[0])
+	env.Setenv("TEAMKEY", teamKey)
+	return nil
+}
+
+const (
+	scriptSetUp = time.Minute
+	retries     = 100
+	retryPause  = 100 * time.Millisecond
+)
+
+// retry repeats a program until it succeeds, or with ! until it fails.
+func retry(script *testscript.TestScript, negated bool, args []string) {
+	for range retries {
+		if err := script.Exec(args[0], args[1:]...); (err != nil) == negated {
+			return
+		}
+		time.Sleep(retryPause)
+	}
+	script.Fatalf("%v did not come about in %d tries", args, retries)
+}
+
+// port sets variables to free loopback addresses.
+func port(script *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		script.Check(err)
+		script.Setenv(name, listener.Addr().String())
+		script.Check(listener.Close())
+	}
+}
+
+// dup sends a request that carries the named header twice, and writes the answer to a file.
+func dup(script *testscript.TestScript, _ bool, args []string) {
+	conn, err := net.Dial("tcp", script.Getenv("HOST"))
+	script.Check(err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "GET /v1/services/work HTTP/1.1\r\nHost: x\r\nConnection: close\r\n%[1]s: a\r\n%[1]s: b\r\n\r\n", args[0])
+	script.Check(err)
+	buffer := make([]byte, mostDup)
+	count, err := conn.Read(buffer)
+	script.Check(err)
+	script.Check(os.WriteFile(script.MkAbs(args[1]), buffer[:count], 0o600))
+}
+
+const mostDup = 4096
