--- a/daemon/lister/client.go
+++ b/daemon/lister/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"sync"
 
 	"ebonyshunt.org/library/sizer"
 	"github.com/zeebo/errs"
@@ -58,10 +59,14 @@
 	Hosts []Host `json:"hosts"`
 }
 
-// Client fetches the list.
+// Client fetches the list, and again only when it changed.
 type Client struct {
 	http *http.Client
 	url  string
+
+	mu   sync.Mutex
+	etag string
+	last List
 }
 
 // New returns a client of the list at an address.
@@ -75,11 +80,20 @@
 	if err != nil {
 		return List{}, fmt.Errorf("build list request: %w", err)
 	}
+	client.mu.Lock()
+	etag, last := client.etag, client.last
+	client.mu.Unlock()
+	if etag != "" {
+		request.Header.Set("If-None-Match", etag)
+	}
 	response, err := client.http.Do(request)
 	if err != nil {
 		return List{}, fmt.Errorf("fetch hosts: %w", err)
 	}
 	defer response.Body.Close()
+	if response.StatusCode == http.StatusNotModified {
+		return last, nil
+	}
 	if response.StatusCode != http.StatusOK {
 		return List{}, Error.New("hosts answered with status %d", response.StatusCode)
 	}
@@ -87,5 +101,8 @@
 	if err := json.NewDecoder(response.Body).Decode(&list); err != nil {
 		return List{}, fmt.Errorf("fetch hosts: %w", err)
 	}
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	client.etag, client.last = response.Header.Get("ETag"), list
 	return list, nil
 }
--- a/daemon/server/beat.go
+++ b/daemon/server/beat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"reflect"
 	"sync"
 	"syscall"
 	"time"
@@ -26,10 +27,21 @@
 		Term:        server.peers.Term(server.settings.Zone),
 		Deciding:    tenure != nil && tenure.ready.Load(),
 		AsOf:        server.register.AsOf(),
-		StaleMS:     server.staleness().Milliseconds(),
+		StaleMS:     coarse(server.staleness()).Milliseconds(),
+		Relayed:     server.relayed(),
 	}
 }
 
+// coarse rounds a staleness up, so that beats of a host at rest are alike.
+func coarse(stale time.Duration) time.Duration {
+	if stale < 0 {
+		return stale
+	}
+	return (stale/staleStep + 1) * staleStep
+}
+
+const staleStep = 15 * time.Second
+
 // neverConfirmed is the staleness of a configuration that was never known to be the latest.
 const neverConfirmed = -time.Millisecond
 
@@ -52,68 +64,113 @@
 	return own
 }
 
-// beat tells the peers of this host: those of the zone each time, those of other zones less often.
+// beat tells the peers that are due of this host: those of its zone each time and, while it decides, the
+// deciders of other zones less often.
 func (server *Server) beat(ctx context.Context) {
-	everyone := time.Now().UnixMilli()/zoneBeat.Milliseconds()%int64(fleetBeat/zoneBeat) == 0
-	message := server.self()
+	rounds := int(fleetBeat / zoneBeat)
+	server.beats++
+	due := server.zonePeers()
+	if server.beats%rounds == 0 && server.deciding() != nil {
+		due = append(due, server.fleetPeers(server.beats/rounds)...)
+	}
+	for _, address := range due {
+		server.wait.Go(func() { server.beatTo(ctx, address) })
+	}
+}
+
+// zonePeers returns the addresses of the zone's other hosts that this one beats: of two hosts the first by
+// name does, and the other one too while it hears nothing.
+func (server *Server) zonePeers() []string {
+	var due []string
+	now := time.Now()
 	for address, zone := range server.peerAddresses() {
-		if zone != server.settings.Zone && zone != "" && !everyone {
+		if zone != "" && zone != server.settings.Zone {
 			continue
 		}
-		server.wait.Go(func() { server.beatTo(ctx, address, message) })
+		if server.quiet(address, now) {
+			due = append(due, address)
+		}
 	}
+	return due
 }
 
-// peerCall bounds the calls to one incarnation of a peer.
-type peerCall struct {
-	ctx         context.Context
-	cancel      context.CancelFunc
-	incarnation string
+// quiet reports whether it is for this host to beat the peer at an address.
+func (server *Server) quiet(address string, now time.Time) bool {
+	for _, peer := range server.peers.Alive(now) {
+		if peer.Address == address {
+			return server.settings.Host < peer.Name || peer.Relayed || now.Sub(peer.Heard) > 2*zoneBeat
+		}
+	}
+	return true
 }
 
-// whileAlive returns a context that ends when a peer is taken for dead, was restarted, or stops deciding.
-func (server *Server) whileAlive(peer detector.Peer) context.Context {
-	server.mu.Lock()
-	defer server.mu.Unlock()
-	known, found := server.peerCalls[peer.Name]
-	if !found || known.incarnation != peer.Incarnation || known.ctx.Err() != nil {
-		known.ctx, known.cancel = context.WithCancel(server.abandoned)
-		known.incarnation = peer.Incarnation
-		server.peerCalls[peer.Name] = known
+// fleetPeers returns the addresses of the other zones' deciders; of a zone without a known one, a
+// different listed host each round.
+func (server *Server) fleetPeers(round int) []string {
+	var due []string
+	now := time.Now()
+	for _, zone := range server.viewer.View().Fleet.Zones {
+		if zone == server.settings.Zone {
+			continue
+		}
+		if peer, found := server.peers.Decider(zone, now); found && !peer.Relayed {
+			if server.settings.Host < peer.Name || now.Sub(peer.Heard) > 2*fleetBeat {
+				due = append(due, peer.Address)
+			}
+			continue
+		}
+		if hosts := server.entryHosts(zone); len(hosts) > 0 {
+			due = append(due, hosts[round%len(hosts)])
+		}
 	}
-	return known.ctx
+	return due
 }
 
-// checkPeers ends the calls to peers that no longer decide, and begins a term where that is due.
-func (server *Server) checkPeers(ctx context.Context) {
-	now := time.Now()
-	server.mu.Lock()
-	for name, call := range server.peerCalls {
-		peer, alive := server.peers.Peer(name, now)
-		if !alive || peer.Incarnation != call.incarnation || !peer.Deciding {
-			call.cancel()
-			delete(server.peerCalls, name)
+// entryHosts returns the peer addresses of a zone's listed entry hosts.
+func (server *Server) entryHosts(zone string) []string {
+	var addresses []string
+	for _, host := range server.listed() {
+		if host.Kind == lister.KindEntry && host.Zone == zone {
+			addresses = append(addresses, host.Address)
 		}
 	}
-	server.mu.Unlock()
-	server.elect(ctx)
+	return addresses
+}
+
+// relayed returns the deciders that this host hears itself: of the other zones while it decides, and the
+// one of its own zone otherwise.
+func (server *Server) relayed() []Beat {
+	var relayed []Beat
+	for _, peer := range server.peers.Alive(time.Now()) {
+		if peer.Relayed || !peer.Deciding {
+			continue
+		}
+		relayed = append(relayed, Beat{Host: peer.Name, Zone: peer.Zone, Address: peer.Address, Incarnation: peer.Incarnation, Term: peer.Term, Deciding: true})
+	}
+	return relayed
 }
 
 // beatAll tells all peers at once and waits for them.
 func (server *Server) beatAll(ctx context.Context) {
-	message := server.self()
 	var wait sync.WaitGroup
 	for address := range server.peerAddresses() {
-		wait.Go(func() { server.beatTo(ctx, address, message) })
+		wait.Go(func() { server.beatTo(ctx, address) })
 	}
 	wait.Wait()
 }
 
-func (server *Server) beatTo(ctx context.Context, address string, message Beat) {
+// beatTo sends a beat, shortened where the peer knows all of it, and takes in the answer.
+func (server *Server) beatTo(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	message := server.self()
+	sent := server.shortened(sentTo{address: address}, message, false)
+	sent.Want = !server.knows(address)
 	var answer Beat
-	err := server.pool.Call(ctx, address, methodBeat, message, &answer)
+	err := server.pool.Call(ctx, address, methodBeat, sent, &answer)
+	if err != nil || answer.Want {
+		server.unsend(sentTo{address: address})
+	}
 	if linker.ErrUnsent.Has(err) {
 		server.lost(address, err)
 		return
@@ -122,28 +179,87 @@
 		server.log.Debug("beat not answered", "peer", address, "error", err)
 		return
 	}
-	if _, err := server.heardBeat(answer); err != nil {
-		server.log.Debug("beat not taken", "peer", address, "error", err)
+	server.takeBeat(answer)
+}
+
+// sentTo names a direction of beats: to an address, or in answer to a host.
+type sentTo struct{ address, host string }
+
+// shortened returns a beat as it goes to a peer: only the host's name where all else was sent before.
+func (server *Server) shortened(to sentTo, message Beat, wanted bool) Beat {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	if before, sent := server.sentBeats[to]; sent && !wanted && reflect.DeepEqual(before, message) {
+		return Beat{Host: message.Host, Same: true}
 	}
+	server.sentBeats[to] = message
+	return message
 }
 
-// lost marks the peer at an address as dead, unless it was heard another way meanwhile. A refused
-// connection shows that its process is gone.
-func (server *Server) lost(address string, err error) {
-	gone := errors.Is(err, syscall.ECONNREFUSED)
-	for _, peer := range server.peers.Known() {
-		if peer.Address == address && (gone || time.Since(peer.Heard) > zoneBeat) {
-			server.peers.Lost(peer.Name, gone)
+func (server *Server) unsend(to sentTo) {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	delete(server.sentBeats, to)
+}
+
+// knows reports whether the last whole beat of the peer at an address is at hand.
+func (server *Server) knows(address string) bool {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	for _, beat := range server.heardBeats {
+		if beat.Address == address {
+			return true
 		}
 	}
+	return false
+}
+
+// answerBeat takes a peer's beat and answers with this host's own.
+func (server *Server) answerBeat(beat Beat) (Beat, error) {
+	known := server.takeBeat(beat)
+	answer := server.shortened(sentTo{host: beat.Host}, server.self(), beat.Want)
+	answer.Want = !known
+	return answer, nil
 }
 
-// heardBeat takes a peer's word of itself and answers with this host's own.
-func (server *Server) heardBeat(beat Beat) (Beat, error) {
+// takeBeat takes a peer's word of itself, and of the deciders that it hears. It reports false for a
+// shortened beat of a peer whose whole one is not known.
+func (server *Server) takeBeat(beat Beat) bool {
 	if beat.Host == server.settings.Host {
-		return server.self(), nil
+		return true
+	}
+	if beat.Same {
+		server.mu.Lock()
+		whole, known := server.heardBeats[beat.Host]
+		server.mu.Unlock()
+		if !known {
+			return false
+		}
+		beat = whole
+	}
+	server.mu.Lock()
+	server.heardBeats[beat.Host] = beat
+	server.mu.Unlock()
+	server.peers.Heard(peerOf(beat))
+	server.confirmThrough(beat)
+	server.handBack(beat)
+	for _, relayed := range beat.Relayed {
+		if relayed.Host != server.settings.Host {
+			server.peers.HeardOf(peerOf(relayed))
+			server.handBack(relayed)
+		}
 	}
-	server.peers.Heard(detector.Peer{
+	if beat.AsOf > server.register.AsOf() && server.fetching.CompareAndSwap(false, true) {
+		server.wait.Go(func() {
+			defer server.fetching.Store(false)
+			server.fetchSections(beat.Address)
+		})
+	}
+	return true
+}
+
+func peerOf(beat Beat) detector.Peer {
+	return detector.Peer{
 		Name:        beat.Host,
 		Zone:        beat.Zone,
 		Address:     beat.Address,
@@ -153,16 +269,53 @@
 		Deciding:    beat.Deciding,
 		AsOf:        beat.AsOf,
 		Heard:       time.Now(),
-	})
-	server.confirmThrough(beat)
-	server.handBack(beat)
-	if beat.AsOf > server.register.AsOf() && server.fetching.CompareAndSwap(false, true) {
-		server.wait.Go(func() {
-			defer server.fetching.Store(false)
-			server.fetchSections(beat.Address)
-		})
 	}
-	return server.self(), nil
+}
+
+// peerCall bounds the calls to one incarnation of a peer.
+type peerCall struct {
+	ctx         context.Context
+	cancel      context.CancelFunc
+	incarnation string
+}
+
+// whileAlive returns a context that ends when a peer is taken for dead, was restarted, or stops deciding.
+func (server *Server) whileAlive(peer detector.Peer) context.Context {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	known, found := server.peerCalls[peer.Name]
+	if !found || known.incarnation != peer.Incarnation || known.ctx.Err() != nil {
+		known.ctx, known.cancel = context.WithCancel(server.abandoned)
+		known.incarnation = peer.Incarnation
+		server.peerCalls[peer.Name] = known
+	}
+	return known.ctx
+}
+
+// checkPeers ends the calls to peers that no longer decide, and begins a term where that is due.
+func (server *Server) checkPeers(ctx context.Context) {
+	now := time.Now()
+	server.mu.Lock()
+	for name, call := range server.peerCalls {
+		peer, alive := server.peers.Peer(name, now)
+		if !alive || peer.Incarnation != call.incarnation || !peer.Deciding {
+			call.cancel()
+			delete(server.peerCalls, name)
+		}
+	}
+	server.mu.Unlock()
+	server.elect(ctx)
+}
+
+// lost marks the peer at an address as dead, unless it was heard another way meanwhile. A refused
+// connection shows that its process is gone.
+func (server *Server) lost(address string, err error) {
+	gone := errors.Is(err, syscall.ECONNREFUSED)
+	for _, peer := range server.peers.Known() {
+		if peer.Address == address && (gone || time.Since(peer.Heard) > zoneBeat) {
+			server.peers.Lost(peer.Name, gone)
+		}
+	}
 }
 
 // confirmThrough notes that the configuration is as fresh as that of a peer at the same offset.
--- a/daemon/server/server.go
+++ b/daemon/server/server.go
@@ -73,6 +73,8 @@
 	mu           sync.Mutex
 	leftAt       time.Time
 	tenure       *tenure
+	sentBeats    map[sentTo]Beat
+	heardBeats   map[string]Beat     // last whole beat, by host
 	peerCalls    map[string]peerCall // by peer: ends when it is no longer the live process that was called
 	handedBack   map[string]string   // by zone: the decider that has this host's copies
 	hosts        []lister.Host
@@ -81,16 +83,17 @@
 	peerStaleAt  time.Time
 	sectionsWait chan struct{} // closed when the register moves
 
+	beats  int // rounds of beats, of the one goroutine that sends them
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
 }
 
 const (
-	zoneBeat       = 250 * time.Millisecond
-	fleetBeat      = time.Second
+	zoneBeat       = 350 * time.Millisecond
+	fleetBeat      = 6 * zoneBeat
 	livenessEvery  = 50 * time.Millisecond
-	peerTimeout    = 750 * time.Millisecond
-	fleetTimeout   = 3 * time.Second
+	peerTimeout    = 3 * zoneBeat
+	fleetTimeout   = 3 * fleetBeat
 	listEvery      = time.Second
 	callTimeout    = 500 * time.Millisecond
 	retryRatio     = 0.1
@@ -128,6 +131,8 @@
 		started:      time.Now(),
 		handedBack:   map[string]string{},
 		peerCalls:    map[string]peerCall{},
+		sentBeats:    map[sentTo]Beat{},
+		heardBeats:   map[string]Beat{},
 		metrics:      newMetrics(),
 		Timeline:     ring,
 		register:     &replayer.Register{},
@@ -248,7 +253,7 @@
 func (server *Server) answer(ctx context.Context, from, method string, body json.RawMessage) (any, error) {
 	switch method {
 	case methodBeat:
-		return handle(body, server.heardBeat)
+		return handle(body, server.answerBeat)
 	case methodSections:
 		return handle(body, func(call SectionsCall) (replayer.State, error) {
 			return server.register.Since(call.Since), nil
--- a/daemon/server/tenure.go
+++ b/daemon/server/tenure.go
@@ -66,7 +66,7 @@
 
 const (
 	claimTimeout  = 400 * time.Millisecond
-	claimEvery    = 5 * time.Second
+	claimEvery    = 12 * time.Second
 	soonestClaim  = 200 * time.Millisecond
 	claimScan     = 50 * time.Millisecond
 	tickEvery     = 50 * time.Millisecond
@@ -74,7 +74,7 @@
 	controlRetry  = 300 * time.Millisecond
 	recentKept    = 10 * time.Minute
 	resolveWait   = 4 * time.Second
-	authoritySpan = 7 * time.Second // longer than claimEvery and its retry
+	authoritySpan = 14 * time.Second // longer than claimEvery and its retry
 	authorityWait = authoritySpan + 2*verifyBound
 	verifyBound   = 500 * time.Millisecond // age at which an entry host drops an answer about a key
 	clientTimeout = 2 * time.Second
--- a/daemon/server/wire.go
+++ b/daemon/server/wire.go
@@ -34,24 +34,28 @@
 // Beat is what a host tells its peers of itself; the answer is the peer's own.
 type Beat struct {
 	Host        string      `json:"host"`
-	Zone        string      `json:"zone"`
-	Address     string      `json:"address"` // for peers
-	Incarnation string      `json:"incarnation"`
+	Zone        string      `json:"zone,omitempty"`
+	Address     string      `json:"address,omitempty"` // for peers
+	Incarnation string      `json:"incarnation,omitempty"`
 	Leaving     bool        `json:"leaving,omitempty"`
-	Term        fencer.Term `json:"term"` // latest of its zone
+	Term        fencer.Term `json:"term,omitzero"` // latest of its zone
 	Deciding    bool        `json:"deciding,omitempty"`
-	AsOf        int64       `json:"asOf"`
-	StaleMS     int64       `json:"staleMS"` // since its configuration was last known to be the latest, -1 for never
+	AsOf        int64       `json:"asOf,omitempty"`
+	StaleMS     int64       `json:"staleMS,omitempty"` // since its configuration was last known to be the latest, -1 for never
+	Relayed     []Beat      `json:"relayed,omitempty"` // deciders that the host hears itself
+
+	Same bool `json:"same,omitempty"` // all else is as in the host's last beat to the same peer
+	Want bool `json:"want,omitempty"` // the host does not know the peer's last whole beat
 }
 
-// UnmarshalJSON decodes a beat and refuses one without host, zone or incarnation.
+// UnmarshalJSON decodes a beat and refuses a whole one without host, zone or incarnation.
 func (beat *Beat) UnmarshalJSON(data []byte) error {
 	type plain Beat
 	var decoded plain
 	if err := json.Unmarshal(data, &decoded); err != nil {
 		return fmt.Errorf("decode beat: %w", err)
 	}
-	if decoded.Host == "" || decoded.Zone == "" || decoded.Incarnation == "" {
+	if decoded.Host == "" || (!decoded.Same && (decoded.Zone == "" || decoded.Incarnation == "")) {
 		return Error.New("beat without host, zone or incarnation")
 	}
 	*beat = Beat(decoded)
--- a/library/decider/tables.go
+++ b/library/decider/tables.go
@@ -129,7 +129,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		StartWindow: 2 * time.Second,
-		TaskLease:   20 * time.Second,
+		TaskLease:   40 * time.Second,
 		Aging:       30 * time.Second,
 		ReserveWait: 3 * time.Second,
 		PreemptWait: 100 * time.Millisecond,
--- a/library/detector/detector.go
+++ b/library/detector/detector.go
@@ -22,6 +22,7 @@
 	AsOf        int64 // offset of its configuration
 	Heard       time.Time
 	Gone        bool // its process was seen not to be there
+	Relayed     bool // known through another host, and not from itself
 }
 
 // Detector holds the peers of one host.
@@ -48,6 +49,22 @@
 	detector.see(peer.Zone, peer.Term)
 }
 
+// HeardOf takes another host's word of a peer, unless the peer itself was heard lately.
+func (detector *Detector) HeardOf(peer Peer) {
+	detector.mu.Lock()
+	defer detector.mu.Unlock()
+	known, found := detector.peers[peer.Name]
+	if found && !known.Relayed && detector.alive(known, peer.Heard) {
+		return
+	}
+	peer.Relayed = true
+	if found && known.Incarnation == peer.Incarnation {
+		peer.AsOf = known.AsOf
+	}
+	detector.peers[peer.Name] = peer
+	detector.see(peer.Zone, peer.Term)
+}
+
 // Lost takes a peer that cannot be reached for dead; gone tells that its process surely ended.
 func (detector *Detector) Lost(name string, gone bool) {
 	detector.mu.Lock()
