--- a/library/decider/preemption.go
+++ b/library/decider/preemption.go
@@ -16,7 +16,7 @@
 	return victim.Origin == "" && victim.State == Running && !victim.Stopping && (victim.Idempotent || victim.Resumable)
 }
 
-func urgentVictim(_ *Decider, _, victim *Task) bool {
+func lowerVictim(_ *Decider, _, victim *Task) bool {
 	return movable(victim) && victim.Class >= Batch
 }
 
--- a/library/decider/systems.go
+++ b/library/decider/systems.go
@@ -118,14 +118,24 @@
 	return true
 }
 
+// preemptWait returns the wait after which work of a class preempts batch and standing work.
+func (decider *Decider) preemptWait(class Class) time.Duration {
+	if class == Urgent {
+		return decider.Settings.PreemptWait
+	}
+	return interactivePatience * decider.Settings.PreemptWait
+}
+
+const interactivePatience = 5
+
 // press makes room for a blocked head: by reservation, or by preemption where it may.
 func (decider *Decider) press(head *Task, now time.Time) {
 	waited := now.Sub(head.Queued)
 	switch {
 	case decider.holds(head):
 		decider.refresh(head, now)
-	case head.Class == Urgent && waited >= decider.Settings.PreemptWait:
-		decider.preempt(head, now, urgentVictim)
+	case head.Class <= Interactive && waited >= decider.preemptWait(head.Class):
+		decider.preempt(head, now, lowerVictim)
 	case waited >= decider.Settings.ReserveWait:
 		if !decider.reclaim(head, now) {
 			decider.reserve(head, now)
--- a/library/decider/tables.go
+++ b/library/decider/tables.go
@@ -121,7 +121,7 @@
 	TaskLease   time.Duration
 	Aging       time.Duration // wait after which work counts as one class more pressing
 	ReserveWait time.Duration // wait after which blocked work gets a reservation
-	PreemptWait time.Duration // wait after which urgent work preempts
+	PreemptWait time.Duration // wait after which urgent work preempts, and interactive work after five times that
 	ShareMemory time.Duration // half-life of the average share
 }
 
@@ -130,7 +130,7 @@
 	return Settings{
 		StartWindow: 2 * time.Second,
 		TaskLease:   40 * time.Second,
-		Aging:       30 * time.Second,
+		Aging:       5 * time.Minute,
 		ReserveWait: 3 * time.Second,
 		PreemptWait: 100 * time.Millisecond,
 		ShareMemory: 10 * time.Minute,
--- a/tests/cell_test.go
+++ b/tests/cell_test.go
@@ -67,6 +67,33 @@
 	worker string
 }
 
+// counts returns how many attempts began and ended.
+func (witness *witness) counts() (begun, finished int) {
+	witness.mu.Lock()
+	defer witness.mu.Unlock()
+	return witness.begun, witness.finished
+}
+
+// ran returns how many attempts of a work began.
+func (witness *witness) ran(work string) int {
+	witness.mu.Lock()
+	defer witness.mu.Unlock()
+	return witness.runs[work]
+}
+
+// begins returns the attempts whose target has a suffix.
+func (witness *witness) begins(suffix string) []begin {
+	witness.mu.Lock()
+	defer witness.mu.Unlock()
+	var found []begin
+	for target, known := range witness.targets {
+		if strings.HasSuffix(target, suffix) {
+			found = append(found, known...)
+		}
+	}
+	return found
+}
+
 // place is where a task runs.
 type place struct{ worker, task string }
 
