--- a/daemon/server/job.go
+++ b/daemon/server/job.go
@@ -122,8 +122,8 @@
 	if err := json.Unmarshal(data, &decoded); err != nil {
 		return fmt.Errorf("decode job: %w", err)
 	}
-	if decoded.ID == "" || len(decoded.Tasks) != len(decoded.Spec.Tasks) {
-		return Error.New("job %q with %d tasks for %d specs", decoded.ID, len(decoded.Tasks), len(decoded.Spec.Tasks))
+	if decoded.ID == "" || decoded.Spec.Service == "" || len(decoded.Tasks) != len(decoded.Spec.Tasks) {
+		return Error.New("job %q without id or service, or with %d tasks for %d specs", decoded.ID, len(decoded.Tasks), len(decoded.Spec.Tasks))
 	}
 	*job = Job(decoded)
 	return nil
