Split the daemon's large files by job

Change: claims, takeover, election and the ends of jobs' tasks stand in files of their own; no line of code changed.

--- a/daemon/server/tenure.go
+++ b/daemon/server/tenure.go
@@ -3,18 +3,15 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"ebonyshunt.org/daemon/lister"
 	"ebonyshunt.org/daemon/starter"
 	"ebonyshunt.org/library/decider"
 	"ebonyshunt.org/library/fencer"
 	"ebonyshunt.org/library/limiter"
-	"ebonyshunt.org/library/recorder"
 )
 
 // tenure is one term in which this host decides for its zone.
@@ -44,13 +41,6 @@
 	wait   sync.WaitGroup
 }
 
-// claimCall paces the claims of one worker.
-type claimCall struct {
-	due    time.Time
-	owned  time.Time // when the last claim that the worker confirmed was sent
-	flying bool
-}
-
 // earlyEnd is an end that was reported before its job was known.
 type earlyEnd struct {
 	effect decider.Ended
@@ -80,98 +70,6 @@
 	clientTimeout = 2 * time.Second
 )
 
-// zoneWorkers returns the listed workers of this host's zone.
-func (server *Server) zoneWorkers() []decider.WorkerInfo {
-	view := server.viewer.View()
-	var infos []decider.WorkerInfo
-	for _, host := range server.listed() {
-		if host.Kind != lister.KindWorker || host.Zone != server.settings.Zone {
-			continue
-		}
-		infos = append(infos, decider.WorkerInfo{
-			Name:     host.Name,
-			Address:  host.Address,
-			Rack:     host.Rack,
-			Capacity: host.Capacity,
-			Leaving:  host.Leaving || view.Upstreams[host.Name].Drain,
-		})
-	}
-	return infos
-}
-
-// begin claims the zone's workers under a new term and starts to decide, unless a later term shows up.
-func (server *Server) begin(ctx context.Context) {
-	zone := server.settings.Zone
-	former := server.peers.Term(zone)
-	term := former.Next(server.settings.Host)
-	server.peers.See(zone, term)
-	tenure := server.newTenure(term)
-	if !server.surelyGone(former) {
-		tenure.keysFrom = time.Now().Add(authorityWait)
-	}
-	tenure.refresh()
-	tenure.claimAll(ctx)
-	if server.peers.Term(zone) != term || server.leaving.Load() || !tenure.anyClaimed() {
-		tenure.close()
-		return
-	}
-	tenure.tick()
-	tenure.gather(ctx)
-	server.mu.Lock()
-	server.tenure = tenure
-	server.mu.Unlock()
-	tenure.run()
-	server.log.Info("term begun", "term", term.String())
-	server.Timeline.Record(recorder.Event{Kind: "termBegun", Detail: term.String()})
-	server.wait.Go(func() { server.beatAll(ctx) })
-}
-
-// surelyGone reports whether the process that held a term cannot act under it any more.
-func (server *Server) surelyGone(former fencer.Term) bool {
-	if former.Zero() || former.Holder == server.settings.Host {
-		return true
-	}
-	for _, peer := range server.peers.Known() {
-		if peer.Name == former.Holder {
-			return peer.Gone || peer.Leaving
-		}
-	}
-	return false
-}
-
-func (tenure *tenure) anyClaimed() bool {
-	for _, worker := range tenure.rows() {
-		if worker.Claimed {
-			return true
-		}
-	}
-	return false
-}
-
-// rows returns copies of the worker rows.
-func (tenure *tenure) rows() []decider.Worker {
-	tenure.mu.Lock()
-	defer tenure.mu.Unlock()
-	return tenure.decider.Workers()
-}
-
-// authority reports whether this tenure alone answers for the zone's keys: most workers confirmed its
-// term a short while ago, and the authority of a former decider has run out.
-func (tenure *tenure) authority(now time.Time) bool {
-	if now.Before(tenure.keysFrom) {
-		return false
-	}
-	tenure.mu.Lock()
-	defer tenure.mu.Unlock()
-	confirmed := 0
-	for _, call := range tenure.calls {
-		if now.Sub(call.owned) < authoritySpan {
-			confirmed++
-		}
-	}
-	return 2*confirmed > len(tenure.calls)
-}
-
 func (server *Server) newTenure(term fencer.Term) *tenure {
 	tenure := &tenure{
 		server:    server,
@@ -351,122 +249,6 @@
 	}
 }
 
-// probe makes the worker's next claim due now; the caller holds the lock.
-func (tenure *tenure) probe(worker string) {
-	if call := tenure.calls[worker]; call != nil {
-		call.due = time.Time{}
-	}
-}
-
-// claimAll claims every worker once and waits for the answers.
-func (tenure *tenure) claimAll(ctx context.Context) {
-	var wait sync.WaitGroup
-	for _, worker := range tenure.rows() {
-		wait.Go(func() { tenure.claim(ctx, worker.Name) })
-	}
-	wait.Wait()
-}
-
-// claimDue renews the claims that are due.
-func (tenure *tenure) claimDue(ctx context.Context) {
-	now := time.Now()
-	tenure.mu.Lock()
-	defer tenure.mu.Unlock()
-	for name, call := range tenure.calls {
-		if call.flying || now.Before(call.due) {
-			continue
-		}
-		call.flying = true
-		tenure.wait.Go(func() {
-			tenure.claim(ctx, name)
-			tenure.reschedule(name)
-		})
-	}
-}
-
-// reschedule sets when a worker is asked next: soon where an end is expected there, else at the pace
-// that keeps its leases.
-func (tenure *tenure) reschedule(name string) {
-	now := time.Now()
-	tenure.mu.Lock()
-	defer tenure.mu.Unlock()
-	call := tenure.calls[name]
-	if call == nil {
-		return
-	}
-	call.flying = false
-	call.due = now.Add(claimEvery)
-	next, found := tenure.decider.NextEnd(name, now)
-	if found {
-		call.due = now.Add(min(claimEvery, max(soonestClaim, next.Sub(now))))
-	}
-}
-
-// claim asks one worker for ownership and its changes, and takes in its report.
-func (tenure *tenure) claim(ctx context.Context, name string) {
-	sent := time.Now()
-	tenure.mu.Lock()
-	next, found := tenure.decider.NextClaim(name, sent)
-	tenure.mu.Unlock()
-	if !found {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
-	claim := starter.Claim{Term: tenure.term, Since: next.Since, Boot: next.Boot, Lease: next.Lease, Forget: next.Forget}
-	report, err := tenure.server.workers.Claim(ctx, next.Address, claim)
-	if starter.ErrFenced.Has(err) {
-		tenure.server.peers.See(tenure.zone, report.Term)
-		return
-	}
-	if err != nil {
-		if !errors.Is(err, context.Canceled) {
-			tenure.server.log.Debug("worker not claimed", "worker", name, "error", err)
-		}
-		return
-	}
-	if report.Worker != name {
-		tenure.server.log.Warn("another worker answers under the address", "worker", name, "found", report.Worker)
-		return
-	}
-	tenure.mu.Lock()
-	defer tenure.mu.Unlock()
-	tenure.decider.Reported(name, convert(report), time.Now())
-	if call := tenure.calls[name]; call != nil && report.Term == tenure.term {
-		call.owned = sent
-	}
-	tenure.poke()
-}
-
-// convert translates a worker's report into the decider's words.
-func convert(report starter.Report) decider.Report {
-	converted := decider.Report{
-		Boot:     report.Boot,
-		Clock:    report.Clock,
-		Term:     report.Term,
-		Sequence: report.Sequence,
-		Whole:    report.Whole,
-	}
-	for _, task := range report.Tasks {
-		converted.Tasks = append(converted.Tasks, decider.Reported{
-			ID:         task.ID,
-			Label:      task.Label,
-			Size:       task.Size,
-			Running:    task.State == starter.Running,
-			Ending:     endings[task.State],
-			Status:     task.Status,
-			Checkpoint: task.Checkpoint,
-		})
-	}
-	return converted
-}
-
-var endings = map[starter.TaskState]decider.Ending{
-	starter.Done:    decider.Completed,
-	starter.Failed:  decider.Failed,
-	starter.Stopped: decider.Stopped,
-}
-
 // answer handles the calls that only a decider can answer.
 func (tenure *tenure) answer(ctx context.Context, _, method string, body json.RawMessage) (any, error) {
 	if !tenure.ready.Load() {
