--- a/daemon/server/election.go
+++ b/daemon/server/election.go
@@ -54,7 +54,7 @@
 	}
 	now := time.Now()
 	self := detector.Peer{Name: server.settings.Host, Zone: zone, Leaving: server.leaving.Load()}
-	if now.Sub(server.started) < peerTimeout {
+	if now.Sub(server.started) < peerTimeout || server.listedElsewhere() != "" {
 		return
 	}
 	if !server.peers.ShouldDecide(self, now) || len(server.zoneWorkers()) == 0 {
--- a/daemon/server/keyed.go
+++ b/daemon/server/keyed.go
@@ -124,6 +124,7 @@
 		return nil
 	}
 	asked := time.Now()
+	call.take.Zone = call.zone
 	answer, err := server.takeKey(call)
 	if err != nil || time.Since(asked) > verifyBound {
 		return responder.Refuse(http.StatusServiceUnavailable, responder.CodeHome,
--- a/daemon/server/keys.go
+++ b/daemon/server/keys.go
@@ -36,6 +36,9 @@
 	if err := json.Unmarshal(record.Data, &row); err != nil {
 		return fmt.Errorf("decode key row: %w", err)
 	}
+	if row.Expires.Before(time.Now()) {
+		return nil
+	}
 	row.expires = row.Expires
 	tenure.keys[record.ID] = &row
 	return nil
@@ -57,7 +60,7 @@
 	tenure.mu.Unlock()
 	switch {
 	case seen.Taken.Request == call.Request:
-		return seen.verify(), nil
+		return tenure.verify(ctx, row, call.Zone)
 	case seen.Taken.Fingerprint != call.Fingerprint:
 		return KeyAnswer{Problem: responder.Refuse(http.StatusUnprocessableEntity, responder.CodeKeyReused,
 			"the idempotency key was used with another request")}, nil
@@ -67,13 +70,25 @@
 	return seen.repeat(), nil
 }
 
-// verify tells the holder of a key whether it may start its request; it asks once it has a grant.
-func (keyRow *keyRow) verify() KeyAnswer {
-	if keyRow.contested {
+// verify tells the holder of a key whether it may start its request; it asks once it has a grant. The zone
+// that gave the grant is kept first, as only its decider can later prove that the request did not run.
+func (tenure *tenure) verify(ctx context.Context, row *keyRow, zone string) (KeyAnswer, error) {
+	tenure.mu.Lock()
+	if row.contested {
+		tenure.mu.Unlock()
 		return KeyAnswer{Problem: responder.Refuse(http.StatusConflict, responder.CodeInProgress,
-			"another request took over the idempotency key").After(time.Second)}
+			"another request took over the idempotency key").After(time.Second)}, nil
 	}
-	return KeyAnswer{Fresh: true}
+	moved := row.Taken.Zone != zone
+	if moved {
+		row.Taken.Zone = zone
+		row.Version++
+	}
+	tenure.mu.Unlock()
+	if !moved {
+		return KeyAnswer{Fresh: true}, nil
+	}
+	return freshIf(tenure.keepKey(ctx, row)), nil
 }
 
 // repeat answers a request whose key has an outcome.
--- a/daemon/server/routes.go
+++ b/daemon/server/routes.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -66,6 +67,8 @@
 		return "stopping"
 	case server.viewer.View().AsOf == 0:
 		return "no configuration yet"
+	case server.listedElsewhere() != "":
+		return fmt.Sprintf("settings say zone %s, the platform's list says %s: correct [host] zone", server.settings.Zone, server.listedElsewhere())
 	}
 	if _, found := server.anyDecider(); !found {
 		return "no live host decides for any zone"
--- a/daemon/server/server.go
+++ b/daemon/server/server.go
@@ -65,8 +65,9 @@
 
 	leaving   atomic.Bool
 	fetching  atomic.Bool
-	knewZone  atomic.Bool     // copies of the zone's records came to this host
-	abandoned context.Context // done once shutdown gives up waiting
+	misplaced atomic.Pointer[string] // zone of the platform's list, where it is another one
+	knewZone  atomic.Bool            // copies of the zone's records came to this host
+	abandoned context.Context        // done once shutdown gives up waiting
 	abandon   context.CancelFunc
 	requests  sync.Map // request ID to when it arrived
 
@@ -211,11 +212,33 @@
 	server.mu.Lock()
 	server.hosts, server.hostsAt = list.Hosts, time.Now()
 	server.mu.Unlock()
+	server.checkZone(list)
 	if tenure := server.deciding(); tenure != nil {
 		tenure.refresh()
 	}
 }
 
+// checkZone takes the host out of service while the platform lists it in another zone than its settings.
+func (server *Server) checkZone(list lister.List) {
+	misplaced := ""
+	for _, host := range list.Hosts {
+		if host.Kind == lister.KindEntry && host.Name == server.settings.Host && host.Zone != server.settings.Zone {
+			misplaced = host.Zone
+		}
+	}
+	if former := server.misplaced.Swap(&misplaced); (former == nil || *former != misplaced) && misplaced != "" {
+		server.log.Error("settings are for another zone: correct [host] zone", "settings", server.settings.Zone, "list", misplaced)
+	}
+}
+
+// listedElsewhere returns the zone in which the platform lists this host, if it is not that of the settings.
+func (server *Server) listedElsewhere() string {
+	if zone := server.misplaced.Load(); zone != nil {
+		return *zone
+	}
+	return ""
+}
+
 // listed returns the hosts of the platform's last list.
 func (server *Server) listed() []lister.Host {
 	server.mu.Lock()
--- /dev/null
+++ b/library/admitter/example_test.go
@@ -0,0 +1,19 @@
+package admitter_test
+
+import (
+	"fmt"
+
+	"ebonyshunt.org/library/admitter"
+)
+
+func ExampleGate() {
+	gate := admitter.New(10)
+	admitted := 0
+	for range 100 {
+		if gate.Enter("flood") {
+			admitted++
+		}
+	}
+	fmt.Println("flood holds", admitted, "and another team may enter:", gate.Enter("other"))
+	// Output: flood holds 5 and another team may enter: true
+}
--- a/tests/cell_test.go
+++ b/tests/cell_test.go
@@ -341,3 +341,5 @@
 }
 
 func digestOf(key string) string { return viewer.Digest(key) }
+
+func decode(data []byte, value any) error { return json.Unmarshal(data, value) }
--- a/tests/requests_test.go
+++ b/tests/requests_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"ebonyshunt.org/daemon/linker"
+	"ebonyshunt.org/daemon/lister"
 	"ebonyshunt.org/library/responder"
 	"ebonyshunt.org/platform/workerserver"
 )
@@ -238,6 +240,26 @@
 	})
 }
 
+func TestSettingsForTheWrongZone(t *testing.T) {
+	inBubble(t, 1, func(h *harness) {
+		listed := h.Hosts["entry-a-0"].Settings
+		h.List.Add(lister.Host{Name: "entry-a-0", Kind: lister.KindEntry, Address: listed.PeerAddress, Zone: "b"})
+		time.Sleep(3 * time.Second)
+		answer := h.ask(h.ctx, "entry-a-0", http.MethodGet, "/readyz", "", nil)
+		if answer.status != http.StatusServiceUnavailable || !strings.Contains(string(answer.body), "correct [host] zone") {
+			t.Errorf("got %d %s", answer.status, answer.body)
+		}
+	})
+}
+
+func TestPeerOfAnotherVersion(t *testing.T) {
+	var envelope linker.Envelope
+	err := decode([]byte(`{"version":2,"from":"entry-new","body":{}}`), &envelope)
+	if !linker.ErrVersion.Has(err) || !strings.Contains(err.Error(), `peer "entry-new" speaks version 2, this program speaks 1`) {
+		t.Errorf("got %v", err)
+	}
+}
+
 func TestShutdown(t *testing.T) {
 	t.Run("cutsNoRequest", func(t *testing.T) {
 		inBubble(t, 2, func(h *harness) {
