End standing streams behind a record when a host stops

Cause: a stream that never ends was waited for until the end of shutdownGrace and then cut in the middle of what it was sending. Change: half way through the grace, streams of records (JSON lines, server-sent events) end behind a whole record, with the outcome and the bytes delivered in the trailer; other streams are waited for as before. Measured: TestShutdown/endsStreamsBehindARecord: a busy and an idle stream end whole within a grace of 20 s, nothing is abandoned.

--- a/daemon/server/keyed.go
+++ b/daemon/server/keyed.go
@@ -139,8 +139,10 @@
 	if problem != nil {
 		end.Outcome = problem.Outcome
 	}
-	if call.answer != nil && call.answer.keep && problem == nil {
-		end.Outcome = call.answer.outcome
+	if problem == nil && call.ended != "" {
+		end.Outcome = call.ended
+	}
+	if problem == nil && call.answer != nil && call.answer.keep && call.ended != responder.Unknown {
 		end.Answer = &call.answer.kept
 	}
 	ctx, cancel := context.WithTimeout(server.abandoned, finishTimeout)
--- a/daemon/server/request.go
+++ b/daemon/server/request.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -32,9 +32,10 @@
 	zone     string // where it was last placed
 	attempts int
 	avoid    []string
-	answer   *keptCopy    // of the answer, for its idempotency key
-	home     string       // zone that keeps the key
-	take     *TakeKeyCall // nil without a key
+	answer   *keptCopy         // of the answer, for its idempotency key
+	ended    responder.Outcome // of an answer that was delivered
+	home     string            // zone that keeps the key
+	take     *TakeKeyCall      // nil without a key
 }
 
 const (
@@ -89,6 +90,9 @@
 // only cut it.
 func (server *Server) conclude(call *call, problem *responder.Problem) {
 	outcome := responder.Answered
+	if call.ended != "" {
+		outcome = call.ended
+	}
 	if problem != nil {
 		outcome = problem.Outcome
 	}
@@ -279,6 +283,13 @@
 		return server.startFailed(call, grant, err)
 	}
 	defer response.Body.Close()
+	call.answer = newKeptCopy(call.w, response, call.key != "")
+	stop := context.AfterFunc(server.ending, func() {
+		if call.answer.end() {
+			cancel()
+		}
+	})
+	defer stop()
 	return server.stream(call, grant, response), false
 }
 
@@ -324,16 +335,23 @@
 // stream passes the worker's answer on as it comes. The outcome follows as a trailer, so that a caller
 // can tell a whole answer from a cut one.
 func (server *Server) stream(call *call, grant fencer.Grant, response *http.Response) *responder.Problem {
-	call.answer = newKeptCopy(call.w, response, call.key != "")
 	header := call.w.Header()
 	copyHeader(header, response.Header)
 	header.Set("Ebonyshunt-Request", call.id)
-	header.Set("Trailer", responder.HeaderOutcome)
+	header.Set("Trailer", responder.HeaderOutcome+", "+headerDelivered)
 	call.w.WriteHeader(response.StatusCode)
 	call.answer.began = true
 	_, err := io.Copy(call.answer, response.Body)
 	if err != nil {
 		server.finish(call, grant, "", 0)
+	}
+	if err != nil && call.answer.ended() {
+		header.Set(responder.HeaderOutcome, string(responder.Unknown))
+		header.Set(headerDelivered, strconv.FormatInt(call.answer.delivered, 10))
+		call.ended = responder.Unknown
+		return nil
+	}
+	if err != nil {
 		return responder.New(http.StatusBadGateway, responder.CodeUpstreamCut, responder.Unknown, "the answer of worker %s was cut: %v", grant.Worker, err)
 	}
 	outcome, ending := responder.Answered, decider.Completed
@@ -342,7 +360,7 @@
 	}
 	header.Set(responder.HeaderOutcome, string(outcome))
 	server.finish(call, grant, ending, response.StatusCode)
-	call.answer.outcome = outcome
+	call.ended = outcome
 	return nil
 }
 
@@ -376,35 +394,5 @@
 
 const headerPrefix = "Ebonyshunt-"
 
-// keptCopy passes an answer to the caller, flushing as it goes, and keeps a small one.
-type keptCopy struct {
-	w       http.ResponseWriter
-	began   bool
-	outcome responder.Outcome
-	keep    bool
-	kept    KeptResponse
-}
-
-func newKeptCopy(w http.ResponseWriter, response *http.Response, keep bool) *keptCopy {
-	kept := KeptResponse{Status: response.StatusCode, Header: http.Header{}}
-	copyHeader(kept.Header, response.Header)
-	return &keptCopy{w: w, keep: keep, kept: kept}
-}
-
-// Write passes a part of the answer on.
-func (keptCopy *keptCopy) Write(data []byte) (int, error) {
-	if keptCopy.keep && len(keptCopy.kept.Body)+len(data) <= mostKept {
-		keptCopy.kept.Body = append(keptCopy.kept.Body, data...)
-	} else {
-		keptCopy.keep = false
-		keptCopy.kept.Body = nil
-	}
-	count, err := keptCopy.w.Write(data)
-	if err != nil {
-		return count, fmt.Errorf("write answer: %w", err)
-	}
-	if err := http.NewResponseController(keptCopy.w).Flush(); err != nil {
-		return count, fmt.Errorf("flush answer: %w", err)
-	}
-	return count, nil
-}
+// headerDelivered is the trailer with the bytes of a stream that was ended behind a record.
+const headerDelivered = "Ebonyshunt-Delivered"
--- a/daemon/server/server.go
+++ b/daemon/server/server.go
@@ -69,6 +69,8 @@
 	knewZone  atomic.Bool            // copies of the zone's records came to this host
 	abandoned context.Context        // done once shutdown gives up waiting
 	abandon   context.CancelFunc
+	ending    context.Context // done once a stopping host ends its streams of records
+	endAll    context.CancelFunc
 	requests  sync.Map // request ID to when it arrived
 
 	mu           sync.Mutex
@@ -151,6 +153,7 @@
 		sectionsWait: make(chan struct{}),
 	}
 	server.abandoned, server.abandon = context.WithCancel(context.Background())
+	server.ending, server.endAll = context.WithCancel(context.Background())
 	server.metrics.observe(server)
 	return server
 }
@@ -327,6 +330,7 @@
 	server.mu.Lock()
 	server.closed = true
 	server.mu.Unlock()
+	server.endAll()
 	server.abandon()
 	server.cancel()
 	server.setTenure(nil)
--- a/daemon/server/shutdown.go
+++ b/daemon/server/shutdown.go
@@ -93,9 +93,14 @@
 	return false
 }
 
-// drain waits until the balancer has noticed and no request is in flight.
+// drain waits until the balancer has noticed and no request is in flight. Half way to its end it ends the
+// streams of records, each behind a whole record, so that their callers can resume elsewhere.
 func (server *Server) drain(ctx context.Context) {
 	sleep(ctx, balancerLag)
+	if deadline, bounded := ctx.Deadline(); bounded {
+		timer := time.AfterFunc(time.Until(deadline)/2, server.endAll)
+		defer timer.Stop()
+	}
 	for ctx.Err() == nil && len(server.unfinished()) > 0 {
 		sleep(ctx, drainPoll)
 	}
--- a/tests/requests_test.go
+++ b/tests/requests_test.go
@@ -293,6 +293,28 @@
 			time.Sleep(time.Minute)
 		})
 	})
+	t.Run("endsStreamsBehindARecord", func(t *testing.T) {
+		inBubble(t, 2, func(h *harness) {
+			done := make(chan reply, 2)
+			for _, query := range []string{"?events&lines=100000&workMS=100", "?events&lines=3&workMS=3600000"} {
+				go func() { done <- h.ask(h.ctx, "entry-a-0", http.MethodGet, "/v1/services/work"+query, teamKey, nil) }()
+			}
+			time.Sleep(time.Second)
+			ctx, cancel := context.WithTimeout(h.ctx, 20*time.Second)
+			defer cancel()
+			if abandoned := h.Hosts["entry-a-0"].Server.Shutdown(ctx); len(abandoned) != 0 {
+				t.Errorf("abandoned %v", abandoned)
+			}
+			h.Hosts["entry-a-0"].Server = nil
+			for range cap(done) {
+				answer := <-done
+				if answer.err != nil || answer.outcome != responder.Unknown || !bytes.HasSuffix(answer.body, []byte("\n\n")) {
+					t.Errorf("got %v, outcome %s, %d bytes", answer.err, answer.outcome, len(answer.body))
+				}
+			}
+			time.Sleep(time.Minute)
+		})
+	})
 	t.Run("handsTheZoneToAPeer", func(t *testing.T) {
 		inBubble(t, 2, func(h *harness) {
 			go func() {
