--- a/daemon/server/trade.go
+++ b/daemon/server/trade.go
@@ -75,11 +75,14 @@
 	return record, true
 }
 
+// changes returns what the zone asks of each team's limit, and of none more than its workers could hold.
 func (tenure *tenure) changes(zones int) []limiter.Change {
 	var changes []limiter.Change
+	total := tenure.decider.Total()
 	for _, team := range tenure.decider.Teams() {
 		account := tenure.server.register.Account(team.Name)
-		demand := limiter.Demand{Team: team.Name, Used: team.Used, Queued: team.Queued}
+		room := total.Sub(team.Used).Max(sizer.Size{})
+		demand := limiter.Demand{Team: team.Name, Used: team.Used, Queued: team.Queued.Min(room)}
 		if change, due := limiter.Plan(account, tenure.zone, zones, demand); due {
 			changes = append(changes, change)
 		}
--- a/library/limiter/example_test.go
+++ b/library/limiter/example_test.go
@@ -17,5 +17,5 @@
 	ledger.Apply(limiter.Record{Zone: "north", Term: term, Step: 1, Changes: []limiter.Change{change}}, 2)
 	account := ledger.Account("survey")
 	fmt.Println("north holds", account.Held("north"), "and leaves", account.Pool())
-	// Output: north holds 7.5c 0MB and leaves 2.5c 0MB
+	// Output: north holds 8.75c 0MB and leaves 1.25c 0MB
 }
--- a/library/limiter/plan.go
+++ b/library/limiter/plan.go
@@ -12,7 +12,8 @@
 // Plan returns the change that a zone asks of an account, and false when it asks nothing.
 //
 // A zone keeps an even part of the limit as long as nobody lacks it, so that it can go on alone when it
-// is cut off, and leaves the other zones' floors in the pool. It releases what it does not use to zones that lack some, down to its floor, and whatever
+// is cut off; it takes none of that back before those who lack some, and leaves the other zones' floors
+// in the pool. It releases what it does not use to zones that lack some, down to its floor, and whatever
 // is unused when the limit was lowered.
 func Plan(account Account, zone string, zones int, demand Demand) (Change, bool) {
 	even := account.Limit.Div(int64(max(1, zones)))
@@ -22,16 +23,21 @@
 	change := Change{Team: account.Team}
 	change.Release = release(account, zone, zones, demand)
 	if change.Release.Zero() {
-		goal := needed.Max(even)
-		lacking := goal.Sub(held).Max(sizer.Size{})
 		free := pool.Sub(spoken(account, zone, zones))
-		change.Take = lacking.Min(free.Max(sizer.Size{}))
+		lacking := take(needed, held, free)
+		reserve := take(even, held.Add(lacking), free.Sub(lacking).Sub(account.Wanted(zone)))
+		change.Take = lacking.Add(reserve)
 		change.Want = needed.Sub(held.Add(change.Take)).Max(sizer.Size{})
 	}
 	idle := change.Release.Zero() && change.Take.Zero() && change.Want == account.want(zone)
 	return change, !idle
 }
 
+// take returns what a zone that holds some takes towards a goal from what is free.
+func take(goal, held, free sizer.Size) sizer.Size {
+	return goal.Sub(held).Max(sizer.Size{}).Min(free.Max(sizer.Size{}))
+}
+
 // spoken returns the part of the pool that other zones need for their floors.
 func spoken(account Account, zone string, zones int) sizer.Size {
 	floor := Floor(account, zones)
@@ -44,12 +50,12 @@
 	return left.Max(sizer.Size{})
 }
 
-// Floor is what a zone never releases while the limit stays: half of an even part.
+// Floor is what a zone never releases while the limit stays: a quarter of an even part.
 func Floor(account Account, zones int) sizer.Size {
 	return account.Limit.Div(int64(floorDivisor * max(1, zones)))
 }
 
-const floorDivisor = 2
+const floorDivisor = 4
 
 // Spendable returns what a zone may start work within. While the slices add up to more than a lowered
 // limit, that is no more than an even part, so that each zone's use falls to it as work ends.
