Test that only an open queue takes work without a key

Cause: nothing showed that a request without a key is refused unless its queue is open to all. Change: TestOpenQueue.

--- a/tests/cell_test.go
+++ b/tests/cell_test.go
@@ -268,7 +268,9 @@
 	if err != nil {
 		return reply{err: err}
 	}
-	request.Header.Set("Authorization", "Bearer "+key)
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
 	for i := 0; i+1 < len(headers); i += 2 {
 		request.Header.Set(headers[i], headers[i+1])
 	}
--- a/tests/keys_test.go
+++ b/tests/keys_test.go
@@ -39,6 +39,26 @@
 	})
 }
 
+// TestOpenQueue sends requests without a key, before and after a queue is open to all.
+func TestOpenQueue(t *testing.T) {
+	inBubble(t, 1, func(h *harness) {
+		path := "/v1/services/work"
+		if answer := h.ask(h.ctx, "entry-a-0", "POST", path, "", nil); answer.problem.Code() != responder.CodeKey {
+			t.Errorf("without an open queue: got %+v", answer.problem)
+		}
+		text := "owner = ops\nteam = one\nopen = true\nservices = work\n"
+		if _, err := h.PublishSection(h.ctx, "entry-a-0", "queue public", text, 0); err != nil {
+			t.Fatal(err)
+		}
+		if answer := h.ask(h.ctx, "entry-a-0", "POST", path, "", nil); answer.outcome != responder.Answered {
+			t.Errorf("with an open queue: got %+v", answer.problem)
+		}
+		if answer := h.ask(h.ctx, "entry-a-0", "POST", path, "", nil, "Ebonyshunt-Queue", "oneLive"); answer.outcome != responder.NotRun {
+			t.Errorf("another team's queue: got %+v", answer.problem)
+		}
+	})
+}
+
 // TestHandles sends a request under a handle of its zone, twice, and under one whose zone is cut off.
 func TestHandles(t *testing.T) {
 	inBubble(t, 2, func(h *harness) {
