Drop state that could be derived, an effect that nobody emits, and a loop written three times

Jobs and keys held their expiry twice; the server held a network and a time that nothing read; the decider declared a probe that it never asked for; three commands repeated the walk over zones, and one refusal stood twice in the code of keys. Change: each is gone or stands once (showStatus, tookOver). Behavior is as before, and no test was touched.

--- a/command/cmd_tasks.go
+++ b/command/cmd_tasks.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"ebonyshunt.org/daemon/server"
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
 )
@@ -18,21 +19,14 @@
 		flags.String("team", "", "only of this team")
 	},
 	run: func(invocation *invocation) error {
-		status, err := invocation.status()
-		if err != nil {
-			return err
-		}
 		team, _ := invocation.flags.GetString("team")
-		return invocation.show(status, func(w io.Writer) {
-			fmt.Fprintln(w, "WORK\tTEAM\tQUEUE\tSERVICE\tCLASS\tSTATE\tWORKER\tAGE")
-			for _, zone := range status.Zones {
-				for _, task := range zone.Tasks {
-					if team != "" && task.Team != team {
-						continue
-					}
-					age := time.Duration(task.QueuedMS) * time.Millisecond
-					fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", task.Work, task.Team, task.Queue, task.Service, task.Class, task.State, task.Worker, age)
+		return invocation.showStatus("WORK\tTEAM\tQUEUE\tSERVICE\tCLASS\tSTATE\tWORKER\tAGE", func(w io.Writer, zone server.StatusAnswer) {
+			for _, task := range zone.Tasks {
+				if team != "" && task.Team != team {
+					continue
 				}
+				age := time.Duration(task.QueuedMS) * time.Millisecond
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", task.Work, task.Team, task.Queue, task.Service, task.Class, task.State, task.Worker, age)
 			}
 		})
 	},
--- a/command/cmd_teams.go
+++ b/command/cmd_teams.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 
+	"ebonyshunt.org/daemon/server"
 	"github.com/spf13/cobra"
 )
 
@@ -13,17 +14,10 @@
 	example: "ebonyshunt teams",
 	args:    cobra.NoArgs,
 	run: func(invocation *invocation) error {
-		status, err := invocation.status()
-		if err != nil {
-			return err
-		}
-		return invocation.show(status, func(w io.Writer) {
-			fmt.Fprintln(w, "TEAM\tZONE\tSHARE\tLIMIT\tSLICE\tUSED\tWAITING\tDOMINANT\tAVERAGE")
-			for _, zone := range status.Zones {
-				for _, team := range zone.Teams {
-					fmt.Fprintf(w, "%s\t%s\t%g\t%s\t%s\t%s\t%d\t%.1f%%\t%.1f%%\n", team.Name, zone.Zone, team.Share, team.Limit,
-						team.Slice, team.Used, team.Waiting, 100*team.Dominant, 100*team.Average)
-				}
+		return invocation.showStatus("TEAM\tZONE\tSHARE\tLIMIT\tSLICE\tUSED\tWAITING\tDOMINANT\tAVERAGE", func(w io.Writer, zone server.StatusAnswer) {
+			for _, team := range zone.Teams {
+				fmt.Fprintf(w, "%s\t%s\t%g\t%s\t%s\t%s\t%d\t%.1f%%\t%.1f%%\n", team.Name, zone.Zone, team.Share, team.Limit,
+					team.Slice, team.Used, team.Waiting, 100*team.Dominant, 100*team.Average)
 			}
 		})
 	},
--- a/command/cmd_workers.go
+++ b/command/cmd_workers.go
@@ -15,17 +15,10 @@
 	example: "ebonyshunt workers\nebonyshunt workers --json",
 	args:    cobra.NoArgs,
 	run: func(invocation *invocation) error {
-		status, err := invocation.status()
-		if err != nil {
-			return err
-		}
-		return invocation.show(status, func(w io.Writer) {
-			fmt.Fprintln(w, "WORKER\tZONE\tGRANTED\tCAPACITY\tTASKS\tSTATE\tHEARD")
-			for _, zone := range status.Zones {
-				for _, worker := range zone.Workers {
-					heard := time.Duration(worker.HeardMS) * time.Millisecond
-					fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%s ago\n", worker.Name, zone.Zone, worker.Granted, worker.Capacity, worker.Tasks, workerState(worker), heard)
-				}
+		return invocation.showStatus("WORKER\tZONE\tGRANTED\tCAPACITY\tTASKS\tSTATE\tHEARD", func(w io.Writer, zone server.StatusAnswer) {
+			for _, worker := range zone.Workers {
+				heard := time.Duration(worker.HeardMS) * time.Millisecond
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%s ago\n", worker.Name, zone.Zone, worker.Granted, worker.Capacity, worker.Tasks, workerState(worker), heard)
 			}
 		})
 	},
@@ -43,6 +36,20 @@
 	return "ready"
 }
 
+// showStatus prints a table with lines for each zone, or the whole status as JSON.
+func (invocation *invocation) showStatus(heading string, lines func(io.Writer, server.StatusAnswer)) error {
+	status, err := invocation.status()
+	if err != nil {
+		return err
+	}
+	return invocation.show(status, func(w io.Writer) {
+		fmt.Fprintln(w, heading)
+		for _, zone := range status.Zones {
+			lines(w, zone)
+		}
+	})
+}
+
 // status fetches the status of all zones, and notes those that did not answer.
 func (invocation *invocation) status() (server.FleetStatus, error) {
 	var status server.FleetStatus
--- a/daemon/server/jobs.go
+++ b/daemon/server/jobs.go
@@ -20,7 +20,6 @@
 // jobRow is a job in the hands of its decider.
 type jobRow struct {
 	Job
-	expires time.Time
 	changed chan struct{} // closed at the next version
 	saving  bool
 	dirty   bool
@@ -188,7 +187,7 @@
 	if err := json.Unmarshal(record.Data, &job); err != nil {
 		return fmt.Errorf("decode job: %w", err)
 	}
-	row := &jobRow{Job: job, changed: make(chan struct{}), expires: job.Expires}
+	row := &jobRow{Job: job, changed: make(chan struct{})}
 	tenure.jobs[job.ID] = row
 	for i := range row.Tasks {
 		tenure.restoreTask(row, i)
@@ -228,7 +227,6 @@
 	row.Version++
 	if row.Finished() && row.Expires.IsZero() {
 		row.Expires = time.Now().Add(jobKept)
-		row.expires = row.Expires
 	}
 	close(row.changed)
 	row.changed = make(chan struct{})
--- a/daemon/server/keys.go
+++ b/daemon/server/keys.go
@@ -25,7 +25,6 @@
 	Version int64             `json:"version"`
 	Expires time.Time         `json:"expires"`
 
-	expires   time.Time
 	contested bool // the holder may start nothing more
 }
 
@@ -39,7 +38,6 @@
 	if row.Expires.Before(time.Now()) {
 		return nil
 	}
-	row.expires = row.Expires
 	tenure.keys[record.ID] = &row
 	return nil
 }
@@ -76,8 +74,7 @@
 	tenure.mu.Lock()
 	if row.contested {
 		tenure.mu.Unlock()
-		return KeyAnswer{Problem: responder.Refuse(http.StatusConflict, responder.CodeInProgress,
-			"another request took over the idempotency key").After(time.Second)}, nil
+		return tookOver(), nil
 	}
 	moved := row.Taken.Zone != zone
 	if moved {
@@ -91,6 +88,12 @@
 	return freshIf(tenure.keepKey(ctx, row)), nil
 }
 
+// tookOver refuses a request whose key another one holds now.
+func tookOver() KeyAnswer {
+	return KeyAnswer{Problem: responder.Refuse(http.StatusConflict, responder.CodeInProgress,
+		"another request took over the idempotency key").After(time.Second)}
+}
+
 // repeat answers a request whose key has an outcome.
 func (keyRow *keyRow) repeat() KeyAnswer {
 	switch {
@@ -111,7 +114,6 @@
 	}
 	lifetime := tenure.server.viewer.View().Fleet.KeyLifetime
 	row := &keyRow{Taken: call, Version: 1, Expires: time.Now().Add(lifetime)}
-	row.expires = row.Expires
 	tenure.mu.Lock()
 	if _, raced := tenure.keys[keyID(call.Key)]; raced {
 		tenure.mu.Unlock()
@@ -230,8 +232,7 @@
 	tenure.mu.Lock()
 	if !row.contested || row.Outcome != "" {
 		tenure.mu.Unlock()
-		return KeyAnswer{Problem: responder.Refuse(http.StatusConflict, responder.CodeInProgress,
-			"another request took over the idempotency key").After(time.Second)}, nil
+		return tookOver(), nil
 	}
 	row.Taken = call
 	row.contested = false
--- a/daemon/server/server.go
+++ b/daemon/server/server.go
@@ -38,7 +38,6 @@
 // Server is one process on an entry host.
 type Server struct {
 	settings    loader.Settings
-	network     dialer.Network
 	log         *slog.Logger
 	incarnation string
 	started     time.Time
@@ -82,7 +81,6 @@
 	peerCalls    map[string]peerCall // by peer: ends when it is no longer the live process that was called
 	handedBack   map[string]string   // by zone: the decider that has this host's copies
 	hosts        []lister.Host
-	hostsAt      time.Time
 	peerStale    time.Duration // of the freshest peer, at peerStaleAt
 	peerStaleAt  time.Time
 	sectionsWait chan struct{} // closed when the register moves
@@ -129,7 +127,6 @@
 	ring := recorder.New(settings.Host, settings.Zone, settings.TimelineSize)
 	server := &Server{
 		settings:     settings,
-		network:      network,
 		log:          log.With("host", settings.Host, "zone", settings.Zone),
 		incarnation:  uuid.NewString(),
 		started:      time.Now(),
@@ -213,7 +210,7 @@
 		return
 	}
 	server.mu.Lock()
-	server.hosts, server.hostsAt = list.Hosts, time.Now()
+	server.hosts = list.Hosts
 	server.mu.Unlock()
 	server.checkZone(list)
 	if tenure := server.deciding(); tenure != nil {
--- a/daemon/server/tenure.go
+++ b/daemon/server/tenure.go
@@ -177,8 +177,6 @@
 		tenure.expired(effect)
 	case decider.Stop:
 		tenure.wait.Go(func() { tenure.stopTask(effect) })
-	case decider.Probe:
-		tenure.probe(effect.Worker)
 	}
 }
 
@@ -295,12 +293,12 @@
 		}
 	}
 	for id, row := range tenure.keys {
-		if row.expires.Before(now) {
+		if row.Expires.Before(now) {
 			delete(tenure.keys, id)
 		}
 	}
 	for id, row := range tenure.jobs {
-		if row.Finished() && row.expires.Before(now) {
+		if row.Finished() && row.Expires.Before(now) {
 			delete(tenure.jobs, id)
 		}
 	}
--- a/library/decider/tables.go
+++ b/library/decider/tables.go
@@ -137,7 +137,7 @@
 	}
 }
 
-// Effect is something to carry out: one of Start, Ended, Expired, Stop and Probe.
+// Effect is something to carry out: one of Start, Ended, Expired and Stop.
 type Effect interface{ isEffect() }
 
 // Start tells the origin of a work, or the zone's job driver, to start it.
@@ -168,11 +168,7 @@
 	Checkpoint bool
 }
 
-// Probe asks for a report of a worker now.
-type Probe struct{ Worker string }
-
 func (Start) isEffect()   {}
 func (Ended) isEffect()   {}
 func (Expired) isEffect() {}
 func (Stop) isEffect()    {}
-func (Probe) isEffect()   {}
