--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-modules = library daemon platform command demo tests
+modules = library platform daemon command demo standin tests
 packages = $(foreach module,$(modules),./$(module)/...)
 
 # Tests of known faults, one "test: NAME" line each in KNOWN-RED.txt.
@@ -10,7 +10,7 @@
 build:
 	go build -o bin/ebonyshunt ./command
 	go build -o bin/ebonyshuntd ./daemon
-	go build -o bin/platform ./platform
+	go build -o bin/standin ./standin
 
 test:
 	@$(MAKE) --no-print-directory known
--- /dev/null
+++ b/daemon/loader/scheduling.go
@@ -0,0 +1,119 @@
+package loader
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"ebonyshunt.org/library/parser"
+)
+
+// Scheduling are the settings of a host that schedules on a platform's store.
+type Scheduling struct {
+	Host             string
+	Zone             string
+	Region           string
+	HTTPAddress      string // towards callers
+	ReadinessAddress string
+	MetricsAddress   string
+	PeerAddress      string // towards the system's other processes
+	ProcessorShare   float64
+	MemoryMB         int64
+	StoreAddress     string
+	PolicyAddress    string // empty where queues have no policy
+	LongestLease     time.Duration
+	Drain            time.Duration
+	StopTime         time.Duration
+	StatusFor        time.Duration
+	Spread           float64
+	ShutdownGrace    time.Duration
+	LogLevel         string
+}
+
+const (
+	mostShare    = 1024
+	mostMemory   = 1 << 30
+	mostSpread   = 100
+	longestBound = 24 * time.Hour
+)
+
+// LoadScheduling reads a settings file and returns every mistake in it as parser.Mistakes.
+func LoadScheduling(path string) (Scheduling, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Scheduling{}, fmt.Errorf("read settings: %w", err)
+	}
+	settings, mistakes := ParseScheduling(path, string(data))
+	return settings, mistakes.Err()
+}
+
+var schedulingSections = []string{"host", "store", "policy", "bounds"}
+
+const requiredSchedulingSections = 2
+
+// ParseScheduling checks the text of a settings file; name stands in its mistakes.
+func ParseScheduling(name, text string) (Scheduling, parser.Mistakes) {
+	sections, mistakes := parser.Split(name, text)
+	var settings Scheduling
+	settings.parseBounds(parser.NewFields(name, parser.Section{Name: "bounds"}))
+	found := map[string]bool{}
+	for _, section := range sections {
+		found[section.Name] = true
+		fields := parser.NewFields(name, section)
+		if !settings.parse(section.Name, fields) {
+			reason := fmt.Sprintf("unknown section: use one of %s", strings.Join(schedulingSections, ", "))
+			mistakes = append(mistakes, parser.Mistake{File: name, Line: section.Line, Section: section.Name, Reason: reason})
+			continue
+		}
+		mistakes = append(mistakes, fields.Finish()...)
+	}
+	for _, wanted := range schedulingSections[:requiredSchedulingSections] {
+		if !found[wanted] {
+			mistakes = append(mistakes, parser.Mistake{File: name, Section: wanted, Reason: "missing section: add it"})
+		}
+	}
+	slices.SortStableFunc(mistakes, func(a, b parser.Mistake) int { return a.Line - b.Line })
+	return settings, mistakes
+}
+
+func (scheduling *Scheduling) parse(name string, fields *parser.Fields) bool {
+	switch name {
+	case "host":
+		scheduling.parseHost(fields)
+	case "store":
+		scheduling.StoreAddress = fields.Address("address", "")
+	case "policy":
+		if fields.Text("address", "") != "" {
+			scheduling.PolicyAddress = fields.Address("address", "")
+		}
+	case "bounds":
+		scheduling.parseBounds(fields)
+	default:
+		return false
+	}
+	return true
+}
+
+func (scheduling *Scheduling) parseHost(fields *parser.Fields) {
+	scheduling.Host = fields.Required("name", "the name of this host")
+	scheduling.Zone = fields.Required("zone", "the availability zone of this host")
+	scheduling.Region = fields.Text("region", "")
+	scheduling.HTTPAddress = fields.Address("httpAddress", "")
+	scheduling.ReadinessAddress = fields.Address("readinessAddress", "")
+	scheduling.MetricsAddress = fields.Address("metricsAddress", "")
+	scheduling.PeerAddress = fields.Address("peerAddress", "")
+	scheduling.ProcessorShare = fields.Number("processorShare", 1, mostShare)
+	scheduling.MemoryMB = fields.Integer("memoryMB", 256, 16, mostMemory)
+	scheduling.LogLevel = fields.Choice("logLevel", "info", "debug", "info", "warn", "error")
+}
+
+func (scheduling *Scheduling) parseBounds(fields *parser.Fields) {
+	scheduling.LongestLease = fields.Duration("longestLease", 10*time.Second, time.Second, longestBound)
+	scheduling.Drain = fields.Duration("drain", 2*time.Second, 0, longestBound)
+	scheduling.StopTime = fields.Duration("stopTime", time.Second, 0, longestBound)
+	scheduling.StatusFor = fields.Duration("statusFor", 2*time.Minute, time.Second, longestBound)
+	scheduling.Spread = fields.Number("spread", 1.5, mostSpread)
+	scheduling.ShutdownGrace = fields.Duration("shutdownGrace", 5*time.Second, time.Second, longestBound)
+}
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -78,6 +78,7 @@
 	}
 	command.Flags().StringVar(&path, "settings", "ebonyshuntd.ini", "settings `FILE`")
 	command.Flags().BoolVar(&check, "check", false, "only check the settings")
+	command.AddCommand(scheduleCommand())
 	return command
 }
 
--- /dev/null
+++ b/daemon/scheduler/calls.go
@@ -0,0 +1,169 @@
+package scheduler
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"ebonyshunt.org/daemon/linker"
+	"ebonyshunt.org/library/planner"
+)
+
+// The calls between hosts.
+const (
+	methodBeat     = "beat"
+	methodCampaign = "campaign"
+	methodQuestion = "question"
+	methodSubmit   = "submit"
+	methodState    = "state"
+	methodCancel   = "cancel"
+	methodPending  = "pending"
+)
+
+// errNotDeciding says that a call changed nothing, because the host does not decide.
+var errNotDeciding = errors.New("this host does not decide")
+
+// handle answers a call of a peer.
+func (host *Host) handle(ctx context.Context, _, method string, body json.RawMessage) (any, error) {
+	switch method {
+	case methodBeat:
+		var beat Beat
+		if err := json.Unmarshal(body, &beat); err != nil {
+			return nil, fmt.Errorf("decode beat: %w", err)
+		}
+		return host.answerBeat(beat), nil
+	case methodCampaign:
+		var office Office
+		if err := json.Unmarshal(body, &office); err != nil {
+			return nil, fmt.Errorf("decode office: %w", err)
+		}
+		if host.leaving.Load() {
+			return nil, Error.New("host %s is leaving", host.settings.Host)
+		}
+		return struct{}{}, host.campaign(ctx, office)
+	case methodQuestion:
+		var question Question
+		if err := json.Unmarshal(body, &question); err != nil {
+			return nil, fmt.Errorf("decode question: %w", err)
+		}
+		return host.askPolicy(ctx, question)
+	}
+	var call Call
+	if err := json.Unmarshal(body, &call); err != nil {
+		return nil, fmt.Errorf("decode call: %w", err)
+	}
+	tenure := host.present()
+	if tenure == nil {
+		return nil, errNotDeciding
+	}
+	return tenure.answer(ctx, method, call)
+}
+
+// answer answers a caller's call from the planner's tables, once they are there.
+func (tenure *tenure) answer(ctx context.Context, method string, call Call) (planner.Reply, error) {
+	select {
+	case <-tenure.opened:
+	case <-ctx.Done():
+		return planner.Reply{}, linker.ErrUnsent.Wrap(ctx.Err())
+	case <-tenure.ctx.Done():
+		return planner.Reply{}, errNotDeciding
+	}
+	switch method {
+	case methodSubmit:
+		return tenure.submit(ctx, call)
+	case methodCancel:
+		return tenure.cancelJob(ctx, call)
+	case methodState:
+		return tenure.state(call), nil
+	case methodPending:
+		tenure.mu.Lock()
+		defer tenure.mu.Unlock()
+		return planner.Reply{Pending: tenure.planner.Pending(call.Queue)}, nil
+	}
+	return planner.Reply{}, Error.New("unknown call %q", method)
+}
+
+// storePatience is how long the journal may fail before new jobs are refused at once.
+const storePatience = 400 * time.Millisecond
+
+func (tenure *tenure) submit(ctx context.Context, call Call) (planner.Reply, error) {
+	if call.Job == nil {
+		return planner.Reply{}, Error.New("submission without job")
+	}
+	tenure.mu.Lock()
+	_, known := tenure.planner.State(call.ID)
+	if !known {
+		if reply, refused := tenure.refuse(call.Job); refused {
+			tenure.mu.Unlock()
+			return reply, nil
+		}
+		tenure.planner.Submit(*call.Job, time.Now())
+	}
+	if known && !tenure.planner.Unstored(call.ID) {
+		tenure.mu.Unlock()
+		return planner.Reply{}, nil
+	}
+	done := tenure.await(call.ID)
+	tenure.mu.Unlock()
+	tenure.kick()
+	return tenure.settle(ctx, done)
+}
+
+// refuse reports why a job is not taken now.
+func (tenure *tenure) refuse(job *planner.Job) (planner.Reply, bool) {
+	if tenure.storeQuiet() > storePatience {
+		return planner.Reply{Verdict: planner.Refused, Reason: "the store does not answer", RetryAfter: comeBack}, true
+	}
+	if _, found := tenure.planner.Catalog().Queue(job.Queue); !found {
+		return planner.Reply{Verdict: planner.Refused, Reason: "the queue is not in force here", RetryAfter: comeBack}, true
+	}
+	return planner.Reply{}, false
+}
+
+// await returns a channel that is closed once the present changes of a job are stored.
+func (tenure *tenure) await(id string) chan struct{} {
+	done := make(chan struct{})
+	tenure.waiters = append(tenure.waiters, waiter{batch: tenure.planner.BatchOf(id), done: done})
+	return done
+}
+
+// settle waits until a change is stored.
+func (tenure *tenure) settle(ctx context.Context, done chan struct{}) (planner.Reply, error) {
+	select {
+	case <-done:
+		return planner.Reply{}, nil
+	case <-ctx.Done():
+		return planner.Reply{Verdict: planner.Unproven, Reason: "the store does not answer", RetryAfter: comeBack}, nil
+	case <-tenure.ctx.Done():
+		return planner.Reply{}, Error.New("another host decides by now")
+	}
+}
+
+func (tenure *tenure) cancelJob(ctx context.Context, call Call) (planner.Reply, error) {
+	tenure.mu.Lock()
+	if !tenure.planner.Cancel(call.ID, time.Now()) {
+		tenure.mu.Unlock()
+		return planner.Reply{Verdict: planner.Missing}, nil
+	}
+	if !tenure.planner.Unstored(call.ID) {
+		tenure.mu.Unlock()
+		return planner.Reply{}, nil
+	}
+	done := tenure.await(call.ID)
+	tenure.mu.Unlock()
+	tenure.kick()
+	return tenure.settle(ctx, done)
+}
+
+func (tenure *tenure) state(call Call) planner.Reply {
+	tenure.mu.Lock()
+	defer tenure.mu.Unlock()
+	state, known := tenure.planner.State(call.ID)
+	queue, _, _ := tenure.planner.QueueOf(call.ID)
+	if !known || queue != call.Queue {
+		return planner.Reply{Verdict: planner.Missing}
+	}
+	return planner.Reply{State: state}
+}
--- /dev/null
+++ b/daemon/scheduler/fleet.go
@@ -0,0 +1,233 @@
+package scheduler
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"ebonyshunt.org/platform/translator"
+)
+
+// Member is an entry host as it registers itself in the store.
+type Member struct {
+	Name           string  `json:"name"`
+	Zone           string  `json:"zone"`
+	Address        string  `json:"address"` // for its peers
+	Boot           string  `json:"boot"`
+	ProcessorShare float64 `json:"processorShare"`
+}
+
+// Office is who decides.
+type Office struct {
+	Term    int64  `json:"term"`
+	Host    string `json:"host"`
+	Address string `json:"address"`
+	Boot    string `json:"boot"`
+}
+
+// UnmarshalJSON decodes a member and refuses one without name or address.
+func (member *Member) UnmarshalJSON(data []byte) error {
+	type plain Member
+	var decoded plain
+	if err := json.Unmarshal(data, &decoded); err != nil {
+		return fmt.Errorf("decode member: %w", err)
+	}
+	if decoded.Name == "" || decoded.Address == "" {
+		return Error.New("member without name or address")
+	}
+	*member = Member(decoded)
+	return nil
+}
+
+// UnmarshalJSON decodes an office and refuses one without term or address.
+func (office *Office) UnmarshalJSON(data []byte) error {
+	type plain Office
+	var decoded plain
+	if err := json.Unmarshal(data, &decoded); err != nil {
+		return fmt.Errorf("decode office: %w", err)
+	}
+	if decoded.Term <= 0 || decoded.Address == "" {
+		return Error.New("office without term or address")
+	}
+	*office = Office(decoded)
+	return nil
+}
+
+const (
+	memberPrefix = "host/"
+	officeKey    = "decider"
+)
+
+// fleet is what the store says of the entry hosts.
+type fleet struct {
+	mu      sync.Mutex
+	members map[string]Member
+	office  Office
+	changed chan struct{} // closed when the office changes
+}
+
+func newFleet() *fleet {
+	return &fleet{members: map[string]Member{}, changed: make(chan struct{})}
+}
+
+// view returns who decides, and a channel that is closed when that changes.
+func (fleet *fleet) view() (Office, <-chan struct{}) {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	return fleet.office, fleet.changed
+}
+
+// elect takes note of an office, unless a later one is known, and reports whether it was new.
+func (fleet *fleet) elect(office Office) bool {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	if office.Term <= fleet.office.Term {
+		return false
+	}
+	fleet.office = office
+	close(fleet.changed)
+	fleet.changed = make(chan struct{})
+	return true
+}
+
+func (fleet *fleet) register(member Member) {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	fleet.members[member.Name] = member
+}
+
+// others returns the members but one, those that can carry most first.
+func (fleet *fleet) others(name string) []Member {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	var members []Member
+	for _, member := range fleet.members {
+		if member.Name != name {
+			members = append(members, member)
+		}
+	}
+	slices.SortFunc(members, compareMembers)
+	return members
+}
+
+func compareMembers(a, b Member) int {
+	return cmp.Or(-cmp.Compare(a.ProcessorShare, b.ProcessorShare), cmp.Compare(a.Name, b.Name))
+}
+
+// member returns the host as it registers itself.
+func (host *Host) member() Member {
+	return Member{
+		Name: host.settings.Host, Zone: host.settings.Zone, Address: host.settings.PeerAddress,
+		Boot: host.boot, ProcessorShare: host.settings.ProcessorShare,
+	}
+}
+
+// followFleet registers the host and keeps its view of the fleet up to date.
+func (host *Host) followFleet() {
+	host.wait.Go(host.register)
+	host.follow(host.ctx, translator.Fleet, 0, func(entries []translator.Entry, _ bool) {
+		for _, entry := range entries {
+			host.learnFleet(entry)
+		}
+	})
+}
+
+// register writes the host's own entry until the store has taken it.
+func (host *Host) register() {
+	data, err := json.Marshal(host.member())
+	if err != nil {
+		host.log.Error("own entry does not encode", "error", err)
+		return
+	}
+	backoff := firstBackoff
+	for host.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(host.ctx, newestWithin)
+		err := host.store.Put(ctx, translator.Fleet, translator.Entry{Key: memberPrefix + host.settings.Host, Value: data})
+		cancel()
+		if err == nil {
+			return
+		}
+		host.log.Warn("registration failed", "error", err)
+		sleep(host.ctx, backoff)
+		backoff = min(2*backoff, mostBackoff)
+	}
+}
+
+func (host *Host) learnFleet(entry translator.Entry) {
+	if entry.Key == officeKey {
+		var office Office
+		if err := json.Unmarshal(entry.Value, &office); err != nil {
+			host.log.Warn("office does not decode", "error", err)
+			return
+		}
+		host.learnOffice(office, "store")
+		return
+	}
+	name, found := strings.CutPrefix(entry.Key, memberPrefix)
+	if !found || len(entry.Value) == 0 {
+		return
+	}
+	var member Member
+	if err := json.Unmarshal(entry.Value, &member); err != nil {
+		host.log.Warn("member does not decode", "member", name, "error", err)
+		return
+	}
+	host.fleet.register(member)
+}
+
+// learnOffice takes note of who decides, and begins or ends the host's own tenure as that says.
+func (host *Host) learnOffice(office Office, source string) {
+	if !host.fleet.elect(office) {
+		return
+	}
+	host.log.Info("decider", "term", office.Term, "decider", office.Host, "source", source)
+	host.mu.Lock()
+	former := host.tenure
+	if office.Boot == host.boot {
+		host.tenure = newTenure(host, office.Term)
+	} else {
+		host.tenure = nil
+	}
+	host.mu.Unlock()
+	if former != nil {
+		host.wait.Go(former.close)
+	}
+}
+
+// campaign tries to become the decider after the office that is known, and returns nil where it did or
+// where another host did.
+func (host *Host) campaign(ctx context.Context, known Office) error {
+	entries, end, err := host.newest(ctx, translator.Fleet)
+	if err != nil {
+		return fmt.Errorf("campaign: %w", err)
+	}
+	for _, entry := range entries {
+		host.learnFleet(entry)
+	}
+	if office, _ := host.fleet.view(); office.Term > known.Term {
+		return nil
+	}
+	office := Office{Term: end + 1, Host: host.settings.Host, Address: host.settings.PeerAddress, Boot: host.boot}
+	data, err := json.Marshal(office)
+	if err != nil {
+		return fmt.Errorf("campaign: encode office: %w", err)
+	}
+	if _, err = host.store.AppendAt(ctx, translator.Fleet, end, []translator.Entry{{Key: officeKey, Value: data}}); err != nil {
+		if errors.Is(err, translator.ErrMoved) {
+			return nil
+		}
+		return fmt.Errorf("campaign: %w", err)
+	}
+	host.storeAnswered()
+	host.learnOffice(office, "campaign")
+	return nil
+}
+
+// campaignWithin bounds one attempt to become the decider.
+const campaignWithin = 1200 * time.Millisecond
--- /dev/null
+++ b/daemon/scheduler/tenure.go
@@ -0,0 +1,333 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ebonyshunt.org/library/planner"
+	"ebonyshunt.org/platform/translator"
+)
+
+// tenure is one time of deciding: a planner, the journal that it writes, and the workers that it holds.
+type tenure struct {
+	host   *Host
+	term   int64
+	writer translator.Writer
+	ctx    context.Context
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+	kicked chan struct{}
+	policy *desks
+
+	mu      sync.Mutex
+	planner *planner.Planner // nil until the journal was read
+	infos   map[string]planner.WorkerInfo
+	holds   map[string]*holder
+	waiters []waiter
+	storing bool
+	stored  chan struct{} // closed and made anew with each stored batch
+	opened  chan struct{} // closed once the planner is there
+
+	storedAt  atomic.Int64 // when the journal last took a batch, or was known to be reachable
+	failingAt atomic.Int64 // since when appends fail, 0 while they do not
+}
+
+// waiter is a caller that waits for a batch to be stored.
+type waiter struct {
+	batch int64
+	done  chan struct{}
+}
+
+const (
+	journalWriter  = "decider"
+	lease          = 4 * time.Second // bounds what is lost when a worker goes silently
+	authority      = 12 * time.Second
+	planEvery      = 50 * time.Millisecond
+	appendGap      = 12 * time.Millisecond // between two batches, so that changes gather
+	appendWithin   = 700 * time.Millisecond
+	appendBackoff  = 60 * time.Millisecond
+	workersPause   = 250 * time.Millisecond // between two reads of the list of workers
+	mostBatchBytes = 1 << 20
+)
+
+func newTenure(host *Host, term int64) *tenure {
+	ctx, cancel := context.WithCancel(host.ctx)
+	tenure := &tenure{
+		host: host, term: term, ctx: ctx, cancel: cancel,
+		writer: translator.Writer{Name: journalWriter, Term: term},
+		kicked: make(chan struct{}, 1), stored: make(chan struct{}), opened: make(chan struct{}),
+		infos: map[string]planner.WorkerInfo{}, holds: map[string]*holder{},
+	}
+	tenure.policy = newDesks(tenure)
+	tenure.storedAt.Store(int64(time.Since(started)))
+	tenure.wait.Go(tenure.run)
+	return tenure
+}
+
+// close ends the tenure and waits for its parts.
+func (tenure *tenure) close() {
+	tenure.cancel()
+	tenure.wait.Wait()
+}
+
+// resign ends the tenure because a later decider has the journal.
+func (tenure *tenure) resign(reason error) {
+	tenure.host.log.Warn("resigned", "term", tenure.term, "error", reason)
+	tenure.host.mu.Lock()
+	if tenure.host.tenure == tenure {
+		tenure.host.tenure = nil
+	}
+	tenure.host.mu.Unlock()
+	tenure.cancel()
+}
+
+func (tenure *tenure) kick() {
+	select {
+	case tenure.kicked <- struct{}{}:
+	default:
+	}
+}
+
+// storeQuiet returns for how long the journal has refused what it was given.
+func (tenure *tenure) storeQuiet() time.Duration {
+	since := tenure.failingAt.Load()
+	if since == 0 {
+		return 0
+	}
+	return time.Since(started) - time.Duration(since)
+}
+
+// run takes the journal over, reads it, and plans until the tenure ends.
+func (tenure *tenure) run() {
+	for catalog := tenure.host.catalog.Load(); ; catalog = tenure.host.catalog.Load() {
+		if catalog != nil {
+			break
+		}
+		if sleep(tenure.ctx, planEvery); tenure.ctx.Err() != nil {
+			return
+		}
+	}
+	began := time.Now()
+	if err := tenure.takeOver(); err != nil {
+		if tenure.ctx.Err() == nil {
+			tenure.resign(err)
+		}
+		return
+	}
+	tenure.host.log.Info("deciding", "term", tenure.term, "after", time.Since(began))
+	tenure.wait.Go(tenure.followWorkers)
+	tick := time.NewTicker(planEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-tenure.kicked:
+		case <-tenure.ctx.Done():
+			return
+		}
+		tenure.turn()
+	}
+}
+
+// takeOver fences earlier writers and rebuilds the planner from the journal.
+func (tenure *tenure) takeOver() error {
+	for {
+		err := tenure.append(nil)
+		if err == nil {
+			break
+		}
+		if errors.Is(err, translator.ErrFenced) || tenure.ctx.Err() != nil {
+			return fmt.Errorf("take the journal: %w", err)
+		}
+		sleep(tenure.ctx, appendBackoff)
+	}
+	var entries []translator.Entry
+	for {
+		var err error
+		if entries, _, err = tenure.host.newest(tenure.ctx, translator.Journal); err == nil {
+			break
+		}
+		tenure.host.log.Warn("journal cannot be read", "error", err)
+		if sleep(tenure.ctx, appendBackoff); tenure.ctx.Err() != nil {
+			return fmt.Errorf("read the journal: %w", err)
+		}
+	}
+	records := make([]planner.Record, len(entries))
+	for index, entry := range entries {
+		records[index] = planner.Record{Key: entry.Key, Value: entry.Value}
+	}
+	settings := tenure.host.settings
+	made := planner.New(planner.Settings{
+		Lease: min(lease, settings.LongestLease), LongHold: settings.LongestLease, Authority: authority,
+		StatusFor: settings.StatusFor, Drain: settings.Drain, StopTime: settings.StopTime, Spread: settings.Spread,
+	}, tenure.term, tenure.host.catalog.Load(), time.Now())
+	if unread := made.Restore(records, time.Now()); len(unread) > 0 {
+		tenure.host.log.Error("journal records do not decode", "keys", unread)
+	}
+	tenure.mu.Lock()
+	tenure.planner = made
+	tenure.mu.Unlock()
+	close(tenure.opened)
+	return nil
+}
+
+// turn plans once, unless a batch is being stored; effects that need no record go out at once.
+func (tenure *tenure) turn() {
+	now := time.Now()
+	tenure.mu.Lock()
+	if tenure.storing {
+		effects := tenure.planner.TakeEffects()
+		tenure.mu.Unlock()
+		tenure.carryOut(effects)
+		return
+	}
+	tenure.planner.Plan(now)
+	batch, err := tenure.planner.Take()
+	if err != nil {
+		tenure.mu.Unlock()
+		tenure.host.log.Error("batch does not encode", "error", err)
+		return
+	}
+	tenure.storing = len(batch.Records) > 0
+	tenure.mu.Unlock()
+	tenure.carryOut(batch.Effects)
+	if len(batch.Records) == 0 {
+		tenure.finish(batch)
+		return
+	}
+	tenure.wait.Go(func() { tenure.save(batch) })
+}
+
+// save stores a batch, however long that takes, and then lets its starts go.
+func (tenure *tenure) save(batch planner.Batch) {
+	entries := make([]translator.Entry, len(batch.Records))
+	for index, record := range batch.Records {
+		entries[index] = translator.Entry{Key: record.Key, Value: record.Value}
+	}
+	for len(entries) > 0 {
+		count := fitting(entries)
+		if !tenure.saveSome(entries[:count]) {
+			return
+		}
+		entries = entries[count:]
+	}
+	tenure.finish(batch)
+	sleep(tenure.ctx, appendGap)
+	tenure.mu.Lock()
+	tenure.storing = false
+	tenure.mu.Unlock()
+	tenure.kick()
+}
+
+// fitting returns how many entries one append takes.
+func fitting(entries []translator.Entry) int {
+	size := 0
+	for index, entry := range entries {
+		size += len(entry.Key) + len(entry.Value)
+		if size > mostBatchBytes && index > 0 {
+			return index
+		}
+	}
+	return len(entries)
+}
+
+// saveSome repeats one append until it is stored, and reports false where the tenure has ended.
+func (tenure *tenure) saveSome(entries []translator.Entry) bool {
+	for {
+		err := tenure.append(entries)
+		switch {
+		case err == nil:
+			return true
+		case tenure.ctx.Err() != nil:
+			return false
+		case errors.Is(err, translator.ErrFenced):
+			tenure.resign(err)
+			return false
+		}
+		tenure.host.log.Warn("journal does not take a batch", "records", len(entries), "quiet", tenure.storeQuiet(), "error", err)
+		sleep(tenure.ctx, appendBackoff)
+	}
+}
+
+// append makes one attempt under the present sequence number, which moves on when it is stored.
+func (tenure *tenure) append(entries []translator.Entry) error {
+	ctx, cancel := context.WithTimeout(tenure.ctx, appendWithin)
+	defer cancel()
+	err := tenure.host.store.Append(ctx, translator.Journal, tenure.writer, entries)
+	var sequence *translator.SequenceError
+	if errors.As(err, &sequence) {
+		tenure.host.log.Warn("sequence", "sent", tenure.writer.Sequence, "error", err)
+		if sequence.Expected == tenure.writer.Sequence+1 {
+			err = nil // an earlier attempt of this batch was stored
+		} else {
+			tenure.writer.Sequence = sequence.Expected
+			return err
+		}
+	}
+	if err != nil {
+		tenure.failingAt.CompareAndSwap(0, int64(time.Since(started)))
+		return err
+	}
+	tenure.writer.Sequence++
+	tenure.host.storeAnswered()
+	tenure.storedAt.Store(int64(time.Since(started)))
+	tenure.failingAt.Store(0)
+	return nil
+}
+
+// finish takes note that a batch is stored.
+func (tenure *tenure) finish(batch planner.Batch) {
+	tenure.mu.Lock()
+	tenure.planner.Stored(batch)
+	close(tenure.stored)
+	tenure.stored = make(chan struct{})
+	left := tenure.waiters[:0]
+	for _, waiter := range tenure.waiters {
+		if waiter.batch <= batch.Number {
+			close(waiter.done)
+		} else {
+			left = append(left, waiter)
+		}
+	}
+	tenure.waiters = left
+	tenure.mu.Unlock()
+	for _, start := range batch.Starts {
+		tenure.start(start)
+	}
+}
+
+// followWorkers keeps the table of workers up to date with the platform's list.
+func (tenure *tenure) followWorkers() {
+	tenure.host.follow(tenure.ctx, translator.Workers, workersPause, func(entries []translator.Entry, reset bool) {
+		tenure.mu.Lock()
+		defer tenure.mu.Unlock()
+		if reset {
+			clear(tenure.infos)
+		}
+		for _, entry := range entries {
+			if entry.Key == "" {
+				continue
+			}
+			info, err := translator.DecodeWorker(entry.Key, entry.Value)
+			if err != nil {
+				if len(entry.Value) > 0 {
+					tenure.host.log.Warn("worker entry does not decode", "worker", entry.Key, "error", err)
+				}
+				delete(tenure.infos, entry.Key)
+				continue
+			}
+			tenure.infos[entry.Key] = info
+		}
+		infos := make([]planner.WorkerInfo, 0, len(tenure.infos))
+		for _, info := range tenure.infos {
+			infos = append(infos, info)
+		}
+		tenure.planner.SetWorkers(infos, time.Now())
+		tenure.keepHolders()
+		tenure.kick()
+	})
+}
--- /dev/null
+++ b/daemon/scheduler/watch.go
@@ -0,0 +1,240 @@
+package scheduler
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ebonyshunt.org/library/planner"
+)
+
+const (
+	beatEvery    = 300 * time.Millisecond
+	beatWithin   = 400 * time.Millisecond
+	suspectAfter = 900 * time.Millisecond // without an answer of the decider
+	surveyWithin = 250 * time.Millisecond
+	rankDelay    = 60 * time.Millisecond  // for each host that is better placed to decide
+	storeLost    = 900 * time.Millisecond // of a decider whose store is silent
+	alone        = 800 * time.Millisecond // that a host waits which reaches under half of the others
+)
+
+// Beat is what a host tells the decider, or a peer that it surveys.
+type Beat struct {
+	Host    string `json:"host"`
+	Term    int64  `json:"term"`
+	Version int64  `json:"version"` // of its configuration
+}
+
+// BeatAnswer is what it is told.
+type BeatAnswer struct {
+	Office      Office          `json:"office"`
+	Deciding    bool            `json:"deciding"`          // the answering host decides
+	Reaches     bool            `json:"reaches"`           // it heard from the decider lately
+	StoreSilent time.Duration   `json:"storeSilent"`       // for which the store did not answer it
+	Catalog     json.RawMessage `json:"catalog,omitempty"` // where it has a newer one
+}
+
+// heard is when the decider last answered, on the steady clock.
+var noAnswer int64 = -int64(time.Hour)
+
+// watchState is what a host knows of the decider.
+type watchState struct {
+	heardAt     atomic.Int64 // time.Since(started)
+	storeSilent atomic.Int64 // of the decider
+}
+
+// watch keeps in touch with the decider, and campaigns when it falls silent.
+func (host *Host) watch() {
+	host.watching.heardAt.Store(noAnswer)
+	since := time.Now()
+	for host.ctx.Err() == nil {
+		office, changed := host.fleet.view()
+		if host.present() != nil {
+			host.watching.heardAt.Store(int64(time.Since(started)))
+			host.pause(changed, beatEvery)
+			since = time.Now()
+			continue
+		}
+		if office.Term > 0 && host.beat(office) {
+			since = time.Now()
+			if time.Duration(host.watching.storeSilent.Load()) < storeLost || host.storeSilent() > beatEvery+tailWait {
+				host.pause(changed, beatEvery)
+				continue
+			}
+		}
+		if office.Term == 0 || time.Since(since) >= suspectAfter || time.Duration(host.watching.storeSilent.Load()) >= storeLost {
+			host.consider(office, changed)
+		}
+		host.pause(changed, beatEvery/3)
+	}
+}
+
+// pause waits for a time or until the office changes.
+func (host *Host) pause(changed <-chan struct{}, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-changed:
+	case <-host.ctx.Done():
+	}
+}
+
+// beat calls the decider and reports whether it answered as such.
+func (host *Host) beat(office Office) bool {
+	ctx, cancel := context.WithTimeout(host.ctx, beatWithin)
+	defer cancel()
+	answer, err := host.callBeat(ctx, office.Address)
+	if err != nil {
+		host.log.Debug("decider does not answer", "decider", office.Host, "error", err)
+		return false
+	}
+	host.watching.storeSilent.Store(int64(answer.StoreSilent))
+	if !answer.Deciding {
+		return false
+	}
+	host.watching.heardAt.Store(int64(time.Since(started)))
+	return true
+}
+
+func (host *Host) callBeat(ctx context.Context, address string) (BeatAnswer, error) {
+	office, _ := host.fleet.view()
+	var answer BeatAnswer
+	beat := Beat{Host: host.settings.Host, Term: office.Term, Version: host.catalogVersion()}
+	if err := host.pool.Call(ctx, address, methodBeat, beat, &answer); err != nil {
+		return answer, err
+	}
+	if len(answer.Catalog) > 0 {
+		host.learnCatalog(answer.Catalog, "peer")
+	}
+	host.learnOffice(answer.Office, "peer")
+	return answer, nil
+}
+
+// answerBeat tells a peer what this host knows.
+func (host *Host) answerBeat(beat Beat) BeatAnswer {
+	office, _ := host.fleet.view()
+	answer := BeatAnswer{
+		Office: office, Deciding: host.present() != nil, Reaches: host.reachesDecider(),
+		StoreSilent: host.storeQuiet(),
+	}
+	if raw := host.raw.Load(); raw != nil && host.catalogVersion() > beat.Version {
+		answer.Catalog = *raw
+	}
+	return answer
+}
+
+// storeQuiet returns for how long the store has failed the host: a decider's appends tell, others' reads.
+func (host *Host) storeQuiet() time.Duration {
+	if tenure := host.present(); tenure != nil {
+		return tenure.storeQuiet()
+	}
+	return max(0, host.storeSilent()-tailWait)
+}
+
+// reachesDecider reports whether the decider answered lately, or is this host.
+func (host *Host) reachesDecider() bool {
+	if host.present() != nil {
+		return true
+	}
+	return time.Since(started)-time.Duration(host.watching.heardAt.Load()) < suspectAfter
+}
+
+// survey is what the peers say of the decider.
+type survey struct {
+	asked    int
+	answered int
+	better   int  // peers that are better placed to decide and would
+	reaches  bool // one reaches the decider, whose store answers
+}
+
+// consider campaigns, unless a peer still reaches the decider; better placed hosts go first.
+func (host *Host) consider(office Office, changed <-chan struct{}) {
+	if host.leaving.Load() || host.storeQuiet() >= storeLost {
+		return
+	}
+	found := host.survey(office)
+	if present, _ := host.fleet.view(); present.Term > office.Term || found.reaches {
+		return
+	}
+	delay := time.Duration(found.better) * rankDelay
+	if 2*(found.answered+1) < found.asked+1 {
+		delay += alone
+	}
+	if delay > 0 {
+		host.pause(changed, delay)
+	}
+	if present, _ := host.fleet.view(); present.Term > office.Term {
+		return
+	}
+	host.log.Info("campaign", "after", office.Term, "asked", found.asked, "answered", found.answered)
+	ctx, cancel := context.WithTimeout(host.ctx, campaignWithin)
+	defer cancel()
+	if err := host.campaign(ctx, office); err != nil {
+		host.log.Warn("campaign failed", "after", office.Term, "error", err)
+	}
+}
+
+// survey asks all peers at once.
+func (host *Host) survey(office Office) survey {
+	peers := host.fleet.others(host.settings.Host)
+	ctx, cancel := context.WithTimeout(host.ctx, surveyWithin)
+	defer cancel()
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	found := survey{asked: len(peers)}
+	for _, peer := range peers {
+		wait.Go(func() {
+			answer, err := host.callBeat(ctx, peer.Address)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			found.answered++
+			if answer.Reaches && answer.Office.Term >= office.Term && (peer.Name != office.Host || answer.StoreSilent < storeLost) {
+				found.reaches = found.reaches || time.Duration(host.watching.storeSilent.Load()) < storeLost
+			}
+			if answer.StoreSilent < storeLost && compareMembers(peer, host.member()) < 0 && peer.Name != office.Host {
+				found.better++
+			}
+		})
+	}
+	wait.Wait()
+	return found
+}
+
+// handOver asks the best placed peers to decide, until one does.
+func (host *Host) handOver(ctx context.Context) {
+	office, changed := host.fleet.view()
+	peers := host.fleet.others(host.settings.Host)
+	for _, peer := range slices.Insert(peers, len(peers), peers...) {
+		if ctx.Err() != nil {
+			return
+		}
+		called, cancel := context.WithTimeout(ctx, campaignWithin)
+		err := host.pool.Call(called, peer.Address, methodCampaign, office, nil)
+		cancel()
+		if err != nil {
+			host.log.Info("peer does not take over", "peer", peer.Name, "error", err)
+			continue
+		}
+		host.pause(changed, handOver/3)
+		if host.present() == nil {
+			return
+		}
+	}
+}
+
+// setCatalog passes a configuration on to the planner.
+func (tenure *tenure) setCatalog(catalog *planner.Catalog) {
+	tenure.mu.Lock()
+	defer tenure.mu.Unlock()
+	if tenure.planner != nil {
+		tenure.planner.SetCatalog(catalog)
+	}
+	tenure.kick()
+}
--- a/demo/builder/cell.go
+++ b/demo/builder/cell.go
@@ -19,10 +19,10 @@
 	"ebonyshunt.org/daemon/server"
 	"ebonyshunt.org/library/sizer"
 	"ebonyshunt.org/library/viewer"
-	"ebonyshunt.org/platform/connector"
-	"ebonyshunt.org/platform/listserver"
-	"ebonyshunt.org/platform/logserver"
-	"ebonyshunt.org/platform/workerserver"
+	"ebonyshunt.org/standin/connector"
+	"ebonyshunt.org/standin/listserver"
+	"ebonyshunt.org/standin/logserver"
+	"ebonyshunt.org/standin/workerserver"
 )
 
 // Zone is the plan of one availability zone.
--- /dev/null
+++ b/library/planner/place.go
@@ -0,0 +1,347 @@
+package planner
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"ebonyshunt.org/library/sizer"
+)
+
+// pass is one run of placement over all waiting steps.
+type pass struct {
+	planner *Planner
+	now     time.Time
+	held    map[string]bool // workers that wait for a more pressing step
+	tries   int
+}
+
+// place starts what it can of a step's waiting tasks.
+func (pass *pass) place(step *step) {
+	queue, found := pass.planner.catalog.Queue(step.job.Queue)
+	if !found {
+		return
+	}
+	if step.Gang {
+		pass.placeGang(step, queue)
+		return
+	}
+	for len(step.waiting) > 0 {
+		index := step.waiting[0]
+		if !pass.planner.within(step.job.Team, step.Step, 1) {
+			return
+		}
+		worker := pass.choose(step, queue, &step.tasks[index], nil, "")
+		if worker == nil {
+			pass.wait(step, queue)
+			return
+		}
+		step.waiting = step.waiting[1:]
+		pass.planner.start(step, index, step.tasks[index].number+1, worker, pass.now)
+	}
+	step.blocked = time.Time{}
+}
+
+// within reports whether a team's cap leaves room for some more tasks.
+func (planner *Planner) within(name string, step *Step, count int64) bool {
+	info, found := planner.catalog.Teams[name]
+	if !found {
+		return true
+	}
+	used := planner.team(name).used.Add(step.Size.Times(count))
+	return under(used.MilliCores, info.Cap.MilliCores) && under(used.MemoryMB, info.Cap.MemoryMB) &&
+		under(used.Accelerators, info.Cap.Accelerators)
+}
+
+func under(used, limit int64) bool { return limit == 0 || used <= limit }
+
+// start makes a run, which is carried out once it is stored.
+func (planner *Planner) start(step *step, index, number int, worker *Worker, now time.Time) {
+	key := TaskKey{Job: step.key.Job, Occurrence: step.key.Occurrence, Step: step.key.Step, Index: index}
+	step.tasks[index].number = number
+	planner.attach(step, planner.newRun(step, key, number, worker, now))
+	if step.job.state == Queued {
+		step.job.state = Running
+	}
+	planner.touch(step.job)
+	planner.starts = append(planner.starts, Start{Key: key, Number: number})
+}
+
+func (planner *Planner) newRun(step *step, key TaskKey, number int, worker *Worker, now time.Time) *Run {
+	return &Run{
+		Key: key, Number: number, Worker: worker.ID, Born: worker.Born, Size: step.charge(),
+		Began: now, Moved: now, Filler: step.Filler, Serving: step.TailMS > 0,
+	}
+}
+
+// choose returns the best worker for a task, or nil; taken is what this step has been given on workers
+// besides, rack restricts the choice.
+func (pass *pass) choose(step *step, queue Queue, task *task, taken map[string]int, rack string) *Worker {
+	var best *Worker
+	bestCost := 0.0
+	for _, id := range pass.planner.names {
+		worker := pass.planner.workers[id]
+		if worker.Service != queue.Service || !pass.eligible(step, queue, worker, taken[id]) {
+			continue
+		}
+		if rack != "" && !slices.Contains(worker.Labels, rack) {
+			continue
+		}
+		cost := pass.cost(step, task, worker, taken[id])
+		if best == nil || cost < bestCost {
+			best, bestCost = worker, cost
+		}
+	}
+	return best
+}
+
+// freshness is how long ago a worker must have answered to get new runs.
+const freshness = 2500 * time.Millisecond
+
+// fit reports whether a worker could run the step at all.
+func (planner *Planner) fit(step *step, queue Queue, worker *Worker) bool {
+	return worker.Service == queue.Service && worker.Listed && !worker.Draining &&
+		worker.hasLabel(step.Label) && step.charge().Fits(worker.Capacity)
+}
+
+// eligible reports whether a worker can take one more task of the step now, beside some that it is given
+// in the same round.
+func (pass *pass) eligible(step *step, queue Queue, worker *Worker, taken int) bool {
+	planner := pass.planner
+	if !planner.fit(step, queue, worker) || !planner.sound(worker, pass.now) || pass.held[worker.ID] {
+		return false
+	}
+	if !step.charge().Times(int64(taken+1)).Fits(worker.Free()) || !planner.apart(step, worker, taken) {
+		return false
+	}
+	if step.Filler && worker.serving > 0 || step.TailMS > 0 && worker.fillers > 0 {
+		return false
+	}
+	return queue.Policy == nil || step.policy.valid(worker, pass.now)
+}
+
+func (planner *Planner) sound(worker *Worker, now time.Time) bool {
+	return worker.Looked && worker.strangers == 0 && now.Sub(worker.Quiet) < freshness && worker.health.usable(now)
+}
+
+// apart reports whether a worker may get one more task of a step that spreads its tasks.
+func (planner *Planner) apart(step *step, worker *Worker, taken int) bool {
+	if step.MostPerWorker <= 0 {
+		return true
+	}
+	count := taken
+	for key := range worker.Runs {
+		if key.step() == step.key {
+			count++
+		}
+	}
+	return count < step.MostPerWorker
+}
+
+const (
+	failedHereCost = 4.0  // of a worker on which the task has failed
+	fillCost       = 0.25 // of a worker that would be left wholly empty
+	apartCost      = 0.5  // of a worker that serves none of the tasks that fillers disturb
+)
+
+// cost rates a worker for a task by the time that the work takes there, and then by how well it packs.
+func (pass *pass) cost(step *step, task *task, worker *Worker, taken int) float64 {
+	cost := worker.slowness()
+	if step.DataRack != "" && !slices.Contains(worker.Labels, step.DataRack) {
+		cost *= max(pass.planner.Settings.Spread, 1)
+	}
+	if task != nil && slices.Contains(task.failedOn, worker.ID) {
+		cost += failedHereCost
+	}
+	left := worker.Free().Sub(step.charge().Times(int64(taken + 1)))
+	cost += fillCost * left.Dominant(worker.Capacity)
+	if step.TailMS > 0 && worker.serving == 0 {
+		cost += apartCost
+	}
+	return cost
+}
+
+// placeGang starts all tasks of a gang or none.
+func (pass *pass) placeGang(step *step, queue Queue) {
+	if !pass.planner.within(step.job.Team, step.Step, int64(step.Count)) {
+		return
+	}
+	workers := pass.chooseGang(step, queue)
+	if workers == nil {
+		pass.wait(step, queue)
+		return
+	}
+	number := step.gang
+	checkpoint := ""
+	for index := range step.tasks {
+		number = max(number, step.tasks[index].number)
+		checkpoint = max(checkpoint, step.tasks[index].checkpoint)
+	}
+	step.gang = number + 1
+	step.waiting = nil
+	step.blocked = time.Time{}
+	for index, worker := range workers {
+		step.tasks[index].checkpoint = checkpoint
+		pass.planner.start(step, index, step.gang, worker, pass.now)
+	}
+}
+
+// chooseGang returns a worker for each task, in one rack where that is faster and possible.
+func (pass *pass) chooseGang(step *step, queue Queue) []*Worker {
+	if step.OneRack {
+		for _, rack := range pass.planner.racks(queue.Service) {
+			if workers := pass.chooseAll(step, queue, rack); workers != nil {
+				return workers
+			}
+		}
+	}
+	return pass.chooseAll(step, queue, "")
+}
+
+func (pass *pass) chooseAll(step *step, queue Queue, rack string) []*Worker {
+	taken := map[string]int{}
+	workers := make([]*Worker, 0, step.Count)
+	for index := range step.tasks {
+		worker := pass.choose(step, queue, &step.tasks[index], taken, rack)
+		if worker == nil {
+			return nil
+		}
+		taken[worker.ID]++
+		workers = append(workers, worker)
+	}
+	return workers
+}
+
+// racks returns the labels that several workers of a service share, but not all.
+func (planner *Planner) racks(service string) []string {
+	counts := map[string]int{}
+	total := 0
+	for _, worker := range planner.workers {
+		if worker.Service != service {
+			continue
+		}
+		total++
+		for _, label := range worker.Labels {
+			counts[label]++
+		}
+	}
+	maps.DeleteFunc(counts, func(_ string, count int) bool { return count == total })
+	return slices.Sorted(maps.Keys(counts))
+}
+
+const (
+	holdAfter   = 150 * time.Millisecond // of waiting, before workers are kept free for a step
+	mostHeld    = 4                      // workers kept free in one pass
+	preemptWait = 100 * time.Millisecond // of urgent work before it preempts
+)
+
+// wait deals with a step that found no room: it asks the policy, keeps a worker free, or preempts.
+func (pass *pass) wait(step *step, queue Queue) {
+	if step.blocked.IsZero() {
+		step.blocked = pass.now
+	}
+	if queue.Policy != nil {
+		pass.ask(step, queue)
+	}
+	waited := pass.now.Sub(step.blocked)
+	urgent := queue.Priority == 0 || step.Standing
+	if urgent && waited >= preemptWait {
+		pass.preempt(step, queue)
+	}
+	if waited >= holdAfter && len(pass.held) < mostHeld {
+		if worker := pass.emptiest(step, queue); worker != nil {
+			pass.held[worker.ID] = true
+		}
+	}
+}
+
+// emptiest returns the worker that could run the step and has the most room.
+func (pass *pass) emptiest(step *step, queue Queue) *Worker {
+	var best *Worker
+	most := -1.0
+	for _, id := range pass.planner.names {
+		worker := pass.planner.workers[id]
+		if !pass.planner.fit(step, queue, worker) || !pass.planner.sound(worker, pass.now) || pass.held[id] {
+			continue
+		}
+		if queue.Policy != nil && step.policy.denied[id] || !pass.planner.apart(step, worker, 0) {
+			continue
+		}
+		if free := worker.Free().Min(worker.Capacity).Dominant(worker.Capacity); free > most {
+			best, most = worker, free
+		}
+	}
+	return best
+}
+
+// preempt stops runs of less pressing work with checkpoints, where that makes room for a task.
+func (pass *pass) preempt(step *step, queue Queue) {
+	var best []*Run
+	for _, id := range pass.planner.names {
+		worker := pass.planner.workers[id]
+		if !pass.planner.fit(step, queue, worker) || !pass.planner.sound(worker, pass.now) || pass.held[id] {
+			continue
+		}
+		if queue.Policy != nil && step.policy.denied[id] || !pass.planner.apart(step, worker, 0) {
+			continue
+		}
+		if victims := pass.victims(worker, step, queue); victims != nil && (best == nil || len(victims) < len(best)) {
+			best = victims
+		}
+	}
+	for _, run := range best {
+		pass.planner.Counters.Preempted++
+		pass.planner.stop(run, pass.now)
+		pass.held[run.Worker] = true
+	}
+}
+
+// victims returns the fewest runs whose end makes room on a worker, or nil; room that is being freed
+// already counts.
+func (pass *pass) victims(worker *Worker, step *step, queue Queue) []*Run {
+	free := worker.Free()
+	var stoppable []*Run
+	for _, run := range worker.sorted() {
+		if run.Stopping {
+			free = free.Add(run.Size)
+			continue
+		}
+		if pass.stoppable(run, queue) {
+			stoppable = append(stoppable, run)
+		}
+	}
+	slices.SortStableFunc(stoppable, func(a, b *Run) int {
+		return -compareSizes(a.Size, b.Size, worker.Capacity)
+	})
+	victims := []*Run{}
+	for _, run := range stoppable {
+		if step.charge().Fits(free) {
+			break
+		}
+		free = free.Add(run.Size)
+		victims = append(victims, run)
+	}
+	if !step.charge().Fits(free) {
+		return nil
+	}
+	return victims
+}
+
+func compareSizes(a, b, capacity sizer.Size) int {
+	switch left, right := a.Dominant(capacity), b.Dominant(capacity); {
+	case left < right:
+		return -1
+	case left > right:
+		return 1
+	}
+	return 0
+}
+
+func (pass *pass) stoppable(run *Run, queue Queue) bool {
+	step := pass.planner.steps[run.Key.step()]
+	if step == nil || !run.Started || step.Standing || step.Gang || !step.Checkpoints {
+		return false
+	}
+	other, found := pass.planner.catalog.Queue(step.job.Queue)
+	return found && other.Priority > queue.Priority
+}
--- /dev/null
+++ b/library/planner/reply.go
@@ -0,0 +1,24 @@
+package planner
+
+import "time"
+
+// Verdict is the outcome of a caller's call.
+type Verdict int
+
+// The verdicts.
+const (
+	Granted  Verdict = iota
+	Refused          // it was not taken and never will be
+	Busy             // as Refused, because there is more than can be served
+	Unproven         // it may have been taken
+	Missing          // no such job
+)
+
+// Reply is what a caller is told.
+type Reply struct {
+	Verdict    Verdict       `json:"verdict"`
+	State      State         `json:"state,omitempty"`
+	Pending    int           `json:"pending,omitempty"`
+	RetryAfter time.Duration `json:"retryAfter,omitempty"` // after which it is worth coming back, where it was refused
+	Reason     string        `json:"reason,omitempty"`
+}
--- /dev/null
+++ b/library/planner/runs.go
@@ -0,0 +1,289 @@
+package planner
+
+import (
+	"slices"
+	"time"
+)
+
+// NextHold returns how to look at a worker, and false where there is none of that ID. A worker whose clock
+// is not known yet is asked without a lease.
+func (planner *Planner) NextHold(id string, now time.Time) (Hold, bool) {
+	worker := planner.workers[id]
+	if worker == nil || worker.Address == "" {
+		return Hold{}, false
+	}
+	hold := Hold{Worker: id, Address: worker.Address, Token: worker.Token, Cursor: worker.Durable}
+	if worker.Looked {
+		hold.Deadline = worker.clockAtLeast(now) + planner.Settings.Lease.Milliseconds()
+		worker.leasedTo = max(worker.leasedTo, hold.Deadline)
+	}
+	return hold, true
+}
+
+// Unacknowledged reports whether a worker lists ends that are not stored yet.
+func (planner *Planner) Unacknowledged(id string) bool {
+	worker := planner.workers[id]
+	return worker != nil && worker.Durable < worker.Cursor
+}
+
+// Prepare fills in a start as it is sent now, and reports false where it is no longer wanted.
+func (planner *Planner) Prepare(start Start, now time.Time) (Order, bool) {
+	planner.now = now
+	step, run := planner.openRun(start.Key, start.Number)
+	if run == nil {
+		return Order{}, false
+	}
+	worker := planner.worker(run.Worker)
+	if run.Stopping || !worker.Looked || worker.Born != run.Born || !planner.routed(step, worker) {
+		planner.close(step, run, NeverRan, "", now)
+		return Order{}, false
+	}
+	run.Token, run.Began = worker.Token, now
+	order := Order{
+		Key: run.Key, Number: run.Number, Worker: worker.ID, Address: worker.Address,
+		Payload: step.job.Payload, Checkpoint: step.tasks[start.Key.Index].checkpoint,
+		Ticket: step.policy.allowed[worker.ID].text, Token: worker.Token,
+		Deadline: worker.clockAtLeast(now) + planner.Settings.Lease.Milliseconds(),
+	}
+	worker.leasedTo = max(worker.leasedTo, order.Deadline)
+	planner.Counters.Starts++
+	return order, true
+}
+
+// routed reports whether a queue's work still goes to the worker's service, which takes new work.
+func (planner *Planner) routed(step *step, worker *Worker) bool {
+	queue, found := planner.catalog.Queue(step.job.Queue)
+	return found && queue.Service == worker.Service && worker.Listed && !worker.Draining
+}
+
+// Answered takes the outcome of an order to start.
+func (planner *Planner) Answered(order Order, outcome Outcome, clock int64, now time.Time) {
+	planner.now = now
+	worker := planner.worker(order.Worker)
+	if clock > 0 {
+		worker.observe(clock, now)
+	}
+	step, run := planner.openRun(order.Key, order.Number)
+	if run == nil {
+		return
+	}
+	switch outcome {
+	case Taken:
+		run.Started, run.Answered, run.Moved = true, now, now
+	case Unknown:
+		planner.doubt(worker, now)
+	case RefusedBirth:
+		planner.reborn(worker, 0, now)
+		planner.close(step, run, NeverRan, "", now)
+	case RefusedTicket:
+		delete(step.policy.allowed, worker.ID)
+		planner.close(step, run, NeverRan, "", now)
+	case RefusedOld:
+		step.tasks[order.Key.Index].number = max(step.tasks[order.Key.Index].number, run.Number+oldRunSkip)
+		planner.close(step, run, NeverRan, "", now)
+	case NotSent, RefusedFence, RefusedLate, RefusedRoom:
+		if outcome != RefusedFence {
+			worker.health.refuse(now)
+		}
+		planner.close(step, run, NeverRan, "", now)
+	}
+}
+
+// oldRunSkip is added to a run number that a worker refused as too low.
+const oldRunSkip = 3
+
+// doubt raises the token of a worker that may still carry out an order, and looks at it.
+func (planner *Planner) doubt(worker *Worker, _ time.Time) {
+	planner.Counters.Doubts++
+	worker.Token++
+	worker.Looked = false
+	worker.deadAfter = worker.lapsedBound()
+	planner.effects = append(planner.effects, Fence{Worker: worker.ID})
+}
+
+// lapsedBound returns when every lease that this planner asked for has run out.
+func (worker *Worker) lapsedBound() time.Time {
+	looked := worker.Looked
+	worker.Looked = true
+	at := worker.lapsedAt()
+	worker.Looked = looked
+	if at.Before(worker.deadAfter) && !worker.clockAt.IsZero() {
+		return worker.deadAfter
+	}
+	return at
+}
+
+// Unreachable takes note that a look at a worker got no answer.
+func (planner *Planner) Unreachable(id string, now time.Time) {
+	planner.now = now
+	worker := planner.workers[id]
+	if worker == nil || !worker.Looked {
+		return
+	}
+	worker.deadAfter = worker.lapsedAt()
+	worker.Looked = false
+	worker.Token++
+}
+
+// reborn closes the runs that surely were on an earlier incarnation of a worker; those whose order may
+// still be on its way stay until a raised token settles them.
+func (planner *Planner) reborn(worker *Worker, born int64, now time.Time) {
+	worker.Token++
+	worker.Looked = false
+	worker.Cursor, worker.Durable, worker.pending = 0, 0, nil
+	worker.leasedTo = 0
+	if born != 0 {
+		worker.Born = born
+	}
+	for _, run := range worker.sorted() {
+		if run.Started {
+			planner.vanish(run, now)
+		}
+	}
+	planner.effects = append(planner.effects, Fence{Worker: worker.ID})
+}
+
+func (planner *Planner) vanish(run *Run, now time.Time) {
+	planner.Counters.Vanished++
+	if step, open := planner.openRun(run.Key, run.Number); open == run {
+		planner.close(step, run, Vanished, "", now)
+	}
+}
+
+// sorted returns the worker's runs in the order of their keys.
+func (worker *Worker) sorted() []*Run {
+	runs := make([]*Run, 0, len(worker.Runs))
+	for _, run := range worker.Runs {
+		runs = append(runs, run)
+	}
+	slices.SortFunc(runs, func(a, b *Run) int { return a.Key.compare(b.Key) })
+	return runs
+}
+
+func (key TaskKey) compare(other TaskKey) int {
+	switch {
+	case key.Job != other.Job:
+		if key.Job < other.Job {
+			return -1
+		}
+		return 1
+	case key.Occurrence != other.Occurrence:
+		return key.Occurrence - other.Occurrence
+	case key.Step != other.Step:
+		return key.Step - other.Step
+	}
+	return key.Index - other.Index
+}
+
+// Listed takes a worker's answer to a hold.
+func (planner *Planner) Listed(id string, listing Listing, now time.Time) {
+	planner.now = now
+	worker := planner.workers[id]
+	if worker == nil {
+		return
+	}
+	if listing.Born != 0 && worker.Born != 0 && listing.Born != worker.Born {
+		planner.reborn(worker, listing.Born, now)
+		return
+	}
+	if listing.Born != 0 {
+		worker.Born = listing.Born
+	}
+	worker.observe(listing.Clock, now)
+	for _, ended := range listing.Ended {
+		planner.listEnded(worker, ended, now)
+	}
+	planner.listRunning(worker, listing, now)
+	if !listing.Partial {
+		planner.disprove(worker, listing, now)
+	}
+	if listing.Token == worker.Token {
+		worker.Looked = true
+	}
+}
+
+func (planner *Planner) listEnded(worker *Worker, ended EndedRun, now time.Time) {
+	if ended.Sequence <= worker.Cursor {
+		return
+	}
+	worker.Cursor = ended.Sequence
+	worker.pending = append(worker.pending, pendingEnd{number: ended.Sequence, batch: planner.batch + 1})
+	step, run := planner.openRun(ended.Key, ended.Number)
+	if run == nil || run.Worker != worker.ID {
+		return
+	}
+	planner.close(step, run, ended.Ending, ended.Checkpoint, now)
+}
+
+func (planner *Planner) listRunning(worker *Worker, listing Listing, now time.Time) {
+	worker.strangers = 0
+	for _, running := range listing.Running {
+		step, run := planner.openRun(running.Key, running.Number)
+		if run == nil || run.Worker != worker.ID {
+			worker.strangers++
+			planner.effects = append(planner.effects, Stop{
+				Key: running.Key, Number: running.Number, Worker: worker.ID, Address: worker.Address, Token: worker.Token,
+			})
+			continue
+		}
+		if !run.Started {
+			run.Started, run.Answered, run.Moved = true, listing.SentAt, now
+		}
+		if running.Percent > run.Percent {
+			run.Percent, run.Moved = running.Percent, now
+		}
+		if running.Checkpoint != "" {
+			step.tasks[running.Key.Index].checkpoint = running.Checkpoint
+		}
+		if run.Stopping {
+			planner.stop(run, now)
+		}
+	}
+}
+
+// disprove closes the runs that a worker surely does not have: those ordered under a lower token than the
+// look, and those that it had before the look was sent.
+func (planner *Planner) disprove(worker *Worker, listing Listing, now time.Time) {
+	if len(worker.Runs) == 0 {
+		return
+	}
+	present := make(map[TaskKey]int, len(listing.Running))
+	for _, running := range listing.Running {
+		present[running.Key] = running.Number
+	}
+	for _, run := range worker.sorted() {
+		if present[run.Key] == run.Number {
+			continue
+		}
+		switch {
+		case run.Started && run.Answered.Before(listing.SentAt):
+			planner.vanish(run, now)
+		case !run.Started && run.Token < listing.Token:
+			if step, open := planner.openRun(run.Key, run.Number); open == run {
+				planner.close(step, run, NeverRan, "", now)
+			}
+		}
+	}
+}
+
+// expire closes the runs on workers whose leases have surely run out, and forgets workers that left.
+func (planner *Planner) expire(now time.Time) {
+	for _, id := range planner.names {
+		worker := planner.workers[id]
+		if len(worker.Runs) > 0 && now.After(worker.lapsedAt()) {
+			if worker.Looked {
+				planner.Unreachable(id, now)
+			}
+			for _, run := range worker.sorted() {
+				planner.vanish(run, now)
+			}
+		}
+		if !worker.Listed && len(worker.Runs) == 0 && now.Sub(worker.unlisted) > unlistedKept {
+			delete(planner.workers, id)
+		}
+	}
+	planner.names = slices.DeleteFunc(planner.names, func(id string) bool { return planner.workers[id] == nil })
+}
+
+// unlistedKept is how long the row of a worker without runs is kept after it left the list.
+const unlistedKept = 20 * time.Second
--- a/scripts/measure-rest.sh
+++ b/scripts/measure-rest.sh
@@ -12,17 +12,17 @@
   rm -rf "$work"
 }
 trap finish EXIT
-go build -o "$work/" ./command ./daemon ./platform
+go build -o "$work/" ./command ./daemon ./standin
 printf 'root' | sha256sum | cut -d' ' -f1 > "$work/digest"
-"$work/platform" log --address 127.0.0.1:7901 & started+=($!)
+"$work/standin" log --address 127.0.0.1:7901 & started+=($!)
 entries='{"name":"one","kind":"entry","address":"127.0.0.1:7904","zone":"a"}'
 for number in $(seq 1 "$workers"); do
   address=127.0.0.1:$((8000 + number))
-  "$work/platform" worker --address "$address" --name "w-$number" --size 'cores:32 memory:64GB' & started+=($!)
+  "$work/standin" worker --address "$address" --name "w-$number" --size 'cores:32 memory:64GB' & started+=($!)
   entries+=",{\"name\":\"w-$number\",\"kind\":\"worker\",\"address\":\"$address\",\"zone\":\"a\",\"capacity\":{\"milliCores\":32000,\"memoryMB\":65536,\"accelerators\":0}}"
 done
 printf '{"hosts":[%s]}' "$entries" > "$work/hosts.json"
-"$work/platform" list --address 127.0.0.1:7902 --hosts "$work/hosts.json" & started+=($!)
+"$work/standin" list --address 127.0.0.1:7902 --hosts "$work/hosts.json" & started+=($!)
 cat > "$work/host.ini" <<INI
 [host]
 name = one
--- a/platform/cmd_list.go
+++ b/standin/cmd_list.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"ebonyshunt.org/daemon/lister"
-	"ebonyshunt.org/platform/listserver"
+	"ebonyshunt.org/standin/listserver"
 	"github.com/spf13/cobra"
 )
 
@@ -17,7 +17,7 @@
 	command := &cobra.Command{
 		Use:     "list",
 		Short:   "Run the list of hosts",
-		Example: "  platform list --address 127.0.0.1:7200 --hosts hosts.json --lag 5s",
+		Example: "  standin list --address 127.0.0.1:7200 --hosts hosts.json --lag 5s",
 		Args:    cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			if err := addHosts(server, path); err != nil {
--- a/platform/cmd_log.go
+++ b/standin/cmd_log.go
@@ -1,7 +1,7 @@
 package main
 
 import (
-	"ebonyshunt.org/platform/logserver"
+	"ebonyshunt.org/standin/logserver"
 	"github.com/spf13/cobra"
 )
 
@@ -11,7 +11,7 @@
 	command := &cobra.Command{
 		Use:     "log",
 		Short:   "Run the log service",
-		Example: "  platform log --address 127.0.0.1:7100 --rate 300",
+		Example: "  standin log --address 127.0.0.1:7100 --rate 300",
 		Args:    cobra.NoArgs,
 		RunE:    func(*cobra.Command, []string) error { return serve(address, server.Handler()) },
 	}
--- a/platform/cmd_worker.go
+++ b/standin/cmd_worker.go
@@ -4,7 +4,7 @@
 	"fmt"
 
 	"ebonyshunt.org/library/parser"
-	"ebonyshunt.org/platform/workerserver"
+	"ebonyshunt.org/standin/workerserver"
 	"github.com/spf13/cobra"
 )
 
@@ -14,7 +14,7 @@
 	command := &cobra.Command{
 		Use:     "worker",
 		Short:   "Run a worker",
-		Example: "  platform worker --address 127.0.0.1:7300 --name survey-north-00 --size 'cores:32 memory:64GB'",
+		Example: "  standin worker --address 127.0.0.1:7300 --name survey-north-00 --size 'cores:32 memory:64GB'",
 		Args:    cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			capacity, err := parser.ParseSize(size)
--- a/platform/main.go
+++ b/standin/main.go
@@ -1,4 +1,4 @@
-// Command platform runs one of the stand-ins for the platform's services.
+// Command standin runs one of the stand-ins for the platform's services.
 package main
 
 import (
@@ -17,14 +17,14 @@
 
 func main() {
 	root := &cobra.Command{
-		Use:           "platform",
+		Use:           "standin",
 		Short:         "Run a stand-in for one of the platform's services",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
 	root.AddCommand(logCommand(), listCommand(), workerCommand())
 	if err := root.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "platform:", err)
+		fmt.Fprintln(os.Stderr, "standin:", err)
 		os.Exit(1)
 	}
 }
--- a/tests/cell_test.go
+++ b/tests/cell_test.go
@@ -22,8 +22,8 @@
 	"ebonyshunt.org/library/responder"
 	"ebonyshunt.org/library/sizer"
 	"ebonyshunt.org/library/viewer"
-	"ebonyshunt.org/platform/connector"
-	"ebonyshunt.org/platform/workerserver"
+	"ebonyshunt.org/standin/connector"
+	"ebonyshunt.org/standin/workerserver"
 )
 
 // limitMilliCores is the upper limit of team one.
--- a/tests/configuration_test.go
+++ b/tests/configuration_test.go
@@ -11,7 +11,7 @@
 
 	"ebonyshunt.org/daemon/server"
 	"ebonyshunt.org/library/responder"
-	"ebonyshunt.org/platform/logserver"
+	"ebonyshunt.org/standin/logserver"
 )
 
 // inForceBound is the target's bound for a change to be in force everywhere.
--- a/tests/faults_test.go
+++ b/tests/faults_test.go
@@ -10,7 +10,7 @@
 
 	"ebonyshunt.org/daemon/server"
 	"ebonyshunt.org/library/responder"
-	"ebonyshunt.org/platform/logserver"
+	"ebonyshunt.org/standin/logserver"
 )
 
 // fault is something that goes wrong for a while.
--- a/tests/figures_test.go
+++ b/tests/figures_test.go
@@ -12,7 +12,7 @@
 
 	"ebonyshunt.org/demo/builder"
 	"ebonyshunt.org/library/sizer"
-	"ebonyshunt.org/platform/connector"
+	"ebonyshunt.org/standin/connector"
 )
 
 // The target of docs/CAPACITY.md.
--- a/tests/keys_test.go
+++ b/tests/keys_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"ebonyshunt.org/library/responder"
-	"ebonyshunt.org/platform/workerserver"
+	"ebonyshunt.org/standin/workerserver"
 )
 
 // TestKeyFollowsARequestToAnotherZone fills a zone, so that keyed requests run in others, ends their entry
--- a/tests/limits_test.go
+++ b/tests/limits_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"ebonyshunt.org/daemon/server"
-	"ebonyshunt.org/platform/logserver"
+	"ebonyshunt.org/standin/logserver"
 )
 
 // sliceBound is how long a slice may take to reach the work while the platform can be reached.
--- a/tests/requests_test.go
+++ b/tests/requests_test.go
@@ -15,7 +15,7 @@
 	"ebonyshunt.org/daemon/linker"
 	"ebonyshunt.org/daemon/lister"
 	"ebonyshunt.org/library/responder"
-	"ebonyshunt.org/platform/workerserver"
+	"ebonyshunt.org/standin/workerserver"
 )
 
 // raw sends bytes over a connection of its own and returns the connection.
--- a/tests/script_test.go
+++ b/tests/script_test.go
@@ -21,7 +21,7 @@
 var programs = map[string]string{
 	"ebonyshunt":  "ebonyshunt.org/command",
 	"ebonyshuntd": "ebonyshunt.org/daemon",
-	"platform":    "ebonyshunt.org/platform",
+	"standin":     "ebonyshunt.org/standin",
 	"demo":        "ebonyshunt.org/demo",
 }
 
