--- a/daemon/scheduler/holder.go
+++ b/daemon/scheduler/holder.go
@@ -162,7 +162,7 @@
 	ctx, cancel := context.WithTimeout(tenure.ctx, stopWithin)
 	defer cancel()
 	outcome, err := tenure.host.orders.Stop(ctx, stop)
-	tenure.host.log.Info("stop", "task", stop.Key, "run", stop.Number, "worker", stop.Worker, "outcome", outcome, "error", err)
+	tenure.host.log.Info("stop", "task", stop.Key.String(), "run", stop.Number, "worker", stop.Worker, "outcome", outcome.String(), "error", err)
 }
 
 // fence looks at a worker under its raised token until it answers.
@@ -238,7 +238,7 @@
 		return
 	}
 	tenure.host.metrics.starts.WithLabelValues(outcome.String()).Inc()
-	attributes := []any{"task", order.Key, "run", order.Number, "worker", order.Worker, "token", order.Token, "outcome", outcome}
+	attributes := []any{"task", order.Key.String(), "run", order.Number, "worker", order.Worker, "token", order.Token, "outcome", outcome.String()}
 	if err != nil && !errors.Is(err, translator.ErrUnknown) {
 		attributes = append(attributes, "error", err)
 	}
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -23,14 +23,15 @@
 	kicked chan struct{}
 	policy *desks
 
-	mu      sync.Mutex
-	planner *planner.Planner // nil until the journal was read
-	infos   map[string]planner.WorkerInfo
-	holds   map[string]*holder
-	waiters []waiter
-	storing bool
-	stored  chan struct{} // closed and made anew with each stored batch
-	opened  chan struct{} // closed once the planner is there
+	mu        sync.Mutex
+	planner   *planner.Planner // nil until the journal was read
+	infos     map[string]planner.WorkerInfo
+	holds     map[string]*holder
+	waiters   []waiter
+	storing   bool
+	explained time.Time     // when waiting steps were last explained
+	stored    chan struct{} // closed and made anew with each stored batch
+	opened    chan struct{} // closed once the planner is there
 
 	storedAt  atomic.Int64 // when the journal last took a batch, or was known to be reachable
 	failingAt atomic.Int64 // since when appends fail, 0 while they do not
@@ -178,6 +179,7 @@
 // turn plans once, unless a batch is being stored; effects that need no record go out at once.
 func (tenure *tenure) turn() {
 	now := time.Now()
+	lines := tenure.policy.lines()
 	tenure.mu.Lock()
 	if tenure.storing {
 		effects := tenure.planner.TakeEffects()
@@ -185,7 +187,9 @@
 		tenure.carryOut(effects)
 		return
 	}
+	tenure.planner.SetLines(lines)
 	tenure.planner.Plan(now)
+	waiting := tenure.explain(now)
 	batch, err := tenure.planner.Take()
 	if err != nil {
 		tenure.mu.Unlock()
@@ -194,6 +198,7 @@
 	}
 	tenure.storing = len(batch.Records) > 0
 	tenure.mu.Unlock()
+	tenure.logWaiting(waiting, now)
 	tenure.carryOut(batch.Effects)
 	if len(batch.Records) == 0 {
 		tenure.finish(batch)
@@ -331,3 +336,25 @@
 		tenure.kick()
 	})
 }
+
+const (
+	explainEvery = time.Second
+	explainAfter = 500 * time.Millisecond // of waiting for room
+	mostExplains = 4                      // lines at a time
+)
+
+// explain returns why steps wait, from time to time.
+func (tenure *tenure) explain(now time.Time) []planner.Waiting {
+	if now.Sub(tenure.explained) < explainEvery {
+		return nil
+	}
+	tenure.explained = now
+	return tenure.planner.Explain(now, explainAfter, mostExplains)
+}
+
+func (tenure *tenure) logWaiting(all []planner.Waiting, now time.Time) {
+	for _, waiting := range all {
+		tenure.host.log.Info("waiting", "step", waiting.Step.String(), "queue", waiting.Queue, "tasks", waiting.Tasks,
+			"for", now.Sub(waiting.Since).String(), "workers", waiting.Workers, "capped", waiting.Capped, "asked", waiting.Asked)
+	}
+}
--- a/library/planner/job.go
+++ b/library/planner/job.go
@@ -116,6 +116,11 @@
 	return fmt.Sprintf("%s/%d/%d/%d", key.Job, key.Occurrence, key.Step, key.Index)
 }
 
+// String formats the key for logs.
+func (key StepKey) String() string {
+	return fmt.Sprintf("%s/%d/%d", key.Job, key.Occurrence, key.Step)
+}
+
 // StepKey names one step of one occurrence of a job.
 type StepKey struct {
 	Job        string
--- a/library/planner/place.go
+++ b/library/planner/place.go
@@ -13,7 +13,9 @@
 	planner *Planner
 	now     time.Time
 	held    map[string]bool // workers that wait for a more pressing step
-	tries   int
+
+	promised map[string]sizer.Size // by service: work whose question is open
+	rooms    map[string]sizer.Size // by service: free at the start of the pass
 }
 
 // place starts what it can of a step's waiting tasks.
--- a/library/planner/plan.go
+++ b/library/planner/plan.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"ebonyshunt.org/library/sizer"
 )
 
 // Plan runs the systems over the tables: what is due, what has lapsed, what hangs, and what starts where.
@@ -17,7 +19,10 @@
 	planner.forget(now)
 	planner.restart(now)
 	planner.evacuate(now)
-	pass := &pass{planner: planner, now: now, held: map[string]bool{}}
+	pass := &pass{
+		planner: planner, now: now, held: map[string]bool{},
+		promised: map[string]sizer.Size{}, rooms: map[string]sizer.Size{},
+	}
 	for _, step := range planner.ordered(now) {
 		pass.place(step)
 	}
--- a/library/planner/policy.go
+++ b/library/planner/policy.go
@@ -4,11 +4,12 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"ebonyshunt.org/library/sizer"
 )
 
 const (
-	firstAsked   = 30 // workers named in the first question about a step
-	laterAsked   = 24 // workers named in later ones
+	mostAsked    = 30 // workers named in a question
 	ticketMargin = 150 * time.Millisecond
 	askPatience  = 2 * time.Second // beyond what the answer costs, before the question is repeated
 )
@@ -25,26 +26,86 @@
 	return found && ticket.born == worker.Born && now.Before(ticket.until)
 }
 
-// ask asks the policy service about workers that have room for a step's task, unless a question is open.
+// Lines are how many questions the policy service takes at once.
+type Lines struct {
+	Short int // for questions that are answered quickly
+	Long  int // for the others
+}
+
+// ShortQuestion is the time up to which a question counts as short.
+const ShortQuestion = 100 * time.Millisecond
+
+// shortPerLine is how many short questions may be open on a line, so that the line does not fall idle.
+const shortPerLine = 3
+
+// SetLines tells how many questions may be open at once.
+func (planner *Planner) SetLines(lines Lines) { planner.lines = lines }
+
+// lineFree reports whether a question that costs some time may be put now.
+func (planner *Planner) lineFree(costs time.Duration) bool {
+	if costs <= ShortQuestion {
+		return planner.open.Short < shortPerLine*planner.lines.Short
+	}
+	return planner.open.Long < planner.lines.Long
+}
+
+func (planner *Planner) countQuestion(costs time.Duration, by int) {
+	if costs <= ShortQuestion {
+		planner.open.Short += by
+	} else {
+		planner.open.Long += by
+	}
+}
+
+// ask asks the policy service about workers that have room for a step's task. Questions are scarce: they
+// go to the most pressing steps first, for no more work than there is room, and one at a time for a step.
 func (pass *pass) ask(step *step, queue Queue) {
-	costs := queue.Policy.Decide + time.Duration(firstAsked)*queue.Policy.PerWorker
+	costs := queue.Policy.Decide + time.Duration(mostAsked)*queue.Policy.PerWorker
 	if !step.policy.asked.IsZero() && pass.now.Sub(step.policy.asked) < costs+askPatience {
+		pass.promise(step, queue)
+		return
+	}
+	if !pass.planner.lineFree(costs) || pass.promised[queue.Service].Dominant(pass.room(queue.Service)) >= 1 {
 		return
 	}
 	names := pass.candidates(step, queue)
 	if len(names) == 0 {
 		return
 	}
+	pass.promise(step, queue)
 	step.policy.asked = pass.now
-	pass.planner.effects = append(pass.planner.effects, Ask{
-		Step: step.key, Workers: names,
+	ask := Ask{
+		Step: step.key, Workers: names, Class: costs,
 		Costs: queue.Policy.Decide + time.Duration(len(names))*queue.Policy.PerWorker,
-	})
+	}
+	pass.planner.countQuestion(ask.Class, 1)
+	pass.planner.effects = append(pass.planner.effects, ask)
 }
 
-// candidates returns the workers worth asking about: at first the roomiest, later those with room now.
+// promise counts the work of a step that will start once its question is answered.
+func (pass *pass) promise(step *step, queue Queue) {
+	pass.promised[queue.Service] = pass.promised[queue.Service].Add(step.charge().Times(int64(len(step.waiting))))
+}
+
+// room returns what is free on the workers of a service that can take work.
+func (pass *pass) room(service string) sizer.Size {
+	if room, known := pass.rooms[service]; known {
+		return room
+	}
+	var room sizer.Size
+	for _, worker := range pass.planner.workers {
+		if worker.Service == service && !worker.Draining && pass.planner.sound(worker, pass.now) {
+			room = room.Add(worker.Free().Max(sizer.Size{}))
+		}
+	}
+	pass.rooms[service] = room
+	return room
+}
+
+// candidates returns the workers worth asking about, or none while no worker has room. Those that are
+// known to be allowed come first, then those with room; a worker that is full may have room by the time
+// of the answer.
 func (pass *pass) candidates(step *step, queue Queue) []string {
-	first := step.policy.allowed == nil
 	type candidate struct {
 		worker *Worker
 		known  bool
@@ -52,27 +113,27 @@
 		cost   float64
 	}
 	var found []candidate
+	rooms := 0
 	for _, id := range pass.planner.names {
 		worker := pass.planner.workers[id]
 		if !pass.planner.fit(step, queue, worker) || step.policy.denied[id] || step.policy.valid(worker, pass.now) {
 			continue
 		}
 		room := step.charge().Fits(worker.Free()) && pass.planner.sound(worker, pass.now)
-		if !first && !room {
-			continue
+		if room {
+			rooms++
 		}
 		_, known := step.policy.allowed[id]
 		found = append(found, candidate{worker, known, room, pass.cost(step, nil, worker, 0)})
 	}
+	if rooms == 0 {
+		return nil
+	}
 	slices.SortStableFunc(found, func(a, b candidate) int {
-		return cmp.Or(-compareBool(a.known, b.known), -compareBool(a.room, b.room), cmp.Compare(a.cost, b.cost))
+		return cmp.Or(-compareBool(a.room, b.room), -compareBool(a.known, b.known), cmp.Compare(a.cost, b.cost))
 	})
-	most := firstAsked
-	if !first {
-		most = min(laterAsked, 2*len(step.waiting)+2)
-	}
-	var names []string
-	for _, candidate := range found[:min(most, len(found))] {
+	names := make([]string, 0, mostAsked)
+	for _, candidate := range found[:min(mostAsked, len(found))] {
 		names = append(names, candidate.worker.ID)
 	}
 	return names
@@ -92,6 +153,7 @@
 // allowed stays so.
 func (planner *Planner) Advised(ask Ask, allowed []Allowance, now time.Time) {
 	planner.now = now
+	planner.countQuestion(ask.Class, -1)
 	step := planner.steps[ask.Step]
 	if step == nil {
 		return
@@ -121,6 +183,7 @@
 // Unadvised takes note that a question was not answered.
 func (planner *Planner) Unadvised(ask Ask, now time.Time) {
 	planner.now = now
+	planner.countQuestion(ask.Class, -1)
 	if step := planner.steps[ask.Step]; step != nil {
 		step.policy.asked = time.Time{}
 	}
