Let a decider renew leases only while the store or most hosts support it, and learn peers from seeds

Ruled out: a shorter lease (work of a cut zone would then lapse). A host restarted while the store turned it away knew no peer and served nothing.

--- a/daemon/loader/scheduling.go
+++ b/daemon/loader/scheduling.go
@@ -18,7 +18,8 @@
 	HTTPAddress      string // towards callers
 	ReadinessAddress string
 	MetricsAddress   string
-	PeerAddress      string // towards the system's other processes
+	PeerAddress      string   // towards the system's other processes
+	Seeds            []string // peer addresses to ask while no others are known
 	ProcessorShare   float64
 	MemoryMB         int64
 	StoreAddress     string
@@ -104,6 +105,7 @@
 	scheduling.ReadinessAddress = fields.Address("readinessAddress", "")
 	scheduling.MetricsAddress = fields.Address("metricsAddress", "")
 	scheduling.PeerAddress = fields.Address("peerAddress", "")
+	scheduling.Seeds = fields.Addresses("seeds")
 	scheduling.ProcessorShare = fields.Number("processorShare", 1, mostShare)
 	scheduling.MemoryMB = fields.Integer("memoryMB", 256, 16, mostMemory)
 	scheduling.LogLevel = fields.Choice("logLevel", "info", "debug", "info", "warn", "error")
--- a/daemon/scheduler/catalog.go
+++ b/daemon/scheduler/catalog.go
@@ -60,9 +60,7 @@
 			failed = false
 			host.storeAnswered()
 			next = after
-			if len(entries) > 0 {
-				take(entries, false)
-			}
+			take(entries, false)
 			sleep(ctx, pause)
 		case failed || errors.Is(err, translator.ErrDropped):
 			return err
--- a/daemon/scheduler/fleet.go
+++ b/daemon/scheduler/fleet.go
@@ -76,6 +76,16 @@
 	return &fleet{members: map[string]Member{}, changed: make(chan struct{})}
 }
 
+// size returns how many hosts are registered.
+func (fleet *fleet) size() int {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	return len(fleet.members)
+}
+
+// all returns the members.
+func (fleet *fleet) all() []Member { return fleet.others("") }
+
 // view returns who decides, and a channel that is closed when that changes.
 func (fleet *fleet) view() (Office, <-chan struct{}) {
 	fleet.mu.Lock()
@@ -135,6 +145,9 @@
 		for _, entry := range entries {
 			host.learnFleet(entry)
 		}
+		if tenure := host.present(); tenure != nil {
+			tenure.storedAt.Store(int64(time.Since(started)))
+		}
 	})
 }
 
--- a/daemon/scheduler/holder.go
+++ b/daemon/scheduler/holder.go
@@ -58,7 +58,7 @@
 	retry := firstRetry
 	for ctx.Err() == nil {
 		wait := tenure.beforeHold(ctx, holder)
-		if tenure.unconfirmed() {
+		if !tenure.authorized() {
 			sleep(ctx, mostRetry)
 			continue
 		}
@@ -79,15 +79,6 @@
 	}
 }
 
-// unconfirmed reports whether the store has been silent for so long that another host may decide by now.
-func (tenure *tenure) unconfirmed() bool {
-	silent := time.Since(started) - time.Duration(max(tenure.storedAt.Load(), tenure.host.storeAt.Load()))
-	return silent > authority-lapseSlack
-}
-
-// lapseSlack is taken off the authority for what is on its way.
-const lapseSlack = time.Second
-
 // beforeHold waits for listed ends to be stored, so that the look acknowledges them, and returns how long
 // the worker may wait with its answer.
 func (tenure *tenure) beforeHold(ctx context.Context, holder *holder) time.Duration {
--- /dev/null
+++ b/daemon/scheduler/support.go
@@ -0,0 +1,67 @@
+package scheduler
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// storeAuthority is how long a decider may renew leases after the store last showed that no later
+	// host decides.
+	storeAuthority = 3 * time.Second
+	// loneAuthority is how long it may do so while most hosts support it, since the store may be down for all.
+	loneAuthority = 12 * time.Second
+	// supportFor is how long a host's beat counts as its support. A host that knows a later decider supports
+	// only that one, so that two deciders never have the support of most hosts at a time.
+	supportFor = 1500 * time.Millisecond
+)
+
+// support is which hosts take this tenure for the present one.
+type support struct {
+	mu    sync.Mutex
+	beats map[string]time.Time // by host: of the last beat
+	first time.Time            // when most hosts first supported the tenure
+}
+
+func newSupport() *support { return &support{beats: map[string]time.Time{}} }
+
+func (support *support) heard(host string) {
+	support.mu.Lock()
+	defer support.mu.Unlock()
+	support.beats[host] = time.Now()
+}
+
+// most reports whether more than half of some hosts, this one included, supported the tenure lately.
+func (support *support) most(hosts int) bool {
+	support.mu.Lock()
+	defer support.mu.Unlock()
+	now := time.Now()
+	count := 1
+	for _, at := range support.beats {
+		if now.Sub(at) <= supportFor {
+			count++
+		}
+	}
+	if 2*count <= hosts {
+		return false
+	}
+	if support.first.IsZero() {
+		support.first = now
+	}
+	return true
+}
+
+// supportedSince returns when most hosts first supported the tenure, or zero.
+func (tenure *tenure) supportedSince() time.Time {
+	tenure.support.most(tenure.host.fleet.size())
+	tenure.support.mu.Lock()
+	defer tenure.support.mu.Unlock()
+	return tenure.support.first
+}
+
+// authorized reports whether the tenure may renew leases: no other host can have begun to start elsewhere
+// what runs under them.
+func (tenure *tenure) authorized() bool {
+	silent := time.Since(started) - time.Duration(tenure.storedAt.Load())
+	return silent <= storeAuthority || silent <= loneAuthority && tenure.support.most(tenure.host.fleet.size())
+}
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -14,14 +14,15 @@
 
 // tenure is one time of deciding: a planner, the journal that it writes, and the workers that it holds.
 type tenure struct {
-	host   *Host
-	term   int64
-	writer translator.Writer
-	ctx    context.Context
-	cancel context.CancelFunc
-	wait   sync.WaitGroup
-	kicked chan struct{}
-	policy *desks
+	host    *Host
+	term    int64
+	writer  translator.Writer
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
+	kicked  chan struct{}
+	policy  *desks
+	support *support
 
 	mu        sync.Mutex
 	planner   *planner.Planner // nil until the journal was read
@@ -33,7 +34,7 @@
 	stored    chan struct{} // closed and made anew with each stored batch
 	opened    chan struct{} // closed once the planner is there
 
-	storedAt  atomic.Int64 // when the journal last took a batch, or was known to be reachable
+	storedAt  atomic.Int64 // when the store last showed that no later host decides
 	failingAt atomic.Int64 // since when appends fail, 0 while they do not
 }
 
@@ -45,8 +46,7 @@
 
 const (
 	journalWriter  = "decider"
-	lease          = 4 * time.Second // bounds what is lost when a worker goes silently
-	authority      = 12 * time.Second
+	longLease      = 7 * time.Second // outlasts most cuts of a zone, whose work then goes on
 	planEvery      = 50 * time.Millisecond
 	appendGap      = 12 * time.Millisecond // between two batches, so that changes gather
 	appendWithin   = 700 * time.Millisecond
@@ -64,6 +64,7 @@
 		infos: map[string]planner.WorkerInfo{}, holds: map[string]*holder{},
 	}
 	tenure.policy = newDesks(tenure)
+	tenure.support = newSupport()
 	tenure.storedAt.Store(int64(time.Since(started)))
 	tenure.wait.Go(tenure.run)
 	return tenure
@@ -163,7 +164,7 @@
 	}
 	settings := tenure.host.settings
 	made := planner.New(planner.Settings{
-		Lease: min(lease, settings.LongestLease), LongHold: settings.LongestLease, Authority: authority,
+		Lease: min(longLease, settings.LongestLease), Authority: loneAuthority,
 		StatusFor: settings.StatusFor, Drain: settings.Drain, StopTime: settings.StopTime, Spread: settings.Spread,
 	}, tenure.term, tenure.host.catalog.Load(), time.Now())
 	if unread := made.Restore(records, time.Now()); len(unread) > 0 {
@@ -180,7 +181,11 @@
 func (tenure *tenure) turn() {
 	now := time.Now()
 	lines := tenure.policy.lines()
+	supported := tenure.supportedSince()
 	tenure.mu.Lock()
+	if !supported.IsZero() {
+		tenure.planner.Unopposed(supported.Add(storeAuthority))
+	}
 	if tenure.storing {
 		effects := tenure.planner.TakeEffects()
 		tenure.mu.Unlock()
--- a/daemon/scheduler/watch.go
+++ b/daemon/scheduler/watch.go
@@ -26,6 +26,7 @@
 	Host    string `json:"host"`
 	Term    int64  `json:"term"`
 	Version int64  `json:"version"` // of its configuration
+	Known   int    `json:"known"`   // hosts that it knows
 }
 
 // BeatAnswer is what it is told.
@@ -35,6 +36,7 @@
 	Reaches     bool            `json:"reaches"`           // it heard from the decider lately
 	StoreSilent time.Duration   `json:"storeSilent"`       // for which the store did not answer it
 	Catalog     json.RawMessage `json:"catalog,omitempty"` // where it has a newer one
+	Members     []Member        `json:"members,omitempty"` // where it knows more hosts
 }
 
 // heard is when the decider last answered, on the steady clock.
@@ -103,14 +105,19 @@
 func (host *Host) callBeat(ctx context.Context, address string) (BeatAnswer, error) {
 	office, _ := host.fleet.view()
 	var answer BeatAnswer
-	beat := Beat{Host: host.settings.Host, Term: office.Term, Version: host.catalogVersion()}
+	beat := Beat{Host: host.settings.Host, Term: office.Term, Version: host.catalogVersion(), Known: host.fleet.size()}
 	if err := host.pool.Call(ctx, address, methodBeat, beat, &answer); err != nil {
 		return answer, err
 	}
 	if len(answer.Catalog) > 0 {
 		host.learnCatalog(answer.Catalog, "peer")
 	}
-	host.learnOffice(answer.Office, "peer")
+	for _, member := range answer.Members {
+		host.fleet.register(member)
+	}
+	if answer.Office.Term > 0 {
+		host.learnOffice(answer.Office, "peer")
+	}
 	return answer, nil
 }
 
@@ -124,6 +131,12 @@
 	if raw := host.raw.Load(); raw != nil && host.catalogVersion() > beat.Version {
 		answer.Catalog = *raw
 	}
+	if host.fleet.size() > beat.Known {
+		answer.Members = host.fleet.all()
+	}
+	if tenure := host.present(); tenure != nil && beat.Term == tenure.term {
+		tenure.support.heard(beat.Host)
+	}
 	return answer
 }
 
@@ -181,6 +194,9 @@
 // survey asks all peers at once.
 func (host *Host) survey(office Office) survey {
 	peers := host.fleet.others(host.settings.Host)
+	if len(peers) == 0 {
+		peers = host.seeds()
+	}
 	ctx, cancel := context.WithTimeout(host.ctx, surveyWithin)
 	defer cancel()
 	var mu sync.Mutex
@@ -207,6 +223,17 @@
 	return found
 }
 
+// seeds returns the hosts that the settings name, for one that knows no others yet.
+func (host *Host) seeds() []Member {
+	var members []Member
+	for _, address := range host.settings.Seeds {
+		if address != host.settings.PeerAddress {
+			members = append(members, Member{Name: address, Address: address})
+		}
+	}
+	return members
+}
+
 // handOver asks the best placed peers to decide, until one does.
 func (host *Host) handOver(ctx context.Context) {
 	office, changed := host.fleet.view()
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -22,8 +22,7 @@
 // Settings are the periods of a planner.
 type Settings struct {
 	Lease     time.Duration // for which a hold keeps a worker's runs alive
-	LongHold  time.Duration // longest lease that a worker accepts
-	Authority time.Duration // for which an earlier planner may have renewed leases after it lost the store
+	Authority time.Duration // for which an earlier planner may go on renewing leases after this one began
 	StatusFor time.Duration // for which the state of an ended job is kept
 	Drain     time.Duration // after which a draining worker must get no new runs
 	StopTime  time.Duration // that a stop takes at most
@@ -51,6 +50,7 @@
 	fresh   map[string]bool // jobs that were never stored
 	drop    []string        // jobs to forget
 	retired []retiredJob
+	lapse   time.Time // by when every lease of an earlier planner has run out
 	batch   int64     // taken last
 	durable int64     // batch stored last
 	now     time.Time // of the present event
@@ -88,6 +88,7 @@
 func New(settings Settings, term int64, catalog *Catalog, now time.Time) *Planner {
 	return &Planner{
 		now:      now,
+		lapse:    now.Add(settings.Authority + settings.leaseAtMost()),
 		Settings: settings,
 		Term:     term,
 		catalog:  catalog,
@@ -102,6 +103,25 @@
 	}
 }
 
+// leaseAtMost returns for how long a lease of this or an earlier planner lasts on a slow clock.
+func (settings Settings) leaseAtMost() time.Duration {
+	return settings.Lease + settings.Lease/(driftDivisor-1) + lapseGuard
+}
+
+// Unopposed takes note that no earlier planner renews leases after a time.
+func (planner *Planner) Unopposed(after time.Time) {
+	lapse := after.Add(planner.Settings.leaseAtMost())
+	if !lapse.Before(planner.lapse) {
+		return
+	}
+	for _, worker := range planner.workers {
+		if worker.deadAfter.Equal(planner.lapse) {
+			worker.deadAfter = lapse
+		}
+	}
+	planner.lapse = lapse
+}
+
 // SetCatalog puts a newer configuration in force; an older one is ignored.
 func (planner *Planner) SetCatalog(catalog *Catalog) {
 	if catalog.Version > planner.catalog.Version {
@@ -152,7 +172,7 @@
 		WorkerInfo: WorkerInfo{ID: id},
 		Token:      planner.Term<<tokenBits + 1,
 		Runs:       map[TaskKey]*Run{},
-		deadAfter:  now.Add(planner.Settings.Authority + planner.Settings.LongHold + planner.Settings.LongHold/driftDivisor + lapseGuard),
+		deadAfter:  planner.lapse,
 	}
 	planner.workers[id] = worker
 	return worker
