--- a/library/planner/explain.go
+++ b/library/planner/explain.go
@@ -44,7 +44,7 @@
 		Step: step.key, Queue: queue.Name, Tasks: len(step.waiting), Since: step.blocked, Workers: map[string]int{},
 		Capped: !planner.within(step.job.Team, step.Step, 1), Asked: !step.policy.asked.IsZero(),
 	}
-	pass := &pass{planner: planner, now: now, held: map[string]bool{}}
+	pass := &pass{planner: planner, now: now, pools: map[string]*pool{}}
 	for _, worker := range planner.workers {
 		if worker.Service == queue.Service {
 			waiting.Workers[pass.obstacle(step, queue, worker)]++
@@ -55,7 +55,6 @@
 
 // obstacle names the first reason for which a worker does not get a step's task.
 func (pass *pass) obstacle(step *step, queue Queue, worker *Worker) string {
-	planner := pass.planner
 	switch {
 	case !worker.Listed || worker.Draining:
 		return "leaving"
@@ -65,11 +64,17 @@
 		return "tooSmall"
 	case !worker.health.usable(pass.now):
 		return "barred"
-	case !planner.sound(worker, pass.now):
+	case !pass.planner.sound(worker, pass.now):
 		return "unanswered"
+	}
+	return pass.obstacleNow(step, queue, worker)
+}
+
+func (pass *pass) obstacleNow(step *step, queue Queue, worker *Worker) string {
+	switch {
 	case !step.charge().Fits(worker.Free()):
 		return "full"
-	case !planner.apart(step, worker, 0):
+	case !pass.planner.apart(step, worker, 0):
 		return "apart"
 	case step.Filler && worker.serving > 0 || step.TailMS > 0 && worker.fillers > 0:
 		return "disturbed"
--- a/library/planner/place.go
+++ b/library/planner/place.go
@@ -15,7 +15,17 @@
 	held    map[string]bool // workers that wait for a more pressing step
 
 	promised map[string]sizer.Size // by service: work whose question is open
-	rooms    map[string]sizer.Size // by service: free at the start of the pass
+	pools    map[string]*pool
+}
+
+// pool is what a pass knows of a service's workers.
+type pool struct {
+	workers    []*Worker  // sound and taking work, by ID
+	room       sizer.Size // free on them in all at the start of the pass
+	largest    sizer.Size // most that is free of each resource on one of them
+	passed     int        // steps that found no room
+	searches   int        // for workers to keep free or to preempt on
+	exhaustion bool       // no more steps are looked at in this pass
 }
 
 // place starts what it can of a step's waiting tasks.
@@ -24,6 +34,14 @@
 	if !found {
 		return
 	}
+	pool := pass.pool(queue.Service)
+	if pool.exhaustion {
+		return
+	}
+	if !step.charge().Fits(pool.largest) {
+		pass.wait(step, queue)
+		return
+	}
 	if step.Gang {
 		pass.placeGang(step, queue)
 		return
@@ -81,15 +99,12 @@
 func (pass *pass) choose(step *step, queue Queue, task *task, taken map[string]int, rack string) *Worker {
 	var best *Worker
 	bestCost := 0.0
-	for _, id := range pass.planner.names {
-		worker := pass.planner.workers[id]
-		if worker.Service != queue.Service || !pass.eligible(step, queue, worker, taken[id]) {
+	for _, worker := range pass.pool(queue.Service).workers {
+		count := taken[worker.ID]
+		if !pass.eligible(step, queue, worker, count) || rack != "" && !slices.Contains(worker.Labels, rack) {
 			continue
 		}
-		if rack != "" && !slices.Contains(worker.Labels, rack) {
-			continue
-		}
-		cost := pass.cost(step, task, worker, taken[id])
+		cost := pass.cost(step, task, worker, count)
 		if best == nil || cost < bestCost {
 			best, bestCost = worker, cost
 		}
@@ -97,20 +112,34 @@
 	return best
 }
 
+// pool returns what the pass knows of a service's workers.
+func (pass *pass) pool(service string) *pool {
+	if found := pass.pools[service]; found != nil {
+		return found
+	}
+	made := &pool{}
+	for _, id := range pass.planner.names {
+		worker := pass.planner.workers[id]
+		if worker.Service != service || !worker.Listed || worker.Draining || !pass.planner.sound(worker, pass.now) {
+			continue
+		}
+		free := worker.Free().Max(sizer.Size{})
+		made.workers = append(made.workers, worker)
+		made.room = made.room.Add(free)
+		made.largest = made.largest.Max(free)
+	}
+	pass.pools[service] = made
+	return made
+}
+
 // freshness is how long ago a worker must have answered to get new runs.
 const freshness = 2500 * time.Millisecond
 
-// fit reports whether a worker could run the step at all.
-func (planner *Planner) fit(step *step, queue Queue, worker *Worker) bool {
-	return worker.Service == queue.Service && worker.Listed && !worker.Draining &&
-		worker.hasLabel(step.Label) && step.charge().Fits(worker.Capacity)
-}
-
 // eligible reports whether a worker can take one more task of the step now, beside some that it is given
 // in the same round.
 func (pass *pass) eligible(step *step, queue Queue, worker *Worker, taken int) bool {
 	planner := pass.planner
-	if !planner.fit(step, queue, worker) || !planner.sound(worker, pass.now) || pass.held[worker.ID] {
+	if !worker.hasLabel(step.Label) || pass.held[worker.ID] {
 		return false
 	}
 	if !step.charge().Times(int64(taken+1)).Fits(worker.Free()) || !planner.apart(step, worker, taken) {
@@ -235,6 +264,9 @@
 	holdAfter   = 150 * time.Millisecond // of waiting, before workers are kept free for a step
 	mostHeld    = 4                      // workers kept free in one pass
 	preemptWait = 100 * time.Millisecond // of urgent work before it preempts
+
+	mostPassed   = 150 // steps of a service that find no room, after which a pass looks at no more of them
+	mostSearches = 4   // of a service in one pass, for workers to make free
 )
 
 // wait deals with a step that found no room: it asks the policy, keeps a worker free, or preempts.
@@ -245,9 +277,15 @@
 	if queue.Policy != nil {
 		pass.ask(step, queue)
 	}
+	pool := pass.pool(queue.Service)
+	pool.passed++
+	pool.exhaustion = pool.passed >= mostPassed
 	waited := pass.now.Sub(step.blocked)
-	urgent := queue.Priority == 0 || step.Standing
-	if urgent && waited >= preemptWait {
+	if waited < preemptWait || pool.searches >= mostSearches {
+		return
+	}
+	pool.searches++
+	if queue.Priority == 0 || step.Standing {
 		pass.preempt(step, queue)
 	}
 	if waited >= holdAfter && len(pass.held) < mostHeld {
@@ -257,19 +295,21 @@
 	}
 }
 
+// open reports whether a worker may be made free for a step.
+func (pass *pass) open(step *step, queue Queue, worker *Worker) bool {
+	return worker.hasLabel(step.Label) && step.charge().Fits(worker.Capacity) && !pass.held[worker.ID] &&
+		(queue.Policy == nil || !step.policy.denied[worker.ID]) && pass.planner.apart(step, worker, 0)
+}
+
 // emptiest returns the worker that could run the step and has the most room.
 func (pass *pass) emptiest(step *step, queue Queue) *Worker {
 	var best *Worker
 	most := -1.0
-	for _, id := range pass.planner.names {
-		worker := pass.planner.workers[id]
-		if !pass.planner.fit(step, queue, worker) || !pass.planner.sound(worker, pass.now) || pass.held[id] {
-			continue
-		}
-		if queue.Policy != nil && step.policy.denied[id] || !pass.planner.apart(step, worker, 0) {
+	for _, worker := range pass.pool(queue.Service).workers {
+		if !pass.open(step, queue, worker) {
 			continue
 		}
-		if free := worker.Free().Min(worker.Capacity).Dominant(worker.Capacity); free > most {
+		if free := worker.Free().Max(sizer.Size{}).Dominant(worker.Capacity); free > most {
 			best, most = worker, free
 		}
 	}
@@ -279,12 +319,8 @@
 // preempt stops runs of less pressing work with checkpoints, where that makes room for a task.
 func (pass *pass) preempt(step *step, queue Queue) {
 	var best []*Run
-	for _, id := range pass.planner.names {
-		worker := pass.planner.workers[id]
-		if !pass.planner.fit(step, queue, worker) || !pass.planner.sound(worker, pass.now) || pass.held[id] {
-			continue
-		}
-		if queue.Policy != nil && step.policy.denied[id] || !pass.planner.apart(step, worker, 0) {
+	for _, worker := range pass.pool(queue.Service).workers {
+		if !pass.open(step, queue, worker) {
 			continue
 		}
 		if victims := pass.victims(worker, step, queue); victims != nil && (best == nil || len(victims) < len(best)) {
--- a/library/planner/plan.go
+++ b/library/planner/plan.go
@@ -21,7 +21,7 @@
 	planner.evacuate(now)
 	pass := &pass{
 		planner: planner, now: now, held: map[string]bool{},
-		promised: map[string]sizer.Size{}, rooms: map[string]sizer.Size{},
+		promised: map[string]sizer.Size{}, pools: map[string]*pool{},
 	}
 	for _, step := range planner.ordered(now) {
 		pass.place(step)
@@ -107,8 +107,15 @@
 	hangFactor = 1.0 // of its expected run time
 )
 
+// restartEvery is the time between two searches for runs that stand still.
+const restartEvery = 200 * time.Millisecond
+
 // restart stops the runs that stand still.
 func (planner *Planner) restart(now time.Time) {
+	if now.Sub(planner.restarted) < restartEvery {
+		return
+	}
+	planner.restarted = now
 	for _, id := range planner.names {
 		worker := planner.workers[id]
 		if !worker.Looked {
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -46,16 +46,17 @@
 	lines   Lines
 	open    Lines // questions that are open
 
-	dirty   map[string]bool // jobs whose progress has to be stored
-	fresh   map[string]bool // jobs that were never stored
-	drop    []string        // jobs to forget
-	retired []retiredJob
-	lapse   time.Time // by when every lease of an earlier planner has run out
-	batch   int64     // taken last
-	durable int64     // batch stored last
-	now     time.Time // of the present event
-	effects []Effect
-	starts  []Start
+	dirty     map[string]bool // jobs whose progress has to be stored
+	fresh     map[string]bool // jobs that were never stored
+	drop      []string        // jobs to forget
+	retired   []retiredJob
+	lapse     time.Time // by when every lease of an earlier planner has run out
+	batch     int64     // taken last
+	durable   int64     // batch stored last
+	now       time.Time // of the present event
+	restarted time.Time // when runs that stand still were last looked for
+	effects   []Effect
+	starts    []Start
 }
 
 type retiredJob struct {
@@ -153,7 +154,7 @@
 func (planner *Planner) setWorker(info WorkerInfo, now time.Time) {
 	worker := planner.workers[info.ID]
 	if worker == nil {
-		worker = planner.newWorker(info.ID, now)
+		worker = planner.newWorker(info.ID)
 	}
 	known := worker.Born
 	worker.WorkerInfo, worker.Listed = info, true
@@ -167,7 +168,7 @@
 	}
 }
 
-func (planner *Planner) newWorker(id string, now time.Time) *Worker {
+func (planner *Planner) newWorker(id string) *Worker {
 	worker := &Worker{
 		WorkerInfo: WorkerInfo{ID: id},
 		Token:      planner.Term<<tokenBits + 1,
--- a/library/planner/policy.go
+++ b/library/planner/policy.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"ebonyshunt.org/library/sizer"
 )
 
 const (
@@ -65,7 +63,7 @@
 		pass.promise(step, queue)
 		return
 	}
-	if !pass.planner.lineFree(costs) || pass.promised[queue.Service].Dominant(pass.room(queue.Service)) >= 1 {
+	if !pass.planner.lineFree(costs) || pass.promised[queue.Service].Dominant(pass.pool(queue.Service).room) >= 1 {
 		return
 	}
 	names := pass.candidates(step, queue)
@@ -87,21 +85,6 @@
 	pass.promised[queue.Service] = pass.promised[queue.Service].Add(step.charge().Times(int64(len(step.waiting))))
 }
 
-// room returns what is free on the workers of a service that can take work.
-func (pass *pass) room(service string) sizer.Size {
-	if room, known := pass.rooms[service]; known {
-		return room
-	}
-	var room sizer.Size
-	for _, worker := range pass.planner.workers {
-		if worker.Service == service && !worker.Draining && pass.planner.sound(worker, pass.now) {
-			room = room.Add(worker.Free().Max(sizer.Size{}))
-		}
-	}
-	pass.rooms[service] = room
-	return room
-}
-
 // candidates returns the workers worth asking about, or none while no worker has room. Those that are
 // known to be allowed come first, then those with room; a worker that is full may have room by the time
 // of the answer.
@@ -114,16 +97,16 @@
 	}
 	var found []candidate
 	rooms := 0
-	for _, id := range pass.planner.names {
-		worker := pass.planner.workers[id]
-		if !pass.planner.fit(step, queue, worker) || step.policy.denied[id] || step.policy.valid(worker, pass.now) {
+	for _, worker := range pass.pool(queue.Service).workers {
+		if !worker.hasLabel(step.Label) || !step.charge().Fits(worker.Capacity) || step.policy.denied[worker.ID] ||
+			step.policy.valid(worker, pass.now) {
 			continue
 		}
-		room := step.charge().Fits(worker.Free()) && pass.planner.sound(worker, pass.now)
+		room := step.charge().Fits(worker.Free())
 		if room {
 			rooms++
 		}
-		_, known := step.policy.allowed[id]
+		_, known := step.policy.allowed[worker.ID]
 		found = append(found, candidate{worker, known, room, pass.cost(step, nil, worker, 0)})
 	}
 	if rooms == 0 {
--- a/library/planner/tables.go
+++ b/library/planner/tables.go
@@ -151,7 +151,7 @@
 	if worker := planner.workers[id]; worker != nil {
 		return worker
 	}
-	worker := planner.newWorker(id, planner.now)
+	worker := planner.newWorker(id)
 	worker.unlisted = planner.now
 	planner.names = append(planner.names, id)
 	slices.Sort(planner.names)
