Place teams above their share after the others of equal priority

Cause: one team's flood took the fleet for seconds and every other team's jobs of the same priority came late. Ruled out: shares before priority (a flood of urgent work would then wait behind the batch of others).

--- a/library/planner/plan.go
+++ b/library/planner/plan.go
@@ -32,6 +32,7 @@
 type rank struct {
 	tier     int // 0 for what is owed and may still be in time
 	priority int
+	over     int // 1 for a team that has more than its share
 	deadline time.Time
 }
 
@@ -42,7 +43,8 @@
 )
 
 func (rank rank) compare(other rank) int {
-	return cmp.Or(cmp.Compare(rank.tier, other.tier), cmp.Compare(rank.priority, other.priority), rank.deadline.Compare(other.deadline))
+	return cmp.Or(cmp.Compare(rank.tier, other.tier), cmp.Compare(rank.priority, other.priority),
+		cmp.Compare(rank.over, other.over), rank.deadline.Compare(other.deadline))
 }
 
 // hopelessFactor is the multiple of its objective after which a job earns its caller nothing.
@@ -84,10 +86,15 @@
 		step *step
 		rank rank
 	}
+	over := planner.overShare()
 	var all []ranked
 	for _, step := range planner.steps {
 		if len(step.waiting) > 0 && (!step.Gang || step.open == 0) {
-			all = append(all, ranked{step, planner.rank(step, now)})
+			rank := planner.rank(step, now)
+			if over[step.job.Team] {
+				rank.over = 1
+			}
+			all = append(all, ranked{step, rank})
 		}
 	}
 	slices.SortFunc(all, func(a, b ranked) int {
