Fill by share while placing, in two rounds a priority, with tests of the planner

Cause: a team's share was judged once a pass, so a pass that found much room gave all of it to the flood of one team.

--- a/library/planner/cell_test.go
+++ b/library/planner/cell_test.go
@@ -30,6 +30,7 @@
 	began    time.Time
 	token    int64
 	silent   bool
+	leased   time.Time // end of its lease
 	running  map[planner.TaskKey]int
 	ended    []planner.EndedRun
 	sequence int64
@@ -112,8 +113,13 @@
 	}
 	if worker.silent {
 		cell.planner.Unreachable(id, cell.now)
+		cell.lapse(worker)
 		return
 	}
+	cell.lapse(worker)
+	if hold.Deadline > 0 {
+		worker.leased = worker.began.Add(time.Duration(hold.Deadline) * time.Millisecond)
+	}
 	worker.token = max(worker.token, hold.Token)
 	worker.ended = slices.DeleteFunc(worker.ended, func(ended planner.EndedRun) bool { return ended.Sequence <= hold.Cursor })
 	listing := planner.Listing{
@@ -126,6 +132,18 @@
 	cell.planner.Listed(id, listing, cell.now)
 }
 
+// lapse ends what a worker runs once its lease is over.
+func (cell *cell) lapse(worker *fakeWorker) {
+	if worker.leased.IsZero() || cell.now.Before(worker.leased) {
+		return
+	}
+	for key, number := range worker.running {
+		delete(worker.running, key)
+		worker.sequence++
+		worker.ended = append(worker.ended, planner.EndedRun{Sequence: worker.sequence, Key: key, Number: number, Ending: planner.EndedLapsed})
+	}
+}
+
 // submit hands a job of some steps in to the urgent queue.
 func (cell *cell) submit(id string, steps ...planner.Step) {
 	cell.submitTo(testQueue, id, steps...)
@@ -192,6 +210,9 @@
 		return
 	}
 	worker.running[order.Key] = order.Number
+	if leased := worker.began.Add(time.Duration(order.Deadline) * time.Millisecond); leased.After(worker.leased) {
+		worker.leased = leased
+	}
 	cell.planner.Answered(order, planner.Taken, cell.now.Sub(worker.began).Milliseconds(), cell.now)
 }
 
--- /dev/null
+++ b/library/planner/main_test.go
@@ -0,0 +1,18 @@
+package planner_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of property tests; -rapid.seed=N tries another.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed != nil && seed.Value.String() == "0" {
+		if err := flag.Set("rapid.seed", "20261204"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/library/planner/place.go
+++ b/library/planner/place.go
@@ -15,6 +15,9 @@
 	now     time.Time
 	held    map[string]bool // workers that wait for a more pressing step
 
+	number   int64 // of the pass
+	shares   shares
+	shared   bool                  // teams get no more than their share for now
 	promised map[string]sizer.Size // by service: work whose question is open
 	pools    map[string]*pool
 }
@@ -29,8 +32,29 @@
 	exhaustion bool       // no more steps are looked at in this pass
 }
 
+// run places all steps. Among those that are equally pressing, teams get no more than their share of the
+// fleet at first, and then what is left.
+func (pass *pass) run(all []ranked) {
+	pass.shares = pass.planner.shares()
+	for len(all) > 0 {
+		count := 1
+		for count < len(all) && all[count].rank.tier == all[0].rank.tier && all[count].rank.priority == all[0].rank.priority {
+			count++
+		}
+		for _, pass.shared = range []bool{true, false} {
+			for _, ranked := range all[:count] {
+				pass.place(ranked.step)
+			}
+		}
+		all = all[count:]
+	}
+}
+
 // place starts what it can of a step's waiting tasks.
 func (pass *pass) place(step *step) {
+	if len(step.waiting) == 0 || step.passed == pass.number || !pass.withinShare(step) {
+		return
+	}
 	queue, found := pass.planner.catalog.Queue(step.job.Queue)
 	if !found {
 		return
@@ -49,7 +73,7 @@
 	}
 	for len(step.waiting) > 0 {
 		index := step.waiting[0]
-		if !pass.planner.within(step.job.Team, step.Step, 1) {
+		if !pass.planner.within(step.job.Team, step.Step, 1) || !pass.withinShare(step) {
 			return
 		}
 		worker := pass.choose(step, queue, &step.tasks[index], nil, "")
@@ -284,6 +308,7 @@
 		pass.ask(step, queue)
 	}
 	pool := pass.pool(queue.Service)
+	step.passed = pass.number
 	pool.passed++
 	pool.exhaustion = pool.passed >= mostPassed
 	waited := pass.now.Sub(step.blocked)
--- a/library/planner/plan.go
+++ b/library/planner/plan.go
@@ -19,20 +19,18 @@
 	planner.forget(now)
 	planner.restart(now)
 	planner.evacuate(now)
+	planner.passes++
 	pass := &pass{
-		planner: planner, now: now, held: map[string]bool{},
+		number: planner.passes, planner: planner, now: now, held: map[string]bool{},
 		promised: map[string]sizer.Size{}, pools: map[string]*pool{},
 	}
-	for _, step := range planner.ordered(now) {
-		pass.place(step)
-	}
+	pass.run(planner.ordered(now))
 }
 
 // rank orders steps; lower comes first.
 type rank struct {
 	tier     int // 0 for what is owed and may still be in time
 	priority int
-	over     int // 1 for a team that has more than its share
 	deadline time.Time
 }
 
@@ -44,7 +42,7 @@
 
 func (rank rank) compare(other rank) int {
 	return cmp.Or(cmp.Compare(rank.tier, other.tier), cmp.Compare(rank.priority, other.priority),
-		cmp.Compare(rank.over, other.over), rank.deadline.Compare(other.deadline))
+		rank.deadline.Compare(other.deadline))
 }
 
 // hopelessFactor is the multiple of its objective after which a job earns its caller nothing.
@@ -80,32 +78,25 @@
 	return time.Duration(max(queue.Stretch, 1)*float64(longest)) + queue.TargetLatency
 }
 
+// ranked is a step with its rank.
+type ranked struct {
+	step *step
+	rank rank
+}
+
 // ordered returns the steps that have tasks to start, most pressing first.
-func (planner *Planner) ordered(now time.Time) []*step {
-	type ranked struct {
-		step *step
-		rank rank
-	}
-	over := planner.overShare()
+func (planner *Planner) ordered(now time.Time) []ranked {
 	var all []ranked
 	for _, step := range planner.steps {
 		if len(step.waiting) > 0 && (!step.Gang || step.open == 0) {
-			rank := planner.rank(step, now)
-			if over[step.job.Team] {
-				rank.over = 1
-			}
-			all = append(all, ranked{step, rank})
+			all = append(all, ranked{step, planner.rank(step, now)})
 		}
 	}
 	slices.SortFunc(all, func(a, b ranked) int {
 		return cmp.Or(a.rank.compare(b.rank), cmp.Compare(a.step.key.Job, b.step.key.Job),
 			cmp.Compare(a.step.key.Occurrence, b.step.key.Occurrence), cmp.Compare(a.step.key.Step, b.step.key.Step))
 	})
-	steps := make([]*step, len(all))
-	for index := range all {
-		steps[index] = all[index].step
-	}
-	return steps
+	return all
 }
 
 const (
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -52,6 +52,7 @@
 	retired   []retiredJob
 	lapse     time.Time // by when every lease of an earlier planner has run out
 	batch     int64     // taken last
+	passes    int64     // of placement so far
 	durable   int64     // batch stored last
 	now       time.Time // of the present event
 	restarted time.Time // when runs that stand still were last looked for
--- /dev/null
+++ b/library/planner/property_test.go
@@ -0,0 +1,118 @@
+package planner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ebonyshunt.org/library/planner"
+	"ebonyshunt.org/library/sizer"
+	"pgregory.net/rapid"
+)
+
+// TestProperty throws random events at a planner, with takeovers, lost answers, silent and reborn workers,
+// and checks the rules against what the workers really run.
+func TestProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cell := newCell(&rapidTB{TB: nil, T: t}, testStart, 4)
+		checked := &checkedCell{cell: cell, term: 1, done: map[planner.TaskKey]bool{}, numbers: map[planner.TaskKey]int{}}
+		for range rapid.IntRange(10, 60).Draw(t, "events") {
+			checked.event(t)
+			checked.check(t)
+		}
+	})
+}
+
+// rapidTB lets the cell report to rapid.
+type rapidTB struct {
+	testing.TB
+	T *rapid.T
+}
+
+// Helper does nothing.
+func (*rapidTB) Helper() {}
+
+// Fatalf fails the check.
+func (rapidTB *rapidTB) Fatalf(format string, args ...any) { rapidTB.T.Fatalf(format, args...) }
+
+// Fatal fails the check.
+func (rapidTB *rapidTB) Fatal(args ...any) { rapidTB.T.Fatal(args...) }
+
+type checkedCell struct {
+	*cell
+	term    int64
+	jobs    int
+	done    map[planner.TaskKey]bool // acknowledged as done
+	numbers map[planner.TaskKey]int
+	seen    int
+}
+
+func (checked *checkedCell) event(t *rapid.T) {
+	worker := checked.workers[fmt.Sprintf("w-%03d", rapid.IntRange(0, 3).Draw(t, "worker"))]
+	switch rapid.IntRange(0, 8).Draw(t, "event") {
+	case 0, 1:
+		checked.jobs++
+		step := planner.Step{
+			Count: rapid.IntRange(1, 5).Draw(t, "count"), EstimateMS: 500,
+			Size: sizer.Size{MilliCores: int64(rapid.IntRange(1, 20).Draw(t, "cores") * 1000), MemoryMB: 100},
+			Gang: rapid.Bool().Draw(t, "gang"),
+		}
+		checked.submit(fmt.Sprintf("%016x", checked.jobs), step, after(tasks(1), 0))
+		checked.settle()
+	case 2, 3:
+		ending := rapid.SampledFrom([]planner.Ending{planner.EndedDone, planner.EndedDone, planner.EndedFailed, planner.EndedStopped}).Draw(t, "ending")
+		for key := range worker.running {
+			checked.end(key, ending)
+			break
+		}
+		checked.pass(20 * time.Millisecond)
+	case 4:
+		worker.silent = !worker.silent
+	case 5:
+		checked.rebirth(worker)
+	case 6:
+		checked.term++
+		checked.begin(checked.term, testCatalog())
+		checked.settle()
+	case 7:
+		checked.pass(time.Duration(rapid.IntRange(1, 3000).Draw(t, "pause")) * time.Millisecond)
+	case 8:
+		if checked.jobs > 0 {
+			checked.planner.Cancel(fmt.Sprintf("%016x", rapid.IntRange(1, checked.jobs).Draw(t, "job")), checked.now)
+			checked.settle()
+		}
+	}
+}
+
+// rebirth restarts a worker's process, which then knows nothing.
+func (checked *checkedCell) rebirth(worker *fakeWorker) {
+	worker.born++
+	worker.began, worker.token, worker.sequence = checked.now, 0, 0
+	worker.ended = nil
+	clear(worker.running)
+	checked.list()
+}
+
+func (checked *checkedCell) check(t *rapid.T) {
+	places := map[planner.TaskKey]string{}
+	for id, worker := range checked.workers {
+		for key := range worker.running {
+			if other, twice := places[key]; twice {
+				t.Fatalf("%v runs on %s and %s", key, id, other)
+			}
+			places[key] = id
+		}
+	}
+	for _, start := range checked.starts[checked.seen:] {
+		if start.Number <= checked.numbers[start.Key] {
+			t.Fatalf("%v starts as run %d after run %d", start.Key, start.Number, checked.numbers[start.Key])
+		}
+		checked.numbers[start.Key] = start.Number
+	}
+	checked.seen = len(checked.starts)
+	for _, worker := range checked.planner.Workers() {
+		if !worker.Used.Fits(worker.Capacity) {
+			t.Fatalf("%s holds %v of %v", worker.ID, worker.Used, worker.Capacity)
+		}
+	}
+}
--- a/library/planner/shares.go
+++ b/library/planner/shares.go
@@ -2,33 +2,37 @@
 
 import "ebonyshunt.org/library/sizer"
 
-// overShare returns the teams that have more of the fleet than their share of what is in use, where the
-// shares are by weight among the teams that run or wait for something. A team's part of the fleet is its
-// dominant one.
-func (planner *Planner) overShare() map[string]bool {
-	var total sizer.Size
+// shares are the teams' parts of the fleet, by weight among those that run or wait for something.
+type shares struct {
+	total   sizer.Size // capacity of the fleet
+	weights float64    // of the active teams
+}
+
+func (planner *Planner) shares() shares {
+	var made shares
 	for _, worker := range planner.workers {
 		if worker.Listed {
-			total = total.Add(worker.Capacity)
+			made.total = made.total.Add(worker.Capacity)
 		}
 	}
 	active := map[string]bool{}
 	for _, step := range planner.steps {
-		active[step.job.Team] = true
-	}
-	weights, used := 0.0, 0.0
-	for name := range active {
-		weights += planner.weight(name)
-		used += planner.team(name).used.Dominant(total)
-	}
-	over := map[string]bool{}
-	for name := range active {
-		share := planner.weight(name) / weights
-		if planner.team(name).used.Dominant(total) > share*used {
-			over[name] = true
+		if !active[step.job.Team] {
+			active[step.job.Team] = true
+			made.weights += planner.weight(step.job.Team)
 		}
 	}
-	return over
+	return made
+}
+
+// withinShare reports whether a step's team may start one more task in the present round. A team's part
+// of the fleet is its dominant one.
+func (pass *pass) withinShare(step *step) bool {
+	if !pass.shared {
+		return true
+	}
+	used := pass.planner.team(step.job.Team).used.Add(step.charge())
+	return used.Dominant(pass.shares.total)*pass.shares.weights <= pass.planner.weight(step.job.Team)
 }
 
 // weight returns a team's weight; work that belongs to no team counts as one team of weight 1.
--- a/library/planner/tables.go
+++ b/library/planner/tables.go
@@ -40,6 +40,7 @@
 	gang    int // number of the gang's last run
 	policy  policyAnswer
 	blocked time.Time // when it was first found without room
+	passed  int64     // number of the pass in which it last found no room
 	took    []took
 }
 
