Keep several appends under way with hedges, suspect a silent decider sooner, and settle runs of reborn workers by a look

Cause: one lost answer of the store held everything up for 700 ms, one lost answer of a worker for 1.6 s, and a dead decider was replaced after 900 ms.

--- a/daemon/scheduler/calls.go
+++ b/daemon/scheduler/calls.go
@@ -86,7 +86,7 @@
 }
 
 // storePatience is how long the journal may fail before new jobs are refused at once.
-const storePatience = 400 * time.Millisecond
+const storePatience = 600 * time.Millisecond
 
 func (tenure *tenure) submit(ctx context.Context, call Call) (planner.Reply, error) {
 	if call.Job == nil {
@@ -108,13 +108,58 @@
 	done := tenure.await(call.ID)
 	tenure.mu.Unlock()
 	tenure.kick()
-	return tenure.settle(ctx, done)
+	return tenure.settleNew(ctx, call.ID, done)
+}
+
+// settleNew waits until a new job is stored. One that was not given to the store yet is taken back when
+// the store fails, so that the caller may try again at once.
+func (tenure *tenure) settleNew(ctx context.Context, id string, done chan struct{}) (planner.Reply, error) {
+	patience := time.NewTicker(storePatience / 4)
+	defer patience.Stop()
+	for {
+		select {
+		case <-done:
+			return tenure.accepted(id), nil
+		case <-patience.C:
+			if tenure.storeQuiet() < storePatience || !tenure.withdraw(id) {
+				continue
+			}
+			return storeRefusal(), nil
+		case <-ctx.Done():
+			if tenure.withdraw(id) {
+				return storeRefusal(), nil
+			}
+			return planner.Reply{Verdict: planner.Unproven, Reason: "the store does not answer", RetryAfter: comeBack}, nil
+		case <-tenure.ctx.Done():
+			return planner.Reply{}, Error.New("another host decides by now")
+		}
+	}
+}
+
+// accepted answers for a job whose batch is stored, unless another call for it took it back before.
+func (tenure *tenure) accepted(id string) planner.Reply {
+	tenure.mu.Lock()
+	defer tenure.mu.Unlock()
+	if _, known := tenure.planner.State(id); !known {
+		return storeRefusal()
+	}
+	return planner.Reply{}
+}
+
+func (tenure *tenure) withdraw(id string) bool {
+	tenure.mu.Lock()
+	defer tenure.mu.Unlock()
+	return tenure.planner.Withdraw(id)
+}
+
+func storeRefusal() planner.Reply {
+	return planner.Reply{Verdict: planner.Refused, Reason: "the store does not answer", RetryAfter: comeBack}
 }
 
 // refuse reports why a job is not taken now.
 func (tenure *tenure) refuse(job *planner.Job) (planner.Reply, bool) {
 	if tenure.storeQuiet() > storePatience {
-		return planner.Reply{Verdict: planner.Refused, Reason: "the store does not answer", RetryAfter: comeBack}, true
+		return storeRefusal(), true
 	}
 	if _, found := tenure.planner.Catalog().Queue(job.Queue); !found {
 		return planner.Reply{Verdict: planner.Refused, Reason: "the queue is not in force here", RetryAfter: comeBack}, true
--- a/daemon/scheduler/holder.go
+++ b/daemon/scheduler/holder.go
@@ -19,9 +19,9 @@
 
 const (
 	holdWait     = time.Second // of one look, for an end
-	holdSlack    = 600 * time.Millisecond
-	quickWithin  = 500 * time.Millisecond // of a look that does not wait
-	startWithin  = 500 * time.Millisecond
+	holdSlack    = 300 * time.Millisecond
+	quickWithin  = 250 * time.Millisecond // of a look that does not wait
+	startWithin  = 250 * time.Millisecond
 	stopWithin   = 500 * time.Millisecond
 	ackPatience  = 250 * time.Millisecond // for ends to be stored before the next look
 	firstRetry   = 60 * time.Millisecond
--- /dev/null
+++ b/daemon/scheduler/journal.go
@@ -0,0 +1,190 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ebonyshunt.org/library/planner"
+	"ebonyshunt.org/platform/translator"
+)
+
+// journal writes a tenure's batches to the store, in order and each once. Some appends are under way at a
+// time, and one whose answer is late is repeated beside the first: the store takes a sequence number once.
+type journal struct {
+	tenure *tenure
+
+	mu       sync.Mutex
+	sequence int64 // of the next append
+	underWay int
+	lastAt   time.Time // when the last batch was given
+
+	failing atomic.Int64 // since when appends fail, on the steady clock, 0 while they do not
+}
+
+const (
+	journalWriter  = "decider"
+	appendsAtOnce  = 4
+	appendGap      = 8 * time.Millisecond // between two batches, so that changes gather
+	appendWithin   = 2 * time.Second
+	firstHedge     = 60 * time.Millisecond // after which an append is repeated beside the first, then doubled
+	mostHedges     = 4
+	appendBackoff  = 60 * time.Millisecond
+	outOfTurnPause = 5 * time.Millisecond // for an earlier append to arrive
+	mostBatchBytes = 1 << 20
+)
+
+func newJournal(tenure *tenure) *journal { return &journal{tenure: tenure} }
+
+// quiet returns for how long the store has failed what it was given.
+func (journal *journal) quiet() time.Duration {
+	since := journal.failing.Load()
+	if since == 0 {
+		return 0
+	}
+	return time.Since(started) - time.Duration(since)
+}
+
+// open takes the journal for the tenure's term, which fences every earlier writer.
+func (journal *journal) open() error {
+	err := journal.append(0, nil)
+	if err == nil {
+		journal.sequence = 1
+	}
+	return err
+}
+
+// free reports whether one more batch may be given now.
+func (journal *journal) free() bool {
+	journal.mu.Lock()
+	defer journal.mu.Unlock()
+	return journal.underWay < appendsAtOnce && journal.quiet() < storePatience && time.Since(journal.lastAt) >= appendGap
+}
+
+// save stores a batch, however long that takes, and then lets its starts go.
+func (journal *journal) save(batch planner.Batch) {
+	entries := make([]translator.Entry, len(batch.Records))
+	for index, record := range batch.Records {
+		entries[index] = translator.Entry{Key: record.Key, Value: record.Value}
+	}
+	var parts [][]translator.Entry
+	for len(entries) > 0 {
+		count := fitting(entries)
+		parts = append(parts, entries[:count])
+		entries = entries[count:]
+	}
+	journal.mu.Lock()
+	first := journal.sequence
+	journal.sequence += int64(len(parts))
+	journal.underWay++
+	journal.lastAt = time.Now()
+	journal.mu.Unlock()
+	journal.tenure.wait.Go(func() { journal.saveParts(batch, first, parts) })
+}
+
+func (journal *journal) saveParts(batch planner.Batch, first int64, parts [][]translator.Entry) {
+	tenure := journal.tenure
+	for index, part := range parts {
+		if !journal.savePart(first+int64(index), part) {
+			return
+		}
+	}
+	journal.mu.Lock()
+	journal.underWay--
+	journal.mu.Unlock()
+	tenure.finish(batch)
+	sleep(tenure.ctx, appendGap)
+	tenure.kick()
+}
+
+// fitting returns how many entries one append takes.
+func fitting(entries []translator.Entry) int {
+	size := 0
+	for index, entry := range entries {
+		size += len(entry.Key) + len(entry.Value)
+		if size > mostBatchBytes && index > 0 {
+			return index
+		}
+	}
+	return len(entries)
+}
+
+// savePart repeats one append until it is stored, and reports false where the tenure has ended.
+func (journal *journal) savePart(sequence int64, entries []translator.Entry) bool {
+	tenure := journal.tenure
+	for {
+		err := journal.append(sequence, entries)
+		switch {
+		case err == nil:
+			return true
+		case tenure.ctx.Err() != nil:
+			return false
+		case errors.Is(err, translator.ErrFenced):
+			tenure.resign(err)
+			return false
+		}
+		var outOfTurn *translator.SequenceError
+		if errors.As(err, &outOfTurn) && outOfTurn.Expected < sequence {
+			sleep(tenure.ctx, outOfTurnPause)
+			continue
+		}
+		journal.failing.CompareAndSwap(0, int64(time.Since(started)))
+		tenure.host.log.Warn("journal does not take a batch", "sequence", sequence, "records", len(entries), "quiet", journal.quiet().String(), "error", err)
+		sleep(tenure.ctx, appendBackoff)
+	}
+}
+
+// append makes one attempt, repeated beside itself while its answer is late.
+func (journal *journal) append(sequence int64, entries []translator.Entry) error {
+	ctx, cancel := context.WithTimeout(journal.tenure.ctx, appendWithin)
+	defer cancel()
+	answers := make(chan error, mostHedges)
+	attempt := func() { answers <- journal.appendOnce(ctx, sequence, entries) }
+	go attempt()
+	delay, made, failed := firstHedge, 1, 0
+	hedge := time.NewTimer(delay)
+	defer hedge.Stop()
+	for {
+		select {
+		case err := <-answers:
+			if err == nil || errors.Is(err, translator.ErrFenced) {
+				return err
+			}
+			if failed++; failed == made {
+				return err
+			}
+		case <-hedge.C:
+			if made > 1 {
+				journal.failing.CompareAndSwap(0, int64(time.Since(started)))
+			}
+			if made < mostHedges {
+				made++
+				go attempt()
+			}
+			delay *= 2
+			hedge.Reset(delay)
+		case <-ctx.Done():
+			return fmt.Errorf("append %d: %w", sequence, ctx.Err())
+		}
+	}
+}
+
+func (journal *journal) appendOnce(ctx context.Context, sequence int64, entries []translator.Entry) error {
+	tenure := journal.tenure
+	writer := translator.Writer{Name: journalWriter, Term: tenure.term, Sequence: sequence}
+	err := tenure.host.store.Append(ctx, translator.Journal, writer, entries)
+	var outOfTurn *translator.SequenceError
+	if errors.As(err, &outOfTurn) && outOfTurn.Expected > sequence {
+		err = nil // an earlier attempt was stored
+	}
+	if err != nil {
+		return err
+	}
+	tenure.host.storeAnswered()
+	tenure.storedAt.Store(int64(time.Since(started)))
+	journal.failing.Store(0)
+	return nil
+}
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -16,7 +16,7 @@
 type tenure struct {
 	host    *Host
 	term    int64
-	writer  translator.Writer
+	journal *journal
 	ctx     context.Context
 	cancel  context.CancelFunc
 	wait    sync.WaitGroup
@@ -29,13 +29,11 @@
 	infos     map[string]planner.WorkerInfo
 	holds     map[string]*holder
 	waiters   []waiter
-	storing   bool
 	explained time.Time     // when waiting steps were last explained
 	stored    chan struct{} // closed and made anew with each stored batch
 	opened    chan struct{} // closed once the planner is there
 
-	storedAt  atomic.Int64 // when the store last showed that no later host decides
-	failingAt atomic.Int64 // since when appends fail, 0 while they do not
+	storedAt atomic.Int64 // when the store last showed that no later host decides
 }
 
 // waiter is a caller that waits for a batch to be stored.
@@ -45,24 +43,19 @@
 }
 
 const (
-	journalWriter  = "decider"
-	longLease      = 7 * time.Second // outlasts most cuts of a zone, whose work then goes on
-	planEvery      = 50 * time.Millisecond
-	appendGap      = 12 * time.Millisecond // between two batches, so that changes gather
-	appendWithin   = 700 * time.Millisecond
-	appendBackoff  = 60 * time.Millisecond
-	workersPause   = 250 * time.Millisecond // between two reads of the list of workers
-	mostBatchBytes = 1 << 20
+	longLease    = 7 * time.Second // outlasts most cuts of a zone, whose work then goes on
+	planEvery    = 50 * time.Millisecond
+	workersPause = 250 * time.Millisecond // between two reads of the list of workers
 )
 
 func newTenure(host *Host, term int64) *tenure {
 	ctx, cancel := context.WithCancel(host.ctx)
 	tenure := &tenure{
 		host: host, term: term, ctx: ctx, cancel: cancel,
-		writer: translator.Writer{Name: journalWriter, Term: term},
 		kicked: make(chan struct{}, 1), stored: make(chan struct{}), opened: make(chan struct{}),
 		infos: map[string]planner.WorkerInfo{}, holds: map[string]*holder{},
 	}
+	tenure.journal = newJournal(tenure)
 	tenure.policy = newDesks(tenure)
 	tenure.support = newSupport()
 	tenure.storedAt.Store(int64(time.Since(started)))
@@ -95,13 +88,7 @@
 }
 
 // storeQuiet returns for how long the journal has refused what it was given.
-func (tenure *tenure) storeQuiet() time.Duration {
-	since := tenure.failingAt.Load()
-	if since == 0 {
-		return 0
-	}
-	return time.Since(started) - time.Duration(since)
-}
+func (tenure *tenure) storeQuiet() time.Duration { return tenure.journal.quiet() }
 
 // run takes the journal over, reads it, and plans until the tenure ends.
 func (tenure *tenure) run() {
@@ -138,7 +125,7 @@
 // takeOver fences earlier writers and rebuilds the planner from the journal.
 func (tenure *tenure) takeOver() error {
 	for {
-		err := tenure.append(nil)
+		err := tenure.journal.open()
 		if err == nil {
 			break
 		}
@@ -186,7 +173,7 @@
 	if !supported.IsZero() {
 		tenure.planner.Unopposed(supported.Add(storeAuthority))
 	}
-	if tenure.storing {
+	if !tenure.journal.free() {
 		effects := tenure.planner.TakeEffects()
 		tenure.mu.Unlock()
 		tenure.carryOut(effects)
@@ -201,93 +188,14 @@
 		tenure.host.log.Error("batch does not encode", "error", err)
 		return
 	}
-	tenure.storing = len(batch.Records) > 0
 	tenure.mu.Unlock()
 	tenure.logWaiting(waiting, now)
 	tenure.logNotes(batch.Notes)
 	tenure.carryOut(batch.Effects)
 	if len(batch.Records) == 0 {
-		tenure.finish(batch)
 		return
 	}
-	tenure.wait.Go(func() { tenure.save(batch) })
-}
-
-// save stores a batch, however long that takes, and then lets its starts go.
-func (tenure *tenure) save(batch planner.Batch) {
-	entries := make([]translator.Entry, len(batch.Records))
-	for index, record := range batch.Records {
-		entries[index] = translator.Entry{Key: record.Key, Value: record.Value}
-	}
-	for len(entries) > 0 {
-		count := fitting(entries)
-		if !tenure.saveSome(entries[:count]) {
-			return
-		}
-		entries = entries[count:]
-	}
-	tenure.finish(batch)
-	sleep(tenure.ctx, appendGap)
-	tenure.mu.Lock()
-	tenure.storing = false
-	tenure.mu.Unlock()
-	tenure.kick()
-}
-
-// fitting returns how many entries one append takes.
-func fitting(entries []translator.Entry) int {
-	size := 0
-	for index, entry := range entries {
-		size += len(entry.Key) + len(entry.Value)
-		if size > mostBatchBytes && index > 0 {
-			return index
-		}
-	}
-	return len(entries)
-}
-
-// saveSome repeats one append until it is stored, and reports false where the tenure has ended.
-func (tenure *tenure) saveSome(entries []translator.Entry) bool {
-	for {
-		err := tenure.append(entries)
-		switch {
-		case err == nil:
-			return true
-		case tenure.ctx.Err() != nil:
-			return false
-		case errors.Is(err, translator.ErrFenced):
-			tenure.resign(err)
-			return false
-		}
-		tenure.host.log.Warn("journal does not take a batch", "records", len(entries), "quiet", tenure.storeQuiet(), "error", err)
-		sleep(tenure.ctx, appendBackoff)
-	}
-}
-
-// append makes one attempt under the present sequence number, which moves on when it is stored.
-func (tenure *tenure) append(entries []translator.Entry) error {
-	ctx, cancel := context.WithTimeout(tenure.ctx, appendWithin)
-	defer cancel()
-	err := tenure.host.store.Append(ctx, translator.Journal, tenure.writer, entries)
-	var sequence *translator.SequenceError
-	if errors.As(err, &sequence) {
-		tenure.host.log.Warn("sequence", "sent", tenure.writer.Sequence, "error", err)
-		if sequence.Expected == tenure.writer.Sequence+1 {
-			err = nil // an earlier attempt of this batch was stored
-		} else {
-			tenure.writer.Sequence = sequence.Expected
-			return err
-		}
-	}
-	if err != nil {
-		tenure.failingAt.CompareAndSwap(0, int64(time.Since(started)))
-		return err
-	}
-	tenure.writer.Sequence++
-	tenure.host.storeAnswered()
-	tenure.storedAt.Store(int64(time.Since(started)))
-	tenure.failingAt.Store(0)
-	return nil
+	tenure.journal.save(batch)
 }
 
 // finish takes note that a batch is stored.
--- a/daemon/scheduler/watch.go
+++ b/daemon/scheduler/watch.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	beatEvery    = 300 * time.Millisecond
-	beatWithin   = 400 * time.Millisecond
-	suspectAfter = 900 * time.Millisecond // without an answer of the decider
-	surveyWithin = 250 * time.Millisecond
+	beatEvery    = 150 * time.Millisecond
+	beatWithin   = 200 * time.Millisecond
+	suspectAfter = 500 * time.Millisecond // without an answer of the decider
+	surveyWithin = 200 * time.Millisecond
 	rankDelay    = 60 * time.Millisecond  // for each host that is better placed to decide
 	storeLost    = 900 * time.Millisecond // of a decider whose store is silent
 	alone        = 800 * time.Millisecond // that a host waits which reaches under half of the others
--- a/library/planner/cell_test.go
+++ b/library/planner/cell_test.go
@@ -21,6 +21,9 @@
 	stops   []planner.Stop
 	asks    []planner.Ask
 	stored  map[string][]byte
+	late    bool              // batches are stored when flush is called
+	queue   []planner.Batch   // taken and not stored
+	noted   []planner.TaskKey // tasks whose end as done was acknowledged
 }
 
 // fakeWorker keeps what a worker would.
@@ -73,6 +76,7 @@
 // begin makes a new planner from what is stored, as after a takeover.
 func (cell *cell) begin(term int64, catalog *planner.Catalog) {
 	cell.planner = planner.New(testSettings, term, catalog, cell.now)
+	cell.queue = nil
 	records := make([]planner.Record, 0, len(cell.stored))
 	for _, key := range slices.Sorted(maps.Keys(cell.stored)) {
 		records = append(records, planner.Record{Key: key, Value: cell.stored[key]})
@@ -121,6 +125,11 @@
 		worker.leased = worker.began.Add(time.Duration(hold.Deadline) * time.Millisecond)
 	}
 	worker.token = max(worker.token, hold.Token)
+	for _, ended := range worker.ended {
+		if ended.Sequence <= hold.Cursor && ended.Ending == planner.EndedDone {
+			cell.noted = append(cell.noted, ended.Key)
+		}
+	}
 	worker.ended = slices.DeleteFunc(worker.ended, func(ended planner.EndedRun) bool { return ended.Sequence <= hold.Cursor })
 	listing := planner.Listing{
 		Token: hold.Token, SentAt: cell.now, Born: worker.born, Clock: cell.now.Sub(worker.began).Milliseconds(),
@@ -170,6 +179,16 @@
 	if err != nil {
 		cell.t.Fatal(err)
 	}
+	if cell.late && len(batch.Records) > 0 {
+		cell.queue = append(cell.queue, batch)
+		batch.Starts = nil
+		return batch
+	}
+	cell.store(batch)
+	return batch
+}
+
+func (cell *cell) store(batch planner.Batch) {
 	for _, record := range batch.Records {
 		if record.Value == nil {
 			delete(cell.stored, record.Key)
@@ -177,8 +196,21 @@
 			cell.stored[record.Key] = record.Value
 		}
 	}
-	cell.planner.Stored(batch)
-	return batch
+	if len(batch.Records) > 0 {
+		cell.planner.Stored(batch)
+	}
+}
+
+// flush stores some of the batches that were taken, and carries their starts out.
+func (cell *cell) flush(count int) {
+	for range min(count, len(cell.queue)) {
+		batch := cell.queue[0]
+		cell.queue = cell.queue[1:]
+		cell.store(batch)
+		for _, start := range batch.Starts {
+			cell.start(start)
+		}
+	}
 }
 
 func (cell *cell) carryOut(batch planner.Batch) {
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -69,10 +69,10 @@
 	return len(planner.dirty) > 0 || len(planner.effects) > 0 || len(planner.starts) > 0 || len(planner.drop) > 0
 }
 
-// Take returns the records to store next and the effects, in the order of the events that caused them.
+// Take returns the records to store next and the effects, in the order of the events that caused them. A
+// batch without records has no number, and there is nothing to wait for.
 func (planner *Planner) Take() (Batch, error) {
-	planner.batch++
-	batch := Batch{Number: planner.batch, Effects: planner.effects, Starts: planner.starts, Notes: planner.notes}
+	batch := Batch{Effects: planner.effects, Starts: planner.starts, Notes: planner.notes}
 	planner.effects, planner.starts, planner.notes = nil, nil, nil
 	for _, id := range slices.Sorted(maps.Keys(planner.dirty)) {
 		row := planner.jobs[id]
@@ -90,6 +90,10 @@
 		batch.Records = append(batch.Records, Record{Key: jobPrefix + id}, Record{Key: progressPrefix + id})
 	}
 	planner.drop = nil
+	if len(batch.Records) > 0 {
+		planner.batch++
+		batch.Number = planner.batch
+	}
 	return batch, nil
 }
 
@@ -114,20 +118,25 @@
 	return nil
 }
 
-// Stored takes note that a batch is stored: its states are shown, and the ends that led to it may be
-// acknowledged.
+// Stored takes note that a batch is stored, and so is every one before it: its states are shown, and the
+// ends that led to it may be acknowledged.
 func (planner *Planner) Stored(batch Batch) {
 	planner.durable = max(planner.durable, batch.Number)
 	for index, id := range batch.Shown {
-		if row := planner.jobs[id]; row != nil {
-			row.shown = batch.states[index]
+		if row := planner.jobs[id]; row != nil && batch.Number >= row.shownBatch {
+			row.shown, row.shownBatch = batch.states[index], batch.Number
 		}
 	}
 	for _, worker := range planner.workers {
-		for len(worker.pending) > 0 && worker.pending[0].batch <= batch.Number {
-			worker.Durable = worker.pending[0].number
-			worker.pending = worker.pending[1:]
-		}
+		worker.acknowledge(planner.durable)
+	}
+}
+
+// acknowledge lets the ends be acknowledged whose consequences are stored.
+func (worker *Worker) acknowledge(durable int64) {
+	for len(worker.pending) > 0 && worker.pending[0].batch <= durable {
+		worker.Durable = worker.pending[0].number
+		worker.pending = worker.pending[1:]
 	}
 }
 
--- a/library/planner/property_test.go
+++ b/library/planner/property_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,7 +18,8 @@
 func TestProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cell := newCell(&rapidTB{TB: nil, T: t}, testStart, 4)
-		checked := &checkedCell{cell: cell, term: 1, done: map[planner.TaskKey]bool{}, numbers: map[planner.TaskKey]int{}}
+		cell.late = rapid.Bool().Draw(t, "late")
+		checked := &checkedCell{cell: cell, term: 1, accepted: map[string]bool{}, numbers: map[planner.TaskKey]int{}}
 		for range rapid.IntRange(10, 60).Draw(t, "events") {
 			checked.event(t)
 			checked.check(t)
@@ -40,16 +44,16 @@
 
 type checkedCell struct {
 	*cell
-	term    int64
-	jobs    int
-	done    map[planner.TaskKey]bool // acknowledged as done
-	numbers map[planner.TaskKey]int
-	seen    int
+	term     int64
+	jobs     int
+	accepted map[string]bool // jobs that callers were told of
+	numbers  map[planner.TaskKey]int
+	seen     int
 }
 
 func (checked *checkedCell) event(t *rapid.T) {
 	worker := checked.workers[fmt.Sprintf("w-%03d", rapid.IntRange(0, 3).Draw(t, "worker"))]
-	switch rapid.IntRange(0, 8).Draw(t, "event") {
+	switch rapid.IntRange(0, 10).Draw(t, "event") {
 	case 0, 1:
 		checked.jobs++
 		step := planner.Step{
@@ -61,9 +65,9 @@
 		checked.settle()
 	case 2, 3:
 		ending := rapid.SampledFrom([]planner.Ending{planner.EndedDone, planner.EndedDone, planner.EndedFailed, planner.EndedStopped}).Draw(t, "ending")
-		for key := range worker.running {
-			checked.end(key, ending)
-			break
+		keys := slices.SortedFunc(maps.Keys(worker.running), func(a, b planner.TaskKey) int { return strings.Compare(a.String(), b.String()) })
+		if len(keys) > 0 {
+			checked.end(keys[0], ending)
 		}
 		checked.pass(20 * time.Millisecond)
 	case 4:
@@ -76,6 +80,9 @@
 		checked.settle()
 	case 7:
 		checked.pass(time.Duration(rapid.IntRange(1, 3000).Draw(t, "pause")) * time.Millisecond)
+	case 9, 10:
+		checked.flush(rapid.IntRange(1, 3).Draw(t, "batches"))
+		checked.pass(20 * time.Millisecond)
 	case 8:
 		if checked.jobs > 0 {
 			checked.planner.Cancel(fmt.Sprintf("%016x", rapid.IntRange(1, checked.jobs).Draw(t, "job")), checked.now)
@@ -87,7 +94,8 @@
 // rebirth restarts a worker's process, which then knows nothing.
 func (checked *checkedCell) rebirth(worker *fakeWorker) {
 	worker.born++
-	worker.began, worker.token, worker.sequence = checked.now, 0, 0
+	worker.began, worker.token, worker.sequence = checked.now.Add(-time.Millisecond), 0, 0
+	worker.leased = time.Time{}
 	worker.ended = nil
 	clear(worker.running)
 	checked.list()
@@ -110,9 +118,35 @@
 		checked.numbers[start.Key] = start.Number
 	}
 	checked.seen = len(checked.starts)
+	checked.checkStored(t)
 	for _, worker := range checked.planner.Workers() {
 		if !worker.Used.Fits(worker.Capacity) {
 			t.Fatalf("%s holds %v of %v", worker.ID, worker.Used, worker.Capacity)
 		}
 	}
 }
+
+// checkStored checks that nothing is told that a takeover would not know.
+func (checked *checkedCell) checkStored(t *rapid.T) {
+	for number := range checked.jobs {
+		id := fmt.Sprintf("%016x", number+1)
+		_, known := checked.planner.State(id)
+		if known && !checked.planner.Unstored(id) {
+			checked.accepted[id] = true
+		}
+		if _, stored := checked.stored["run/"+id]; checked.accepted[id] && !stored {
+			t.Fatalf("job %s counts as stored and is not", id)
+		}
+	}
+	noted := map[planner.TaskKey]bool{}
+	for _, key := range checked.noted {
+		noted[key] = true
+	}
+	for _, worker := range checked.workers {
+		for key := range worker.running {
+			if noted[key] {
+				t.Fatalf("%v runs again after its end was acknowledged", key)
+			}
+		}
+	}
+}
--- a/library/planner/runs.go
+++ b/library/planner/runs.go
@@ -60,7 +60,9 @@
 func (planner *Planner) Answered(order Order, outcome Outcome, clock int64, now time.Time) {
 	planner.now = now
 	worker := planner.worker(order.Worker)
-	if clock > 0 {
+	if clock > 0 && clock+clockSlack < worker.clockAtLeast(now) && !worker.clockAt.IsZero() {
+		planner.reborn(worker, 0) // its clock started anew
+	} else if clock > 0 {
 		worker.observe(clock, now)
 	}
 	step, run := planner.openRun(order.Key, order.Number)
@@ -69,11 +71,13 @@
 	}
 	switch outcome {
 	case Taken:
-		run.Started, run.Answered, run.Moved = true, now, now
+		if worker.Looked {
+			run.Started, run.Answered, run.Moved = true, now, now
+		}
 	case Unknown:
 		planner.doubt(worker, now)
 	case RefusedBirth:
-		planner.reborn(worker, 0, now)
+		planner.reborn(worker, 0)
 		planner.close(step, run, NeverRan, "", now)
 	case RefusedTicket:
 		delete(step.policy.allowed, worker.ID)
@@ -89,6 +93,10 @@
 	}
 }
 
+// clockSlack is how far a worker's clock may read below what is expected of one that did not start anew,
+// in milliseconds.
+const clockSlack = 500
+
 // oldRunSkip is added to a run number that a worker refused as too low.
 const oldRunSkip = 3
 
@@ -125,9 +133,9 @@
 	worker.Token++
 }
 
-// reborn closes the runs that surely were on an earlier incarnation of a worker; those whose order may
-// still be on its way stay until a raised token settles them.
-func (planner *Planner) reborn(worker *Worker, born int64, now time.Time) {
+// reborn deals with a worker that started anew. Each of its runs was on the earlier incarnation, or was
+// carried out by the new one before this was known; a look under a raised token tells which.
+func (planner *Planner) reborn(worker *Worker, born int64) {
 	worker.Token++
 	worker.Looked = false
 	worker.Cursor, worker.Durable, worker.pending = 0, 0, nil
@@ -135,10 +143,8 @@
 	if born != 0 {
 		worker.Born = born
 	}
-	for _, run := range worker.sorted() {
-		if run.Started {
-			planner.vanish(run, now)
-		}
+	for _, run := range worker.Runs {
+		run.Started, run.Token, run.Born = false, 0, worker.Born
 	}
 	planner.effects = append(planner.effects, Fence{Worker: worker.ID})
 }
@@ -183,7 +189,7 @@
 		return
 	}
 	if listing.Born != 0 && worker.Born != 0 && listing.Born != worker.Born {
-		planner.reborn(worker, listing.Born, now)
+		planner.reborn(worker, listing.Born)
 		return
 	}
 	if listing.Born != 0 {
@@ -193,6 +199,7 @@
 	for _, ended := range listing.Ended {
 		planner.listEnded(worker, ended, now)
 	}
+	worker.acknowledge(planner.durable)
 	planner.listRunning(worker, listing, now)
 	if !listing.Partial {
 		planner.disprove(worker, listing, now)
@@ -207,11 +214,12 @@
 		return
 	}
 	worker.Cursor = ended.Sequence
-	worker.pending = append(worker.pending, pendingEnd{number: ended.Sequence, batch: planner.batch + 1})
 	step, run := planner.openRun(ended.Key, ended.Number)
 	if run == nil || run.Worker != worker.ID {
+		worker.pending = append(worker.pending, pendingEnd{number: ended.Sequence, batch: planner.batch})
 		return
 	}
+	worker.pending = append(worker.pending, pendingEnd{number: ended.Sequence, batch: planner.batch + 1})
 	planner.close(step, run, ended.Ending, ended.Checkpoint, now)
 }
 
--- a/library/planner/runs_test.go
+++ b/library/planner/runs_test.go
@@ -91,6 +91,56 @@
 	cell.wantState(jobA, planner.Completed)
 }
 
+// TestBatchesUnderWay keeps what is acknowledged and shown to what is stored, while later batches are taken.
+func TestBatchesUnderWay(t *testing.T) {
+	t.Run("batchWithoutRecordsStoresNothing", func(t *testing.T) {
+		cell := newCell(t, testStart, 1)
+		cell.submit(jobA, tasks(1))
+		cell.settle()
+		cell.late = true
+		cell.end(planner.TaskKey{Job: jobA}, planner.EndedDone)
+		cell.hold("w-000")
+		cell.take()
+		if batch := cell.take(); batch.Number != 0 {
+			t.Errorf("a batch without records has number %d", batch.Number)
+		}
+		if hold, _ := cell.planner.NextHold("w-000", cell.now); hold.Cursor != 0 {
+			t.Errorf("end acknowledged up to %d while its batch is under way", hold.Cursor)
+		}
+		cell.flush(1)
+		if hold, _ := cell.planner.NextHold("w-000", cell.now); hold.Cursor != 1 {
+			t.Errorf("end acknowledged up to %d once it is stored, want 1", hold.Cursor)
+		}
+	})
+	t.Run("batchStoredLateShowsNoOlderState", func(t *testing.T) {
+		cell := newCell(t, testStart, 1)
+		cell.late = true
+		cell.submit(jobA, tasks(1))
+		first := cell.take()
+		cell.planner.Cancel(jobA, cell.now)
+		cell.planner.Stored(cell.take())
+		cell.planner.Stored(first)
+		cell.wantState(jobA, planner.Canceled)
+	})
+	t.Run("onlyAJobThatWasNotTakenIsWithdrawn", func(t *testing.T) {
+		cell := newCell(t, testStart, 1)
+		cell.late = true
+		cell.submit(jobA, tasks(1))
+		cell.take()
+		cell.submit(jobB, tasks(1))
+		if cell.planner.Withdraw(jobA) {
+			t.Error("a job was withdrawn that may be stored")
+		}
+		if !cell.planner.Withdraw(jobB) {
+			t.Error("a job that was never given to the store was not withdrawn")
+		}
+		cell.settle()
+		if _, known := cell.planner.State(jobB); known {
+			t.Error("a withdrawn job is known")
+		}
+	})
+}
+
 // TestDoubt settles orders whose answer was lost, by a look under a raised token.
 func TestDoubt(t *testing.T) {
 	// lose makes the answer of the first start get lost.
@@ -185,6 +235,22 @@
 	cell.wantState(jobA, planner.Completed)
 }
 
+// TestRebornUnnoticed starts a task on a worker whose restart is not known yet.
+func TestRebornUnnoticed(t *testing.T) {
+	cell := newCell(t, testStart, 1)
+	worker := cell.workers["w-000"]
+	worker.born, worker.began, worker.token = 2, cell.now.Add(-time.Millisecond), 0
+	cell.submit(jobA, tasks(1))
+	cell.settle()
+	cell.pass(10 * time.Millisecond)
+	cell.wantRunning(1)
+	if len(cell.starts) != 1 {
+		t.Errorf("%d starts, want the one that the new incarnation took", len(cell.starts))
+	}
+	cell.endAll(planner.EndedDone)
+	cell.wantState(jobA, planner.Completed)
+}
+
 // TestTakeover rebuilds the tables from what is stored.
 func TestTakeover(t *testing.T) {
 	t.Run("runsGoOn", func(t *testing.T) {
--- a/library/planner/submission.go
+++ b/library/planner/submission.go
@@ -22,6 +22,28 @@
 	return true
 }
 
+// Withdraw takes a job back that no batch was taken for, and reports whether it did: then it never was and
+// never will be accepted.
+func (planner *Planner) Withdraw(id string) bool {
+	row := planner.jobs[id]
+	if row == nil || !planner.fresh[id] {
+		return false
+	}
+	for _, occurrence := range row.occurrences {
+		for _, step := range occurrence.steps {
+			if step.open > 0 {
+				return false
+			}
+			delete(planner.steps, step.key)
+		}
+	}
+	delete(planner.jobs, id)
+	delete(planner.fresh, id)
+	delete(planner.dirty, id)
+	delete(planner.timed, id)
+	return true
+}
+
 // adopt puts a job into the table.
 func (planner *Planner) adopt(job Job) *row {
 	row := &row{Job: job, state: Queued, shown: Queued, occurrences: map[int]*occurrence{}}
--- a/library/planner/tables.go
+++ b/library/planner/tables.go
@@ -10,6 +10,7 @@
 	Job
 	state       State
 	shown       State // as stored
+	shownBatch  int64 // that stored it
 	occurrences map[int]*occurrence
 	next        int // occurrence that is due next
 	ended       int // occurrences that are completed
