Repeat late appends after three times the usual answer, and begin a term with a stored record

Cause: while answers of the store were lost, repeats came after 60 ms at the least, connections ran out, and appends out of turn were sent again each 5 ms. Ruled out: repeats that the store holds back together with the first (each repeat is late by its own chance).

--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -95,7 +95,7 @@
 }
 
 const (
-	storeConns    = 8
+	storeConns    = 40
 	workerConns   = 4
 	connectWithin = time.Second
 	idleConn      = 30 * time.Second
--- a/daemon/scheduler/journal.go
+++ b/daemon/scheduler/journal.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,24 +21,34 @@
 	mu       sync.Mutex
 	sequence int64 // of the next append
 	underWay int
-	lastAt   time.Time // when the last batch was given
+	lastAt   time.Time     // when the last batch was given
+	through  int64         // highest sequence number that is stored
+	moved    chan struct{} // closed and made anew when it rises
 
+	usual   atomic.Int64 // what an answer takes, as an average in nanoseconds
 	failing atomic.Int64 // since when appends fail, on the steady clock, 0 while they do not
 }
 
 const (
 	journalWriter  = "decider"
+	termKey        = "term" // of the record that a tenure begins with
+	hedgeGrowth    = 2      // each wait for the next repeat is longer by the last one over this
 	appendsAtOnce  = 4
 	appendGap      = 8 * time.Millisecond // between two batches, so that changes gather
 	appendWithin   = 2 * time.Second
-	firstHedge     = 60 * time.Millisecond // after which an append is repeated beside the first, then doubled
-	mostHedges     = 4
+	leastHedge     = 20 * time.Millisecond // after which an append is repeated beside the first
+	mostHedge      = 500 * time.Millisecond
+	hedgeFactor    = 3 // times what an answer usually takes, before an append is repeated
+	usualWeight    = 8 // one over the weight of the latest answer in what is usual
+	mostHedges     = 7
 	appendBackoff  = 60 * time.Millisecond
-	outOfTurnPause = 5 * time.Millisecond // for an earlier append to arrive
+	turnWithin     = 200 * time.Millisecond // for the earlier append to be stored
 	mostBatchBytes = 1 << 20
 )
 
-func newJournal(tenure *tenure) *journal { return &journal{tenure: tenure} }
+func newJournal(tenure *tenure) *journal {
+	return &journal{tenure: tenure, through: -1, moved: make(chan struct{})}
+}
 
 // quiet returns for how long the store has failed what it was given.
 func (journal *journal) quiet() time.Duration {
@@ -48,9 +59,12 @@
 	return time.Since(started) - time.Duration(since)
 }
 
-// open takes the journal for the tenure's term, which fences every earlier writer.
+// open takes the journal for the tenure's term, which fences every earlier writer. It stores a record of
+// its own: a term may start at any sequence number, so that until one is stored a later append could be
+// taken in place of an earlier one.
 func (journal *journal) open() error {
-	err := journal.append(0, nil)
+	mark := translator.Entry{Key: termKey, Value: strconv.AppendInt(nil, journal.tenure.term, 10)}
+	err := journal.append(0, []translator.Entry{mark})
 	if err == nil {
 		journal.sequence = 1
 	}
@@ -128,7 +142,7 @@
 		}
 		var outOfTurn *translator.SequenceError
 		if errors.As(err, &outOfTurn) && outOfTurn.Expected < sequence {
-			sleep(tenure.ctx, outOfTurnPause)
+			journal.awaitTurn(sequence)
 			continue
 		}
 		journal.failing.CompareAndSwap(0, int64(time.Since(started)))
@@ -137,6 +151,49 @@
 	}
 }
 
+// awaitTurn waits until the append before one is stored, or some time has passed.
+func (journal *journal) awaitTurn(sequence int64) {
+	limit := time.NewTimer(turnWithin)
+	defer limit.Stop()
+	for {
+		journal.mu.Lock()
+		through, moved := journal.through, journal.moved
+		journal.mu.Unlock()
+		if through >= sequence-1 {
+			return
+		}
+		select {
+		case <-moved:
+		case <-limit.C:
+			return
+		case <-journal.tenure.ctx.Done():
+			return
+		}
+	}
+}
+
+// rise takes note that an append is stored.
+func (journal *journal) rise(sequence int64) {
+	journal.mu.Lock()
+	defer journal.mu.Unlock()
+	if sequence > journal.through {
+		journal.through = sequence
+		close(journal.moved)
+		journal.moved = make(chan struct{})
+	}
+}
+
+// patience returns after what time without an answer an append is repeated.
+func (journal *journal) patience() time.Duration {
+	return min(max(hedgeFactor*time.Duration(journal.usual.Load()), leastHedge), mostHedge)
+}
+
+// learn takes note of how long an answer took.
+func (journal *journal) learn(took time.Duration) {
+	usual := journal.usual.Load()
+	journal.usual.Store(usual + (int64(took)-usual)/usualWeight)
+}
+
 // append makes one attempt, repeated beside itself while its answer is late.
 func (journal *journal) append(sequence int64, entries []translator.Entry) error {
 	ctx, cancel := context.WithTimeout(journal.tenure.ctx, appendWithin)
@@ -144,7 +201,7 @@
 	answers := make(chan error, mostHedges)
 	attempt := func() { answers <- journal.appendOnce(ctx, sequence, entries) }
 	go attempt()
-	delay, made, failed := firstHedge, 1, 0
+	delay, made, failed := journal.patience(), 1, 0
 	hedge := time.NewTimer(delay)
 	defer hedge.Stop()
 	for {
@@ -164,7 +221,7 @@
 				made++
 				go attempt()
 			}
-			delay *= 2
+			delay += delay / hedgeGrowth
 			hedge.Reset(delay)
 		case <-ctx.Done():
 			return fmt.Errorf("append %d: %w", sequence, ctx.Err())
@@ -175,7 +232,11 @@
 func (journal *journal) appendOnce(ctx context.Context, sequence int64, entries []translator.Entry) error {
 	tenure := journal.tenure
 	writer := translator.Writer{Name: journalWriter, Term: tenure.term, Sequence: sequence}
+	sent := time.Now()
 	err := tenure.host.store.Append(ctx, translator.Journal, writer, entries)
+	if !errors.Is(err, translator.ErrUnknown) {
+		journal.learn(time.Since(sent))
+	}
 	var outOfTurn *translator.SequenceError
 	if errors.As(err, &outOfTurn) && outOfTurn.Expected > sequence {
 		err = nil // an earlier attempt was stored
@@ -186,5 +247,6 @@
 	tenure.host.storeAnswered()
 	tenure.storedAt.Store(int64(time.Since(started)))
 	journal.failing.Store(0)
+	journal.rise(sequence)
 	return nil
 }
