--- a/daemon/scheduler/fleet.go
+++ b/daemon/scheduler/fleet.go
@@ -146,7 +146,7 @@
 			host.learnFleet(entry)
 		}
 		if tenure := host.present(); tenure != nil {
-			tenure.storedAt.Store(int64(time.Since(started)))
+			tenure.storedAt.Store(int64(host.uptime()))
 		}
 	})
 }
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -35,6 +35,7 @@
 	network  dialer.Network
 	log      *slog.Logger
 	boot     string
+	started  time.Time
 	clock    *recorder.Clock
 	metrics  *metrics
 
@@ -75,7 +76,7 @@
 	debug.SetGCPercent(collectPercent)
 	clock := &recorder.Clock{}
 	host := &Host{
-		settings: settings, network: network, log: log, boot: uuid.NewString(), clock: clock,
+		settings: settings, network: network, log: log, boot: uuid.NewString(), started: time.Now(), clock: clock,
 		store:  translator.NewStore(client(network, storeConns), settings.StoreAddress),
 		orders: translator.NewOrders(client(network, workerConns)),
 		pool:   linker.NewPool(network, settings.Host, clock),
@@ -207,12 +208,26 @@
 	return host.tenure
 }
 
-// started is the base of the steady clock's readings.
-var started = time.Now()
+// uptime returns the time since the host was started, on the steady clock.
+func (host *Host) uptime() time.Duration { return time.Since(host.started) }
 
-func (host *Host) storeAnswered() { host.storeAt.Store(int64(time.Since(started))) }
+func (host *Host) storeAnswered() { host.storeAt.Store(int64(host.uptime())) }
 
 // storeSilent returns for how long the store has not answered this host.
 func (host *Host) storeSilent() time.Duration {
-	return time.Since(started) - time.Duration(host.storeAt.Load())
+	return host.uptime() - time.Duration(host.storeAt.Load())
+}
+
+// Deciding reports whether the host plans for the fleet and has read the journal.
+func (host *Host) Deciding() bool {
+	tenure := host.present()
+	if tenure == nil {
+		return false
+	}
+	select {
+	case <-tenure.opened:
+		return true
+	default:
+		return false
+	}
 }
--- a/daemon/scheduler/journal.go
+++ b/daemon/scheduler/journal.go
@@ -56,7 +56,7 @@
 	if since == 0 {
 		return 0
 	}
-	return time.Since(started) - time.Duration(since)
+	return journal.tenure.host.uptime() - time.Duration(since)
 }
 
 // open takes the journal for the tenure's term, which fences every earlier writer. It stores a record of
@@ -145,7 +145,7 @@
 			journal.awaitTurn(sequence)
 			continue
 		}
-		journal.failing.CompareAndSwap(0, int64(time.Since(started)))
+		journal.failing.CompareAndSwap(0, int64(journal.tenure.host.uptime()))
 		tenure.host.log.Warn("journal does not take a batch", "sequence", sequence, "records", len(entries), "quiet", journal.quiet().String(), "error", err)
 		sleep(tenure.ctx, appendBackoff)
 	}
@@ -215,7 +215,7 @@
 			}
 		case <-hedge.C:
 			if made > 1 {
-				journal.failing.CompareAndSwap(0, int64(time.Since(started)))
+				journal.failing.CompareAndSwap(0, int64(journal.tenure.host.uptime()))
 			}
 			if made < mostHedges {
 				made++
@@ -245,7 +245,7 @@
 		return err
 	}
 	tenure.host.storeAnswered()
-	tenure.storedAt.Store(int64(time.Since(started)))
+	tenure.storedAt.Store(int64(journal.tenure.host.uptime()))
 	journal.failing.Store(0)
 	journal.rise(sequence)
 	return nil
--- a/daemon/scheduler/support.go
+++ b/daemon/scheduler/support.go
@@ -62,6 +62,6 @@
 // authorized reports whether the tenure may renew leases: no other host can have begun to start elsewhere
 // what runs under them.
 func (tenure *tenure) authorized() bool {
-	silent := time.Since(started) - time.Duration(tenure.storedAt.Load())
+	silent := tenure.host.uptime() - time.Duration(tenure.storedAt.Load())
 	return silent <= storeAuthority || silent <= loneAuthority && tenure.support.most(tenure.host.fleet.size())
 }
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -58,7 +58,7 @@
 	tenure.journal = newJournal(tenure)
 	tenure.policy = newDesks(tenure)
 	tenure.support = newSupport()
-	tenure.storedAt.Store(int64(time.Since(started)))
+	tenure.storedAt.Store(int64(tenure.host.uptime()))
 	tenure.wait.Go(tenure.run)
 	return tenure
 }
--- a/daemon/scheduler/watch.go
+++ b/daemon/scheduler/watch.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"ebonyshunt.org/daemon/linker"
 	"ebonyshunt.org/library/planner"
 )
 
@@ -32,6 +33,7 @@
 // BeatAnswer is what it is told.
 type BeatAnswer struct {
 	Office      Office          `json:"office"`
+	Boot        string          `json:"boot"`
 	Deciding    bool            `json:"deciding"`          // the answering host decides
 	Reaches     bool            `json:"reaches"`           // it heard from the decider lately
 	StoreSilent time.Duration   `json:"storeSilent"`       // for which the store did not answer it
@@ -39,12 +41,12 @@
 	Members     []Member        `json:"members,omitempty"` // where it knows more hosts
 }
 
-// heard is when the decider last answered, on the steady clock.
-var noAnswer int64 = -int64(time.Hour)
+// noAnswer stands for a decider that was never heard.
+const noAnswer = -int64(time.Hour)
 
 // watchState is what a host knows of the decider.
 type watchState struct {
-	heardAt     atomic.Int64 // time.Since(started)
+	heardAt     atomic.Int64 // uptime when the decider last answered, nanoseconds
 	storeSilent atomic.Int64 // of the decider
 }
 
@@ -54,26 +56,42 @@
 	since := time.Now()
 	for host.ctx.Err() == nil {
 		office, changed := host.fleet.view()
-		if host.present() != nil {
-			host.watching.heardAt.Store(int64(time.Since(started)))
-			host.pause(changed, beatEvery)
-			since = time.Now()
-			continue
+		heard := noDecider
+		switch {
+		case host.present() != nil:
+			host.watching.heardAt.Store(int64(host.uptime()))
+			heard = heardDecider
+		case office.Term > 0:
+			heard = host.beat(office)
 		}
-		if office.Term > 0 && host.beat(office) {
+		if heard == heardDecider {
 			since = time.Now()
-			if time.Duration(host.watching.storeSilent.Load()) < storeLost || host.storeSilent() > beatEvery+tailWait {
+			if !host.deciderLostStore() || host.present() != nil {
 				host.pause(changed, beatEvery)
 				continue
 			}
 		}
-		if office.Term == 0 || time.Since(since) >= suspectAfter || time.Duration(host.watching.storeSilent.Load()) >= storeLost {
+		if heard != silentDecider || time.Since(since) >= suspectAfter {
 			host.consider(office, changed)
 		}
 		host.pause(changed, beatEvery/3)
 	}
 }
 
+// hearing is what became of a beat.
+type hearing int
+
+const (
+	silentDecider hearing = iota
+	heardDecider
+	noDecider // surely there is none under the known term
+)
+
+// deciderLostStore reports whether the decider said that the store fails it.
+func (host *Host) deciderLostStore() bool {
+	return time.Duration(host.watching.storeSilent.Load()) >= storeLost
+}
+
 // pause waits for a time or until the office changes.
 func (host *Host) pause(changed <-chan struct{}, wait time.Duration) {
 	timer := time.NewTimer(wait)
@@ -85,21 +103,27 @@
 	}
 }
 
-// beat calls the decider and reports whether it answered as such.
-func (host *Host) beat(office Office) bool {
+// beat calls the decider.
+func (host *Host) beat(office Office) hearing {
 	ctx, cancel := context.WithTimeout(host.ctx, beatWithin)
 	defer cancel()
 	answer, err := host.callBeat(ctx, office.Address)
 	if err != nil {
 		host.log.Debug("decider does not answer", "decider", office.Host, "error", err)
-		return false
+		if linker.ErrUnsent.Has(err) && ctx.Err() == nil {
+			return noDecider // nothing listens there
+		}
+		return silentDecider
 	}
 	host.watching.storeSilent.Store(int64(answer.StoreSilent))
 	if !answer.Deciding {
-		return false
+		if answer.Boot != office.Boot {
+			return noDecider // its process is gone
+		}
+		return silentDecider
 	}
-	host.watching.heardAt.Store(int64(time.Since(started)))
-	return true
+	host.watching.heardAt.Store(int64(host.uptime()))
+	return heardDecider
 }
 
 func (host *Host) callBeat(ctx context.Context, address string) (BeatAnswer, error) {
@@ -125,7 +149,7 @@
 func (host *Host) answerBeat(beat Beat) BeatAnswer {
 	office, _ := host.fleet.view()
 	answer := BeatAnswer{
-		Office: office, Deciding: host.present() != nil, Reaches: host.reachesDecider(),
+		Office: office, Boot: host.boot, Deciding: host.present() != nil, Reaches: host.reachesDecider(),
 		StoreSilent: host.storeQuiet(),
 	}
 	if raw := host.raw.Load(); raw != nil && host.catalogVersion() > beat.Version {
@@ -153,7 +177,7 @@
 	if host.present() != nil {
 		return true
 	}
-	return time.Since(started)-time.Duration(host.watching.heardAt.Load()) < suspectAfter
+	return host.uptime()-time.Duration(host.watching.heardAt.Load()) < suspectAfter
 }
 
 // survey is what the peers say of the decider.
@@ -212,7 +236,7 @@
 			defer mu.Unlock()
 			found.answered++
 			if answer.Reaches && answer.Office.Term >= office.Term && (peer.Name != office.Host || answer.StoreSilent < storeLost) {
-				found.reaches = found.reaches || time.Duration(host.watching.storeSilent.Load()) < storeLost
+				found.reaches = found.reaches || !host.deciderLostStore()
 			}
 			if answer.StoreSilent < storeLost && compareMembers(peer, host.member()) < 0 && peer.Name != office.Host {
 				found.better++
