--- a/daemon/scheduler/fleet.go
+++ b/daemon/scheduler/fleet.go
@@ -68,6 +68,7 @@
 type fleet struct {
 	mu      sync.Mutex
 	members map[string]Member
+	read    bool // from the store, since the start
 	office  Office
 	changed chan struct{} // closed when the office changes
 }
@@ -106,6 +107,19 @@
 	return true
 }
 
+// known reports whether the store has told of the fleet.
+func (fleet *fleet) known() bool {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	return fleet.read
+}
+
+func (fleet *fleet) markRead() {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	fleet.read = true
+}
+
 func (fleet *fleet) register(member Member) {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
@@ -145,6 +159,7 @@
 		for _, entry := range entries {
 			host.learnFleet(entry)
 		}
+		host.fleet.markRead()
 		if tenure := host.present(); tenure != nil {
 			tenure.storedAt.Store(int64(host.uptime()))
 		}
--- a/daemon/scheduler/holder.go
+++ b/daemon/scheduler/holder.go
@@ -18,7 +18,9 @@
 }
 
 const (
-	holdWait     = time.Second // of one look, for an end
+	shortWait    = time.Second           // of one look, for an end of urgent work
+	longWait     = 2 * time.Second       // of one look, for an end of other work
+	gatherEnds   = 40 * time.Millisecond // between two looks at a worker without urgent work
 	holdSlack    = 300 * time.Millisecond
 	quickWithin  = 250 * time.Millisecond // of a look that does not wait
 	startWithin  = 250 * time.Millisecond
@@ -87,14 +89,18 @@
 	for {
 		tenure.mu.Lock()
 		unstored := tenure.planner.Unacknowledged(holder.worker)
-		looked := tenure.planner.Looked(holder.worker)
+		looked, urgent := tenure.planner.Looked(holder.worker), tenure.planner.Urgent(holder.worker)
 		stored := tenure.stored
 		tenure.mu.Unlock()
 		if !unstored {
 			if !looked {
 				return 0
 			}
-			return holdWait
+			if urgent {
+				return shortWait
+			}
+			sleep(ctx, gatherEnds)
+			return longWait
 		}
 		select {
 		case <-stored:
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -47,12 +47,14 @@
 	ready  *http.Server
 	status *http.Server
 
-	catalog  atomic.Pointer[planner.Catalog]
-	raw      atomic.Pointer[[]byte] // text of the catalog, for peers that the store turns away
-	fleet    *fleet
-	storeAt  atomic.Int64 // when the store last answered, Unix nanoseconds on the steady clock's base
-	leaving  atomic.Bool
-	watching watchState
+	catalog   atomic.Pointer[planner.Catalog]
+	raw       atomic.Pointer[[]byte] // text of the catalog, for peers that the store turns away
+	fleet     *fleet
+	storeAt   atomic.Int64 // when the store last answered, Unix nanoseconds on the steady clock's base
+	leaving   atomic.Bool
+	watching  watchState
+	yieldedAt time.Duration // uptime when the host last offered to hand over
+	rest      time.Duration // before the next campaign, after one that failed
 
 	mu     sync.Mutex
 	tenure *tenure
@@ -76,7 +78,7 @@
 	debug.SetGCPercent(collectPercent)
 	clock := &recorder.Clock{}
 	host := &Host{
-		settings: settings, network: network, log: log, boot: uuid.NewString(), started: time.Now(), clock: clock,
+		settings: settings, network: network, log: log, boot: uuid.NewString(), started: time.Now(), rest: firstRest, clock: clock,
 		store:  translator.NewStore(client(network, storeConns), settings.StoreAddress),
 		orders: translator.NewOrders(client(network, workerConns)),
 		pool:   linker.NewPool(network, settings.Host, clock),
--- a/daemon/scheduler/support.go
+++ b/daemon/scheduler/support.go
@@ -31,6 +31,13 @@
 	support.beats[host] = time.Now()
 }
 
+// from reports whether a host supported the tenure lately.
+func (support *support) from(host string) bool {
+	support.mu.Lock()
+	defer support.mu.Unlock()
+	return time.Since(support.beats[host]) <= supportFor
+}
+
 // most reports whether more than half of some hosts, this one included, supported the tenure lately.
 func (support *support) most(hosts int) bool {
 	support.mu.Lock()
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -16,6 +16,7 @@
 type tenure struct {
 	host    *Host
 	term    int64
+	beganAt time.Duration // uptime of the host
 	journal *journal
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -51,7 +52,7 @@
 func newTenure(host *Host, term int64) *tenure {
 	ctx, cancel := context.WithCancel(host.ctx)
 	tenure := &tenure{
-		host: host, term: term, ctx: ctx, cancel: cancel,
+		host: host, term: term, beganAt: host.uptime(), ctx: ctx, cancel: cancel,
 		kicked: make(chan struct{}, 1), stored: make(chan struct{}), opened: make(chan struct{}),
 		infos: map[string]planner.WorkerInfo{}, holds: map[string]*holder{},
 	}
--- a/daemon/scheduler/watch.go
+++ b/daemon/scheduler/watch.go
@@ -17,9 +17,17 @@
 	beatWithin   = 200 * time.Millisecond
 	suspectAfter = 500 * time.Millisecond // without an answer of the decider
 	surveyWithin = 200 * time.Millisecond
-	rankDelay    = 60 * time.Millisecond  // for each host that is better placed to decide
-	storeLost    = 900 * time.Millisecond // of a decider whose store is silent
-	alone        = 800 * time.Millisecond // that a host waits which reaches under half of the others
+	rankDelay    = 60 * time.Millisecond   // for each host that is better placed to decide
+	storeLost    = 900 * time.Millisecond  // of a decider whose store is silent
+	alone        = 800 * time.Millisecond  // that a host waits which reaches under half of the others
+	unheard      = 3 * time.Second         // that a host waits which reaches nobody
+	surveyAgain  = 300 * time.Millisecond  // of waiting, after which the peers are asked again
+	weakDelay    = 1500 * time.Millisecond // that a host of no capacity at all would wait for a stronger one
+	mostSurveyed = 12                      // peers that a survey asks
+	firstRest    = 250 * time.Millisecond  // between two campaigns that failed, then doubled
+	longestRest  = 2 * time.Second
+	strengthGap  = 1.5             // times the capacity of the decider, at which another host takes over
+	settled      = 2 * time.Second // of deciding, before a weak decider looks for a stronger host
 )
 
 // Beat is what a host tells the decider, or a peer that it surveys.
@@ -32,7 +40,7 @@
 
 // BeatAnswer is what it is told.
 type BeatAnswer struct {
-	Office      Office          `json:"office"`
+	Office      Office          `json:"office,omitzero"`
 	Boot        string          `json:"boot"`
 	Deciding    bool            `json:"deciding"`          // the answering host decides
 	Reaches     bool            `json:"reaches"`           // it heard from the decider lately
@@ -59,6 +67,7 @@
 		heard := noDecider
 		switch {
 		case host.present() != nil:
+			host.yield(host.present())
 			host.watching.heardAt.Store(int64(host.uptime()))
 			heard = heardDecider
 		case office.Term > 0:
@@ -184,34 +193,81 @@
 type survey struct {
 	asked    int
 	answered int
+	gone     int  // at whose address nothing listens
 	better   int  // peers that are better placed to decide and would
 	reaches  bool // one reaches the decider, whose store answers
 }
 
-// consider campaigns, unless a peer still reaches the decider; better placed hosts go first.
+// consider campaigns, unless a peer still reaches the decider. Better placed hosts go first, and one that
+// hears nobody waits for long, since it may be the one that is cut off or overloaded.
 func (host *Host) consider(office Office, changed <-chan struct{}) {
-	if host.leaving.Load() || host.storeQuiet() >= storeLost {
+	if host.leaving.Load() || !host.fleet.known() || host.storeQuiet() >= storeLost {
 		return
 	}
 	found := host.survey(office)
-	if present, _ := host.fleet.view(); present.Term > office.Term || found.reaches {
+	if found.reaches || host.superseded(office) {
 		return
 	}
-	delay := time.Duration(found.better) * rankDelay
-	if 2*(found.answered+1) < found.asked+1 {
+	delay := time.Duration(found.better)*rankDelay + host.weakness()
+	switch {
+	case found.asked > 0 && found.answered+found.gone == 0:
+		delay += unheard
+	case 2*(found.answered+found.gone+1) < found.asked+1:
 		delay += alone
 	}
-	if delay > 0 {
-		host.pause(changed, delay)
-	}
-	if present, _ := host.fleet.view(); present.Term > office.Term {
+	host.pause(changed, delay)
+	if delay > surveyAgain && host.survey(office).reaches || host.superseded(office) {
 		return
 	}
-	host.log.Info("campaign", "after", office.Term, "asked", found.asked, "answered", found.answered)
+	host.log.Info("campaign", "after", office.Term, "asked", found.asked, "answered", found.answered, "gone", found.gone, "delay", delay.String())
 	ctx, cancel := context.WithTimeout(host.ctx, campaignWithin)
 	defer cancel()
 	if err := host.campaign(ctx, office); err != nil {
 		host.log.Warn("campaign failed", "after", office.Term, "error", err)
+		host.pause(changed, host.rest)
+		host.rest = min(2*host.rest, longestRest)
+		return
+	}
+	host.rest = firstRest
+}
+
+// superseded reports whether a later office is known by now.
+func (host *Host) superseded(office Office) bool {
+	present, _ := host.fleet.view()
+	return present.Term > office.Term
+}
+
+// weakness returns how long the host waits for stronger ones to campaign.
+func (host *Host) weakness() time.Duration {
+	strongest := host.settings.ProcessorShare
+	for _, member := range host.fleet.all() {
+		strongest = max(strongest, member.ProcessorShare)
+	}
+	if strongest <= 0 {
+		return 0
+	}
+	return time.Duration(float64(weakDelay) * (1 - host.settings.ProcessorShare/strongest))
+}
+
+// yield hands the decision over to a much stronger host that supports this one's tenure.
+func (host *Host) yield(tenure *tenure) {
+	if host.uptime()-host.yieldedAt < settled || host.uptime()-tenure.beganAt < settled {
+		return
+	}
+	for _, member := range host.fleet.others(host.settings.Host) {
+		if member.ProcessorShare < strengthGap*host.settings.ProcessorShare {
+			return // the strongest come first
+		}
+		if !tenure.support.from(member.Name) {
+			continue
+		}
+		host.yieldedAt = host.uptime()
+		office, _ := host.fleet.view()
+		ctx, cancel := context.WithTimeout(host.ctx, campaignWithin)
+		defer cancel()
+		err := host.pool.Call(ctx, member.Address, methodCampaign, office, nil)
+		host.log.Info("yields to a stronger host", "to", member.Name, "error", err)
+		return
 	}
 }
 
@@ -221,6 +277,7 @@
 	if len(peers) == 0 {
 		peers = host.seeds()
 	}
+	peers = peers[:min(mostSurveyed, len(peers))]
 	ctx, cancel := context.WithTimeout(host.ctx, surveyWithin)
 	defer cancel()
 	var mu sync.Mutex
@@ -229,11 +286,14 @@
 	for _, peer := range peers {
 		wait.Go(func() {
 			answer, err := host.callBeat(ctx, peer.Address)
+			mu.Lock()
+			defer mu.Unlock()
 			if err != nil {
+				if linker.ErrUnsent.Has(err) && ctx.Err() == nil {
+					found.gone++
+				}
 				return
 			}
-			mu.Lock()
-			defer mu.Unlock()
 			found.answered++
 			if answer.Reaches && answer.Office.Term >= office.Term && (peer.Name != office.Host || answer.StoreSilent < storeLost) {
 				found.reaches = found.reaches || !host.deciderLostStore()
--- a/library/planner/cell_test.go
+++ b/library/planner/cell_test.go
@@ -75,6 +75,12 @@
 
 // begin makes a new planner from what is stored, as after a takeover.
 func (cell *cell) begin(term int64, catalog *planner.Catalog) {
+	cell.restore(term, catalog)
+	cell.holdAll()
+}
+
+// restore makes a new planner from what is stored, which has not looked at any worker yet.
+func (cell *cell) restore(term int64, catalog *planner.Catalog) {
 	cell.planner = planner.New(testSettings, term, catalog, cell.now)
 	cell.queue = nil
 	records := make([]planner.Record, 0, len(cell.stored))
@@ -85,7 +91,6 @@
 		cell.t.Fatalf("records %v do not decode", unread)
 	}
 	cell.list()
-	cell.holdAll()
 }
 
 // list tells the planner of all workers.
--- a/library/planner/job.go
+++ b/library/planner/job.go
@@ -107,18 +107,18 @@
 }
 
 // Step returns the key of the task's step.
-func (key TaskKey) step() StepKey {
-	return StepKey{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step}
+func (taskKey TaskKey) step() StepKey {
+	return StepKey{Job: taskKey.Job, Occurrence: taskKey.Occurrence, Step: taskKey.Step}
 }
 
 // String formats the key for logs.
-func (key TaskKey) String() string {
-	return fmt.Sprintf("%s/%d/%d/%d", key.Job, key.Occurrence, key.Step, key.Index)
+func (taskKey TaskKey) String() string {
+	return fmt.Sprintf("%s/%d/%d/%d", taskKey.Job, taskKey.Occurrence, taskKey.Step, taskKey.Index)
 }
 
 // String formats the key for logs.
-func (key StepKey) String() string {
-	return fmt.Sprintf("%s/%d/%d", key.Job, key.Occurrence, key.Step)
+func (stepKey StepKey) String() string {
+	return fmt.Sprintf("%s/%d/%d", stepKey.Job, stepKey.Occurrence, stepKey.Step)
 }
 
 // StepKey names one step of one occurrence of a job.
--- a/library/planner/place.go
+++ b/library/planner/place.go
@@ -113,8 +113,10 @@
 }
 
 func (planner *Planner) newRun(step *step, key TaskKey, number int, worker *Worker, now time.Time) *Run {
+	queue, _ := planner.catalog.Queue(step.job.Queue)
 	return &Run{
-		Key: key, Number: number, Worker: worker.ID, Born: worker.Born, Size: step.charge(), Token: worker.Token,
+		Urgent: queue.Priority == 0 && !step.Standing,
+		Key:    key, Number: number, Worker: worker.ID, Born: worker.Born, Size: step.charge(), Token: worker.Token,
 		Began: now, Moved: now, Filler: step.Filler, Serving: step.TailMS > 0,
 	}
 }
@@ -158,7 +160,7 @@
 }
 
 // freshness is how long ago a worker must have answered to get new runs.
-const freshness = 2500 * time.Millisecond
+const freshness = 3200 * time.Millisecond
 
 // eligible reports whether a worker can take one more task of the step now, beside some that it is given
 // in the same round.
--- a/library/planner/policy.go
+++ b/library/planner/policy.go
@@ -19,8 +19,8 @@
 }
 
 // valid reports whether a ticket for the worker's present incarnation is at hand.
-func (answer *policyAnswer) valid(worker *Worker, now time.Time) bool {
-	ticket, found := answer.allowed[worker.ID]
+func (policyAnswer *policyAnswer) valid(worker *Worker, now time.Time) bool {
+	ticket, found := policyAnswer.allowed[worker.ID]
 	return found && ticket.born == worker.Born && now.Before(ticket.until)
 }
 
--- a/library/planner/runs.go
+++ b/library/planner/runs.go
@@ -166,19 +166,19 @@
 	return runs
 }
 
-func (key TaskKey) compare(other TaskKey) int {
+func (taskKey TaskKey) compare(other TaskKey) int {
 	switch {
-	case key.Job != other.Job:
-		if key.Job < other.Job {
+	case taskKey.Job != other.Job:
+		if taskKey.Job < other.Job {
 			return -1
 		}
 		return 1
-	case key.Occurrence != other.Occurrence:
-		return key.Occurrence - other.Occurrence
-	case key.Step != other.Step:
-		return key.Step - other.Step
+	case taskKey.Occurrence != other.Occurrence:
+		return taskKey.Occurrence - other.Occurrence
+	case taskKey.Step != other.Step:
+		return taskKey.Step - other.Step
 	}
-	return key.Index - other.Index
+	return taskKey.Index - other.Index
 }
 
 // Listed takes a worker's answer to a hold.
@@ -204,7 +204,9 @@
 	if !listing.Partial {
 		planner.disprove(worker, listing, now)
 	}
-	if listing.Token == worker.Token {
+	if listing.Token == worker.Token && !worker.Looked {
+		// Whoever held the worker before asked for no longer lease than this, and can ask for none any more.
+		worker.leasedTo = max(worker.leasedTo, listing.Clock+planner.Settings.Lease.Milliseconds())
 		worker.Looked = true
 	}
 }
--- a/library/planner/runs_test.go
+++ b/library/planner/runs_test.go
@@ -298,6 +298,29 @@
 			t.Errorf("%d starts after the longest lease, want 2", len(cell.starts))
 		}
 	})
+	t.Run("workerThatFallsSilentAfterTheFirstLookKeepsItsLease", func(t *testing.T) {
+		cell := newCell(t, testStart, 2)
+		cell.submit(jobA, tasks(1))
+		cell.settle()
+		worker := cell.workers[cell.starts[0].Worker]
+		cell.restore(2, testCatalog())
+		cell.hold(worker.id)
+		worker.silent = true
+		cell.now = cell.now.Add(400 * time.Millisecond) // a busy decider comes to its next look late
+		cell.settle()
+		for range 55 {
+			cell.pass(100 * time.Millisecond)
+		}
+		if len(cell.starts) != 1 {
+			t.Fatalf("started elsewhere within the lease of the former decider: %v", cell.starts)
+		}
+		for range 12 {
+			cell.pass(100 * time.Millisecond)
+		}
+		if len(cell.starts) != 2 {
+			t.Errorf("%d starts after the lease, want 2", len(cell.starts))
+		}
+	})
 	t.Run("completedAndCanceledJobsStaySo", func(t *testing.T) {
 		cell := newCell(t, testStart, 2)
 		cell.submit(jobA, tasks(1))
--- a/library/planner/tables.go
+++ b/library/planner/tables.go
@@ -107,9 +107,9 @@
 	}
 }
 
-func (of *occurrence) ready(step *step) bool {
+func (occurrence *occurrence) ready(step *step) bool {
 	for _, earlier := range step.After {
-		if of.steps[earlier].done < of.steps[earlier].Count {
+		if occurrence.steps[earlier].done < occurrence.steps[earlier].Count {
 			return false
 		}
 	}
--- a/library/planner/worker.go
+++ b/library/planner/worker.go
@@ -65,6 +65,7 @@
 	Moved    time.Time
 	Filler   bool
 	Serving  bool
+	Urgent   bool
 }
 
 const (
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -132,7 +132,7 @@
 	fleet.Helper()
 	log := slog.New(slog.DiscardHandler)
 	if os.Getenv("EBONYSHUNT_TEST_LOG") != "" {
-		log = slog.New(slog.NewTextHandler(os.Stderr, nil)).With("host", name)
+		log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug})).With("at", name)
 	}
 	host, err := scheduler.Start(loader.Scheduling{
 		Host: name, Zone: name[6:7], HTTPAddress: hostAddress(name, 80), ReadinessAddress: hostAddress(name, 81),
