--- a/daemon/scheduler/catalog.go
+++ b/daemon/scheduler/catalog.go
@@ -20,9 +20,14 @@
 // each change. Between two reads it pauses.
 func (host *Host) follow(ctx context.Context, topic translator.Topic, pause time.Duration, take func(entries []translator.Entry, reset bool)) {
 	backoff := firstBackoff
+	var lostAt time.Time
 	for ctx.Err() == nil {
 		entries, next, err := host.newest(ctx, topic)
 		if err == nil {
+			if !lostAt.IsZero() {
+				host.log.Info("store regained", "topic", topic, "after", time.Since(lostAt).String())
+				lostAt = time.Time{}
+			}
 			take(entries, true)
 			backoff = firstBackoff
 			err = host.tail(ctx, topic, next, pause, take)
@@ -30,11 +35,16 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if !errors.Is(err, translator.ErrDropped) {
+		if errors.Is(err, translator.ErrDropped) {
+			host.log.Info("history dropped, read anew", "topic", topic)
+			continue
+		}
+		if lostAt.IsZero() {
+			lostAt = time.Now()
 			host.log.Warn("store lost", "topic", topic, "error", err)
-			sleep(ctx, backoff)
-			backoff = min(2*backoff, mostBackoff)
 		}
+		sleep(ctx, backoff)
+		backoff = min(2*backoff, mostBackoff)
 	}
 }
 
--- a/daemon/scheduler/journal.go
+++ b/daemon/scheduler/journal.go
@@ -145,8 +145,10 @@
 			journal.awaitTurn(sequence)
 			continue
 		}
-		journal.failing.CompareAndSwap(0, int64(journal.tenure.host.uptime()))
-		tenure.host.log.Warn("journal does not take a batch", "sequence", sequence, "records", len(entries), "quiet", journal.quiet().String(), "error", err)
+		if journal.failing.CompareAndSwap(0, int64(journal.tenure.host.uptime())) {
+			tenure.host.log.Warn("journal lost", "sequence", sequence, "records", len(entries), "error", err)
+		}
+		tenure.host.log.Debug("journal does not take a batch", "sequence", sequence, "records", len(entries), "quiet", journal.quiet().String(), "error", err)
 		sleep(tenure.ctx, appendBackoff)
 	}
 }
