--- a/command/main.go
+++ b/command/main.go
@@ -44,7 +44,7 @@
 var commands = []*command{
 	cmdCheck, cmdPublish, cmdDiff, cmdShow, cmdTeam, cmdKey, cmdWithdraw, cmdQueue, cmdService, cmdRemove,
 	cmdDrain, cmdForfeit, cmdRequest, cmdSubmit, cmdWatch, cmdAnswer, cmdCancel, cmdWorkers, cmdTasks, cmdTeams,
-	cmdHosts, cmdTimeline,
+	cmdHosts, cmdTimeline, cmdExplain,
 }
 
 func main() {
--- a/daemon/loader/scheduling.go
+++ b/daemon/loader/scheduling.go
@@ -86,9 +86,7 @@
 	case "store":
 		scheduling.StoreAddress = fields.Address("address", "")
 	case "policy":
-		if fields.Text("address", "") != "" {
-			scheduling.PolicyAddress = fields.Address("address", "")
-		}
+		scheduling.PolicyAddress = optionalAddress(fields, "address")
 	case "bounds":
 		scheduling.parseBounds(fields)
 	default:
@@ -97,13 +95,20 @@
 	return true
 }
 
+func optionalAddress(fields *parser.Fields, key string) string {
+	if fields.Text(key, "") == "" {
+		return ""
+	}
+	return fields.Address(key, "")
+}
+
 func (scheduling *Scheduling) parseHost(fields *parser.Fields) {
 	scheduling.Host = fields.Required("name", "the name of this host")
 	scheduling.Zone = fields.Required("zone", "the availability zone of this host")
 	scheduling.Region = fields.Text("region", "")
 	scheduling.HTTPAddress = fields.Address("httpAddress", "")
 	scheduling.ReadinessAddress = fields.Address("readinessAddress", "")
-	scheduling.MetricsAddress = fields.Address("metricsAddress", "")
+	scheduling.MetricsAddress = optionalAddress(fields, "metricsAddress")
 	scheduling.PeerAddress = fields.Address("peerAddress", "")
 	scheduling.Seeds = fields.Addresses("seeds")
 	scheduling.ProcessorShare = fields.Number("processorShare", 1, mostShare)
