--- a/daemon/scheduler/calls.go
+++ b/daemon/scheduler/calls.go
@@ -70,6 +70,16 @@
 	case <-tenure.ctx.Done():
 		return planner.Reply{}, errNotDeciding
 	}
+	reply, err := tenure.serve(ctx, method, call)
+	if err == nil && reply.Verdict == planner.Missing && tenure.unsure() {
+		// A later decider may have accepted the job.
+		return planner.Reply{Verdict: planner.Refused, Reason: "it is not sure that this host decides", RetryAfter: comeBack}, nil
+	}
+	return reply, err
+}
+
+// serve answers a call from the tables.
+func (tenure *tenure) serve(ctx context.Context, method string, call Call) (planner.Reply, error) {
 	switch method {
 	case methodSubmit:
 		return tenure.submit(ctx, call)
--- a/daemon/scheduler/support.go
+++ b/daemon/scheduler/support.go
@@ -72,3 +72,13 @@
 	silent := tenure.host.uptime() - time.Duration(tenure.storedAt.Load())
 	return silent <= storeAuthority || silent <= loneAuthority && tenure.support.most(tenure.host.fleet.size())
 }
+
+// unsure reports whether another host may decide by now, as far as the store has told: its answers fail, or
+// are due.
+func (tenure *tenure) unsure() bool {
+	silent := tenure.host.uptime() - time.Duration(tenure.storedAt.Load())
+	return tenure.storeQuiet() > unsureAfter || silent > tailWait+tailSlack
+}
+
+// unsureAfter is how long appends may fail before a decider doubts that it still decides.
+const unsureAfter = 200 * time.Millisecond
--- a/daemon/scheduler/watch.go
+++ b/daemon/scheduler/watch.go
@@ -65,9 +65,13 @@
 	for host.ctx.Err() == nil {
 		office, changed := host.fleet.view()
 		heard := noDecider
+		tenure := host.present()
 		switch {
-		case host.present() != nil:
-			host.yield(host.present())
+		case tenure != nil:
+			host.yield(tenure)
+			if tenure.unsure() {
+				host.survey(office) // a peer tells of a later decider
+			}
 			host.watching.heardAt.Store(int64(host.uptime()))
 			heard = heardDecider
 		case office.Term > 0:
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -581,3 +581,23 @@
 		})
 	}
 }
+
+// TestFleetDeposed asks a host that decided until the store turned it away, while another one decides.
+func TestFleetDeposed(t *testing.T) {
+	inFleet(t, 4, func(fleet *fleet) {
+		former := fleet.decider()
+		heal := fleet.fabric.Cut([]string{former}, []string{"store"})
+		other := fleet.names[(slices.Index(fleet.names, former)+1)%len(fleet.names)]
+		for number := range 12 {
+			fleet.submit(other, number)
+			path := fleetQueue + jobID(number)
+			for _, method := range []string{"GET", "DELETE"} {
+				if answer := fleet.call(method, former, path, fleetKey, ""); answer.status == http.StatusGone {
+					fleet.Errorf("after %d jobs the former decider denies job %d", number, number)
+				}
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		heal()
+	})
+}
