--- a/library/planner/plan.go
+++ b/library/planner/plan.go
@@ -36,7 +36,6 @@
 
 const (
 	tierOwed = iota
-	tierLate // past its objective, which is worth little to its caller
 	tierExcess
 	tierHopeless
 )
@@ -60,8 +59,6 @@
 		made.tier = tierHopeless
 	case step.job.Excess:
 		made.tier = tierExcess
-	case now.After(made.deadline):
-		made.tier = tierLate
 	}
 	return made
 }
