Keep urgent jobs to one zone, serve latency histograms, and drop what nothing used

Urgent jobs over all zones were delayed by the cut of any zone. Dropped: a sum of loads, counters beside metrics, a verdict that nobody gave, a setting that nothing read, two copies of a wait.

--- a/daemon/loader/scheduling.go
+++ b/daemon/loader/scheduling.go
@@ -25,7 +25,6 @@
 	StoreAddress     string
 	PolicyAddress    string // empty where queues have no policy
 	LongestLease     time.Duration
-	Drain            time.Duration
 	StopTime         time.Duration
 	StatusFor        time.Duration
 	Spread           float64
@@ -118,7 +117,6 @@
 
 func (scheduling *Scheduling) parseBounds(fields *parser.Fields) {
 	scheduling.LongestLease = fields.Duration("longestLease", 10*time.Second, time.Second, longestBound)
-	scheduling.Drain = fields.Duration("drain", 2*time.Second, 0, longestBound)
 	scheduling.StopTime = fields.Duration("stopTime", time.Second, 0, longestBound)
 	scheduling.StatusFor = fields.Duration("statusFor", 2*time.Minute, time.Second, longestBound)
 	scheduling.Spread = fields.Number("spread", 1.5, mostSpread)
--- a/daemon/scheduler/calls.go
+++ b/daemon/scheduler/calls.go
@@ -216,8 +216,7 @@
 	tenure.mu.Lock()
 	defer tenure.mu.Unlock()
 	state, known := tenure.planner.State(call.ID)
-	queue, _, _ := tenure.planner.QueueOf(call.ID)
-	if !known || queue != call.Queue {
+	if !known || tenure.planner.QueueOf(call.ID) != call.Queue {
 		return planner.Reply{Verdict: planner.Missing}
 	}
 	return planner.Reply{State: state}
--- a/daemon/scheduler/catalog.go
+++ b/daemon/scheduler/catalog.go
@@ -84,14 +84,8 @@
 
 // sleep waits for a time or until ctx is done.
 func sleep(ctx context.Context, wait time.Duration) {
-	if wait <= 0 {
-		return
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+	if wait > 0 {
+		pause(ctx, nil, wait)
 	}
 }
 
--- a/daemon/scheduler/desk.go
+++ b/daemon/scheduler/desk.go
@@ -59,19 +59,23 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	sent := false
+	sent, began := false, time.Now()
 	for {
 		office, changed := host.fleet.view()
 		reply, err := desk.callOnce(ctx, office, method, call)
 		if err == nil {
-			host.log.Info("call", "method", method, "job", call.ID, "queue", call.Queue, "verdict", reply.Verdict, "state", reply.State, "reason", reply.Reason)
+			host.metrics.calls.WithLabelValues(method, reply.Verdict.String()).Observe(time.Since(began).Seconds())
+			host.log.Info("call", "method", method, "job", call.ID, "queue", call.Queue, "verdict", reply.Verdict.String(), "state", reply.State, "reason", reply.Reason)
 			return reply
 		}
 		sent = sent || !linker.ErrUnsent.Has(err)
 		host.log.Info("decider does not answer", "method", method, "job", call.ID, "decider", office.Host, "error", err)
-		host.pauseFor(ctx, changed, deciderPause)
+		pause(ctx, changed, deciderPause)
 		if ctx.Err() != nil {
-			return given(sent && call.Job != nil || sent && method == methodCancel)
+			reply := given(sent && (call.Job != nil || method == methodCancel))
+			host.metrics.calls.WithLabelValues(method, reply.Verdict.String()).Observe(time.Since(began).Seconds())
+			host.log.Warn("call given up", "method", method, "job", call.ID, "verdict", reply.Verdict.String(), "after", time.Since(began).String())
+			return reply
 		}
 	}
 }
@@ -84,7 +88,8 @@
 	return planner.Reply{Verdict: planner.Refused, Reason: "no decider can be reached", RetryAfter: comeBack}
 }
 
-func (host *Host) pauseFor(ctx context.Context, changed <-chan struct{}, wait time.Duration) {
+// pause waits for a time, until something changes or until ctx is done.
+func pause(ctx context.Context, changed <-chan struct{}, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
--- a/daemon/scheduler/journal.go
+++ b/daemon/scheduler/journal.go
@@ -101,6 +101,7 @@
 
 func (journal *journal) saveParts(batch planner.Batch, first int64, parts [][]translator.Entry) {
 	tenure := journal.tenure
+	began := time.Now()
 	for index, part := range parts {
 		if !journal.savePart(first+int64(index), part) {
 			return
@@ -109,6 +110,7 @@
 	journal.mu.Lock()
 	journal.underWay--
 	journal.mu.Unlock()
+	tenure.host.metrics.appends.Observe(time.Since(began).Seconds())
 	tenure.finish(batch)
 	sleep(tenure.ctx, appendGap)
 	tenure.kick()
@@ -155,22 +157,16 @@
 
 // awaitTurn waits until the append before one is stored, or some time has passed.
 func (journal *journal) awaitTurn(sequence int64) {
-	limit := time.NewTimer(turnWithin)
-	defer limit.Stop()
-	for {
+	ctx, cancel := context.WithTimeout(journal.tenure.ctx, turnWithin)
+	defer cancel()
+	for ctx.Err() == nil {
 		journal.mu.Lock()
 		through, moved := journal.through, journal.moved
 		journal.mu.Unlock()
 		if through >= sequence-1 {
 			return
 		}
-		select {
-		case <-moved:
-		case <-limit.C:
-			return
-		case <-journal.tenure.ctx.Done():
-			return
-		}
+		pause(ctx, moved, turnWithin)
 	}
 }
 
--- a/daemon/scheduler/metrics.go
+++ b/daemon/scheduler/metrics.go
@@ -14,8 +14,18 @@
 	registry *prometheus.Registry
 	looks    prometheus.Counter
 	starts   *prometheus.CounterVec
+	calls    *prometheus.HistogramVec
+	appends  prometheus.Histogram
+	jobs     *prometheus.HistogramVec
+	endings  *prometheus.CounterVec
 }
 
+// The buckets of durations: 2 ms to 4 s, and 0.1 s to 7 minutes.
+var (
+	callBuckets = prometheus.ExponentialBuckets(0.002, 2, 12)
+	jobBuckets  = prometheus.ExponentialBuckets(0.1, 2, 13)
+)
+
 func newMetrics(host *Host) *metrics {
 	metrics := &metrics{
 		registry: prometheus.NewRegistry(),
@@ -23,8 +33,20 @@
 		starts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "ebonyshunt_starts_total", Help: "Orders to start by outcome.",
 		}, []string{"outcome"}),
+		calls: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "ebonyshunt_call_duration_seconds", Help: "Callers' calls by method and verdict.", Buckets: callBuckets,
+		}, []string{"method", "verdict"}),
+		appends: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "ebonyshunt_append_duration_seconds", Help: "Time until a batch is stored.", Buckets: callBuckets,
+		}),
+		jobs: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "ebonyshunt_job_duration_seconds", Help: "Time from acceptance to the final state.", Buckets: jobBuckets,
+		}, []string{"state"}),
+		endings: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "ebonyshunt_run_endings_total", Help: "Runs that ended otherwise than done.",
+		}, []string{"ending"}),
 	}
-	metrics.registry.MustRegister(metrics.looks, metrics.starts,
+	metrics.registry.MustRegister(metrics.looks, metrics.starts, metrics.calls, metrics.appends, metrics.jobs, metrics.endings,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "ebonyshunt_deciding", Help: "1 while this host decides.",
 		}, func() float64 {
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -153,7 +153,7 @@
 	settings := tenure.host.settings
 	made := planner.New(planner.Settings{
 		Lease: min(longLease, settings.LongestLease), Authority: loneAuthority,
-		StatusFor: settings.StatusFor, Drain: settings.Drain, StopTime: settings.StopTime, Spread: settings.Spread,
+		StatusFor: settings.StatusFor, StopTime: settings.StopTime, Spread: settings.Spread,
 	}, tenure.term, tenure.host.catalog.Load(), time.Now())
 	if unread := made.Restore(records, time.Now()); len(unread) > 0 {
 		tenure.host.log.Error("journal records do not decode", "keys", unread)
@@ -278,9 +278,11 @@
 func (tenure *tenure) logNotes(notes []planner.Note) {
 	for _, note := range notes {
 		if note.Ending == "" {
+			tenure.host.metrics.jobs.WithLabelValues(string(note.State)).Observe(note.Took.Seconds())
 			tenure.host.log.Info("job ended", "job", note.Job, "queue", note.Queue, "team", note.Team, "state", note.State, "took", note.Took.String())
 			continue
 		}
+		tenure.host.metrics.endings.WithLabelValues(string(note.Ending)).Inc()
 		tenure.host.log.Info("run ended", "task", note.Task.String(), "run", note.Number, "worker", note.Worker, "ending", note.Ending, "took", note.Took.String())
 	}
 }
--- a/daemon/scheduler/watch.go
+++ b/daemon/scheduler/watch.go
@@ -107,13 +107,7 @@
 
 // pause waits for a time or until the office changes.
 func (host *Host) pause(changed <-chan struct{}, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-changed:
-	case <-host.ctx.Done():
-	}
+	pause(host.ctx, changed, wait)
 }
 
 // beat calls the decider.
--- a/library/planner/cell_test.go
+++ b/library/planner/cell_test.go
@@ -47,7 +47,7 @@
 
 var testSettings = planner.Settings{
 	Lease: 6 * time.Second, Authority: 12 * time.Second, StatusFor: 2 * time.Minute,
-	Drain: 2 * time.Second, StopTime: 200 * time.Millisecond, Spread: 1.5,
+	StopTime: 200 * time.Millisecond, Spread: 1.5,
 }
 
 func testCatalog() *planner.Catalog {
@@ -98,13 +98,16 @@
 	var infos []planner.WorkerInfo
 	for _, id := range slices.Sorted(maps.Keys(cell.workers)) {
 		infos = append(infos, planner.WorkerInfo{
-			ID: id, Service: testService, Address: id, Zone: "a", Labels: []string{"a", "r-1"},
+			ID: id, Service: testService, Address: id, Zone: cell.zoneOf(id), Labels: []string{"a", "r-1"},
 			Capacity: sizer.Size{MilliCores: 32000, MemoryMB: 65536, Accelerators: 8}, Born: cell.workers[id].born,
 		})
 	}
 	cell.planner.SetWorkers(infos, cell.now)
 }
 
+// zoneOf spreads the workers over three zones.
+func (*cell) zoneOf(id string) string { return string("abc"[int(id[len(id)-1]-'0')%3]) }
+
 // holdAll lets every worker that answers list what it runs, twice, so that fences are settled.
 func (cell *cell) holdAll() {
 	for range 2 {
--- a/library/planner/health.go
+++ b/library/planner/health.go
@@ -68,7 +68,6 @@
 		worker.health.succeed()
 		planner.learnSpeed(step, worker, run, now)
 	case EndedFailed:
-		planner.Counters.Failures++
 		if !step.Standing {
 			worker.health.fail(run.Key.Job, now)
 		}
--- a/library/planner/place.go
+++ b/library/planner/place.go
@@ -104,6 +104,9 @@
 func (planner *Planner) start(step *step, index, number int, worker *Worker, now time.Time) {
 	key := TaskKey{Job: step.key.Job, Occurrence: step.key.Occurrence, Step: step.key.Step, Index: index}
 	step.tasks[index].number = number
+	if step.of.zone == "" {
+		step.of.zone = worker.Zone
+	}
 	planner.attach(step, planner.newRun(step, key, number, worker, now))
 	if step.job.state == Queued {
 		step.job.state = Running
@@ -200,11 +203,13 @@
 	failedHereCost = 4.0  // of a worker on which the task has failed
 	fillCost       = 0.25 // of a worker that would be left wholly empty
 	apartCost      = 0.5  // of a worker that serves none of the tasks that fillers disturb
+	awayCost       = 0.3  // to urgent work, of a worker outside the zone of its other tasks
 	unlikeCost     = 0.5  // to work that is not urgent, of a worker twice as slow or fast as others
 )
 
 // cost rates a worker for a task by the time that the work takes there, and then by how well it packs.
-// Work that is not urgent leaves the fast workers to others, and avoids the slow ones.
+// Work that is not urgent leaves the fast workers to others, and avoids the slow ones. Urgent work keeps to
+// one zone, so that the cut of a zone delays few jobs rather than a part of each.
 func (pass *pass) cost(step *step, queue Queue, task *task, worker *Worker, taken int) float64 {
 	cost := worker.slowness()
 	if queue.Priority > 0 && !step.Gang {
@@ -221,6 +226,9 @@
 	if step.TailMS > 0 && worker.serving == 0 {
 		cost += apartCost
 	}
+	if queue.Priority == 0 && step.of.zone != "" && step.of.zone != worker.Zone {
+		cost += awayCost
+	}
 	return cost
 }
 
@@ -361,7 +369,6 @@
 		}
 	}
 	for _, run := range best {
-		pass.planner.Counters.Preempted++
 		pass.planner.stop(run, pass.now)
 		pass.held[run.Worker] = true
 	}
--- a/library/planner/place_test.go
+++ b/library/planner/place_test.go
@@ -78,6 +78,19 @@
 		cell.settle()
 		cell.wantRunning(1)
 	})
+	t.Run("urgentJobKeepsToOneZone", func(t *testing.T) {
+		cell := newCell(t, testStart, 9)
+		cell.submit(jobA, tasks(5), after(tasks(5), 0))
+		cell.settle()
+		cell.endAll(planner.EndedDone)
+		zones := map[string]int{}
+		for _, start := range cell.starts {
+			zones[cell.zoneOf(start.Worker)]++
+		}
+		if len(zones) != 1 {
+			t.Errorf("tasks by zone: %v", zones)
+		}
+	})
 	t.Run("workerThatFailsSeveralJobsIsBarred", func(t *testing.T) {
 		cell := newCell(t, testStart, 1)
 		for number := range 3 {
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -24,7 +24,6 @@
 	Lease     time.Duration // for which a hold keeps a worker's runs alive
 	Authority time.Duration // for which an earlier planner may go on renewing leases after this one began
 	StatusFor time.Duration // for which the state of an ended job is kept
-	Drain     time.Duration // after which a draining worker must get no new runs
 	StopTime  time.Duration // that a stop takes at most
 	Spread    float64       // run time away from the data's rack, or across racks, as a multiple
 }
@@ -33,7 +32,6 @@
 type Planner struct {
 	Settings Settings
 	Term     int64
-	Counters Counters
 
 	catalog *Catalog
 	jobs    map[string]*row
@@ -73,17 +71,6 @@
 	filled time.Time
 }
 
-// Counters count the planner's own work since it was made.
-type Counters struct {
-	Accepted  int64
-	Starts    int64
-	Doubts    int64 // orders whose answer was lost
-	Vanished  int64 // runs that went with their worker
-	Preempted int64
-	Failures  int64
-	Finished  int64
-}
-
 // tokenBits is how many tokens a term has for raising, as a power of two.
 const tokenBits = 20
 
@@ -208,13 +195,12 @@
 	return row.shown, true
 }
 
-// QueueOf returns the queue of a job.
-func (planner *Planner) QueueOf(id string) (queue, team string, known bool) {
-	row, known := planner.jobs[id]
-	if !known {
-		return "", "", false
+// QueueOf returns the queue of a job, or nothing where no such job is known.
+func (planner *Planner) QueueOf(id string) string {
+	if row := planner.jobs[id]; row != nil {
+		return row.Queue
 	}
-	return row.Queue, row.Team, true
+	return ""
 }
 
 // Pending returns how many accepted jobs of a queue have not begun.
@@ -227,35 +213,3 @@
 	}
 	return count
 }
-
-// Load sums up a service for deciding what to take on.
-type Load struct {
-	Workers  int
-	Capacity sizer.Size
-	Used     sizer.Size
-	Waiting  int // tasks whose turn has come
-	Jobs     int // jobs that are not final
-}
-
-// Load returns the load of a service.
-func (planner *Planner) Load(service string) Load {
-	var load Load
-	for _, worker := range planner.workers {
-		if worker.Service == service && worker.Listed && !worker.Draining {
-			load.Workers++
-			load.Capacity = load.Capacity.Add(worker.Capacity)
-			load.Used = load.Used.Add(worker.Used)
-		}
-	}
-	for _, step := range planner.steps {
-		if queue, found := planner.catalog.Queue(step.job.Queue); found && queue.Service == service {
-			load.Waiting += len(step.waiting)
-		}
-	}
-	for _, row := range planner.jobs {
-		if !row.state.Final() {
-			load.Jobs++
-		}
-	}
-	return load
-}
--- a/library/planner/reply.go
+++ b/library/planner/reply.go
@@ -9,11 +9,15 @@
 const (
 	Granted  Verdict = iota
 	Refused          // it was not taken and never will be
-	Busy             // as Refused, because there is more than can be served
 	Unproven         // it may have been taken
 	Missing          // no such job
 )
 
+// String names the verdict for logs.
+func (verdict Verdict) String() string {
+	return [...]string{"granted", "refused", "unproven", "missing"}[verdict]
+}
+
 // Reply is what a caller is told.
 type Reply struct {
 	Verdict    Verdict       `json:"verdict"`
--- a/library/planner/runs.go
+++ b/library/planner/runs.go
@@ -46,7 +46,6 @@
 		Deadline: worker.clockAtLeast(now) + planner.Settings.Lease.Milliseconds(),
 	}
 	worker.leasedTo = max(worker.leasedTo, order.Deadline)
-	planner.Counters.Starts++
 	return order, true
 }
 
@@ -102,7 +101,6 @@
 
 // doubt raises the token of a worker that may still carry out an order, and looks at it.
 func (planner *Planner) doubt(worker *Worker, _ time.Time) {
-	planner.Counters.Doubts++
 	worker.Token++
 	worker.Looked = false
 	worker.deadAfter = worker.lapsedBound()
@@ -150,7 +148,6 @@
 }
 
 func (planner *Planner) vanish(run *Run, now time.Time) {
-	planner.Counters.Vanished++
 	if step, open := planner.openRun(run.Key, run.Number); open == run {
 		planner.close(step, run, Vanished, "", now)
 	}
--- a/library/planner/submission.go
+++ b/library/planner/submission.go
@@ -17,7 +17,6 @@
 	row := planner.adopt(job)
 	planner.fresh[job.ID] = true
 	planner.touch(row)
-	planner.Counters.Accepted++
 	planner.fall(row, now)
 	return true
 }
@@ -118,7 +117,6 @@
 	row.state = state
 	row.endedAt = now.UnixMilli()
 	planner.touch(row)
-	planner.Counters.Finished++
 	planner.notes = append(planner.notes, Note{
 		Job: row.ID, Queue: row.Queue, Team: row.Team, State: state, Took: now.Sub(time.UnixMilli(row.AcceptedMS)),
 	})
--- a/library/planner/tables.go
+++ b/library/planner/tables.go
@@ -23,7 +23,8 @@
 	number int
 	due    time.Time
 	steps  []*step
-	done   int // steps completed
+	done   int    // steps completed
+	zone   string // availability zone of its first run
 }
 
 // step is one step of an occurrence with its tasks.
