--- a/daemon/cmd_schedule.go
+++ b/daemon/cmd_schedule.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -28,12 +27,8 @@
 		Args:    cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			settings, err := loader.LoadScheduling(path)
-			if err != nil {
-				return &settingsError{err: err}
-			}
-			if check {
-				fmt.Fprintf(command.OutOrStdout(), "%s: host %s in zone %s, no mistakes\n", path, settings.Host, settings.Zone)
-				return nil
+			if done, err := checked(command, path, settings.Host, settings.Zone, check, err); done || err != nil {
+				return err
 			}
 			return schedule(settings, command.OutOrStdout())
 		},
@@ -45,13 +40,12 @@
 
 // schedule runs the host until a signal asks it to stop.
 func schedule(settings loader.Scheduling, out io.Writer) error {
-	var level slog.Level
-	if err := level.UnmarshalText([]byte(settings.LogLevel)); err != nil {
-		return fmt.Errorf("log level: %w", err)
-	}
 	spool := scheduler.NewSpool(out)
 	defer spool.Close()
-	log := slog.New(slog.NewJSONHandler(spool, &slog.HandlerOptions{Level: level}))
+	log, err := newLog(spool, settings.LogLevel)
+	if err != nil {
+		return err
+	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	defer signal.Stop(signals)
--- a/daemon/loader/scheduling.go
+++ b/daemon/loader/scheduling.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"slices"
-	"strings"
 	"time"
 
 	"ebonyshunt.org/library/parser"
@@ -55,26 +53,9 @@
 
 // ParseScheduling checks the text of a settings file; name stands in its mistakes.
 func ParseScheduling(name, text string) (Scheduling, parser.Mistakes) {
-	sections, mistakes := parser.Split(name, text)
 	var settings Scheduling
 	settings.parseBounds(parser.NewFields(name, parser.Section{Name: "bounds"}))
-	found := map[string]bool{}
-	for _, section := range sections {
-		found[section.Name] = true
-		fields := parser.NewFields(name, section)
-		if !settings.parse(section.Name, fields) {
-			reason := fmt.Sprintf("unknown section: use one of %s", strings.Join(schedulingSections, ", "))
-			mistakes = append(mistakes, parser.Mistake{File: name, Line: section.Line, Section: section.Name, Reason: reason})
-			continue
-		}
-		mistakes = append(mistakes, fields.Finish()...)
-	}
-	for _, wanted := range schedulingSections[:requiredSchedulingSections] {
-		if !found[wanted] {
-			mistakes = append(mistakes, parser.Mistake{File: name, Section: wanted, Reason: "missing section: add it"})
-		}
-	}
-	slices.SortStableFunc(mistakes, func(a, b parser.Mistake) int { return a.Line - b.Line })
+	mistakes := parseSections(name, text, schedulingSections, requiredSchedulingSections, settings.parse)
 	return settings, mistakes
 }
 
--- a/daemon/loader/settings.go
+++ b/daemon/loader/settings.go
@@ -50,26 +50,34 @@
 
 // Parse checks the text of a settings file; name stands in its mistakes.
 func Parse(name, text string) (Settings, parser.Mistakes) {
-	sections, mistakes := parser.Split(name, text)
 	var settings Settings
+	mistakes := parseSections(name, text, sectionNames, requiredSections, func(section string, fields *parser.Fields) bool {
+		return parseSection(&settings, section, fields)
+	})
+	return settings.WithDefaults(), mistakes
+}
+
+// parseSections reads the sections of a settings file, of which the first few that are known are required.
+func parseSections(name, text string, known []string, required int, parse func(section string, fields *parser.Fields) bool) parser.Mistakes {
+	sections, mistakes := parser.Split(name, text)
 	found := map[string]bool{}
 	for _, section := range sections {
 		found[section.Name] = true
 		fields := parser.NewFields(name, section)
-		if !parseSection(&settings, section.Name, fields) {
-			reason := fmt.Sprintf("unknown section: use one of %s", strings.Join(sectionNames, ", "))
+		if !parse(section.Name, fields) {
+			reason := fmt.Sprintf("unknown section: use one of %s", strings.Join(known, ", "))
 			mistakes = append(mistakes, parser.Mistake{File: name, Line: section.Line, Section: section.Name, Reason: reason})
 			continue
 		}
 		mistakes = append(mistakes, fields.Finish()...)
 	}
-	for _, wanted := range sectionNames[:requiredSections] {
+	for _, wanted := range known[:required] {
 		if !found[wanted] {
 			mistakes = append(mistakes, parser.Mistake{File: name, Section: wanted, Reason: "missing section: add it"})
 		}
 	}
 	slices.SortStableFunc(mistakes, func(a, b parser.Mistake) int { return a.Line - b.Line })
-	return settings.WithDefaults(), mistakes
+	return mistakes
 }
 
 var sectionNames = []string{"host", "platform", "operators", "bounds"}
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -66,12 +66,8 @@
 		SilenceErrors: true,
 		RunE: func(command *cobra.Command, _ []string) error {
 			settings, err := loader.Load(path)
-			if err != nil {
-				return &settingsError{err: err}
-			}
-			if check {
-				fmt.Fprintf(command.OutOrStdout(), "%s: host %s in zone %s, no mistakes\n", path, settings.Host, settings.Zone)
-				return nil
+			if done, err := checked(command, path, settings.Host, settings.Zone, check, err); done || err != nil {
+				return err
 			}
 			return serve(settings, command.ErrOrStderr())
 		},
@@ -82,13 +78,32 @@
 	return command
 }
 
+// checked reports the mistakes of a settings file, and whether a check was all that was asked for.
+func checked(command *cobra.Command, path, host, zone string, only bool, err error) (bool, error) {
+	if err != nil {
+		return false, &settingsError{err: err}
+	}
+	if only {
+		fmt.Fprintf(command.OutOrStdout(), "%s: host %s in zone %s, no mistakes\n", path, host, zone)
+	}
+	return only, nil
+}
+
+// newLog returns a log of JSON lines from a level on.
+func newLog(out io.Writer, name string) (*slog.Logger, error) {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(name)); err != nil {
+		return nil, fmt.Errorf("log level: %w", err)
+	}
+	return slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: level})), nil
+}
+
 // serve runs the daemon until a signal; the first asks for a graceful shutdown, the second cuts it short.
 func serve(settings loader.Settings, out io.Writer) error {
-	var level slog.Level
-	if err := level.UnmarshalText([]byte(settings.LogLevel)); err != nil {
-		return fmt.Errorf("log level: %w", err)
+	log, err := newLog(out, settings.LogLevel)
+	if err != nil {
+		return err
 	}
-	log := slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: level}))
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
