--- a/daemon/loader/scheduling.go
+++ b/daemon/loader/scheduling.go
@@ -20,6 +20,7 @@
 	Seeds            []string // peer addresses to ask while no others are known
 	ProcessorShare   float64
 	MemoryMB         int64
+	MostFiles        int64 // descriptors that the process may have open
 	StoreAddress     string
 	PolicyAddress    string // empty where queues have no policy
 	LongestLease     time.Duration
@@ -35,6 +36,10 @@
 	mostMemory   = 1 << 30
 	mostSpread   = 100
 	longestBound = 24 * time.Hour
+
+	defaultFiles   = 4096
+	leastFiles     = 256
+	mostFilesBound = 1 << 20
 )
 
 // LoadScheduling reads a settings file and returns every mistake in it as parser.Mistakes.
@@ -93,6 +98,7 @@
 	scheduling.Seeds = fields.Addresses("seeds")
 	scheduling.ProcessorShare = fields.Number("processorShare", 1, mostShare)
 	scheduling.MemoryMB = fields.Integer("memoryMB", 256, 16, mostMemory)
+	scheduling.MostFiles = fields.Integer("mostFiles", defaultFiles, leastFiles, mostFilesBound)
 	scheduling.LogLevel = fields.Choice("logLevel", "info", "debug", "info", "warn", "error")
 }
 
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -80,7 +80,7 @@
 	host := &Host{
 		settings: settings, network: network, log: log, boot: uuid.NewString(), started: time.Now(), rest: firstRest, clock: clock,
 		store:  translator.NewStore(client(network, storeConns), settings.StoreAddress),
-		orders: translator.NewOrders(client(network, workerConns)),
+		orders: translator.NewOrders(workerClient(network, int(settings.MostFiles))),
 		pool:   linker.NewPool(network, settings.Host, clock),
 		fleet:  newFleet(),
 	}
@@ -116,6 +116,18 @@
 	return made
 }
 
+// idleFraction is the part of the descriptors, as a divisor, that connections to workers may take while idle.
+const idleFraction = 4
+
+// workerClient returns a client for all workers, whose idle connections leave descriptors for others.
+func workerClient(network dialer.Network, files int) *http.Client {
+	made := client(network, workerConns)
+	if transport, ok := made.Transport.(*http.Transport); ok {
+		transport.MaxIdleConns = max(files/idleFraction, workerConns)
+	}
+	return made
+}
+
 func (host *Host) listen() error {
 	peers, err := host.network.Listen(host.settings.PeerAddress)
 	if err != nil {
