--- a/command/cmd_explain.go
+++ b/command/cmd_explain.go
@@ -85,7 +85,7 @@
 // surroundings are the messages that tell what went on around a job.
 var surroundings = map[string]bool{
 	"deciding": true, "resigned": true, "store lost": true, "store regained": true,
-	"journal lost": true, "journal regained": true, "lines lost": true,
+	"journal lost": true, "journal regained": true, "journal slow": true, "journal fast again": true, "lines lost": true,
 }
 
 // concerns reports whether a line is about a job.
--- a/daemon/scheduler/journal.go
+++ b/daemon/scheduler/journal.go
@@ -25,6 +25,7 @@
 	through  int64         // highest sequence number that is stored
 	moved    chan struct{} // closed and made anew when it rises
 
+	slow    atomic.Bool
 	usual   atomic.Int64 // what an answer takes, as an average in nanoseconds
 	failing atomic.Int64 // since when appends fail, on the steady clock, 0 while they do not
 }
@@ -41,6 +42,7 @@
 	hedgeFactor    = 3 // times what an answer usually takes, before an append is repeated
 	usualWeight    = 8 // one over the weight of the latest answer in what is usual
 	mostHedges     = 7
+	slowAnswer     = 60 * time.Millisecond // of the usual answer, which delays each step of urgent work twice
 	appendBackoff  = 60 * time.Millisecond
 	turnWithin     = 200 * time.Millisecond // for the earlier append to be stored
 	mostBatchBytes = 1 << 20
@@ -188,8 +190,15 @@
 
 // learn takes note of how long an answer took.
 func (journal *journal) learn(took time.Duration) {
-	usual := journal.usual.Load()
-	journal.usual.Store(usual + (int64(took)-usual)/usualWeight)
+	former := journal.usual.Load()
+	usual := former + (int64(took)-former)/usualWeight
+	journal.usual.Store(usual)
+	switch {
+	case usual > int64(slowAnswer) && journal.slow.CompareAndSwap(false, true):
+		journal.tenure.host.log.Warn("journal slow", "usual", time.Duration(usual).String(), "latest", took.String())
+	case usual < int64(slowAnswer)/2 && journal.slow.CompareAndSwap(true, false):
+		journal.tenure.host.log.Info("journal fast again", "usual", time.Duration(usual).String())
+	}
 }
 
 // append makes one attempt, repeated beside itself while its answer is late.
