--- a/daemon/scheduler/calls.go
+++ b/daemon/scheduler/calls.go
@@ -35,14 +35,14 @@
 		}
 		return host.answerBeat(beat), nil
 	case methodCampaign:
-		var office Office
-		if err := json.Unmarshal(body, &office); err != nil {
-			return nil, fmt.Errorf("decode office: %w", err)
+		var election Election
+		if err := json.Unmarshal(body, &election); err != nil {
+			return nil, fmt.Errorf("decode election: %w", err)
 		}
 		if host.leaving.Load() {
 			return nil, Error.New("host %s is leaving", host.settings.Host)
 		}
-		return struct{}{}, host.campaign(ctx, office)
+		return struct{}{}, host.campaign(ctx, election)
 	case methodQuestion:
 		var question Question
 		if err := json.Unmarshal(body, &question); err != nil {
--- a/daemon/scheduler/fleet.go
+++ b/daemon/scheduler/fleet.go
@@ -23,8 +23,8 @@
 	ProcessorShare float64 `json:"processorShare"`
 }
 
-// Office is who decides.
-type Office struct {
+// Election is who decides.
+type Election struct {
 	Term    int64  `json:"term"`
 	Host    string `json:"host"`
 	Address string `json:"address"`
@@ -45,32 +45,32 @@
 	return nil
 }
 
-// UnmarshalJSON decodes an office and refuses one without term or address.
-func (office *Office) UnmarshalJSON(data []byte) error {
-	type plain Office
+// UnmarshalJSON decodes an election and refuses one without term or address.
+func (election *Election) UnmarshalJSON(data []byte) error {
+	type plain Election
 	var decoded plain
 	if err := json.Unmarshal(data, &decoded); err != nil {
-		return fmt.Errorf("decode office: %w", err)
+		return fmt.Errorf("decode election: %w", err)
 	}
 	if decoded.Term <= 0 || decoded.Address == "" {
-		return Error.New("office without term or address")
+		return Error.New("election without term or address")
 	}
-	*office = Office(decoded)
+	*election = Election(decoded)
 	return nil
 }
 
 const (
 	memberPrefix = "host/"
-	officeKey    = "decider"
+	electionKey  = "decider"
 )
 
 // fleet is what the store says of the entry hosts.
 type fleet struct {
-	mu      sync.Mutex
-	members map[string]Member
-	read    bool // from the store, since the start
-	office  Office
-	changed chan struct{} // closed when the office changes
+	mu       sync.Mutex
+	members  map[string]Member
+	read     bool // from the store, since the start
+	election Election
+	changed  chan struct{} // closed when the election changes
 }
 
 func newFleet() *fleet {
@@ -88,20 +88,20 @@
 func (fleet *fleet) all() []Member { return fleet.others("") }
 
 // view returns who decides, and a channel that is closed when that changes.
-func (fleet *fleet) view() (Office, <-chan struct{}) {
+func (fleet *fleet) view() (Election, <-chan struct{}) {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
-	return fleet.office, fleet.changed
+	return fleet.election, fleet.changed
 }
 
-// elect takes note of an office, unless a later one is known, and reports whether it was new.
-func (fleet *fleet) elect(office Office) bool {
+// elect takes note of an election, unless a later one is known, and reports whether it was new.
+func (fleet *fleet) elect(election Election) bool {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
-	if office.Term <= fleet.office.Term {
+	if election.Term <= fleet.election.Term {
 		return false
 	}
-	fleet.office = office
+	fleet.election = election
 	close(fleet.changed)
 	fleet.changed = make(chan struct{})
 	return true
@@ -188,13 +188,13 @@
 }
 
 func (host *Host) learnFleet(entry translator.Entry) {
-	if entry.Key == officeKey {
-		var office Office
-		if err := json.Unmarshal(entry.Value, &office); err != nil {
-			host.log.Warn("office does not decode", "error", err)
+	if entry.Key == electionKey {
+		var election Election
+		if err := json.Unmarshal(entry.Value, &election); err != nil {
+			host.log.Warn("election does not decode", "error", err)
 			return
 		}
-		host.learnOffice(office, "store")
+		host.learnElection(election, "store")
 		return
 	}
 	name, found := strings.CutPrefix(entry.Key, memberPrefix)
@@ -209,16 +209,16 @@
 	host.fleet.register(member)
 }
 
-// learnOffice takes note of who decides, and begins or ends the host's own tenure as that says.
-func (host *Host) learnOffice(office Office, source string) {
-	if !host.fleet.elect(office) {
+// learnElection takes note of who decides, and begins or ends the host's own tenure as that says.
+func (host *Host) learnElection(election Election, source string) {
+	if !host.fleet.elect(election) {
 		return
 	}
-	host.log.Info("decider", "term", office.Term, "decider", office.Host, "source", source)
+	host.log.Info("decider", "term", election.Term, "decider", election.Host, "source", source)
 	host.mu.Lock()
 	former := host.tenure
-	if office.Boot == host.boot {
-		host.tenure = newTenure(host, office.Term)
+	if election.Boot == host.boot {
+		host.tenure = newTenure(host, election.Term)
 	} else {
 		host.tenure = nil
 	}
@@ -228,9 +228,9 @@
 	}
 }
 
-// campaign tries to become the decider after the office that is known, and returns nil where it did or
+// campaign tries to become the decider after the election that is known, and returns nil where it did or
 // where another host did.
-func (host *Host) campaign(ctx context.Context, known Office) error {
+func (host *Host) campaign(ctx context.Context, known Election) error {
 	entries, end, err := host.newest(ctx, translator.Fleet)
 	if err != nil {
 		return fmt.Errorf("campaign: %w", err)
@@ -238,22 +238,22 @@
 	for _, entry := range entries {
 		host.learnFleet(entry)
 	}
-	if office, _ := host.fleet.view(); office.Term > known.Term {
+	if election, _ := host.fleet.view(); election.Term > known.Term {
 		return nil
 	}
-	office := Office{Term: end + 1, Host: host.settings.Host, Address: host.settings.PeerAddress, Boot: host.boot}
-	data, err := json.Marshal(office)
+	election := Election{Term: end + 1, Host: host.settings.Host, Address: host.settings.PeerAddress, Boot: host.boot}
+	data, err := json.Marshal(election)
 	if err != nil {
-		return fmt.Errorf("campaign: encode office: %w", err)
+		return fmt.Errorf("campaign: encode election: %w", err)
 	}
-	if _, err = host.store.AppendAt(ctx, translator.Fleet, end, []translator.Entry{{Key: officeKey, Value: data}}); err != nil {
+	if _, err = host.store.AppendAt(ctx, translator.Fleet, end, []translator.Entry{{Key: electionKey, Value: data}}); err != nil {
 		if errors.Is(err, translator.ErrMoved) {
 			return nil
 		}
 		return fmt.Errorf("campaign: %w", err)
 	}
 	host.storeAnswered()
-	host.learnOffice(office, "campaign")
+	host.learnElection(election, "campaign")
 	return nil
 }
 
--- a/daemon/scheduler/desk.go
+++ b/daemon/scheduler/gateway.go
@@ -9,8 +9,8 @@
 	"ebonyshunt.org/library/planner"
 )
 
-// desk answers callers by asking the decider.
-type desk struct{ host *Host }
+// gateway answers callers by asking the decider.
+type gateway struct{ host *Host }
 
 // Call is a caller's call, as a host hands it to the decider.
 type Call struct {
@@ -28,31 +28,31 @@
 )
 
 // Catalog returns the configuration in force.
-func (desk *desk) Catalog() *planner.Catalog { return desk.host.catalog.Load() }
+func (gateway *gateway) Catalog() *planner.Catalog { return gateway.host.catalog.Load() }
 
 // Submit hands a job in.
-func (desk *desk) Submit(ctx context.Context, job planner.Job) planner.Reply {
-	return desk.call(ctx, methodSubmit, Call{Queue: job.Queue, ID: job.ID, Job: &job})
+func (gateway *gateway) Submit(ctx context.Context, job planner.Job) planner.Reply {
+	return gateway.call(ctx, methodSubmit, Call{Queue: job.Queue, ID: job.ID, Job: &job})
 }
 
 // State returns the state of a job.
-func (desk *desk) State(ctx context.Context, queue, id string) planner.Reply {
-	return desk.call(ctx, methodState, Call{Queue: queue, ID: id})
+func (gateway *gateway) State(ctx context.Context, queue, id string) planner.Reply {
+	return gateway.call(ctx, methodState, Call{Queue: queue, ID: id})
 }
 
 // Cancel ends a job.
-func (desk *desk) Cancel(ctx context.Context, queue, id string) planner.Reply {
-	return desk.call(ctx, methodCancel, Call{Queue: queue, ID: id})
+func (gateway *gateway) Cancel(ctx context.Context, queue, id string) planner.Reply {
+	return gateway.call(ctx, methodCancel, Call{Queue: queue, ID: id})
 }
 
 // Pending returns how many jobs of a queue have not begun.
-func (desk *desk) Pending(ctx context.Context, queue string) planner.Reply {
-	return desk.call(ctx, methodPending, Call{Queue: queue})
+func (gateway *gateway) Pending(ctx context.Context, queue string) planner.Reply {
+	return gateway.call(ctx, methodPending, Call{Queue: queue})
 }
 
 // call asks the decider, also the next one when it changes. A job's ID makes each call idempotent.
-func (desk *desk) call(ctx context.Context, method string, call Call) planner.Reply {
-	host := desk.host
+func (gateway *gateway) call(ctx context.Context, method string, call Call) planner.Reply {
+	host := gateway.host
 	patience := electionWithin
 	if deadline, found := ctx.Deadline(); found {
 		patience = min(patience, time.Until(deadline)-answerMargin)
@@ -61,15 +61,15 @@
 	defer cancel()
 	sent, began := false, time.Now()
 	for {
-		office, changed := host.fleet.view()
-		reply, err := desk.callOnce(ctx, office, method, call)
+		election, changed := host.fleet.view()
+		reply, err := gateway.callOnce(ctx, election, method, call)
 		if err == nil {
 			host.metrics.calls.WithLabelValues(method, reply.Verdict.String()).Observe(time.Since(began).Seconds())
 			host.log.Info("call", "method", method, "job", call.ID, "queue", call.Queue, "verdict", reply.Verdict.String(), "state", reply.State, "reason", reply.Reason)
 			return reply
 		}
 		sent = sent || !linker.ErrUnsent.Has(err)
-		host.log.Info("decider does not answer", "method", method, "job", call.ID, "decider", office.Host, "error", err)
+		host.log.Info("decider does not answer", "method", method, "job", call.ID, "decider", election.Host, "error", err)
 		pause(ctx, changed, deciderPause)
 		if ctx.Err() != nil {
 			reply := given(sent && (call.Job != nil || method == methodCancel))
@@ -101,17 +101,17 @@
 
 var errNoDecider = errors.New("no decider is known")
 
-func (desk *desk) callOnce(ctx context.Context, office Office, method string, call Call) (planner.Reply, error) {
-	if tenure := desk.host.present(); tenure != nil {
+func (gateway *gateway) callOnce(ctx context.Context, election Election, method string, call Call) (planner.Reply, error) {
+	if tenure := gateway.host.present(); tenure != nil {
 		return tenure.answer(ctx, method, call)
 	}
-	if office.Term == 0 || office.Boot == desk.host.boot {
+	if election.Term == 0 || election.Boot == gateway.host.boot {
 		return planner.Reply{}, linker.ErrUnsent.Wrap(errNoDecider)
 	}
 	ctx, cancel := context.WithTimeout(ctx, deciderWithin)
 	defer cancel()
 	var reply planner.Reply
-	err := desk.host.pool.Call(ctx, office.Address, method, call, &reply)
+	err := gateway.host.pool.Call(ctx, election.Address, method, call, &reply)
 	if text, refused := linker.Refused(err); refused && text == errNotDeciding.Error() {
 		return reply, linker.ErrUnsent.Wrap(err)
 	}
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -134,7 +134,7 @@
 		return fmt.Errorf("listen on peerAddress %s: %w", host.settings.PeerAddress, err)
 	}
 	host.links = linker.Serve(peers, host.settings.Host, host.clock, host.handle)
-	ingress := &translator.Ingress{Desk: &desk{host: host}}
+	ingress := &translator.Ingress{Gateway: &gateway{host: host}}
 	host.front, err = host.serve(host.settings.HTTPAddress, ingress)
 	if err != nil {
 		return fmt.Errorf("listen on httpAddress %s: %w", host.settings.HTTPAddress, err)
--- a/daemon/scheduler/desks.go
+++ b/daemon/scheduler/questions.go
@@ -8,9 +8,9 @@
 	"ebonyshunt.org/library/planner"
 )
 
-// desks spreads questions to the policy service over the hosts, since it serves one at a time for each
+// questions spreads questions to the policy service over the hosts, since it serves one at a time for each
 // calling host.
-type desks struct {
+type questions struct {
 	tenure *tenure
 
 	mu      sync.Mutex
@@ -24,13 +24,13 @@
 	length time.Duration
 }
 
-func newDesks(tenure *tenure) *desks {
-	return &desks{tenure: tenure, backlog: map[string]time.Duration{}, barred: map[string]bar{}}
+func newQuestions(tenure *tenure) *questions {
+	return &questions{tenure: tenure, backlog: map[string]time.Duration{}, barred: map[string]bar{}}
 }
 
 const (
 	askSlack   = 1500 * time.Millisecond // beyond what the answers of a host's open questions cost
-	shortDesks = 3                       // a host in so many is kept for short questions
+	shortHosts = 3                       // a host in so many is kept for short questions
 )
 
 // Question is a question that another host puts to the policy service.
@@ -45,10 +45,10 @@
 }
 
 // ask puts a question through the host that is free first.
-func (desks *desks) ask(ask planner.Ask) {
-	tenure := desks.tenure
-	member := desks.pick(ask.Class)
-	backlog := desks.add(member.Name, ask.Costs)
+func (questions *questions) ask(ask planner.Ask) {
+	tenure := questions.tenure
+	member := questions.pick(ask.Class)
+	backlog := questions.add(member.Name, ask.Costs)
 	ctx, cancel := context.WithTimeout(tenure.ctx, backlog+askSlack)
 	defer cancel()
 	var answer QuestionAnswer
@@ -59,13 +59,13 @@
 	} else {
 		err = tenure.host.pool.Call(ctx, member.Address, methodQuestion, Question{Step: ask.Step, Workers: ask.Workers}, &answer)
 	}
-	desks.add(member.Name, -ask.Costs)
+	questions.add(member.Name, -ask.Costs)
 	if tenure.ctx.Err() != nil {
 		return
 	}
 	tenure.host.log.Info("policy", "step", ask.Step.String(), "through", member.Name, "workers", len(ask.Workers),
 		"allowed", len(answer.Allowed), "backlog", backlog.String(), "took", time.Since(began).String())
-	desks.judge(member.Name, err == nil)
+	questions.judge(member.Name, err == nil)
 	tenure.mu.Lock()
 	defer tenure.mu.Unlock()
 	if err != nil {
@@ -83,33 +83,33 @@
 )
 
 // judge bars a host that did not answer, for longer each time.
-func (desks *desks) judge(name string, answered bool) {
-	desks.mu.Lock()
-	defer desks.mu.Unlock()
+func (questions *questions) judge(name string, answered bool) {
+	questions.mu.Lock()
+	defer questions.mu.Unlock()
 	if answered {
-		delete(desks.barred, name)
+		delete(questions.barred, name)
 		return
 	}
-	length := min(max(firstBar, 2*desks.barred[name].length), longestBar)
-	desks.barred[name] = bar{until: time.Now().Add(length), length: length}
+	length := min(max(firstBar, 2*questions.barred[name].length), longestBar)
+	questions.barred[name] = bar{until: time.Now().Add(length), length: length}
 }
 
-func (desks *desks) add(name string, costs time.Duration) time.Duration {
-	desks.mu.Lock()
-	defer desks.mu.Unlock()
-	desks.backlog[name] += costs
-	return desks.backlog[name]
+func (questions *questions) add(name string, costs time.Duration) time.Duration {
+	questions.mu.Lock()
+	defer questions.mu.Unlock()
+	questions.backlog[name] += costs
+	return questions.backlog[name]
 }
 
 // members returns the hosts that questions may go through.
-func (desks *desks) members() []Member {
-	own := desks.tenure.host.member()
+func (questions *questions) members() []Member {
+	own := questions.tenure.host.member()
 	members := []Member{own}
 	now := time.Now()
-	desks.mu.Lock()
-	defer desks.mu.Unlock()
-	for _, member := range desks.tenure.host.fleet.others(own.Name) {
-		if now.After(desks.barred[member.Name].until) {
+	questions.mu.Lock()
+	defer questions.mu.Unlock()
+	for _, member := range questions.tenure.host.fleet.others(own.Name) {
+		if now.After(questions.barred[member.Name].until) {
 			members = append(members, member)
 		}
 	}
@@ -117,34 +117,34 @@
 }
 
 // short reports whether the host at a place among the members is kept for short questions.
-func short(index, count int) bool { return index%shortDesks == 0 && count >= shortDesks }
+func short(index, count int) bool { return index%shortHosts == 0 && count >= shortHosts }
 
-// lines returns how many questions may be open at once.
-func (desks *desks) lines() planner.Lines {
-	var lines planner.Lines
-	count := len(desks.members())
+// slots returns how many questions may be open at once.
+func (questions *questions) slots() planner.Slots {
+	var slots planner.Slots
+	count := len(questions.members())
 	for index := range count {
 		if short(index, count) {
-			lines.Short++
+			slots.Short++
 		} else {
-			lines.Long++
+			slots.Long++
 		}
 	}
-	lines.Short = max(lines.Short, 1)
-	return lines
+	slots.Short = max(slots.Short, 1)
+	return slots
 }
 
 // pick returns the host with the least backlog; one host in some takes only short questions.
-func (desks *desks) pick(class time.Duration) Member {
-	members := desks.members()
-	desks.mu.Lock()
-	defer desks.mu.Unlock()
+func (questions *questions) pick(class time.Duration) Member {
+	members := questions.members()
+	questions.mu.Lock()
+	defer questions.mu.Unlock()
 	best := -1
 	for index, member := range members {
 		if class > planner.ShortQuestion && short(index, len(members)) {
 			continue
 		}
-		if best < 0 || desks.backlog[member.Name] < desks.backlog[members[best].Name] {
+		if best < 0 || questions.backlog[member.Name] < questions.backlog[members[best].Name] {
 			best = index
 		}
 	}
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -22,7 +22,7 @@
 	cancel  context.CancelFunc
 	wait    sync.WaitGroup
 	kicked  chan struct{}
-	policy  *desks
+	policy  *questions
 	support *support
 
 	mu        sync.Mutex
@@ -57,7 +57,7 @@
 		infos: map[string]planner.WorkerInfo{}, holds: map[string]*holder{},
 	}
 	tenure.journal = newJournal(tenure)
-	tenure.policy = newDesks(tenure)
+	tenure.policy = newQuestions(tenure)
 	tenure.support = newSupport()
 	tenure.storedAt.Store(int64(tenure.host.uptime()))
 	tenure.wait.Go(tenure.run)
@@ -168,7 +168,7 @@
 // turn plans once, unless a batch is being stored; effects that need no record go out at once.
 func (tenure *tenure) turn() {
 	now := time.Now()
-	lines := tenure.policy.lines()
+	slots := tenure.policy.slots()
 	supported := tenure.supportedSince()
 	tenure.mu.Lock()
 	if !supported.IsZero() {
@@ -180,7 +180,7 @@
 		tenure.carryOut(effects)
 		return
 	}
-	tenure.planner.SetLines(lines)
+	tenure.planner.SetSlots(slots)
 	tenure.planner.Plan(now)
 	waiting := tenure.explain(now)
 	batch, err := tenure.planner.Take()
--- a/daemon/scheduler/watch.go
+++ b/daemon/scheduler/watch.go
@@ -40,7 +40,7 @@
 
 // BeatAnswer is what it is told.
 type BeatAnswer struct {
-	Office      Office          `json:"office,omitzero"`
+	Election    Election        `json:"election,omitzero"`
 	Boot        string          `json:"boot"`
 	Deciding    bool            `json:"deciding"`          // the answering host decides
 	Reaches     bool            `json:"reaches"`           // it heard from the decider lately
@@ -63,19 +63,19 @@
 	host.watching.heardAt.Store(noAnswer)
 	since := time.Now()
 	for host.ctx.Err() == nil {
-		office, changed := host.fleet.view()
+		election, changed := host.fleet.view()
 		heard := noDecider
 		tenure := host.present()
 		switch {
 		case tenure != nil:
 			host.yield(tenure)
 			if tenure.unsure() {
-				host.survey(office) // a peer tells of a later decider
+				host.survey(election) // a peer tells of a later decider
 			}
 			host.watching.heardAt.Store(int64(host.uptime()))
 			heard = heardDecider
-		case office.Term > 0:
-			heard = host.beat(office)
+		case election.Term > 0:
+			heard = host.beat(election)
 		}
 		if heard == heardDecider {
 			since = time.Now()
@@ -85,7 +85,7 @@
 			}
 		}
 		if heard != silentDecider || time.Since(since) >= suspectAfter {
-			host.consider(office, changed)
+			host.consider(election, changed)
 		}
 		host.pause(changed, beatEvery/3)
 	}
@@ -105,18 +105,18 @@
 	return time.Duration(host.watching.storeSilent.Load()) >= storeLost
 }
 
-// pause waits for a time or until the office changes.
+// pause waits for a time or until the election changes.
 func (host *Host) pause(changed <-chan struct{}, wait time.Duration) {
 	pause(host.ctx, changed, wait)
 }
 
 // beat calls the decider.
-func (host *Host) beat(office Office) hearing {
+func (host *Host) beat(election Election) hearing {
 	ctx, cancel := context.WithTimeout(host.ctx, beatWithin)
 	defer cancel()
-	answer, err := host.callBeat(ctx, office.Address)
+	answer, err := host.callBeat(ctx, election.Address)
 	if err != nil {
-		host.log.Debug("decider does not answer", "decider", office.Host, "error", err)
+		host.log.Debug("decider does not answer", "decider", election.Host, "error", err)
 		if linker.ErrUnsent.Has(err) && ctx.Err() == nil {
 			return noDecider // nothing listens there
 		}
@@ -124,7 +124,7 @@
 	}
 	host.watching.storeSilent.Store(int64(answer.StoreSilent))
 	if !answer.Deciding {
-		if answer.Boot != office.Boot {
+		if answer.Boot != election.Boot {
 			return noDecider // its process is gone
 		}
 		return silentDecider
@@ -134,9 +134,9 @@
 }
 
 func (host *Host) callBeat(ctx context.Context, address string) (BeatAnswer, error) {
-	office, _ := host.fleet.view()
+	election, _ := host.fleet.view()
 	var answer BeatAnswer
-	beat := Beat{Host: host.settings.Host, Term: office.Term, Version: host.catalogVersion(), Known: host.fleet.size()}
+	beat := Beat{Host: host.settings.Host, Term: election.Term, Version: host.catalogVersion(), Known: host.fleet.size()}
 	if err := host.pool.Call(ctx, address, methodBeat, beat, &answer); err != nil {
 		return answer, err
 	}
@@ -146,17 +146,17 @@
 	for _, member := range answer.Members {
 		host.fleet.register(member)
 	}
-	if answer.Office.Term > 0 {
-		host.learnOffice(answer.Office, "peer")
+	if answer.Election.Term > 0 {
+		host.learnElection(answer.Election, "peer")
 	}
 	return answer, nil
 }
 
 // answerBeat tells a peer what this host knows.
 func (host *Host) answerBeat(beat Beat) BeatAnswer {
-	office, _ := host.fleet.view()
+	election, _ := host.fleet.view()
 	answer := BeatAnswer{
-		Office: office, Boot: host.boot, Deciding: host.present() != nil, Reaches: host.reachesDecider(),
+		Election: election, Boot: host.boot, Deciding: host.present() != nil, Reaches: host.reachesDecider(),
 		StoreSilent: host.storeQuiet(),
 	}
 	if raw := host.raw.Load(); raw != nil && host.catalogVersion() > beat.Version {
@@ -198,12 +198,12 @@
 
 // consider campaigns, unless a peer still reaches the decider. Better placed hosts go first, and one that
 // hears nobody waits for long, since it may be the one that is cut off or overloaded.
-func (host *Host) consider(office Office, changed <-chan struct{}) {
+func (host *Host) consider(election Election, changed <-chan struct{}) {
 	if host.leaving.Load() || !host.fleet.known() || host.storeQuiet() >= storeLost {
 		return
 	}
-	found := host.survey(office)
-	if found.reaches || host.superseded(office) {
+	found := host.survey(election)
+	if found.reaches || host.superseded(election) {
 		return
 	}
 	delay := time.Duration(found.better)*rankDelay + host.weakness()
@@ -214,14 +214,14 @@
 		delay += alone
 	}
 	host.pause(changed, delay)
-	if delay > surveyAgain && host.survey(office).reaches || host.superseded(office) {
+	if delay > surveyAgain && host.survey(election).reaches || host.superseded(election) {
 		return
 	}
-	host.log.Info("campaign", "after", office.Term, "asked", found.asked, "answered", found.answered, "gone", found.gone, "delay", delay.String())
+	host.log.Info("campaign", "after", election.Term, "asked", found.asked, "answered", found.answered, "gone", found.gone, "delay", delay.String())
 	ctx, cancel := context.WithTimeout(host.ctx, campaignWithin)
 	defer cancel()
-	if err := host.campaign(ctx, office); err != nil {
-		host.log.Warn("campaign failed", "after", office.Term, "error", err)
+	if err := host.campaign(ctx, election); err != nil {
+		host.log.Warn("campaign failed", "after", election.Term, "error", err)
 		host.pause(changed, host.rest)
 		host.rest = min(2*host.rest, longestRest)
 		return
@@ -229,10 +229,10 @@
 	host.rest = firstRest
 }
 
-// superseded reports whether a later office is known by now.
-func (host *Host) superseded(office Office) bool {
+// superseded reports whether a later election is known by now.
+func (host *Host) superseded(election Election) bool {
 	present, _ := host.fleet.view()
-	return present.Term > office.Term
+	return present.Term > election.Term
 }
 
 // weakness returns how long the host waits for stronger ones to campaign.
@@ -260,17 +260,17 @@
 			continue
 		}
 		host.yieldedAt = host.uptime()
-		office, _ := host.fleet.view()
+		election, _ := host.fleet.view()
 		ctx, cancel := context.WithTimeout(host.ctx, campaignWithin)
 		defer cancel()
-		err := host.pool.Call(ctx, member.Address, methodCampaign, office, nil)
+		err := host.pool.Call(ctx, member.Address, methodCampaign, election, nil)
 		host.log.Info("yields to a stronger host", "to", member.Name, "error", err)
 		return
 	}
 }
 
 // survey asks all peers at once.
-func (host *Host) survey(office Office) survey {
+func (host *Host) survey(election Election) survey {
 	peers := host.fleet.others(host.settings.Host)
 	if len(peers) == 0 {
 		peers = host.seeds()
@@ -293,10 +293,10 @@
 				return
 			}
 			found.answered++
-			if answer.Reaches && answer.Office.Term >= office.Term && (peer.Name != office.Host || answer.StoreSilent < storeLost) {
+			if answer.Reaches && answer.Election.Term >= election.Term && (peer.Name != election.Host || answer.StoreSilent < storeLost) {
 				found.reaches = found.reaches || !host.deciderLostStore()
 			}
-			if answer.StoreSilent < storeLost && compareMembers(peer, host.member()) < 0 && peer.Name != office.Host {
+			if answer.StoreSilent < storeLost && compareMembers(peer, host.member()) < 0 && peer.Name != election.Host {
 				found.better++
 			}
 		})
@@ -318,14 +318,14 @@
 
 // handOver asks the best placed peers to decide, until one does.
 func (host *Host) handOver(ctx context.Context) {
-	office, changed := host.fleet.view()
+	election, changed := host.fleet.view()
 	peers := host.fleet.others(host.settings.Host)
 	for _, peer := range slices.Insert(peers, len(peers), peers...) {
 		if ctx.Err() != nil {
 			return
 		}
 		called, cancel := context.WithTimeout(ctx, campaignWithin)
-		err := host.pool.Call(called, peer.Address, methodCampaign, office, nil)
+		err := host.pool.Call(called, peer.Address, methodCampaign, election, nil)
 		cancel()
 		if err != nil {
 			host.log.Info("peer does not take over", "peer", peer.Name, "error", err)
--- a/library/planner/bench_test.go
+++ b/library/planner/bench_test.go
@@ -13,7 +13,7 @@
 func BenchmarkOverload(b *testing.B) {
 	now := time.Unix(1_800_000_000, 0)
 	cell := newCell(b, now, 252)
-	cell.planner.SetLines(planner.Lines{Short: 10, Long: 20})
+	cell.planner.SetSlots(planner.Slots{Short: 10, Long: 20})
 	for number := range 600 {
 		cell.submit(fmt.Sprintf("%016x", number), planner.Step{Count: 10, Size: sizer.Size{MilliCores: 5300, MemoryMB: 5000}, EstimateMS: 900})
 	}
--- a/library/planner/effect.go
+++ b/library/planner/effect.go
@@ -43,7 +43,7 @@
 	Step    StepKey
 	Workers []string
 	Costs   time.Duration // that the answer takes
-	Class   time.Duration // that a question of its queue takes at most, by which its line is chosen
+	Class   time.Duration // that a question of its queue takes at most, by which its slot is chosen
 }
 
 func (Stop) effect()  {}
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -244,7 +244,7 @@
 		}
 		planner.begin(of, now)
 	}
-	planner.fall(row, now)
+	planner.materialize(row, now)
 }
 
 func (planner *Planner) dueOf(row *row, number int) time.Time {
--- a/library/planner/place_test.go
+++ b/library/planner/place_test.go
@@ -233,7 +233,7 @@
 		catalog.Queues[0].Policy = &planner.Policy{Decide: 200 * time.Millisecond, PerWorker: time.Millisecond, Valid: 1500 * time.Millisecond}
 		cell := newCell(t, testStart, 3)
 		cell.begin(2, catalog)
-		cell.planner.SetLines(planner.Lines{Short: 1, Long: 2})
+		cell.planner.SetSlots(planner.Slots{Short: 1, Long: 2})
 		return cell
 	}
 	allow := func(cell *cell, worker string) {
@@ -262,14 +262,14 @@
 			t.Errorf("%d questions, want 2", len(cell.asks))
 		}
 	})
-	t.Run("noMoreQuestionsThanLines", func(t *testing.T) {
+	t.Run("noMoreQuestionsThanSlots", func(t *testing.T) {
 		cell := policyCell(t)
 		for number := range 9 {
 			cell.submit(fmt.Sprintf("%016x", number), tasks(1))
 		}
 		cell.settle()
 		if len(cell.asks) != 2 {
-			t.Errorf("%d questions are open on 2 lines", len(cell.asks))
+			t.Errorf("%d questions are open on 2 slots", len(cell.asks))
 		}
 		cell.planner.Unadvised(cell.asks[0], cell.now)
 		cell.settle()
--- a/library/planner/plan.go
+++ b/library/planner/plan.go
@@ -13,7 +13,7 @@
 func (planner *Planner) Plan(now time.Time) {
 	planner.now = now
 	for _, id := range slices.Sorted(maps.Keys(planner.timed)) {
-		planner.fall(planner.timed[id], now)
+		planner.materialize(planner.timed[id], now)
 	}
 	planner.expire(now)
 	planner.forget(now)
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -41,8 +41,8 @@
 	names   []string // of workers, sorted
 	teams   map[string]*team
 	queues  map[string]*learned
-	lines   Lines
-	open    Lines // questions that are open
+	slots   Slots
+	open    Slots // questions that are open
 
 	dirty     map[string]bool // jobs whose progress has to be stored
 	fresh     map[string]bool // jobs that were never stored
--- a/library/planner/policy.go
+++ b/library/planner/policy.go
@@ -24,8 +24,8 @@
 	return found && ticket.born == worker.Born && now.Before(ticket.until)
 }
 
-// Lines are how many questions the policy service takes at once.
-type Lines struct {
+// Slots are how many questions the policy service takes at once.
+type Slots struct {
 	Short int // for questions that are answered quickly
 	Long  int // for the others
 }
@@ -33,18 +33,18 @@
 // ShortQuestion is the time up to which a question counts as short.
 const ShortQuestion = 100 * time.Millisecond
 
-// shortPerLine is how many short questions may be open on a line, so that the line does not fall idle.
-const shortPerLine = 3
+// shortPerSlot is how many short questions may be open on a slot, so that it does not fall idle.
+const shortPerSlot = 3
 
-// SetLines tells how many questions may be open at once.
-func (planner *Planner) SetLines(lines Lines) { planner.lines = lines }
+// SetSlots tells how many questions may be open at once.
+func (planner *Planner) SetSlots(slots Slots) { planner.slots = slots }
 
-// lineFree reports whether a question that costs some time may be put now.
-func (planner *Planner) lineFree(costs time.Duration) bool {
+// slotFree reports whether a question that costs some time may be put now.
+func (planner *Planner) slotFree(costs time.Duration) bool {
 	if costs <= ShortQuestion {
-		return planner.open.Short < shortPerLine*planner.lines.Short
+		return planner.open.Short < shortPerSlot*planner.slots.Short
 	}
-	return planner.open.Long < planner.lines.Long
+	return planner.open.Long < planner.slots.Long
 }
 
 func (planner *Planner) countQuestion(costs time.Duration, by int) {
@@ -63,7 +63,7 @@
 		pass.promise(step, queue)
 		return
 	}
-	if !pass.planner.lineFree(costs) || pass.promised[queue.Service].Dominant(pass.pool(queue.Service).room) >= 1 {
+	if !pass.planner.slotFree(costs) || pass.promised[queue.Service].Dominant(pass.pool(queue.Service).room) >= 1 {
 		return
 	}
 	names := pass.candidates(step, queue)
--- a/library/planner/submission.go
+++ b/library/planner/submission.go
@@ -17,7 +17,7 @@
 	row := planner.adopt(job)
 	planner.fresh[job.ID] = true
 	planner.touch(row)
-	planner.fall(row, now)
+	planner.materialize(row, now)
 	return true
 }
 
@@ -74,8 +74,8 @@
 	return true
 }
 
-// fall makes the occurrences that are due.
-func (planner *Planner) fall(row *row, now time.Time) {
+// materialize makes the occurrences that are due.
+func (planner *Planner) materialize(row *row, now time.Time) {
 	if row.Runs == 0 {
 		if row.next == 0 {
 			row.next = 1
