Lose sight of a worker in one way, so that a reborn worker's runs are not taken for lapsed

Found on reading the change again: three places raised a worker's token and forgot that it was looked at, each with its own idea of when its leases are over, and that for a worker which started anew kept the time of the last takeover. In a term older than 20 s the runs that a reborn worker had just taken were started again beside themselves. A lease asked for on the former clock may last as long as any on the new one: TestRebornSilent. The planner's configuration setter moved from watch.go to tenure.go.

--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -152,7 +152,7 @@
 	}
 	settings := tenure.host.settings
 	made := planner.New(planner.Settings{
-		Lease: min(longLease, settings.LongestLease), Authority: loneAuthority,
+		Lease: min(longLease, settings.LongestLease), LongestLease: settings.LongestLease, Authority: loneAuthority,
 		StatusFor: settings.StatusFor, StopTime: settings.StopTime, Spread: settings.Spread,
 	}, tenure.term, tenure.host.catalog.Load(), time.Now())
 	if unread := made.Restore(records, time.Now()); len(unread) > 0 {
@@ -286,3 +286,13 @@
 		tenure.host.log.Info("run ended", "task", note.Task.String(), "run", note.Number, "worker", note.Worker, "ending", note.Ending, "took", note.Took.String())
 	}
 }
+
+// setCatalog passes a configuration on to the planner.
+func (tenure *tenure) setCatalog(catalog *planner.Catalog) {
+	tenure.mu.Lock()
+	defer tenure.mu.Unlock()
+	if tenure.planner != nil {
+		tenure.planner.SetCatalog(catalog)
+	}
+	tenure.kick()
+}
--- a/daemon/scheduler/watch.go
+++ b/daemon/scheduler/watch.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"ebonyshunt.org/daemon/linker"
-	"ebonyshunt.org/library/planner"
 )
 
 const (
@@ -337,13 +336,3 @@
 		}
 	}
 }
-
-// setCatalog passes a configuration on to the planner.
-func (tenure *tenure) setCatalog(catalog *planner.Catalog) {
-	tenure.mu.Lock()
-	defer tenure.mu.Unlock()
-	if tenure.planner != nil {
-		tenure.planner.SetCatalog(catalog)
-	}
-	tenure.kick()
-}
--- a/library/planner/cell_test.go
+++ b/library/planner/cell_test.go
@@ -46,7 +46,7 @@
 )
 
 var testSettings = planner.Settings{
-	Lease: 6 * time.Second, Authority: 12 * time.Second, StatusFor: 2 * time.Minute,
+	Lease: 6 * time.Second, LongestLease: 10 * time.Second, Authority: 12 * time.Second, StatusFor: 2 * time.Minute,
 	StopTime: 200 * time.Millisecond, Spread: 1.5,
 }
 
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -21,11 +21,12 @@
 
 // Settings are the periods of a planner.
 type Settings struct {
-	Lease     time.Duration // for which a hold keeps a worker's runs alive
-	Authority time.Duration // for which an earlier planner may go on renewing leases after this one began
-	StatusFor time.Duration // for which the state of an ended job is kept
-	StopTime  time.Duration // that a stop takes at most
-	Spread    float64       // run time away from the data's rack, or across racks, as a multiple
+	Lease        time.Duration // for which a hold keeps a worker's runs alive
+	LongestLease time.Duration // that a worker accepts
+	Authority    time.Duration // for which an earlier planner may go on renewing leases after this one began
+	StatusFor    time.Duration // for which the state of an ended job is kept
+	StopTime     time.Duration // that a stop takes at most
+	Spread       float64       // run time away from the data's rack, or across racks, as a multiple
 }
 
 // Planner holds the tables. It is not safe for concurrent use.
@@ -78,7 +79,7 @@
 func New(settings Settings, term int64, catalog *Catalog, now time.Time) *Planner {
 	return &Planner{
 		now:      now,
-		lapse:    now.Add(settings.Authority + settings.leaseAtMost()),
+		lapse:    now.Add(settings.Authority + settings.onSlowClock(settings.Lease)),
 		Settings: settings,
 		Term:     term,
 		catalog:  catalog,
@@ -93,14 +94,14 @@
 	}
 }
 
-// leaseAtMost returns for how long a lease of this or an earlier planner lasts on a slow clock.
-func (settings Settings) leaseAtMost() time.Duration {
-	return settings.Lease + settings.Lease/(driftDivisor-1) + lapseGuard
+// onSlowClock returns for how long a lease may last on a slow clock.
+func (Settings) onSlowClock(lease time.Duration) time.Duration {
+	return lease + lease/(driftDivisor-1) + lapseGuard
 }
 
 // Unopposed takes note that no earlier planner renews leases after a time.
 func (planner *Planner) Unopposed(after time.Time) {
-	lapse := after.Add(planner.Settings.leaseAtMost())
+	lapse := after.Add(planner.Settings.onSlowClock(planner.Settings.Lease))
 	if !lapse.Before(planner.lapse) {
 		return
 	}
--- a/library/planner/runs.go
+++ b/library/planner/runs.go
@@ -74,7 +74,7 @@
 			run.Started, run.Answered, run.Moved = true, now, now
 		}
 	case Unknown:
-		planner.doubt(worker, now)
+		planner.doubt(worker)
 	case RefusedBirth:
 		planner.reborn(worker, 0)
 		planner.close(step, run, NeverRan, "", now)
@@ -99,26 +99,12 @@
 // oldRunSkip is added to a run number that a worker refused as too low.
 const oldRunSkip = 3
 
-// doubt raises the token of a worker that may still carry out an order, and looks at it.
-func (planner *Planner) doubt(worker *Worker, _ time.Time) {
-	worker.Token++
-	worker.Looked = false
-	worker.deadAfter = worker.lapsedBound()
+// doubt looks at a worker that may still carry out an order.
+func (planner *Planner) doubt(worker *Worker) {
+	worker.lose()
 	planner.effects = append(planner.effects, Fence{Worker: worker.ID})
 }
 
-// lapsedBound returns when every lease that this planner asked for has run out.
-func (worker *Worker) lapsedBound() time.Time {
-	looked := worker.Looked
-	worker.Looked = true
-	at := worker.lapsedAt()
-	worker.Looked = looked
-	if at.Before(worker.deadAfter) && !worker.clockAt.IsZero() {
-		return worker.deadAfter
-	}
-	return at
-}
-
 // Unreachable takes note that a look at a worker got no answer.
 func (planner *Planner) Unreachable(id string, now time.Time) {
 	planner.now = now
@@ -126,16 +112,17 @@
 	if worker == nil || !worker.Looked {
 		return
 	}
-	worker.deadAfter = worker.lapsedAt()
-	worker.Looked = false
-	worker.Token++
+	worker.lose()
 }
 
 // reborn deals with a worker that started anew. Each of its runs was on the earlier incarnation, or was
 // carried out by the new one before this was known; a look under a raised token tells which.
 func (planner *Planner) reborn(worker *Worker, born int64) {
-	worker.Token++
-	worker.Looked = false
+	planner.doubt(worker)
+	worker.anew = true
+	if bound := planner.now.Add(planner.Settings.onSlowClock(planner.Settings.LongestLease)); bound.After(worker.deadAfter) {
+		worker.deadAfter = bound // a lease that was asked for on the former clock may last this long on the new one
+	}
 	worker.Cursor, worker.Durable, worker.pending = 0, 0, nil
 	worker.leasedTo = 0
 	if born != 0 {
@@ -144,7 +131,6 @@
 	for _, run := range worker.Runs {
 		run.Started, run.Token, run.Born = false, 0, worker.Born
 	}
-	planner.effects = append(planner.effects, Fence{Worker: worker.ID})
 }
 
 func (planner *Planner) vanish(run *Run, now time.Time) {
@@ -203,8 +189,12 @@
 	}
 	if listing.Token == worker.Token && !worker.Looked {
 		// Whoever held the worker before asked for no longer lease than this, and can ask for none any more.
-		worker.leasedTo = max(worker.leasedTo, listing.Clock+planner.Settings.Lease.Milliseconds())
-		worker.Looked = true
+		lease := planner.Settings.Lease
+		if worker.anew {
+			lease = planner.Settings.LongestLease
+		}
+		worker.leasedTo = max(worker.leasedTo, listing.Clock+lease.Milliseconds())
+		worker.Looked, worker.anew = true, false
 	}
 }
 
--- a/library/planner/runs_test.go
+++ b/library/planner/runs_test.go
@@ -251,6 +251,49 @@
 	cell.wantState(jobA, planner.Completed)
 }
 
+// TestRebornLate is as TestRebornUnnoticed, long after the leases of every earlier planner have run out.
+func TestRebornLate(t *testing.T) {
+	cell := newCell(t, testStart, 2)
+	for range 30 {
+		cell.pass(time.Second)
+	}
+	for _, worker := range cell.workers {
+		worker.born, worker.began, worker.token = 2, cell.now.Add(-time.Millisecond), 0
+	}
+	cell.submit(jobA, tasks(1))
+	cell.settle()
+	cell.pass(10 * time.Millisecond)
+	cell.wantRunning(1)
+	if len(cell.starts) != 1 {
+		t.Errorf("%d starts, want the one that the new incarnation took", len(cell.starts))
+	}
+}
+
+// TestRebornSilent starts a task on a worker that had started anew and then falls silent: the end of the lease
+// was reckoned on the former clock, so the run may last for as long as any lease.
+func TestRebornSilent(t *testing.T) {
+	cell := newCell(t, testStart, 2)
+	for _, worker := range cell.workers {
+		worker.born, worker.began, worker.token = 2, cell.now.Add(-time.Millisecond), 0
+	}
+	cell.submit(jobA, tasks(1))
+	cell.planner.Plan(cell.now)
+	cell.start(cell.take().Starts[0])
+	cell.workers[cell.starts[0].Worker].silent = true
+	for range 99 {
+		cell.pass(100 * time.Millisecond)
+	}
+	if len(cell.starts) != 1 {
+		t.Fatalf("started elsewhere within the longest lease: %v", cell.starts)
+	}
+	for range 10 {
+		cell.pass(100 * time.Millisecond)
+	}
+	if len(cell.starts) != 2 {
+		t.Errorf("%d starts after the longest lease, want 2", len(cell.starts))
+	}
+}
+
 // TestRebornAfterEnds starts a task on a worker whose restart is not known yet, and that had listed ends
 // before: its next end has a number that was acknowledged already.
 func TestRebornAfterEnds(t *testing.T) {
--- a/library/planner/worker.go
+++ b/library/planner/worker.go
@@ -34,10 +34,11 @@
 	Quiet    time.Time // of its last answer
 	DrainsAt time.Time // when its draining was first seen
 
+	anew      bool  // started anew, and not looked at since
 	clock     int64 // worker's clock at clockAt, milliseconds
 	clockAt   time.Time
 	leasedTo  int64     // latest end of a lease that was asked for, on the worker's clock
-	deadAfter time.Time // by when every lease of an earlier term has run out
+	deadAfter time.Time // by when every lease has run out, while the worker is not looked at
 	unlisted  time.Time // when it left the list
 	pending   []pendingEnd
 	strangers int // runs that the tables do not know
@@ -95,6 +96,14 @@
 	return worker.clockAt.Add(time.Duration(left+left/(driftDivisor-1)) * time.Millisecond).Add(lapseGuard)
 }
 
+// lose takes note that what runs on the worker is no longer known. Until a look under the raised token
+// tells, its runs count for as long as their leases may last.
+func (worker *Worker) lose() {
+	worker.deadAfter = worker.lapsedAt()
+	worker.Looked = false
+	worker.Token++
+}
+
 // Free returns what is not in use.
 func (worker *Worker) Free() sizer.Size { return worker.Capacity.Sub(worker.Used) }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -49,16 +49,15 @@
 try 'fleet: batch without records has no number' library/planner/journal.go 'if len(batch.Records) > 0 {' 'if true {' ./library/planner 'TestBatchesUnderWay'
 try 'fleet: older state is not shown' library/planner/journal.go '&& batch.Number >= row.shownBatch' '' ./library/planner 'TestBatchesUnderWay'
 try 'fleet: only untaken jobs are withdrawn' library/planner/submission.go 'row == nil || !planner.fresh[id]' 'row == nil' ./library/planner 'TestBatchesUnderWay'
-try 'fleet: token raised on doubt' library/planner/runs.go 'worker.Token++
-	worker.Looked = false
-	worker.deadAfter = worker.lapsedBound()' 'worker.Looked = false
-	worker.deadAfter = worker.lapsedBound()' ./library/planner 'TestDoubt'
+try 'fleet: token raised on doubt' library/planner/worker.go 'worker.Token++' '' ./library/planner 'TestDoubt'
 try 'fleet: unsent runs are not disproved' library/planner/place.go 'Token: worker.Token,
 ' 'Token: 0,
 ' ./library/planner 'TestDoubt'
 try 'fleet: leases are waited out' library/planner/worker.go 'left := max(worker.leasedTo-worker.clock, 0)' 'left := int64(0)' ./library/planner 'TestSilentWorker'
-try 'fleet: former leases are waited out' library/planner/runs.go 'worker.leasedTo = max(worker.leasedTo, listing.Clock+planner.Settings.Lease.Milliseconds())' '' ./library/planner 'TestTakeover'
+try 'fleet: former leases are waited out' library/planner/runs.go 'worker.leasedTo = max(worker.leasedTo, listing.Clock+lease.Milliseconds())' '_ = lease' ./library/planner 'TestTakeover'
 try 'fleet: reborn workers are looked at' library/planner/runs.go 'run.Started, run.Token, run.Born = false, 0, worker.Born' 'planner.vanish(run, planner.now)' ./library/planner 'TestRebornUnnoticed'
+try 'fleet: leases of reborn workers' library/planner/runs.go 'bound.After(worker.deadAfter)' 'false' ./library/planner 'TestRebornSilent'
+try 'fleet: runs of a lost worker count on' library/planner/worker.go 'worker.deadAfter = worker.lapsedAt()' '' ./library/planner 'TestSilentWorker'
 try 'fleet: clock that starts anew' library/planner/runs.go 'clock+clockSlack < worker.clockAtLeast(now)' 'false' ./library/planner 'TestRebornAfterEnds'
 try 'fleet: numbers of runs are stored' library/planner/journal.go 'task.number = stored.Numbers[index]' '' ./library/planner 'TestTakeover'
 try 'fleet: cap of a team' library/planner/place.go 'return limit == 0 || used <= limit' 'return true' ./library/planner 'TestPlacement'
