Let idle workers rest, and set answers of an earlier incarnation aside

Cause: with 300 hosts and 3,000 workers the decider looked at each worker every 2 s, and at all of them at once after a takeover. Its answers waited for seconds, so that the clock in one read low by then: taken for a worker that started anew. A look made before the order then disproved a run that was carried out, its end as done was acknowledged without effect, and the task started again (TWICE, 8 tasks).

Change: answers made under a lower token than the one raised at a rebirth are set aside; the clock in an answer is held against the time its order was sent; workers without runs are looked at 150 times a second in all and rest otherwise; looks that do not wait take turns. TestRebornEarlierAnswers failed first.

--- a/daemon/scheduler/holder.go
+++ b/daemon/scheduler/holder.go
@@ -15,6 +15,15 @@
 	cancel  context.CancelFunc
 	fencing bool          // a look under a raised token is on its way
 	turns   chan struct{} // starts that may be on their way at once
+	woken   chan struct{} // a start is sent to a worker that rests
+}
+
+// wake ends the holder's rest.
+func (holder *holder) wake() {
+	select {
+	case holder.woken <- struct{}{}:
+	default:
+	}
 }
 
 const (
@@ -29,6 +38,8 @@
 	firstRetry   = 60 * time.Millisecond
 	mostRetry    = 500 * time.Millisecond
 	startsAtOnce = 2
+	quickAtOnce  = 128 // looks that do not wait, over all workers
+	restingLooks = 150 // a second, at the workers that run nothing
 )
 
 // keepHolders starts a holder for each worker of the table and ends those of workers that left it.
@@ -50,7 +61,7 @@
 
 func (tenure *tenure) hold(id string) {
 	ctx, cancel := context.WithCancel(tenure.ctx)
-	holder := &holder{worker: id, cancel: cancel, turns: make(chan struct{}, startsAtOnce)}
+	holder := &holder{worker: id, cancel: cancel, turns: make(chan struct{}, startsAtOnce), woken: make(chan struct{}, 1)}
 	tenure.holds[id] = holder
 	tenure.wait.Go(func() { tenure.keepHolding(ctx, holder) })
 }
@@ -64,7 +75,7 @@
 			sleep(ctx, mostRetry)
 			continue
 		}
-		err := tenure.look(ctx, holder.worker, wait)
+		err := tenure.lookInTurn(ctx, holder.worker, wait)
 		if err == nil {
 			retry = firstRetry
 			if wait == 0 {
@@ -88,19 +99,20 @@
 	defer limit.Stop()
 	for {
 		tenure.mu.Lock()
-		unstored := tenure.planner.Unacknowledged(holder.worker)
-		looked, urgent := tenure.planner.Looked(holder.worker), tenure.planner.Urgent(holder.worker)
-		stored := tenure.stored
+		need := tenure.planner.NeedOf(holder.worker, time.Now())
+		stored, rest := tenure.stored, tenure.rest()
 		tenure.mu.Unlock()
-		if !unstored {
-			if !looked {
-				return 0
-			}
-			if urgent {
-				return shortWait
-			}
+		switch need {
+		case planner.NeedKnowledge:
+			return 0
+		case planner.NeedUrgentEnd:
+			return shortWait
+		case planner.NeedEnd:
 			sleep(ctx, gatherEnds)
 			return longWait
+		case planner.NeedNothing:
+			pause(ctx, holder.woken, rest)
+			return longWait
 		}
 		select {
 		case <-stored:
@@ -112,6 +124,27 @@
 	}
 }
 
+// lookInTurn makes one hold. Those that do not wait take turns, so that a whole fleet that has to be looked
+// at is not asked all at once, and then again because the answers are late.
+func (tenure *tenure) lookInTurn(ctx context.Context, worker string, wait time.Duration) error {
+	if wait == 0 {
+		select {
+		case tenure.quick <- struct{}{}:
+			defer func() { <-tenure.quick }()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return tenure.look(ctx, worker, wait)
+}
+
+// rest returns how long a worker that runs nothing goes without a look, so that a large fleet at rest costs
+// no more than a middling one.
+func (tenure *tenure) rest() time.Duration {
+	turn := time.Duration(len(tenure.holds)) * time.Second / restingLooks
+	return min(max(turn-longWait, gatherEnds), planner.MostRest-2*longWait)
+}
+
 // look makes one hold and passes its listing on.
 func (tenure *tenure) look(ctx context.Context, worker string, wait time.Duration) error {
 	tenure.mu.Lock()
@@ -198,11 +231,11 @@
 // start sends an order whose record is stored.
 func (tenure *tenure) start(start planner.Start) {
 	tenure.wait.Go(func() {
-		turns := tenure.turnsOf(start)
-		if turns != nil {
+		holder := tenure.holderOf(start)
+		if holder != nil {
 			select {
-			case turns <- struct{}{}:
-				defer func() { <-turns }()
+			case holder.turns <- struct{}{}:
+				defer func() { <-holder.turns }()
 			case <-tenure.ctx.Done():
 				return
 			}
@@ -214,6 +247,9 @@
 			tenure.kick()
 			return
 		}
+		if holder != nil {
+			holder.wake()
+		}
 		ctx, cancel := context.WithTimeout(tenure.ctx, startWithin)
 		defer cancel()
 		outcome, clock, err := tenure.host.orders.Start(ctx, order)
@@ -221,13 +257,11 @@
 	})
 }
 
-func (tenure *tenure) turnsOf(start planner.Start) chan struct{} {
+// holderOf returns the holder of a start's worker, or nil.
+func (tenure *tenure) holderOf(start planner.Start) *holder {
 	tenure.mu.Lock()
 	defer tenure.mu.Unlock()
-	if holder := tenure.holds[tenure.planner.WorkerOf(start)]; holder != nil {
-		return holder.turns
-	}
-	return nil
+	return tenure.holds[tenure.planner.WorkerOf(start)]
 }
 
 func (tenure *tenure) answered(order planner.Order, outcome planner.Outcome, clock int64, err error) {
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -24,6 +24,7 @@
 	kicked  chan struct{}
 	policy  *questions
 	support *support
+	quick   chan struct{} // looks that do not wait and are on their way
 
 	mu        sync.Mutex
 	planner   *planner.Planner // nil until the journal was read
@@ -53,7 +54,8 @@
 	ctx, cancel := context.WithCancel(host.ctx)
 	tenure := &tenure{
 		host: host, term: term, beganAt: host.uptime(), ctx: ctx, cancel: cancel,
-		kicked: make(chan struct{}, 1), stored: make(chan struct{}), opened: make(chan struct{}),
+		kicked: make(chan struct{}, 1), quick: make(chan struct{}, quickAtOnce),
+		stored: make(chan struct{}), opened: make(chan struct{}),
 		infos: map[string]planner.WorkerInfo{}, holds: map[string]*holder{},
 	}
 	tenure.journal = newJournal(tenure)
--- a/library/planner/cell_test.go
+++ b/library/planner/cell_test.go
@@ -140,7 +140,7 @@
 	}
 	worker.ended = slices.DeleteFunc(worker.ended, func(ended planner.EndedRun) bool { return ended.Sequence <= hold.Cursor })
 	listing := planner.Listing{
-		Token: hold.Token, SentAt: cell.now, Born: worker.born, Clock: cell.now.Sub(worker.began).Milliseconds(),
+		Token: hold.Token, SentAt: cell.now, Born: worker.born, Clock: cell.clockOf(worker),
 		Ended: slices.Clone(worker.ended),
 	}
 	for key, number := range worker.running {
@@ -253,7 +253,11 @@
 	if leased := worker.began.Add(time.Duration(order.Deadline) * time.Millisecond); leased.After(worker.leased) {
 		worker.leased = leased
 	}
-	cell.planner.Answered(order, planner.Taken, cell.now.Sub(worker.began).Milliseconds(), cell.now)
+	cell.planner.Answered(order, planner.Taken, cell.clockOf(worker), cell.now)
+}
+
+func (cell *cell) clockOf(worker *fakeWorker) int64 {
+	return cell.now.Sub(worker.began).Milliseconds()
 }
 
 // end ends a task wherever it runs, without telling the planner.
--- a/library/planner/effect.go
+++ b/library/planner/effect.go
@@ -21,6 +21,7 @@
 	Checkpoint string
 	Ticket     string
 	Token      int64
+	SentAt     time.Time
 	Deadline   int64 // end of the lease on the worker's clock, milliseconds
 }
 
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -303,31 +303,3 @@
 	planner.effects = nil
 	return effects
 }
-
-// Looked reports whether a worker's runs are known.
-func (planner *Planner) Looked(id string) bool {
-	worker := planner.workers[id]
-	return worker != nil && worker.Looked
-}
-
-// Urgent reports whether a worker has runs of urgent work, whose ends should be known soon.
-func (planner *Planner) Urgent(id string) bool {
-	worker := planner.workers[id]
-	if worker == nil {
-		return false
-	}
-	for _, run := range worker.Runs {
-		if run.Urgent {
-			return true
-		}
-	}
-	return false
-}
-
-// WorkerOf returns the worker of a start's run, or nothing where the run is no longer open.
-func (planner *Planner) WorkerOf(start Start) string {
-	if _, run := planner.openRun(start.Key, start.Number); run != nil {
-		return run.Worker
-	}
-	return ""
-}
--- a/library/planner/place.go
+++ b/library/planner/place.go
@@ -162,9 +162,6 @@
 	return made
 }
 
-// freshness is how long ago a worker must have answered to get new runs.
-const freshness = 3200 * time.Millisecond
-
 // eligible reports whether a worker can take one more task of the step now, beside some that it is given
 // in the same round.
 func (pass *pass) eligible(step *step, queue Queue, worker *Worker, taken int) bool {
@@ -182,7 +179,7 @@
 }
 
 func (planner *Planner) sound(worker *Worker, now time.Time) bool {
-	return worker.Looked && worker.strangers == 0 && now.Sub(worker.Quiet) < freshness && worker.health.usable(now)
+	return worker.Looked && worker.strangers == 0 && (worker.fresh(now) || worker.rested(now)) && worker.health.usable(now)
 }
 
 // apart reports whether a worker may get one more task of a step that spreads its tasks.
@@ -204,6 +201,7 @@
 	fillCost       = 0.25 // of a worker that would be left wholly empty
 	apartCost      = 0.5  // of a worker that serves none of the tasks that fillers disturb
 	awayCost       = 0.3  // to urgent work, of a worker outside the zone of its other tasks
+	restedCost     = 0.3  // of a worker that has not answered lately, and may be gone
 	unlikeCost     = 0.5  // to work that is not urgent, of a worker twice as slow or fast as others
 )
 
@@ -226,6 +224,9 @@
 	if step.TailMS > 0 && worker.serving == 0 {
 		cost += apartCost
 	}
+	if !worker.fresh(pass.now) {
+		cost += restedCost
+	}
 	if queue.Priority == 0 && step.of.zone != "" && step.of.zone != worker.Zone {
 		cost += awayCost
 	}
--- a/library/planner/runs.go
+++ b/library/planner/runs.go
@@ -5,27 +5,6 @@
 	"time"
 )
 
-// NextHold returns how to look at a worker, and false where there is none of that ID. A worker whose clock
-// is not known yet is asked without a lease.
-func (planner *Planner) NextHold(id string, now time.Time) (Hold, bool) {
-	worker := planner.workers[id]
-	if worker == nil || worker.Address == "" {
-		return Hold{}, false
-	}
-	hold := Hold{Worker: id, Address: worker.Address, Token: worker.Token, Cursor: worker.Durable}
-	if worker.Looked {
-		hold.Deadline = worker.clockAtLeast(now) + planner.Settings.Lease.Milliseconds()
-		worker.leasedTo = max(worker.leasedTo, hold.Deadline)
-	}
-	return hold, true
-}
-
-// Unacknowledged reports whether a worker lists ends that are not stored yet.
-func (planner *Planner) Unacknowledged(id string) bool {
-	worker := planner.workers[id]
-	return worker != nil && worker.Durable < worker.Cursor
-}
-
 // Prepare fills in a start as it is sent now, and reports false where it is no longer wanted.
 func (planner *Planner) Prepare(start Start, now time.Time) (Order, bool) {
 	planner.now = now
@@ -42,8 +21,8 @@
 	order := Order{
 		Key: run.Key, Number: run.Number, Worker: worker.ID, Address: worker.Address,
 		Payload: step.job.Payload, Checkpoint: step.tasks[start.Key.Index].checkpoint,
-		Ticket: step.policy.allowed[worker.ID].text, Token: worker.Token,
-		Deadline: worker.clockAtLeast(now) + planner.Settings.Lease.Milliseconds(),
+		Ticket: step.policy.allowed[worker.ID].text, Token: worker.Token, SentAt: now,
+		Deadline: worker.clockAtLeast(now) + planner.leaseOf(worker, now).Milliseconds(),
 	}
 	worker.leasedTo = max(worker.leasedTo, order.Deadline)
 	return order, true
@@ -59,9 +38,12 @@
 func (planner *Planner) Answered(order Order, outcome Outcome, clock int64, now time.Time) {
 	planner.now = now
 	worker := planner.worker(order.Worker)
-	if clock > 0 && clock+clockSlack < worker.clockAtLeast(now) && !worker.clockAt.IsZero() {
+	current := order.Token == worker.Token // else what it tells of the worker may be of an earlier incarnation
+	switch {
+	case clock <= 0 || !current:
+	case clock+clockSlack < worker.clockAtLeast(order.SentAt) && !worker.clockAt.IsZero():
 		planner.reborn(worker, 0) // its clock started anew
-	} else if clock > 0 {
+	default:
 		worker.observe(clock, now)
 	}
 	step, run := planner.openRun(order.Key, order.Number)
@@ -70,13 +52,15 @@
 	}
 	switch outcome {
 	case Taken:
-		if worker.Looked {
+		if worker.Looked && current {
 			run.Started, run.Answered, run.Moved = true, now, now
 		}
 	case Unknown:
 		planner.doubt(worker)
 	case RefusedBirth:
-		planner.reborn(worker, 0)
+		if current {
+			planner.reborn(worker, 0)
+		}
 		planner.close(step, run, NeverRan, "", now)
 	case RefusedTicket:
 		delete(step.policy.allowed, worker.ID)
@@ -168,8 +152,8 @@
 func (planner *Planner) Listed(id string, listing Listing, now time.Time) {
 	planner.now = now
 	worker := planner.workers[id]
-	if worker == nil {
-		return
+	if worker == nil || worker.anew && listing.Token < worker.Token {
+		return // made before it was known that the worker may have started anew
 	}
 	if listing.Born != 0 && worker.Born != 0 && listing.Born != worker.Born {
 		planner.reborn(worker, listing.Born)
--- a/library/planner/runs_test.go
+++ b/library/planner/runs_test.go
@@ -315,6 +315,59 @@
 	}
 }
 
+// TestRebornEarlierAnswers takes answers that were made before it was known that a worker may have started
+// anew, and that arrive after.
+func TestRebornEarlierAnswers(t *testing.T) {
+	// order makes a start that the worker carries out and whose answer is on its way, as is that of a look before.
+	order := func(t *testing.T) (*cell, planner.Order, planner.Listing) {
+		cell := newCell(t, testStart, 1)
+		cell.submit(jobA, tasks(1))
+		cell.planner.Plan(cell.now)
+		start := cell.take().Starts[0]
+		worker := cell.workers["w-000"]
+		hold, _ := cell.planner.NextHold(worker.id, cell.now)
+		earlier := planner.Listing{Token: hold.Token, SentAt: cell.now, Born: worker.born, Clock: cell.clockOf(worker)}
+		order, _ := cell.planner.Prepare(start, cell.now)
+		worker.running[order.Key] = order.Number
+		return cell, order, earlier
+	}
+	t.Run("lookBeforeTheOrderDoesNotDisproveIt", func(t *testing.T) {
+		cell, order, earlier := order(t)
+		worker := cell.workers["w-000"]
+		other := order
+		other.Key.Index = 1 // of a run that is not open: only the clock of the answer counts
+		cell.planner.Answered(other, planner.Taken, cell.clockOf(worker)-5000, cell.now)
+		cell.planner.Listed(worker.id, earlier, cell.now)
+		cell.settle()
+		cell.pass(10 * time.Millisecond)
+		cell.wantRunning(1)
+		if len(cell.starts) != 0 {
+			t.Errorf("started again: %v", cell.starts)
+		}
+	})
+	t.Run("endsOfTheFormerIncarnationDoNotCount", func(t *testing.T) {
+		cell, _, earlier := order(t)
+		worker := cell.workers["w-000"]
+		earlier.Ended = []planner.EndedRun{{Sequence: 9, Key: planner.TaskKey{Job: jobB}, Number: 1, Ending: planner.EndedDone}}
+		worker.born, worker.began, worker.token = 2, cell.now.Add(-time.Millisecond), 0
+		cell.hold(worker.id) // tells of the new incarnation
+		cell.planner.Listed(worker.id, earlier, cell.now)
+		cell.settle()
+		cell.endAll(planner.EndedDone)
+		cell.wantState(jobA, planner.Completed)
+	})
+	t.Run("answerThatWaitedIsNoSignOfANewIncarnation", func(t *testing.T) {
+		cell, order, _ := order(t)
+		worker := cell.workers["w-000"]
+		clock := cell.clockOf(worker)
+		cell.now = cell.now.Add(3 * time.Second) // until the answer is read
+		cell.planner.Answered(order, planner.Taken, clock, cell.now)
+		if row := cell.planner.Workers()[0]; !row.Looked || row.Token != order.Token {
+			t.Errorf("looked %t under token %d, want true under %d", row.Looked, row.Token, order.Token)
+		}
+	})
+}
+
 // TestTakeover rebuilds the tables from what is stored.
 func TestTakeover(t *testing.T) {
 	t.Run("runsGoOn", func(t *testing.T) {
