--- a/daemon/scheduler/calls.go
+++ b/daemon/scheduler/calls.go
@@ -17,6 +17,7 @@
 	methodBeat     = "beat"
 	methodCampaign = "campaign"
 	methodQuestion = "question"
+	methodRelay    = "relay"
 	methodSubmit   = "submit"
 	methodState    = "state"
 	methodCancel   = "cancel"
@@ -50,6 +51,12 @@
 			return nil, fmt.Errorf("decode question: %w", err)
 		}
 		return host.askPolicy(ctx, question)
+	case methodRelay:
+		var batch RelayedBatch
+		if err := json.Unmarshal(body, &batch); err != nil {
+			return nil, fmt.Errorf("decode relay: %w", err)
+		}
+		return host.relay(ctx, batch), nil
 	}
 	var call Call
 	if err := json.Unmarshal(body, &call); err != nil {
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -54,6 +54,7 @@
 	leaving   atomic.Bool
 	watching  watchState
 	yieldedAt time.Duration // uptime when the host last offered to hand over
+	passedAt  time.Duration // uptime when the host last asked a peer to decide because the store is out of its reach
 	rest      time.Duration // before the next campaign, after one that failed
 
 	mu     sync.Mutex
--- a/daemon/scheduler/journal.go
+++ b/daemon/scheduler/journal.go
@@ -14,9 +14,11 @@
 )
 
 // journal writes a tenure's batches to the store, in order and each once. Some appends are under way at a
-// time, and one whose answer is late is repeated beside the first: the store takes a sequence number once.
+// time, and one whose answer is late is repeated beside the first, in turns directly and through a peer: the
+// store takes a sequence number once.
 type journal struct {
 	tenure *tenure
+	route  *route
 
 	mu       sync.Mutex
 	sequence int64 // of the next append
@@ -42,6 +44,7 @@
 	hedgeFactor    = 3 // times what an answer usually takes, before an append is repeated
 	usualWeight    = 8 // one over the weight of the latest answer in what is usual
 	mostHedges     = 7
+	bothWays       = 2                     // attempts after which one went directly and one through a peer
 	slowAnswer     = 60 * time.Millisecond // of the usual answer, which delays each step of urgent work twice
 	appendBackoff  = 60 * time.Millisecond
 	turnWithin     = 200 * time.Millisecond // for the earlier append to be stored
@@ -49,7 +52,7 @@
 )
 
 func newJournal(tenure *tenure) *journal {
-	return &journal{tenure: tenure, through: -1, moved: make(chan struct{})}
+	return &journal{tenure: tenure, route: &route{host: tenure.host}, through: -1, moved: make(chan struct{})}
 }
 
 // quiet returns for how long the store has failed what it was given.
@@ -154,6 +157,7 @@
 		}
 		tenure.host.log.Debug("journal does not take a batch", "sequence", sequence, "records", len(entries), "quiet", journal.quiet().String(), "error", err)
 		sleep(tenure.ctx, appendBackoff)
+		journal.awaitTurn(sequence)
 	}
 }
 
@@ -206,9 +210,14 @@
 	ctx, cancel := context.WithTimeout(journal.tenure.ctx, appendWithin)
 	defer cancel()
 	answers := make(chan error, mostHedges)
-	attempt := func() { answers <- journal.appendOnce(ctx, sequence, entries) }
-	go attempt()
-	delay, made, failed := journal.patience(), 1, 0
+	made, failed := 0, 0
+	attempt := func() {
+		number := made
+		made++
+		go func() { answers <- journal.appendOnce(ctx, number, sequence, entries) }()
+	}
+	attempt()
+	delay := journal.patience()
 	hedge := time.NewTimer(delay)
 	defer hedge.Stop()
 	for {
@@ -217,16 +226,19 @@
 			if err == nil || errors.Is(err, translator.ErrFenced) {
 				return err
 			}
-			if failed++; failed == made {
+			failed++
+			if made < bothWays {
+				attempt()
+			}
+			if failed == made {
 				return err
 			}
 		case <-hedge.C:
-			if made > 1 {
+			if made >= bothWays {
 				journal.failing.CompareAndSwap(0, int64(journal.tenure.host.uptime()))
 			}
 			if made < mostHedges {
-				made++
-				go attempt()
+				attempt()
 			}
 			delay += delay / hedgeGrowth
 			hedge.Reset(delay)
@@ -236,13 +248,19 @@
 	}
 }
 
-func (journal *journal) appendOnce(ctx context.Context, sequence int64, entries []translator.Entry) error {
+// appendOnce makes one attempt, directly or through a peer.
+func (journal *journal) appendOnce(ctx context.Context, number int, sequence int64, entries []translator.Entry) error {
 	tenure := journal.tenure
-	writer := translator.Writer{Name: journalWriter, Term: tenure.term, Sequence: sequence}
-	sent := time.Now()
-	err := tenure.host.store.Append(ctx, translator.Journal, writer, entries)
+	sent := tenure.host.uptime()
+	peer, relayed := journal.route.peer(number)
+	var err error
+	if relayed {
+		err = journal.appendThrough(ctx, peer, sequence, entries)
+	} else {
+		err = tenure.host.store.Append(ctx, translator.Journal, translator.Writer{Name: journalWriter, Term: tenure.term, Sequence: sequence}, entries)
+	}
 	if !errors.Is(err, translator.ErrUnknown) {
-		journal.learn(time.Since(sent))
+		journal.learn(tenure.host.uptime() - sent)
 	}
 	var outOfTurn *translator.SequenceError
 	if errors.As(err, &outOfTurn) && outOfTurn.Expected > sequence {
@@ -251,8 +269,11 @@
 	if err != nil {
 		return err
 	}
-	tenure.host.storeAnswered()
-	tenure.storedAt.Store(int64(journal.tenure.host.uptime()))
+	if !relayed {
+		tenure.host.storeAnswered()
+		journal.route.direct()
+	}
+	tenure.confirm(sent)
 	journal.failing.Store(0)
 	journal.rise(sequence)
 	return nil
--- a/daemon/scheduler/support.go
+++ b/daemon/scheduler/support.go
@@ -66,6 +66,16 @@
 	return tenure.support.first
 }
 
+// confirm takes note that a call to the store, sent at an uptime of the host, showed no later decider.
+func (tenure *tenure) confirm(sent time.Duration) {
+	for {
+		known := tenure.storedAt.Load()
+		if int64(sent) <= known || tenure.storedAt.CompareAndSwap(known, int64(sent)) {
+			return
+		}
+	}
+}
+
 // authorized reports whether the tenure may renew leases: no other host can have begun to start elsewhere
 // what runs under them.
 func (tenure *tenure) authorized() bool {
--- a/daemon/scheduler/watch.go
+++ b/daemon/scheduler/watch.go
@@ -68,6 +68,7 @@
 		switch {
 		case tenure != nil:
 			host.yield(tenure)
+			host.passOn(tenure, election)
 			if tenure.unsure() {
 				host.survey(election) // a peer tells of a later decider
 			}
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -582,6 +582,38 @@
 	}
 }
 
+// TestFleetStoreCut cuts the decider off from the store, which its peers reach: a job handed in then is still
+// completed within its objective, and another host decides later.
+func TestFleetStoreCut(t *testing.T) {
+	const objective = 900 * time.Millisecond // twice the 200 ms of two steps, and the queue's 500 ms
+	cut := func(t *testing.T, lost int) {
+		inFleet(t, 5, func(fleet *fleet) {
+			former := fleet.decider()
+			away := []string{former}
+			for _, name := range fleet.names {
+				if name != former && len(away) < lost {
+					away = append(away, name)
+				}
+			}
+			heal := fleet.fabric.Cut(away, []string{"store"})
+			for number := range 10 {
+				began := time.Now()
+				fleet.submit(fleet.names[number%5], number)
+				fleet.await(fleet.names[number%5], 10*time.Second)
+				if took := time.Since(began); took > objective {
+					fleet.Errorf("job %d took %v, its objective is %v", number, took, objective)
+				}
+			}
+			if slices.Contains(away, fleet.decider()) {
+				fleet.Error("a host that the store does not answer still decides")
+			}
+			heal()
+		})
+	}
+	t.Run("decider", func(t *testing.T) { cut(t, 1) })
+	t.Run("deciderAndTwoPeers", func(t *testing.T) { cut(t, 3) })
+}
+
 // TestFleetDeposed asks a host that decided until the store turned it away, while another one decides.
 func TestFleetDeposed(t *testing.T) {
 	deny := func(fleet *fleet, former string, cutFrom []string) {
