Repeat appends in their turn, both ways at once where answers get lost

Cause: while the store carries calls out late and without an answer, batches that came before their turn used up their repeats, and a change waited for up to four batches before it, each repeated in turn. Steps stalled for 1.7 s, peers took that for a lost store and campaigned.

Change: an attempt that came too early is repeated when its turn has come and not before; where first attempts get lost, one batch is under way at a time and its attempts go both ways at once; the wait between repeats grows to three times the first.

--- a/daemon/scheduler/journal.go
+++ b/daemon/scheduler/journal.go
@@ -29,6 +29,7 @@
 
 	slow    atomic.Bool
 	usual   atomic.Int64 // what an answer takes, as an average in nanoseconds
+	loss    atomic.Int64 // how many of 1,000 appends were answered at another than the first attempt, as an average
 	failing atomic.Int64 // since when appends fail, on the steady clock, 0 while they do not
 }
 
@@ -36,14 +37,17 @@
 	journalWriter  = "decider"
 	termKey        = "term" // of the record that a tenure begins with
 	hedgeGrowth    = 2      // each wait for the next repeat is longer by the last one over this
+	hedgeSpread    = 3      // times the first such wait, at most
 	appendsAtOnce  = 4
 	appendGap      = 8 * time.Millisecond // between two batches, so that changes gather
 	appendWithin   = 2 * time.Second
 	leastHedge     = 20 * time.Millisecond // after which an append is repeated beside the first
-	mostHedge      = 500 * time.Millisecond
-	hedgeFactor    = 3 // times what an answer usually takes, before an append is repeated
-	usualWeight    = 8 // one over the weight of the latest answer in what is usual
-	mostHedges     = 7
+	mostHedge      = 150 * time.Millisecond
+	hedgeFactor    = 3   // times what an answer usually takes, before an append is repeated
+	usualWeight    = 8   // one over the weight of the latest answer in what is usual
+	mostUnderWay   = 16  // attempts at one append
+	lossyAt        = 200 // of 1,000 appends
+	perMille       = 1000
 	bothWays       = 2                     // attempts after which one went directly and one through a peer
 	slowAnswer     = 60 * time.Millisecond // of the usual answer, which delays each step of urgent work twice
 	appendBackoff  = 60 * time.Millisecond
@@ -80,7 +84,11 @@
 func (journal *journal) free() bool {
 	journal.mu.Lock()
 	defer journal.mu.Unlock()
-	return journal.underWay < appendsAtOnce && journal.quiet() < storePatience && time.Since(journal.lastAt) >= appendGap
+	atOnce := appendsAtOnce
+	if journal.lossy() {
+		atOnce = 1
+	}
+	return journal.underWay < atOnce && journal.quiet() < storePatience && time.Since(journal.lastAt) >= appendGap
 }
 
 // save stores a batch, however long that takes, and then lets its starts go.
@@ -147,11 +155,6 @@
 			tenure.resign(err)
 			return false
 		}
-		var outOfTurn *translator.SequenceError
-		if errors.As(err, &outOfTurn) && outOfTurn.Expected < sequence {
-			journal.awaitTurn(sequence)
-			continue
-		}
 		if journal.failing.CompareAndSwap(0, int64(journal.tenure.host.uptime())) {
 			tenure.host.log.Warn("journal lost", "sequence", sequence, "records", len(entries), "error", err)
 		}
@@ -166,10 +169,8 @@
 	ctx, cancel := context.WithTimeout(journal.tenure.ctx, turnWithin)
 	defer cancel()
 	for ctx.Err() == nil {
-		journal.mu.Lock()
-		through, moved := journal.through, journal.moved
-		journal.mu.Unlock()
-		if through >= sequence-1 {
+		inTurn, moved := journal.turn(sequence)
+		if inTurn {
 			return
 		}
 		pause(ctx, moved, turnWithin)
@@ -192,6 +193,20 @@
 	return min(max(hedgeFactor*time.Duration(journal.usual.Load()), leastHedge), mostHedge)
 }
 
+// lossy reports whether many first attempts have no answer. Batches then go one at a time, since each waits
+// for the one before it, and both ways at once.
+func (journal *journal) lossy() bool { return journal.loss.Load() > lossyAt }
+
+// learnLoss takes note of whether an append needed more than its first attempt.
+func (journal *journal) learnLoss(lost bool) {
+	var sample int64
+	if lost {
+		sample = perMille
+	}
+	former := journal.loss.Load()
+	journal.loss.Store(former + (sample-former)/usualWeight)
+}
+
 // learn takes note of how long an answer took.
 func (journal *journal) learn(took time.Duration) {
 	former := journal.usual.Load()
@@ -205,42 +220,94 @@
 	}
 }
 
-// append makes one attempt, repeated beside itself while its answer is late.
+// attempts are the tries at one append.
+type attempts struct {
+	journal  *journal
+	ctx      context.Context
+	sequence int64
+	entries  []translator.Entry
+	made     int
+	underWay int
+	early    bool // one came before the append that goes first, and has to be repeated
+	answers  chan attempted
+}
+
+// attempted is the end of an attempt.
+type attempted struct {
+	number int
+	err    error
+}
+
+// start makes one more attempt, unless too many are under way.
+func (attempts *attempts) start() {
+	if attempts.underWay >= mostUnderWay {
+		return
+	}
+	number := attempts.made
+	attempts.made++
+	attempts.underWay++
+	attempts.early = false
+	go func() {
+		attempts.answers <- attempted{number, attempts.journal.appendOnce(attempts.ctx, number, attempts.sequence, attempts.entries)}
+	}()
+}
+
+// take deals with the answer to an attempt, and reports whether the append has ended with it.
+func (attempts *attempts) take(answer attempted, inTurn bool) (ended bool) {
+	attempts.underWay--
+	err := answer.err
+	var outOfTurn *translator.SequenceError
+	switch {
+	case err == nil:
+		attempts.journal.learnLoss(answer.number > 0)
+		return true
+	case errors.Is(err, translator.ErrFenced):
+		return true
+	case errors.As(err, &outOfTurn):
+		attempts.early = true
+		if inTurn {
+			attempts.start()
+		}
+	case attempts.made < bothWays:
+		attempts.start()
+	}
+	return attempts.underWay == 0 && !attempts.early
+}
+
+// append makes one attempt, repeated beside itself while its answer is late and its turn has come.
 func (journal *journal) append(sequence int64, entries []translator.Entry) error {
 	ctx, cancel := context.WithTimeout(journal.tenure.ctx, appendWithin)
 	defer cancel()
-	answers := make(chan error, mostHedges)
-	made, failed := 0, 0
-	attempt := func() {
-		number := made
-		made++
-		go func() { answers <- journal.appendOnce(ctx, number, sequence, entries) }()
+	attempts := &attempts{journal: journal, ctx: ctx, sequence: sequence, entries: entries, answers: make(chan attempted, mostUnderWay)}
+	attempts.start()
+	if journal.lossy() {
+		attempts.start()
 	}
-	attempt()
 	delay := journal.patience()
 	hedge := time.NewTimer(delay)
 	defer hedge.Stop()
+	inTurn, moved := journal.turn(sequence)
 	for {
 		select {
-		case err := <-answers:
-			if err == nil || errors.Is(err, translator.ErrFenced) {
-				return err
+		case answer := <-attempts.answers:
+			if attempts.take(answer, inTurn) {
+				return answer.err
 			}
-			failed++
-			if made < bothWays {
-				attempt()
-			}
-			if failed == made {
-				return err
+		case <-moved:
+			former := inTurn
+			inTurn, moved = journal.turn(sequence)
+			if inTurn && !former && attempts.early {
+				attempts.start()
+				hedge.Reset(delay)
 			}
 		case <-hedge.C:
-			if made >= bothWays {
-				journal.failing.CompareAndSwap(0, int64(journal.tenure.host.uptime()))
-			}
-			if made < mostHedges {
-				attempt()
+			if inTurn {
+				if attempts.made >= bothWays {
+					journal.failing.CompareAndSwap(0, int64(journal.tenure.host.uptime()))
+				}
+				attempts.start()
+				delay = min(delay+delay/hedgeGrowth, hedgeSpread*journal.patience(), mostHedge)
 			}
-			delay += delay / hedgeGrowth
 			hedge.Reset(delay)
 		case <-ctx.Done():
 			return fmt.Errorf("append %d: %w", sequence, ctx.Err())
@@ -248,6 +315,13 @@
 	}
 }
 
+// turn reports whether the append before one is stored, and returns a channel that is closed when more are.
+func (journal *journal) turn(sequence int64) (bool, <-chan struct{}) {
+	journal.mu.Lock()
+	defer journal.mu.Unlock()
+	return journal.through >= sequence-1, journal.moved
+}
+
 // appendOnce makes one attempt, directly or through a peer.
 func (journal *journal) appendOnce(ctx context.Context, number int, sequence int64, entries []translator.Entry) error {
 	tenure := journal.tenure
--- a/standin/emulator/store.go
+++ b/standin/emulator/store.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -22,6 +23,7 @@
 	topics map[string]*topic
 	faults StoreFaults
 	count  int // appends that were asked for
+	draws  *rand.Rand
 }
 
 // StoreFaults are the ways in which the store misbehaves; the zero value is healthy.
@@ -31,6 +33,7 @@
 	Delay     time.Duration // before each answer
 	LoseEvery int           // one append in so many takes effect without an answer
 	LateEvery int           // one append in so many has no answer and takes effect after LateBy
+	LateShare float64       // so many of all appends do so besides, drawn from a fixed seed
 	LateBy    time.Duration
 }
 
@@ -59,10 +62,13 @@
 	keptAnswers  = 5
 	longestWait  = 30 * time.Second
 	lengthPrefix = 4
+	drawSeed     = 1
 )
 
 // NewStore returns an empty, healthy store.
-func NewStore() *Store { return &Store{topics: map[string]*topic{}} }
+func NewStore() *Store {
+	return &Store{topics: map[string]*topic{}, draws: rand.New(rand.NewPCG(drawSeed, drawSeed))}
+}
 
 // SetFaults replaces the faults.
 func (store *Store) SetFaults(faults StoreFaults) {
@@ -176,7 +182,7 @@
 	}
 	store.mu.Lock()
 	store.count++
-	late := faults.LateEvery > 0 && store.count%faults.LateEvery == 0
+	late := faults.LateEvery > 0 && store.count%faults.LateEvery == 0 || store.draws.Float64() < faults.LateShare
 	lost := faults.LoseEvery > 0 && store.count%faults.LoseEvery == 0
 	store.mu.Unlock()
 	query := r.URL.Query()
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -614,6 +614,52 @@
 	t.Run("deciderAndTwoPeers", func(t *testing.T) { cut(t, 3) })
 }
 
+// TestFleetLateAppends hands many jobs in at once while the store carries appends out late and without an
+// answer: batches that came before their turn are repeated as soon as it has come.
+func TestFleetLateAppends(t *testing.T) {
+	const objective = 900 * time.Millisecond
+	inFleet(t, 4, func(fleet *fleet) {
+		fleet.store.SetFaults(emulator.StoreFaults{LateShare: 0.6, LateBy: 3 * time.Second})
+		const jobs = 60
+		all := make(chan time.Duration)
+		for number := range jobs {
+			go func() {
+				time.Sleep(time.Duration(number) * 10 * time.Millisecond)
+				all <- fleet.timeJob(fleet.names[number%4], number)
+			}()
+		}
+		late := 0
+		for range jobs {
+			took := <-all
+			if took > objective {
+				late++
+			}
+			if took > 3*objective {
+				fleet.Errorf("a job took %v, after three times its objective of %v it earns its caller nothing", took, objective)
+			}
+		}
+		if 2*late > jobs {
+			fleet.Errorf("%d of %d jobs missed their objective", late, jobs)
+		}
+	})
+}
+
+// timeJob hands a job in once, and returns the time until it is shown as completed.
+func (fleet *fleet) timeJob(host string, number int) time.Duration {
+	began := time.Now()
+	if answer := fleet.call("POST", host, fleetQueue+jobID(number), fleetKey, twoSteps); answer.status != http.StatusOK {
+		fleet.Errorf("job %d: status %d", number, answer.status)
+		return 0
+	}
+	for fleet.call("GET", host, fleetQueue+jobID(number), fleetKey, "").state != "completed" {
+		if time.Since(began) > time.Minute {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
 // TestFleetDeposed asks a host that decided until the store turned it away, while another one decides.
 func TestFleetDeposed(t *testing.T) {
 	deny := func(fleet *fleet, former string, cutFrom []string) {
