Notice sooner what got no answer while workers' answers get lost

Cause: a look at a worker that gets no answer was given up 1.3 s later, and a start 250 ms later. While a part of all orders stays without an answer, ends were noticed that late, and most urgent jobs were late.

Change: a look or start that fails at a worker which then answers counts as a lost answer; while many are lost, looks for ends of urgent work wait 200 ms and all have 100 ms to answer. Silent workers do not count.

--- a/daemon/scheduler/holder.go
+++ b/daemon/scheduler/holder.go
@@ -16,6 +16,7 @@
 	fencing bool          // a look under a raised token is on its way
 	turns   chan struct{} // starts that may be on their way at once
 	woken   chan struct{} // a start is sent to a worker that rests
+	lost    time.Time     // when a look at it last got no answer
 }
 
 // wake ends the holder's rest.
@@ -32,6 +33,11 @@
 	gatherEnds   = 40 * time.Millisecond // between two looks at a worker without urgent work
 	holdSlack    = 300 * time.Millisecond
 	quickWithin  = 250 * time.Millisecond // of a look that does not wait
+	lossyWait    = 200 * time.Millisecond // of one look for an end of urgent work, while answers get lost
+	lossyWithin  = 100 * time.Millisecond // of an order, or a look beyond what it waits, while answers get lost
+	lostLately   = 2 * time.Second        // before the next answer, for a loss to count as one of answers
+	lossWeight   = 64                     // of the latest answer among the losses, as a divisor
+	lossyOrders  = 30                     // lost of 1,000 from which on many are
 	startWithin  = 250 * time.Millisecond
 	stopWithin   = 500 * time.Millisecond
 	ackPatience  = 250 * time.Millisecond // for ends to be stored before the next look
@@ -106,6 +112,9 @@
 		case planner.NeedKnowledge:
 			return 0
 		case planner.NeedUrgentEnd:
+			if tenure.losses.lossy() {
+				return lossyWait
+			}
 			return shortWait
 		case planner.NeedEnd:
 			sleep(ctx, gatherEnds)
@@ -154,7 +163,11 @@
 		sleep(ctx, mostRetry)
 		return nil
 	}
-	limited, cancel := context.WithTimeout(ctx, max(wait+holdSlack, quickWithin))
+	slack := holdSlack
+	if wait == 0 {
+		slack = quickWithin
+	}
+	limited, cancel := context.WithTimeout(ctx, wait+tenure.patience(slack))
 	defer cancel()
 	listing, err := tenure.host.orders.Hold(limited, hold, wait)
 	tenure.host.metrics.looks.Inc()
@@ -163,6 +176,7 @@
 	}
 	tenure.mu.Lock()
 	defer tenure.mu.Unlock()
+	tenure.noteLoss(worker, err != nil)
 	if err != nil {
 		tenure.planner.Unreachable(worker, time.Now())
 		return err
@@ -174,6 +188,29 @@
 	return nil
 }
 
+// noteLoss takes note of whether a look was answered. A worker that goes on to answer lost an answer, one
+// that does not is silent.
+func (tenure *tenure) noteLoss(worker string, lost bool) {
+	holder := tenure.holds[worker]
+	if holder == nil {
+		return
+	}
+	if lost {
+		holder.lost = time.Now()
+		return
+	}
+	tenure.losses.note(time.Since(holder.lost) < lostLately)
+	holder.lost = time.Time{}
+}
+
+// patience returns how long an answer may take: less than usual while answers get lost.
+func (tenure *tenure) patience(usual time.Duration) time.Duration {
+	if tenure.losses.lossy() {
+		return min(usual, lossyWithin)
+	}
+	return usual
+}
+
 // carryOut does what needs no record.
 func (tenure *tenure) carryOut(effects []planner.Effect) {
 	for _, effect := range effects {
@@ -250,7 +287,7 @@
 		if holder != nil {
 			holder.wake()
 		}
-		ctx, cancel := context.WithTimeout(tenure.ctx, startWithin)
+		ctx, cancel := context.WithTimeout(tenure.ctx, tenure.patience(startWithin))
 		defer cancel()
 		outcome, clock, err := tenure.host.orders.Start(ctx, order)
 		tenure.answered(order, outcome, clock, err)
@@ -276,6 +313,9 @@
 	tenure.host.log.Info("start", attributes...)
 	tenure.mu.Lock()
 	defer tenure.mu.Unlock()
+	if outcome == planner.Unknown {
+		tenure.noteLoss(order.Worker, true)
+	}
 	tenure.planner.Answered(order, outcome, clock, time.Now())
 	if tenure.planner.Dirty() {
 		tenure.kick()
--- a/daemon/scheduler/journal.go
+++ b/daemon/scheduler/journal.go
@@ -28,8 +28,8 @@
 	moved    chan struct{} // closed and made anew when it rises
 
 	slow    atomic.Bool
-	usual   atomic.Int64 // what an answer takes, as an average in nanoseconds
-	loss    atomic.Int64 // how many of 1,000 appends were answered at another than the first attempt, as an average
+	usual   average      // what an answer takes, in nanoseconds
+	losses  losses       // of first attempts
 	failing atomic.Int64 // since when appends fail, on the steady clock, 0 while they do not
 }
 
@@ -43,11 +43,10 @@
 	appendWithin   = 2 * time.Second
 	leastHedge     = 20 * time.Millisecond // after which an append is repeated beside the first
 	mostHedge      = 150 * time.Millisecond
-	hedgeFactor    = 3   // times what an answer usually takes, before an append is repeated
-	usualWeight    = 8   // one over the weight of the latest answer in what is usual
-	mostUnderWay   = 16  // attempts at one append
-	lossyAt        = 200 // of 1,000 appends
-	perMille       = 1000
+	hedgeFactor    = 3                     // times what an answer usually takes, before an append is repeated
+	usualWeight    = 8                     // one over the weight of the latest answer in what is usual
+	mostUnderWay   = 16                    // attempts at one append
+	lossyAt        = 200                   // of 1,000 appends
 	bothWays       = 2                     // attempts after which one went directly and one through a peer
 	slowAnswer     = 60 * time.Millisecond // of the usual answer, which delays each step of urgent work twice
 	appendBackoff  = 60 * time.Millisecond
@@ -56,7 +55,10 @@
 )
 
 func newJournal(tenure *tenure) *journal {
-	return &journal{tenure: tenure, route: &route{host: tenure.host}, through: -1, moved: make(chan struct{})}
+	return &journal{
+		tenure: tenure, usual: average{weight: usualWeight}, losses: losses{average: average{weight: usualWeight}, many: lossyAt},
+		route: &route{host: tenure.host}, through: -1, moved: make(chan struct{}),
+	}
 }
 
 // quiet returns for how long the store has failed what it was given.
@@ -85,8 +87,8 @@
 	journal.mu.Lock()
 	defer journal.mu.Unlock()
 	atOnce := appendsAtOnce
-	if journal.lossy() {
-		atOnce = 1
+	if journal.losses.lossy() {
+		atOnce = 1 // each batch waits for the one before it
 	}
 	return journal.underWay < atOnce && journal.quiet() < storePatience && time.Since(journal.lastAt) >= appendGap
 }
@@ -190,28 +192,13 @@
 
 // patience returns after what time without an answer an append is repeated.
 func (journal *journal) patience() time.Duration {
-	return min(max(hedgeFactor*time.Duration(journal.usual.Load()), leastHedge), mostHedge)
-}
-
-// lossy reports whether many first attempts have no answer. Batches then go one at a time, since each waits
-// for the one before it, and both ways at once.
-func (journal *journal) lossy() bool { return journal.loss.Load() > lossyAt }
-
-// learnLoss takes note of whether an append needed more than its first attempt.
-func (journal *journal) learnLoss(lost bool) {
-	var sample int64
-	if lost {
-		sample = perMille
-	}
-	former := journal.loss.Load()
-	journal.loss.Store(former + (sample-former)/usualWeight)
+	return min(max(hedgeFactor*time.Duration(journal.usual.value.Load()), leastHedge), mostHedge)
 }
 
 // learn takes note of how long an answer took.
 func (journal *journal) learn(took time.Duration) {
-	former := journal.usual.Load()
-	usual := former + (int64(took)-former)/usualWeight
-	journal.usual.Store(usual)
+	journal.usual.add(int64(took))
+	usual := journal.usual.value.Load()
 	switch {
 	case usual > int64(slowAnswer) && journal.slow.CompareAndSwap(false, true):
 		journal.tenure.host.log.Warn("journal slow", "usual", time.Duration(usual).String(), "latest", took.String())
@@ -259,7 +246,7 @@
 	var outOfTurn *translator.SequenceError
 	switch {
 	case err == nil:
-		attempts.journal.learnLoss(answer.number > 0)
+		attempts.journal.losses.note(answer.number > 0)
 		return true
 	case errors.Is(err, translator.ErrFenced):
 		return true
@@ -280,7 +267,7 @@
 	defer cancel()
 	attempts := &attempts{journal: journal, ctx: ctx, sequence: sequence, entries: entries, answers: make(chan attempted, mostUnderWay)}
 	attempts.start()
-	if journal.lossy() {
+	if journal.losses.lossy() {
 		attempts.start()
 	}
 	delay := journal.patience()
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -25,6 +25,7 @@
 	policy  *questions
 	support *support
 	quick   chan struct{} // looks that do not wait and are on their way
+	losses  losses        // of workers' answers
 
 	mu        sync.Mutex
 	planner   *planner.Planner // nil until the journal was read
@@ -55,6 +56,7 @@
 	tenure := &tenure{
 		host: host, term: term, beganAt: host.uptime(), ctx: ctx, cancel: cancel,
 		kicked: make(chan struct{}, 1), quick: make(chan struct{}, quickAtOnce),
+		losses: losses{average: average{weight: lossWeight}, many: lossyOrders},
 		stored: make(chan struct{}), opened: make(chan struct{}),
 		infos: map[string]planner.WorkerInfo{}, holds: map[string]*holder{},
 	}
--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -47,11 +47,12 @@
 
 // WorkerFaults are the ways in which a worker misbehaves; the zero value is healthy.
 type WorkerFaults struct {
-	LoseEvery int           // one order in so many is carried out without an answer
-	LateEvery int           // one order in so many has no answer and is carried out after LateBy
-	LateBy    time.Duration //
-	FailAll   bool          // every task fails
-	Hang      bool          // no task ends
+	LoseEvery int // one order in so many is carried out without an answer
+	LateEvery int // one order in so many has no answer and is carried out after LateBy
+	LateBy    time.Duration
+	MuteEvery int  // one order or look in so many has no answer, and its connection stays silent
+	FailAll   bool // every task fails
+	Hang      bool // no task ends
 }
 
 // Begun is a run that a worker began.
@@ -146,10 +147,7 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		worker.mu.Lock()
-		worker.orders++
-		faults, count := worker.faults, worker.orders
-		worker.mu.Unlock()
+		faults, count := worker.countCall(r)
 		if faults.LateEvery > 0 && count%faults.LateEvery == 0 {
 			time.AfterFunc(faults.LateBy, func() { worker.locked(ordered, carryOut) })
 			panic(http.ErrAbortHandler)
@@ -162,6 +160,19 @@
 	}
 }
 
+// countCall counts an order or look, and keeps it without an answer where its turn has come.
+func (worker *Worker) countCall(r *http.Request) (WorkerFaults, int) {
+	worker.mu.Lock()
+	worker.orders++
+	faults, count := worker.faults, worker.orders
+	worker.mu.Unlock()
+	if faults.MuteEvery > 0 && count%faults.MuteEvery == 0 {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	return faults, count
+}
+
 func (worker *Worker) locked(ordered call, carryOut func(call) (int, string)) (int, string) {
 	worker.mu.Lock()
 	defer worker.mu.Unlock()
@@ -263,6 +274,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	worker.countCall(r)
 	status, reason := worker.locked(ordered, func(ordered call) (int, string) {
 		worker.deadline = max(worker.deadline, ordered.DeadlineMS)
 		worker.ended = slices.DeleteFunc(worker.ended, func(ended []any) bool {
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -617,28 +617,45 @@
 	const objective = 900 * time.Millisecond
 	inFleet(t, 4, func(fleet *fleet) {
 		fleet.store.SetFaults(emulator.StoreFaults{LateShare: 0.6, LateBy: 3 * time.Second})
-		const jobs = 60
-		all := make(chan time.Duration)
-		for number := range jobs {
-			go func() {
-				time.Sleep(time.Duration(number) * 10 * time.Millisecond)
-				all <- fleet.timeJob(fleet.names[number%4], number)
-			}()
+		fleet.wantMostInTime(60, objective)
+	})
+}
+
+// TestFleetMuteWorkers hands jobs in while a part of the orders and looks at workers have no answer.
+func TestFleetMuteWorkers(t *testing.T) {
+	const objective = 900 * time.Millisecond
+	inFleet(t, 4, func(fleet *fleet) {
+		for _, worker := range fleet.workers {
+			worker.SetFaults(emulator.WorkerFaults{MuteEvery: 8})
 		}
-		late := 0
-		for range jobs {
-			took := <-all
-			if took > objective {
-				late++
-			}
-			if took > 3*objective {
-				fleet.Errorf("a job took %v, after three times its objective of %v it earns its caller nothing", took, objective)
-			}
+		fleet.wantMostInTime(60, objective)
+	})
+}
+
+// wantMostInTime hands jobs in, one each 10 ms. Most have to meet their objective, and none may take three
+// times as long, after which it earns its caller nothing.
+func (fleet *fleet) wantMostInTime(jobs int, objective time.Duration) {
+	fleet.Helper()
+	all := make(chan time.Duration)
+	for number := range jobs {
+		go func() {
+			time.Sleep(time.Duration(number) * 10 * time.Millisecond)
+			all <- fleet.timeJob(fleet.names[number%len(fleet.names)], number)
+		}()
+	}
+	late := 0
+	for range jobs {
+		took := <-all
+		if took > objective {
+			late++
 		}
-		if 2*late > jobs {
-			fleet.Errorf("%d of %d jobs missed their objective", late, jobs)
+		if took > 3*objective {
+			fleet.Errorf("a job took %v, its objective is %v", took, objective)
 		}
-	})
+	}
+	if 2*late > jobs {
+		fleet.Errorf("%d of %d jobs missed their objective", late, jobs)
+	}
 }
 
 // timeJob hands a job in once, and returns the time until it is shown as completed.
