--- a/daemon/scheduler/journal.go
+++ b/daemon/scheduler/journal.go
@@ -39,7 +39,7 @@
 	hedgeGrowth    = 2      // each wait for the next repeat is longer by the last one over this
 	hedgeSpread    = 3      // times the first such wait, at most
 	appendsAtOnce  = 4
-	appendGap      = 8 * time.Millisecond // between two batches, so that changes gather
+	appendGap      = 25 * time.Millisecond // between two batches, so that changes gather
 	appendWithin   = 2 * time.Second
 	leastHedge     = 20 * time.Millisecond // after which an append is repeated beside the first
 	mostHedge      = 150 * time.Millisecond
