Hand the decision over when turns are late, and learn the successor from the answer

Cause: on the grown site the decider's machine was slowed five times. It answered some beats, so that its peers took 1.9 s to replace it, and a fifth of the urgent jobs of 6 s were late. A decider that had asked a peer to decide did not learn who did while it was cut off from the store: its callers waited 1.8 s (status 504 in TestFleetStoreCut, once the batches were further apart).

Ruled out: the relayed appends, and longer rests of workers.

Change: a decider whose planning turns are 25 ms late on average asks a peer as strong to decide, at most once in 8 s, and not within 8 s of having taken over on request. A campaign that was asked for answers with the election; a replaced host asks its peers. Batches and looks are not spread while the store loses answers (TestFleetLateAppends was red with it: 44 of 60).

--- a/daemon/scheduler/calls.go
+++ b/daemon/scheduler/calls.go
@@ -44,7 +44,12 @@
 		if host.leaving.Load() {
 			return nil, Error.New("host %s is leaving", host.settings.Host)
 		}
-		return struct{}{}, host.campaign(ctx, election)
+		host.relievedAt.Store(int64(host.uptime()))
+		if err := host.campaign(ctx, election); err != nil {
+			return nil, err
+		}
+		present, _ := host.fleet.view()
+		return present, nil
 	case methodQuestion:
 		var question Question
 		if err := json.Unmarshal(body, &question); err != nil {
--- a/daemon/scheduler/holder.go
+++ b/daemon/scheduler/holder.go
@@ -28,8 +28,8 @@
 }
 
 const (
-	shortWait    = time.Second           // of one look, for an end of urgent work
-	longWait     = 2 * time.Second       // of one look, for an end of other work
+	shortWait    = time.Second            // of one look, for an end of urgent work
+	longWait     = 2 * time.Second        // of one look, for an end of other work
 	gatherUrgent = 60 * time.Millisecond  // between two looks at a worker, so that one tells of several ends
 	gatherEnds   = 200 * time.Millisecond // the same for a worker without urgent work
 	holdSlack    = 300 * time.Millisecond
@@ -46,7 +46,7 @@
 	mostRetry    = 500 * time.Millisecond
 	startsAtOnce = 2
 	quickAtOnce  = 128 // looks that do not wait, over all workers
-	restingLooks = 16 // a second, at the workers that run nothing
+	restingLooks = 16  // a second, at the workers that run nothing
 )
 
 // keepHolders starts a holder for each worker of the table and ends those of workers that left it.
@@ -116,7 +116,9 @@
 			if tenure.losses.lossy() {
 				return lossyWait
 			}
-			sleep(ctx, gatherUrgent)
+			if !tenure.journal.losses.lossy() {
+				sleep(ctx, gatherUrgent)
+			}
 			return shortWait
 		case planner.NeedEnd:
 			sleep(ctx, gatherEnds)
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -47,15 +47,16 @@
 	ready  *http.Server
 	status *http.Server
 
-	catalog   atomic.Pointer[planner.Catalog]
-	raw       atomic.Pointer[[]byte] // text of the catalog, for peers that the store turns away
-	fleet     *fleet
-	storeAt   atomic.Int64 // when the store last answered, Unix nanoseconds on the steady clock's base
-	leaving   atomic.Bool
-	watching  watchState
-	yieldedAt time.Duration // uptime when the host last offered to hand over
-	passedAt  time.Duration // uptime when the host last asked a peer to decide because the store is out of its reach
-	rest      time.Duration // before the next campaign, after one that failed
+	catalog    atomic.Pointer[planner.Catalog]
+	raw        atomic.Pointer[[]byte] // text of the catalog, for peers that the store turns away
+	fleet      *fleet
+	storeAt    atomic.Int64 // when the store last answered, Unix nanoseconds on the steady clock's base
+	leaving    atomic.Bool
+	watching   watchState
+	yieldedAt  time.Duration // uptime when the host last offered to hand over
+	relievedAt atomic.Int64  // uptime when the host last asked a peer to relieve it, or relieved one, nanoseconds
+	passedAt   time.Duration // uptime when the host last asked a peer to decide because the store is out of its reach
+	rest       time.Duration // before the next campaign, after one that failed
 
 	mu     sync.Mutex
 	tenure *tenure
@@ -86,6 +87,7 @@
 		fleet:  newFleet(),
 	}
 	host.metrics = newMetrics(host)
+	host.relievedAt.Store(-int64(reliefPause))
 	host.ctx, host.cancel = context.WithCancel(context.Background())
 	if err := host.listen(); err != nil {
 		host.Close()
--- a/daemon/scheduler/journal.go
+++ b/daemon/scheduler/journal.go
@@ -86,11 +86,11 @@
 func (journal *journal) free() bool {
 	journal.mu.Lock()
 	defer journal.mu.Unlock()
-	atOnce := appendsAtOnce
+	atOnce, gap := appendsAtOnce, appendGap
 	if journal.losses.lossy() {
-		atOnce = 1 // each batch waits for the one before it
+		atOnce, gap = 1, 0 // each batch waits for the one before it
 	}
-	return journal.underWay < atOnce && journal.quiet() < storePatience && time.Since(journal.lastAt) >= appendGap
+	return journal.underWay < atOnce && journal.quiet() < storePatience && time.Since(journal.lastAt) >= gap
 }
 
 // save stores a batch, however long that takes, and then lets its starts go.
--- a/daemon/scheduler/relay.go
+++ b/daemon/scheduler/relay.go
@@ -186,6 +186,6 @@
 	host.passedAt = host.uptime()
 	ctx, cancel := context.WithTimeout(host.ctx, campaignWithin)
 	defer cancel()
-	err := host.pool.Call(ctx, peer.Address, methodCampaign, election, nil)
+	err := host.callCampaign(ctx, peer, election)
 	host.log.Info("cut off from the store, asks a peer to decide", "term", tenure.term, "to", peer.Name, "silent", host.storeSilent().String(), "error", err)
 }
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -26,6 +26,7 @@
 	support *support
 	quick   chan struct{} // looks that do not wait and are on their way
 	losses  losses        // of workers' answers
+	strain  strain
 
 	mu        sync.Mutex
 	planner   *planner.Planner // nil until the journal was read
@@ -56,6 +57,7 @@
 	tenure := &tenure{
 		host: host, term: term, beganAt: host.uptime(), ctx: ctx, cancel: cancel,
 		kicked: make(chan struct{}, 1), quick: make(chan struct{}, quickAtOnce),
+		strain: newStrain(),
 		losses: losses{average: average{weight: lossWeight}, many: lossyOrders},
 		stored: make(chan struct{}), opened: make(chan struct{}),
 		infos: map[string]planner.WorkerInfo{}, holds: map[string]*holder{},
@@ -118,7 +120,8 @@
 	defer tick.Stop()
 	for {
 		select {
-		case <-tick.C:
+		case due := <-tick.C:
+			tenure.strain.note(time.Since(due))
 		case <-tenure.kicked:
 		case <-tenure.ctx.Done():
 			return
--- a/daemon/scheduler/watch.go
+++ b/daemon/scheduler/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -69,11 +70,14 @@
 		case tenure != nil:
 			host.yield(tenure)
 			host.passOn(tenure, election)
+			host.relieve(tenure, election)
 			if tenure.unsure() {
 				host.survey(election) // a peer tells of a later decider
 			}
 			host.watching.heardAt.Store(int64(host.uptime()))
 			heard = heardDecider
+		case election.Boot == host.boot:
+			host.survey(election) // this host was replaced, and a peer may know by whom
 		case election.Term > 0:
 			heard = host.beat(election)
 		}
@@ -263,12 +267,22 @@
 		election, _ := host.fleet.view()
 		ctx, cancel := context.WithTimeout(host.ctx, campaignWithin)
 		defer cancel()
-		err := host.pool.Call(ctx, member.Address, methodCampaign, election, nil)
+		err := host.callCampaign(ctx, member, election)
 		host.log.Info("yields to a stronger host", "to", member.Name, "error", err)
 		return
 	}
 }
 
+// callCampaign asks a peer to become the decider after an election, and learns who decides then.
+func (host *Host) callCampaign(ctx context.Context, peer Member, election Election) error {
+	var present Election
+	if err := host.pool.Call(ctx, peer.Address, methodCampaign, election, &present); err != nil {
+		return fmt.Errorf("ask %s to decide: %w", peer.Name, err)
+	}
+	host.learnElection(present, "peer")
+	return nil
+}
+
 // survey asks all peers at once.
 func (host *Host) survey(election Election) survey {
 	peers := host.fleet.others(host.settings.Host)
@@ -325,7 +339,7 @@
 			return
 		}
 		called, cancel := context.WithTimeout(ctx, campaignWithin)
-		err := host.pool.Call(called, peer.Address, methodCampaign, election, nil)
+		err := host.callCampaign(called, peer, election)
 		cancel()
 		if err != nil {
 			host.log.Info("peer does not take over", "peer", peer.Name, "error", err)
