--- a/daemon/scheduler/holder.go
+++ b/daemon/scheduler/holder.go
@@ -28,10 +28,10 @@
 }
 
 const (
-	shortWait    = time.Second            // of one look, for an end of urgent work
-	longWait     = 2 * time.Second        // of one look, for an end of other work
-	gatherUrgent = 60 * time.Millisecond  // between two looks at a worker, so that one tells of several ends
-	gatherEnds   = 200 * time.Millisecond // the same for a worker without urgent work
+	shortWait    = time.Second           // of one look, for an end of urgent work
+	longWait     = 2 * time.Second       // of one look, for an end of other work
+	gatherUrgent = 20 * time.Millisecond // between two looks at a worker, so that one tells of several ends
+	gatherEnds   = 60 * time.Millisecond // the same for a worker without urgent work
 	holdSlack    = 300 * time.Millisecond
 	quickWithin  = 250 * time.Millisecond // of a look that does not wait
 	lossyWait    = 200 * time.Millisecond // of one look for an end of urgent work, while answers get lost
@@ -109,23 +109,8 @@
 		need := tenure.planner.NeedOf(holder.worker, time.Now())
 		stored, rest := tenure.stored, tenure.rest()
 		tenure.mu.Unlock()
-		switch need {
-		case planner.NeedKnowledge:
-			return 0
-		case planner.NeedUrgentEnd:
-			if tenure.losses.lossy() {
-				return lossyWait
-			}
-			if !tenure.journal.losses.lossy() {
-				sleep(ctx, gatherUrgent)
-			}
-			return shortWait
-		case planner.NeedEnd:
-			sleep(ctx, gatherEnds)
-			return longWait
-		case planner.NeedNothing:
-			pause(ctx, holder.woken, rest)
-			return longWait
+		if need != planner.NeedAcknowledgement {
+			return tenure.gather(ctx, holder, need, rest)
 		}
 		select {
 		case <-stored:
@@ -151,6 +136,35 @@
 	return tenure.look(ctx, worker, wait)
 }
 
+// gather lets some time pass before a look, so that it tells of more, and returns how long the worker may wait
+// with its answer. While answers get lost no look waits for long, since a lost one says nothing until its end.
+func (tenure *tenure) gather(ctx context.Context, holder *holder, need planner.Need, rest time.Duration) time.Duration {
+	lossy := tenure.losses.lossy()
+	usual := longWait
+	switch need {
+	case planner.NeedKnowledge:
+		return 0
+	case planner.NeedUrgentEnd:
+		if !lossy && !tenure.journal.losses.lossy() {
+			sleep(ctx, gatherUrgent)
+		}
+		usual = shortWait
+	case planner.NeedEnd:
+		if !lossy {
+			sleep(ctx, gatherEnds)
+		}
+	default:
+		if lossy {
+			rest = max(rest, longWait)
+		}
+		pause(ctx, holder.woken, rest)
+	}
+	if lossy {
+		return lossyWait
+	}
+	return usual
+}
+
 // rest returns how long a worker that runs nothing goes without a look, so that a large fleet at rest costs
 // no more than a middling one.
 func (tenure *tenure) rest() time.Duration {
--- a/daemon/scheduler/journal.go
+++ b/daemon/scheduler/journal.go
@@ -40,6 +40,7 @@
 	hedgeSpread    = 3      // times the first such wait, at most
 	appendsAtOnce  = 4
 	appendGap      = 25 * time.Millisecond // between two batches, so that changes gather
+	callersGap     = 8 * time.Millisecond  // the same while callers wait for one
 	appendWithin   = 2 * time.Second
 	leastHedge     = 20 * time.Millisecond // after which an append is repeated beside the first
 	mostHedge      = 150 * time.Millisecond
@@ -82,15 +83,23 @@
 	return err
 }
 
-// free reports whether one more batch may be given now.
-func (journal *journal) free() bool {
+// free reports whether one more batch may be given now, and if not, after what time it may; 0 stands for the
+// end of a batch that is under way.
+func (journal *journal) free(callersWait bool) (bool, time.Duration) {
 	journal.mu.Lock()
 	defer journal.mu.Unlock()
 	atOnce, gap := appendsAtOnce, appendGap
-	if journal.losses.lossy() {
+	switch {
+	case journal.losses.lossy():
 		atOnce, gap = 1, 0 // each batch waits for the one before it
+	case callersWait:
+		gap = callersGap
+	}
+	if journal.underWay >= atOnce || journal.quiet() >= storePatience {
+		return false, 0
 	}
-	return journal.underWay < atOnce && journal.quiet() < storePatience && time.Since(journal.lastAt) >= gap
+	left := gap - time.Since(journal.lastAt)
+	return left <= 0, max(left, 0)
 }
 
 // save stores a batch, however long that takes, and then lets its starts go.
@@ -127,7 +136,6 @@
 	journal.mu.Unlock()
 	tenure.host.metrics.appends.Observe(time.Since(began).Seconds())
 	tenure.finish(batch)
-	sleep(tenure.ctx, appendGap)
 	tenure.kick()
 }
 
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -22,6 +22,7 @@
 	cancel  context.CancelFunc
 	wait    sync.WaitGroup
 	kicked  chan struct{}
+	again   *time.Timer // for a batch that came too soon after another
 	policy  *questions
 	support *support
 	quick   chan struct{} // looks that do not wait and are on their way
@@ -118,11 +119,14 @@
 	tenure.wait.Go(tenure.followWorkers)
 	tick := time.NewTicker(planEvery)
 	defer tick.Stop()
+	tenure.again = time.NewTimer(planEvery)
+	defer tenure.again.Stop()
 	for {
 		select {
 		case due := <-tick.C:
 			tenure.strain.note(time.Since(due))
 		case <-tenure.kicked:
+		case <-tenure.again.C:
 		case <-tenure.ctx.Done():
 			return
 		}
@@ -181,10 +185,13 @@
 	if !supported.IsZero() {
 		tenure.planner.Unopposed(supported.Add(storeAuthority))
 	}
-	if !tenure.journal.free() {
+	if free, wait := tenure.journal.free(len(tenure.waiters) > 0); !free {
 		effects := tenure.planner.TakeEffects()
 		tenure.mu.Unlock()
 		tenure.carryOut(effects)
+		if wait > 0 {
+			tenure.again.Reset(wait)
+		}
 		return
 	}
 	tenure.planner.SetSlots(slots)
