Start copies of speculative tasks whose run may be lost or lags, and forget lost answers

Lost answers of workers counted for ever once there were two: the average was kept in thousandths, and one sixty-fourth of less than 64 rounds to nothing. Now in millionths, with a gap between beginning and end.

--- a/daemon/scheduler/average.go
+++ b/daemon/scheduler/average.go
@@ -13,21 +13,32 @@
 	average.value.Store(former + (sample-former)/average.weight)
 }
 
-// losses is which part of what was sent has no answer, in thousandths.
+// losses is which part of what was sent has no answer, in millionths.
 type losses struct {
 	average
-	many int64 // from which on there are many
+	many int64 // from which on there are many, until there are half as many
+	now  atomic.Bool
 }
 
-const perMille = 1000
+// perMillion keeps the rounding of the average small against what counts as many.
+const perMillion = 1_000_000
 
-func (losses *losses) note(lost bool) {
+// note takes note of whether something was answered, and reports whether that begins or ends a time of many
+// losses.
+func (losses *losses) note(lost bool) (changed bool) {
+	var sample int64
 	if lost {
-		losses.add(perMille)
-	} else {
-		losses.add(0)
+		sample = perMillion
 	}
+	losses.add(sample)
+	switch value := losses.value.Load(); {
+	case value > losses.many:
+		return losses.now.CompareAndSwap(false, true)
+	case value < losses.many/2:
+		return losses.now.CompareAndSwap(true, false)
+	}
+	return false
 }
 
 // lossy reports whether much is lost at present.
-func (losses *losses) lossy() bool { return losses.value.Load() > losses.many }
+func (losses *losses) lossy() bool { return losses.now.Load() }
--- /dev/null
+++ b/daemon/scheduler/average_test.go
@@ -0,0 +1,26 @@
+package scheduler
+
+import "testing"
+
+// TestLosses tells many lost answers from few, and forgets them.
+func TestLosses(t *testing.T) {
+	losses := losses{average: average{weight: lossWeight}, many: lossyOrders}
+	want := func(what string, want bool) {
+		t.Helper()
+		if losses.lossy() != want {
+			t.Errorf("%s: lossy %t, want %t", what, !want, want)
+		}
+	}
+	losses.note(true)
+	want("one lost answer", false)
+	losses.note(true)
+	want("two lost answers in a row", true)
+	for range 10 * lossWeight {
+		losses.note(false)
+	}
+	want("no more lost answers", false)
+	for number := range 1000 {
+		losses.note(number%20 == 0)
+	}
+	want("one lost answer of 20", true)
+}
--- a/daemon/scheduler/holder.go
+++ b/daemon/scheduler/holder.go
@@ -38,7 +38,7 @@
 	lossyWithin  = 100 * time.Millisecond // of an order, or a look beyond what it waits, while answers get lost
 	lostLately   = 2 * time.Second        // before the next answer, for a loss to count as one of answers
 	lossWeight   = 64                     // of the latest answer among the losses, as a divisor
-	lossyOrders  = 30                     // lost of 1,000 from which on many are
+	lossyOrders  = 30_000                 // lost of a million from which on many are
 	startWithin  = 250 * time.Millisecond
 	stopWithin   = 500 * time.Millisecond
 	ackPatience  = 250 * time.Millisecond // for ends to be stored before the next look
@@ -46,7 +46,7 @@
 	mostRetry    = 500 * time.Millisecond
 	startsAtOnce = 2
 	quickAtOnce  = 128 // looks that do not wait, over all workers
-	restingLooks = 16  // a second, at the workers that run nothing
+	restingLooks = 150 // a second, at the workers that run nothing
 )
 
 // keepHolders starts a holder for each worker of the table and ends those of workers that left it.
@@ -217,7 +217,9 @@
 		holder.lost = time.Now()
 		return
 	}
-	tenure.losses.note(time.Since(holder.lost) < lostLately)
+	if tenure.losses.note(time.Since(holder.lost) < lostLately) {
+		tenure.host.log.Info("losses of workers' answers", "many", tenure.losses.lossy(), "perMillion", tenure.losses.value.Load(), "worker", worker)
+	}
 	holder.lost = time.Time{}
 }
 
--- a/daemon/scheduler/journal.go
+++ b/daemon/scheduler/journal.go
@@ -47,7 +47,7 @@
 	hedgeFactor    = 3                     // times what an answer usually takes, before an append is repeated
 	usualWeight    = 8                     // one over the weight of the latest answer in what is usual
 	mostUnderWay   = 16                    // attempts at one append
-	lossyAt        = 200                   // of 1,000 appends
+	lossyAt        = 200_000               // lost of a million first attempts from which on many are
 	bothWays       = 2                     // attempts after which one went directly and one through a peer
 	slowAnswer     = 60 * time.Millisecond // of the usual answer, which delays each step of urgent work twice
 	appendBackoff  = 60 * time.Millisecond
@@ -203,6 +203,13 @@
 	return min(max(hedgeFactor*time.Duration(journal.usual.value.Load()), leastHedge), mostHedge)
 }
 
+// noteLoss takes note of whether an append needed more than its first attempt.
+func (journal *journal) noteLoss(lost bool) {
+	if journal.losses.note(lost) {
+		journal.tenure.host.log.Warn("losses of the store's answers", "many", journal.losses.lossy(), "perMillion", journal.losses.value.Load())
+	}
+}
+
 // learn takes note of how long an answer took.
 func (journal *journal) learn(took time.Duration) {
 	journal.usual.add(int64(took))
@@ -254,7 +261,7 @@
 	var outOfTurn *translator.SequenceError
 	switch {
 	case err == nil:
-		attempts.journal.losses.note(answer.number > 0)
+		attempts.journal.noteLoss(answer.number > 0)
 		return true
 	case errors.Is(err, translator.ErrFenced):
 		return true
--- a/library/planner/endings.go
+++ b/library/planner/endings.go
@@ -28,6 +28,7 @@
 	}
 	if step.open == 0 && (step.job.state.Final() || step.done == step.Count) {
 		delete(planner.steps, step.key)
+		step.of.forget(step.job)
 	}
 }
 
@@ -35,8 +36,13 @@
 func (planner *Planner) closeTask(step *step, run *Run, ending Ending, now time.Time) {
 	task := &step.tasks[run.Key.Index]
 	switch {
+	case task.done: // by another run
+		return
 	case ending == EndedDone && !step.Standing:
 		planner.complete(step, run.Key.Index, now)
+		for _, other := range task.runs() {
+			planner.stop(other, now)
+		}
 		return
 	case ending == EndedFailed && !step.Standing:
 		task.failures++
@@ -119,10 +125,19 @@
 	if row.ended == row.Job.occurrences() {
 		planner.finish(row, Completed, now)
 	}
-	for _, step := range of.steps {
+	of.forget(row)
+}
+
+// forget drops an occurrence that is completed, once no run of it is open: a member of a gang, or a copy, may
+// still be to be listed.
+func (occurrence *occurrence) forget(row *row) {
+	if occurrence.done < len(occurrence.steps) {
+		return
+	}
+	for _, step := range occurrence.steps {
 		if step.open > 0 {
-			return // a member of a gang is still to be listed
+			return
 		}
 	}
-	delete(row.occurrences, of.number)
+	delete(row.occurrences, occurrence.number)
 }
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -48,6 +48,7 @@
 	Index  int    `json:"index"`
 	Worker string `json:"worker"`
 	Born   int64  `json:"born,omitempty"`
+	Number int    `json:"number,omitempty"` // where it is not the task's last run
 }
 
 // UnmarshalJSON decodes progress and refuses that of a later format.
@@ -176,8 +177,12 @@
 			}
 			progress.Checkpoints[index] = task.checkpoint
 		}
-		if task.run != nil {
-			progress.Open = append(progress.Open, OpenRun{Index: index, Worker: task.run.Worker, Born: task.run.Born})
+		for _, run := range task.runs() {
+			open := OpenRun{Index: index, Worker: run.Worker, Born: run.Born}
+			if run.Number != task.number {
+				open.Number = run.Number
+			}
+			progress.Open = append(progress.Open, open)
 		}
 	}
 	if step.done > 0 {
@@ -276,7 +281,11 @@
 		}
 		key := TaskKey{Job: step.key.Job, Occurrence: step.key.Occurrence, Step: step.key.Step, Index: open.Index}
 		worker := planner.worker(open.Worker)
-		run := planner.newRun(step, key, step.tasks[open.Index].number, worker, now)
+		number := open.Number
+		if number == 0 {
+			number = step.tasks[open.Index].number
+		}
+		run := planner.newRun(step, key, number, worker, now)
 		run.Born, run.Token = open.Born, 0 // below every token of this term
 		planner.attach(step, run)
 		planner.steps[step.key] = step
--- a/library/planner/place.go
+++ b/library/planner/place.go
@@ -48,6 +48,8 @@
 		}
 		all = all[count:]
 	}
+	pass.shared = false
+	pass.copyTasks()
 }
 
 // place starts what it can of a step's waiting tasks.
@@ -131,6 +133,9 @@
 	bestCost := 0.0
 	for _, worker := range pass.pool(queue.Service).workers {
 		count := taken[worker.ID]
+		if task != nil && task.run != nil && task.run.Worker == worker.ID {
+			continue
+		}
 		if !pass.eligible(step, queue, worker, count) || rack != "" && !slices.Contains(worker.Labels, rack) {
 			continue
 		}
@@ -201,6 +206,7 @@
 	fillCost       = 0.25 // of a worker that would be left wholly empty
 	apartCost      = 0.5  // of a worker that serves none of the tasks that fillers disturb
 	awayCost       = 0.3  // to urgent work, of a worker outside the zone of its other tasks
+	besideCost     = 0.6  // to a copy, of a worker in the zone of the other run
 	restedCost     = 0.3  // of a worker that has not answered lately, and may be gone
 	unlikeCost     = 0.5  // to work that is not urgent, of a worker twice as slow or fast as others
 )
@@ -227,6 +233,9 @@
 	if !worker.fresh(pass.now) {
 		cost += restedCost
 	}
+	if task != nil && task.run != nil && pass.planner.worker(task.run.Worker).Zone == worker.Zone {
+		cost += besideCost
+	}
 	if queue.Priority == 0 && step.of.zone != "" && step.of.zone != worker.Zone {
 		cost += awayCost
 	}
--- a/library/planner/submission.go
+++ b/library/planner/submission.go
@@ -125,7 +125,7 @@
 		for _, step := range row.occurrences[number].steps {
 			step.waiting = nil
 			for index := range step.tasks {
-				if run := step.tasks[index].run; run != nil {
+				for _, run := range step.tasks[index].runs() {
 					planner.stop(run, now)
 				}
 			}
--- a/library/planner/tables.go
+++ b/library/planner/tables.go
@@ -59,6 +59,7 @@
 	done       bool
 	checkpoint string
 	run        *Run
+	copy       *Run     // started beside run, where the step allows it
 	failedOn   []string // workers
 }
 
@@ -119,7 +120,7 @@
 
 // wait puts a task back among those to start.
 func (step *step) wait(index int) {
-	if step.job.state.Final() || step.tasks[index].done || slices.Contains(step.waiting, index) {
+	if step.job.state.Final() || step.tasks[index].done || step.tasks[index].run != nil || slices.Contains(step.waiting, index) {
 		return
 	}
 	step.waiting = append(step.waiting, index)
@@ -131,25 +132,45 @@
 	if step == nil || key.Index >= len(step.tasks) {
 		return nil, nil
 	}
-	run := step.tasks[key.Index].run
-	if run == nil || run.Number != number {
-		return step, nil
+	for _, run := range step.tasks[key.Index].runs() {
+		if run.Number == number {
+			return step, run
+		}
+	}
+	return step, nil
+}
+
+// runs returns the open runs of a task.
+func (task *task) runs() []*Run {
+	switch {
+	case task.run == nil:
+		return nil
+	case task.copy == nil:
+		return []*Run{task.run}
 	}
-	return step, run
+	return []*Run{task.run, task.copy}
 }
 
-// attach makes a run the open one of its task.
+// attach adds a run to the open ones of its task.
 func (planner *Planner) attach(step *step, run *Run) {
-	step.tasks[run.Key.Index].run = run
+	if task := &step.tasks[run.Key.Index]; task.run == nil {
+		task.run = run
+	} else {
+		task.copy = run
+	}
 	step.open++
 	planner.worker(run.Worker).add(run)
 	owner := planner.team(step.job.Team)
 	owner.used = owner.used.Add(run.Size)
 }
 
-// detach closes the open run of a task.
+// detach closes an open run of a task.
 func (planner *Planner) detach(step *step, run *Run) {
-	step.tasks[run.Key.Index].run = nil
+	task := &step.tasks[run.Key.Index]
+	if task.run == run {
+		task.run = task.copy
+	}
+	task.copy = nil
 	step.open--
 	planner.worker(run.Worker).remove(run)
 	owner := planner.team(step.job.Team)
