--- a/daemon/scheduler/journal.go
+++ b/daemon/scheduler/journal.go
@@ -203,7 +203,7 @@
 	return min(max(hedgeFactor*time.Duration(journal.usual.value.Load()), leastHedge), mostHedge)
 }
 
-// noteLoss takes note of whether an append needed more than its first attempt.
+// noteLoss takes note of whether an append needed more than the attempts made at once.
 func (journal *journal) noteLoss(lost bool) {
 	if journal.losses.note(lost) {
 		journal.tenure.host.log.Warn("losses of the store's answers", "many", journal.losses.lossy(), "perMillion", journal.losses.value.Load())
@@ -229,6 +229,7 @@
 	sequence int64
 	entries  []translator.Entry
 	made     int
+	first    int // made at once
 	underWay int
 	early    bool // one came before the append that goes first, and has to be repeated
 	answers  chan attempted
@@ -261,7 +262,7 @@
 	var outOfTurn *translator.SequenceError
 	switch {
 	case err == nil:
-		attempts.journal.noteLoss(answer.number > 0)
+		attempts.journal.noteLoss(answer.number >= attempts.first)
 		return true
 	case errors.Is(err, translator.ErrFenced):
 		return true
@@ -285,6 +286,7 @@
 	if journal.losses.lossy() {
 		attempts.start()
 	}
+	attempts.first = attempts.made
 	delay := journal.patience()
 	hedge := time.NewTimer(delay)
 	defer hedge.Stop()
