Suspect a silent decider after 320 ms

A host suspects the decider after 320 ms without an answer in place of 500, gives a beat 150 ms in place of 200 and its survey of peers 120 ms in place of 200.

--- a/daemon/scheduler/watch.go
+++ b/daemon/scheduler/watch.go
@@ -14,9 +14,9 @@
 
 const (
 	beatEvery    = 150 * time.Millisecond
-	beatWithin   = 200 * time.Millisecond
-	suspectAfter = 500 * time.Millisecond // without an answer of the decider
-	surveyWithin = 200 * time.Millisecond
+	beatWithin   = 150 * time.Millisecond
+	suspectAfter = 320 * time.Millisecond // without an answer of the decider
+	surveyWithin = 120 * time.Millisecond
 	rankDelay    = 60 * time.Millisecond   // for each host that is better placed to decide
 	storeLost    = 900 * time.Millisecond  // of a decider whose store is silent
 	alone        = 800 * time.Millisecond  // that a host waits which reaches under half of the others
