--- a/daemon/scheduler/holder.go
+++ b/daemon/scheduler/holder.go
@@ -217,7 +217,7 @@
 		holder.lost = time.Now()
 		return
 	}
-	if tenure.losses.note(time.Since(holder.lost) < lostLately) {
+	if tenure.losses.note(time.Since(holder.lost) < lostLately, tenure.host.uptime()) {
 		tenure.host.log.Info("losses of workers' answers", "many", tenure.losses.lossy(), "perMillion", tenure.losses.value.Load(), "worker", worker)
 	}
 	holder.lost = time.Time{}
--- a/daemon/scheduler/journal.go
+++ b/daemon/scheduler/journal.go
@@ -205,7 +205,7 @@
 
 // noteLoss takes note of whether an append needed more than the attempts made at once.
 func (journal *journal) noteLoss(lost bool) {
-	if journal.losses.note(lost) {
+	if journal.losses.note(lost, journal.tenure.host.uptime()) {
 		journal.tenure.host.log.Warn("losses of the store's answers", "many", journal.losses.lossy(), "perMillion", journal.losses.value.Load())
 	}
 }
