Learn that the former decider's process is gone, and wait for no lease that it cannot renew

Change: an election tells when it was; the new decider asks the former's address, and where another process answers or nothing listens, and the former had decided for 17 s, so that none before it can renew leases, only the leases themselves are waited for.

--- a/daemon/scheduler/fleet.go
+++ b/daemon/scheduler/fleet.go
@@ -29,6 +29,7 @@
 	Host    string `json:"host"`
 	Address string `json:"address"`
 	Boot    string `json:"boot"`
+	AtMS    int64  `json:"atMS,omitempty"` // Unix milliseconds of the campaign, on the decider's clock
 }
 
 // UnmarshalJSON decodes a member and refuses one without name or address.
@@ -94,17 +95,19 @@
 	return fleet.election, fleet.changed
 }
 
-// elect takes note of an election, unless a later one is known, and reports whether it was new.
-func (fleet *fleet) elect(election Election) bool {
+// elect takes note of an election, unless a later one is known, and returns the one before and whether it was
+// new.
+func (fleet *fleet) elect(election Election) (Election, bool) {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
-	if election.Term <= fleet.election.Term {
-		return false
+	former := fleet.election
+	if election.Term <= former.Term {
+		return former, false
 	}
 	fleet.election = election
 	close(fleet.changed)
 	fleet.changed = make(chan struct{})
-	return true
+	return former, true
 }
 
 // known reports whether the store has told of the fleet.
@@ -211,14 +214,15 @@
 
 // learnElection takes note of who decides, and begins or ends the host's own tenure as that says.
 func (host *Host) learnElection(election Election, source string) {
-	if !host.fleet.elect(election) {
+	before, isNew := host.fleet.elect(election)
+	if !isNew {
 		return
 	}
 	host.log.Info("decider", "term", election.Term, "decider", election.Host, "source", source)
 	host.mu.Lock()
 	former := host.tenure
 	if election.Boot == host.boot {
-		host.tenure = newTenure(host, election.Term)
+		host.tenure = newTenure(host, election.Term, before)
 	} else {
 		host.tenure = nil
 	}
@@ -241,7 +245,7 @@
 	if election, _ := host.fleet.view(); election.Term > known.Term {
 		return nil
 	}
-	election := Election{Term: end + 1, Host: host.settings.Host, Address: host.settings.PeerAddress, Boot: host.boot}
+	election := Election{Term: end + 1, Host: host.settings.Host, Address: host.settings.PeerAddress, Boot: host.boot, AtMS: time.Now().UnixMilli()}
 	data, err := json.Marshal(election)
 	if err != nil {
 		return fmt.Errorf("campaign: encode election: %w", err)
--- a/daemon/scheduler/support.go
+++ b/daemon/scheduler/support.go
@@ -1,8 +1,11 @@
 package scheduler
 
 import (
+	"context"
 	"sync"
 	"time"
+
+	"ebonyshunt.org/daemon/linker"
 )
 
 const (
@@ -83,6 +86,33 @@
 	return silent <= storeAuthority || silent <= loneAuthority && tenure.support.most(tenure.host.fleet.size())
 }
 
+// formerClockSlack bounds by how much the clocks of two hosts differ, with steps of either.
+const formerClockSlack = 5 * time.Second
+
+// askFormer finds out whether the process that decided before is gone. If it is, and had decided for so long
+// that no decider before it can renew leases either, then nobody does from now on.
+func (tenure *tenure) askFormer() {
+	former := tenure.former
+	decided := time.Duration(time.Now().UnixMilli()-former.AtMS) * time.Millisecond
+	if former.Term == 0 || former.AtMS == 0 || decided < loneAuthority+formerClockSlack {
+		return
+	}
+	for until := tenure.host.uptime() + storeAuthority; tenure.host.uptime() < until && tenure.ctx.Err() == nil; {
+		ctx, cancel := context.WithTimeout(tenure.ctx, beatWithin)
+		answer, err := tenure.host.callBeat(ctx, former.Address)
+		gone := err == nil && answer.Boot != former.Boot || linker.ErrUnsent.Has(err) && ctx.Err() == nil
+		cancel()
+		if gone {
+			tenure.host.log.Info("former decider is gone", "term", former.Term, "host", former.Host, "decided", decided.String())
+			tenure.mu.Lock()
+			tenure.planner.Unopposed(time.Now())
+			tenure.mu.Unlock()
+			return
+		}
+		sleep(tenure.ctx, beatEvery)
+	}
+}
+
 // unsure reports whether another host may decide by now, as far as the store has told: its answers fail, or
 // are due.
 func (tenure *tenure) unsure() bool {
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -16,6 +16,7 @@
 type tenure struct {
 	host    *Host
 	term    int64
+	former  Election      // the one before, zero where it is not known
 	beganAt time.Duration // uptime of the host
 	journal *journal
 	ctx     context.Context
@@ -53,10 +54,10 @@
 	workersPause = 250 * time.Millisecond // between two reads of the list of workers
 )
 
-func newTenure(host *Host, term int64) *tenure {
+func newTenure(host *Host, term int64, former Election) *tenure {
 	ctx, cancel := context.WithCancel(host.ctx)
 	tenure := &tenure{
-		host: host, term: term, beganAt: host.uptime(), ctx: ctx, cancel: cancel,
+		host: host, term: term, former: former, beganAt: host.uptime(), ctx: ctx, cancel: cancel,
 		kicked: make(chan struct{}, 1), quick: make(chan struct{}, quickAtOnce),
 		strain: newStrain(),
 		losses: losses{average: average{weight: lossWeight}, many: lossyOrders},
@@ -117,6 +118,7 @@
 	}
 	tenure.host.log.Info("deciding", "term", tenure.term, "after", time.Since(began))
 	tenure.wait.Go(tenure.followWorkers)
+	tenure.wait.Go(tenure.askFormer)
 	tick := time.NewTicker(planEvery)
 	defer tick.Stop()
 	tenure.again = time.NewTimer(planEvery)
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -674,6 +674,64 @@
 	return time.Since(began)
 }
 
+// TestFleetAllLost ends all hosts at once, and with them a worker that runs a standing task: the task runs
+// elsewhere once the last lease has run out, since no process that could renew it is left.
+func TestFleetAllLost(t *testing.T) {
+	const standing = `{"spec":"s","steps":[{"count":1,"cpu":1000,"memMb":10,"longRunning":true}]}`
+	const leaseOnSlowClock = 6500 * time.Millisecond // 6 s on a clock that is 2 % slow, and what is waited beyond
+	inFleet(t, 4, func(fleet *fleet) {
+		for _, worker := range fleet.workers {
+			worker.RunTime = time.Hour
+		}
+		if answer := fleet.call("POST", fleet.names[0], fleetQueue+jobID(1), fleetKey, standing); answer.status != http.StatusOK {
+			fleet.Fatalf("status %d", answer.status)
+		}
+		time.Sleep(20 * time.Second)
+		first, began := fleet.lastRun()
+		if began == 0 {
+			fleet.Fatal("the task does not run")
+		}
+		fleet.fabric.Kill(first)
+		for _, worker := range fleet.workers {
+			if worker.ID == first {
+				worker.Restart() // ends what ran there, and nobody can reach it any more
+			}
+		}
+		for _, name := range fleet.names {
+			fleet.kill(name)
+		}
+		for _, name := range fleet.names {
+			fleet.start(name)
+		}
+		back := time.Now()
+		for {
+			if worker, run := fleet.lastRun(); worker != first && run > 1 {
+				break
+			}
+			if time.Since(back) > time.Minute {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if took := time.Since(back); took > leaseOnSlowClock+time.Second { // for the election
+			fleet.Errorf("the task runs elsewhere after %v, its leases had run out after %v", took, leaseOnSlowClock)
+		}
+	})
+}
+
+// lastRun returns the worker and the number of the run that was begun last.
+func (fleet *fleet) lastRun() (string, int) {
+	worker, number := "", 0
+	for _, other := range fleet.workers {
+		for _, begun := range other.History() {
+			if begun.Run > number {
+				worker, number = other.ID, begun.Run
+			}
+		}
+	}
+	return worker, number
+}
+
 // TestFleetDeposed asks a host that decided until the store turned it away, while another one decides.
 func TestFleetDeposed(t *testing.T) {
 	deny := func(fleet *fleet, former string, cutFrom []string) {
