--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -58,7 +58,7 @@
 try 'fleet: reborn workers are looked at' library/planner/runs.go 'run.Started, run.Token, run.Born = false, 0, worker.Born' 'planner.vanish(run, planner.now)' ./library/planner 'TestRebornUnnoticed'
 try 'fleet: leases of reborn workers' library/planner/runs.go 'bound.After(worker.deadAfter)' 'false' ./library/planner 'TestRebornSilent'
 try 'fleet: runs of a lost worker count on' library/planner/worker.go 'worker.deadAfter = worker.lapsedAt()' '' ./library/planner 'TestSilentWorker'
-try 'fleet: clock that starts anew' library/planner/runs.go 'clock+clockSlack < worker.clockAtLeast(now)' 'false' ./library/planner 'TestRebornAfterEnds'
+try 'fleet: clock that starts anew' library/planner/runs.go 'clock+clockSlack < worker.clockAtLeast(order.SentAt)' 'false' ./library/planner 'TestRebornAfterEnds'
 try 'fleet: numbers of runs are stored' library/planner/journal.go 'task.number = stored.Numbers[index]' '' ./library/planner 'TestTakeover'
 try 'fleet: cap of a team' library/planner/place.go 'return limit == 0 || used <= limit' 'return true' ./library/planner 'TestPlacement'
 try 'fleet: room of a worker' library/planner/place.go '.Fits(worker.Free()) || !planner.apart' '.Fits(worker.Capacity) || !planner.apart' ./library/planner 'TestPlacement'
@@ -73,4 +73,23 @@
 try 'fleet: unsure deciders ask' daemon/scheduler/watch.go 'if tenure.unsure() {' 'if false {' ./tests 'TestFleetDeposed'
 try 'fleet: configuration from peers' daemon/scheduler/watch.go 'host.learnCatalog(answer.Catalog, "peer")' '' ./tests 'TestFleetConfiguration'
 try 'fleet: older configuration' daemon/scheduler/catalog.go 'present.Version >= catalog.Version' 'false' ./tests 'TestFleetConfiguration'
+try 'fleet: answers of an earlier incarnation' library/planner/runs.go 'worker.anew && listing.Token < worker.Token' 'false' ./library/planner 'TestRebornEarlierAnswers'
+try 'fleet: clock held against the time of sending' library/planner/runs.go 'worker.clockAtLeast(order.SentAt)' 'worker.clockAtLeast(now)' ./library/planner 'TestRebornEarlierAnswers'
+try 'fleet: copies on silent workers' library/planner/copies.go 'if !worker.Looked {' 'if false {' ./library/planner 'TestCopies'
+try 'fleet: copies of lagging runs' library/planner/copies.go 'return pass.now.Sub(run.Began) > max(overdueFactor*usual, overdueLeast)' 'return false' ./library/planner 'TestCopies'
+try 'fleet: copies only where allowed' library/planner/copies.go 'if step.Speculative && ' 'if ' ./library/planner 'TestCopies|TestSilentWorker|TestProperty'
+try 'fleet: the other run is stopped' library/planner/endings.go 'planner.stop(other, now)' '_ = other' ./library/planner 'TestCopies'
+try 'fleet: both runs are stored' library/planner/journal.go 'open.Number = run.Number' '' ./library/planner 'TestCopies'
+try 'fleet: journal through peers' daemon/scheduler/relay.go 'if len(peers) == 0 {
+		return Member{}, false
+	}
+	route.mu.Lock()' 'if true {
+		return Member{}, false
+	}
+	route.mu.Lock()' ./tests 'TestFleetStoreCut'
+try 'fleet: another peer each time' daemon/scheduler/relay.go 'route.turn+attempt/bothWays' 'route.turn' ./tests 'TestFleetStoreCut'
+try 'fleet: cut deciders pass on' daemon/scheduler/watch.go 'host.passOn(tenure, election)' '' ./tests 'TestFleetStoreCut'
+try 'fleet: lost answers of the store' daemon/scheduler/journal.go 'attempts.journal.noteLoss(answer.number >= attempts.first)' '' ./tests 'TestFleetLateAppends'
+try 'fleet: lost answers of workers' daemon/scheduler/holder.go 'if tenure.losses.note(time.Since(holder.lost) < lostLately, tenure.host.uptime()) {' 'if false {' ./tests 'TestFleetMuteWorkers'
+try 'fleet: former decider that is gone' daemon/scheduler/tenure.go 'tenure.wait.Go(tenure.askFormer)' '' ./tests 'TestFleetAllLost'
 exit $failed
