Record by when a silent worker's leases have run out, so that takeovers do not begin the wait anew

The record is dropped, and that stored, before the worker is given another lease or run.

Tests: TestLapses, TestRebornTwice, TestCopies/otherRunIsStoppedWhileTheJobGoesOn and TestFleetDeposed/idleAndBackWithItsPeersOnly, each red without its mechanism. TestFleetMuteWorkers loses one answer of six in place of eight: without the mechanism it had become green.

--- a/library/planner/copies_test.go
+++ b/library/planner/copies_test.go
@@ -40,6 +40,24 @@
 			t.Errorf("%v runs on the worker that is back, %d starts", worker.running, len(cell.starts))
 		}
 	})
+	t.Run("otherRunIsStoppedWhileTheJobGoesOn", func(t *testing.T) {
+		cell := newCell(t, testStart, 3)
+		cell.submit(jobA, speculative(1), after(tasks(1), 0))
+		cell.settle()
+		worker := cell.workers[cell.starts[0].Worker]
+		worker.silent = true
+		for range 6 {
+			cell.pass(100 * time.Millisecond)
+		}
+		cell.endOn(cell.starts[1].Worker, planner.EndedDone)
+		worker.silent = false
+		for range 3 {
+			cell.pass(time.Second)
+		}
+		if _, runs := worker.running[cell.starts[0].Key]; runs {
+			t.Error("the run on the worker that is back goes on")
+		}
+	})
 	t.Run("workerIsBackFirst", func(t *testing.T) {
 		cell, worker := silence(t, speculative(1))
 		worker.silent = false
--- a/library/planner/holding.go
+++ b/library/planner/holding.go
@@ -43,7 +43,7 @@
 		return Hold{}, false
 	}
 	hold := Hold{Worker: id, Address: worker.Address, Token: worker.Token, Cursor: worker.Durable}
-	if worker.Looked {
+	if planner.leasable(worker) {
 		hold.Deadline = worker.clockAtLeast(now) + planner.leaseOf(worker, now).Milliseconds()
 		worker.leasedTo = max(worker.leasedTo, hold.Deadline)
 	}
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -67,7 +67,7 @@
 
 // Dirty reports whether Take has anything to give.
 func (planner *Planner) Dirty() bool {
-	return len(planner.dirty) > 0 || len(planner.effects) > 0 || len(planner.starts) > 0 || len(planner.drop) > 0
+	return len(planner.dirty) > 0 || len(planner.effects) > 0 || len(planner.starts) > 0 || len(planner.drop) > 0 || len(planner.lapses) > 0
 }
 
 // Take returns the records to store next and the effects, in the order of the events that caused them. A
@@ -91,6 +91,11 @@
 		batch.Records = append(batch.Records, Record{Key: jobPrefix + id}, Record{Key: progressPrefix + id})
 	}
 	planner.drop = nil
+	lapses, err := planner.lapseRecords()
+	if err != nil {
+		return batch, err
+	}
+	batch.Records = append(batch.Records, lapses...)
 	if len(batch.Records) > 0 {
 		planner.batch++
 		batch.Number = planner.batch
@@ -201,7 +206,7 @@
 func (planner *Planner) Restore(records []Record, now time.Time) []string {
 	planner.now = now
 	jobs := map[string]Job{}
-	var unread []string
+	unread := planner.restoreLapses(records)
 	for _, record := range records {
 		id, isJob := strings.CutPrefix(record.Key, jobPrefix)
 		if !isJob {
--- a/library/planner/place.go
+++ b/library/planner/place.go
@@ -184,7 +184,7 @@
 }
 
 func (planner *Planner) sound(worker *Worker, now time.Time) bool {
-	return worker.Looked && worker.strangers == 0 && (worker.fresh(now) || worker.rested(now)) && worker.health.usable(now)
+	return planner.leasable(worker) && worker.strangers == 0 && (worker.fresh(now) || worker.rested(now)) && worker.health.usable(now)
 }
 
 // apart reports whether a worker may get one more task of a step that spreads its tasks.
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -48,6 +48,7 @@
 	dirty     map[string]bool // jobs whose progress has to be stored
 	fresh     map[string]bool // jobs that were never stored
 	drop      []string        // jobs to forget
+	lapses    map[string]bool // workers whose recorded lapse has changed
 	retired   []retiredJob
 	lapse     time.Time // by when every lease of an earlier planner has run out
 	batch     int64     // taken last
@@ -91,6 +92,7 @@
 		queues:   map[string]*learned{},
 		dirty:    map[string]bool{},
 		fresh:    map[string]bool{},
+		lapses:   map[string]bool{},
 	}
 }
 
@@ -164,6 +166,7 @@
 		Token:      planner.Term<<tokenBits + 1,
 		Runs:       map[TaskKey]*Run{},
 		deadAfter:  planner.lapse,
+		lostAt:     planner.now,
 	}
 	planner.workers[id] = worker
 	return worker
--- a/library/planner/runs.go
+++ b/library/planner/runs.go
@@ -13,7 +13,7 @@
 		return Order{}, false
 	}
 	worker := planner.worker(run.Worker)
-	if run.Stopping || !worker.Looked || worker.Born != run.Born || !planner.routed(step, worker) {
+	if run.Stopping || !planner.leasable(worker) || worker.Born != run.Born || !planner.routed(step, worker) {
 		planner.close(step, run, NeverRan, "", now)
 		return Order{}, false
 	}
@@ -77,15 +77,23 @@
 }
 
 // clockSlack is how far a worker's clock may read below what is expected of one that did not start anew,
-// in milliseconds.
-const clockSlack = 500
+// in milliseconds: what rounding makes.
+const clockSlack = 10
 
 // oldRunSkip is added to a run number that a worker refused as too low.
 const oldRunSkip = 3
 
+// lose takes note that a worker's runs are no longer known.
+func (planner *Planner) lose(worker *Worker) {
+	if worker.Looked {
+		worker.lostAt = planner.now
+	}
+	worker.lose()
+}
+
 // doubt looks at a worker that may still carry out an order.
 func (planner *Planner) doubt(worker *Worker) {
-	worker.lose()
+	planner.lose(worker)
 	planner.effects = append(planner.effects, Fence{Worker: worker.ID})
 }
 
@@ -96,7 +104,7 @@
 	if worker == nil || !worker.Looked {
 		return
 	}
-	worker.lose()
+	planner.lose(worker)
 }
 
 // reborn deals with a worker that started anew. Each of its runs was on the earlier incarnation, or was
@@ -179,6 +187,9 @@
 		}
 		worker.leasedTo = max(worker.leasedTo, listing.Clock+lease.Milliseconds())
 		worker.Looked, worker.anew = true, false
+		if !worker.recorded.IsZero() {
+			planner.dropLapse(worker)
+		}
 	}
 }
 
@@ -263,6 +274,7 @@
 			delete(planner.workers, id)
 		}
 	}
+	planner.noteLapses(now)
 	planner.names = slices.DeleteFunc(planner.names, func(id string) bool { return planner.workers[id] == nil })
 }
 
--- a/library/planner/runs_test.go
+++ b/library/planner/runs_test.go
@@ -315,6 +315,25 @@
 	}
 }
 
+// TestRebornTwice restarts a worker twice within some milliseconds, each time after it has run a task: the
+// end on the later incarnation must not count as one that was acknowledged on the earlier.
+func TestRebornTwice(t *testing.T) {
+	cell := newCell(t, testStart, 1)
+	worker := cell.workers["w-000"]
+	for number, job := range []string{jobA, jobB} {
+		worker.born, worker.began, worker.token, worker.sequence = int64(number+2), cell.now.Add(-time.Millisecond), 0, 0
+		worker.ended, worker.leased = nil, time.Time{}
+		cell.submit(job, tasks(1))
+		cell.settle()
+		cell.pass(20 * time.Millisecond)
+		cell.endAll(planner.EndedDone)
+		cell.wantState(job, planner.Completed)
+	}
+	if len(cell.starts) != 2 {
+		t.Errorf("%d starts, want one a job", len(cell.starts))
+	}
+}
+
 // TestRebornEarlierAnswers takes answers that were made before it was known that a worker may have started
 // anew, and that arrive after.
 func TestRebornEarlierAnswers(t *testing.T) {
--- a/library/planner/worker.go
+++ b/library/planner/worker.go
@@ -39,6 +39,10 @@
 	clockAt   time.Time
 	leasedTo  int64     // latest end of a lease that was asked for, on the worker's clock
 	deadAfter time.Time // by when every lease has run out, while the worker is not looked at
+	lostAt    time.Time // since when it is not looked at
+	recorded  time.Time // its lapse as it is recorded, zero where it is not
+	stored    time.Time // lapse that an earlier planner recorded
+	voidBatch int64     // that stores that a recorded lapse is void
 	unlisted  time.Time // when it left the list
 	pending   []pendingEnd
 	strangers int // runs that the tables do not know
@@ -79,7 +83,7 @@
 // clockAtLeast returns a lower bound of the worker's clock at a time.
 func (worker *Worker) clockAtLeast(now time.Time) int64 {
 	elapsed := now.Sub(worker.clockAt).Milliseconds()
-	return worker.clock + elapsed - elapsed/driftDivisor
+	return worker.clock + elapsed - max(elapsed, 0)/driftDivisor
 }
 
 // observe takes a reading of the worker's clock.
@@ -89,7 +93,10 @@
 
 // lapsedAt returns when every lease on the worker has surely run out.
 func (worker *Worker) lapsedAt() time.Time {
-	if !worker.Looked {
+	switch {
+	case !worker.Looked && !worker.stored.IsZero() && worker.stored.Before(worker.deadAfter):
+		return worker.stored
+	case !worker.Looked:
 		return worker.deadAfter
 	}
 	left := max(worker.leasedTo-worker.clock, 0)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -92,4 +92,7 @@
 try 'fleet: lost answers of the store' daemon/scheduler/journal.go 'attempts.journal.noteLoss(answer.number >= attempts.first)' '' ./tests 'TestFleetLateAppends'
 try 'fleet: lost answers of workers' daemon/scheduler/holder.go 'if tenure.losses.note(time.Since(holder.lost) < lostLately, tenure.host.uptime()) {' 'if false {' ./tests 'TestFleetMuteWorkers'
 try 'fleet: former decider that is gone' daemon/scheduler/tenure.go 'tenure.wait.Go(tenure.askFormer)' '' ./tests 'TestFleetAllLost'
+try 'fleet: lapses are recorded' library/planner/runs.go 'planner.noteLapses(now)' '_ = now' ./library/planner 'TestLapses'
+try 'fleet: no lease before the record is void' library/planner/lapse.go 'return worker.Looked && worker.voidBatch <= planner.durable' 'return worker.Looked' ./library/planner 'TestLapses'
+try 'fleet: slack of a clock that starts anew' library/planner/runs.go 'const clockSlack = 10' 'const clockSlack = 500' ./library/planner 'TestRebornTwice'
 exit $failed
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -626,7 +626,7 @@
 	const objective = 900 * time.Millisecond
 	inFleet(t, 4, func(fleet *fleet) {
 		for _, worker := range fleet.workers {
-			worker.SetFaults(emulator.WorkerFaults{MuteEvery: 8})
+			worker.SetFaults(emulator.WorkerFaults{MuteEvery: 6})
 		}
 		fleet.wantMostInTime(60, objective)
 	})
@@ -765,6 +765,21 @@
 			deny(fleet, former, append(others, "store"))
 		})
 	})
+	t.Run("idleAndBackWithItsPeersOnly", func(t *testing.T) {
+		inFleet(t, 4, func(fleet *fleet) {
+			former := fleet.decider()
+			others := slices.DeleteFunc(slices.Clone(fleet.names), func(name string) bool { return name == former })
+			healStore := fleet.fabric.Cut([]string{former}, []string{"store"})
+			healPeers := fleet.fabric.Cut([]string{former}, others)
+			time.Sleep(6 * time.Second)
+			healPeers()
+			time.Sleep(4 * time.Second)
+			if fleet.hosts[former].Deciding() {
+				fleet.Error("the former decider does not know that it is one")
+			}
+			healStore()
+		})
+	})
 	t.Run("learnsOfItFromPeersWhileTheStoreIsAway", func(t *testing.T) {
 		inFleet(t, 4, func(fleet *fleet) {
 			former := fleet.decider()
