--- a/library/planner/runs_test.go
+++ b/library/planner/runs_test.go
@@ -325,9 +325,9 @@
 		worker.ended, worker.leased = nil, time.Time{}
 		cell.submit(job, tasks(1))
 		cell.settle()
-		cell.pass(20 * time.Millisecond)
 		cell.endAll(planner.EndedDone)
 		cell.wantState(job, planner.Completed)
+		cell.pass(20 * time.Millisecond)
 	}
 	if len(cell.starts) != 2 {
 		t.Errorf("%d starts, want one a job", len(cell.starts))
