--- a/daemon/scheduler/holder.go
+++ b/daemon/scheduler/holder.go
@@ -153,7 +153,7 @@
 		if !lossy {
 			sleep(ctx, gatherEnds)
 		}
-	default:
+	case planner.NeedNothing, planner.NeedAcknowledgement:
 		if lossy {
 			rest = max(rest, longWait)
 		}
--- a/daemon/scheduler/relay.go
+++ b/daemon/scheduler/relay.go
@@ -172,6 +172,7 @@
 		return fmt.Errorf("append through %s: %s: %w", peer.Name, answer.Reason, translator.ErrFenced)
 	case relayRefused:
 		return fmt.Errorf("append through %s: %s: %w", peer.Name, answer.Reason, translator.ErrRefused)
+	case relayUnknown:
 	}
 	return fmt.Errorf("append through %s: %s: %w", peer.Name, answer.Reason, translator.ErrUnknown)
 }
--- a/library/planner/place.go
+++ b/library/planner/place.go
@@ -222,9 +222,6 @@
 	if step.DataRack != "" && !slices.Contains(worker.Labels, step.DataRack) {
 		cost *= max(pass.planner.Settings.Spread, 1)
 	}
-	if task != nil && slices.Contains(task.failedOn, worker.ID) {
-		cost += failedHereCost
-	}
 	left := worker.Free().Sub(step.charge().Times(int64(taken + 1)))
 	cost += fillCost * left.Dominant(worker.Capacity)
 	if step.TailMS > 0 && worker.serving == 0 {
@@ -233,8 +230,8 @@
 	if !worker.fresh(pass.now) {
 		cost += restedCost
 	}
-	if task != nil && task.run != nil && pass.planner.worker(task.run.Worker).Zone == worker.Zone {
-		cost += besideCost
+	if task != nil {
+		cost += pass.pastCost(task, worker)
 	}
 	if queue.Priority == 0 && step.of.zone != "" && step.of.zone != worker.Zone {
 		cost += awayCost
@@ -242,6 +239,18 @@
 	return cost
 }
 
+// pastCost rates a worker by what became of a task's earlier runs.
+func (pass *pass) pastCost(task *task, worker *Worker) float64 {
+	cost := 0.0
+	if slices.Contains(task.failedOn, worker.ID) {
+		cost += failedHereCost
+	}
+	if task.run != nil && pass.planner.worker(task.run.Worker).Zone == worker.Zone {
+		cost += besideCost
+	}
+	return cost
+}
+
 // placeGang starts all tasks of a gang or none.
 func (pass *pass) placeGang(step *step, queue Queue) {
 	if !pass.planner.within(step.job.Team, step.Step, int64(step.Count)) {
--- a/library/planner/runs.go
+++ b/library/planner/runs.go
@@ -39,12 +39,8 @@
 	planner.now = now
 	worker := planner.worker(order.Worker)
 	current := order.Token == worker.Token // else what it tells of the worker may be of an earlier incarnation
-	switch {
-	case clock <= 0 || !current:
-	case clock+clockSlack < worker.clockAtLeast(order.SentAt) && !worker.clockAt.IsZero():
-		planner.reborn(worker, 0) // its clock started anew
-	default:
-		worker.observe(clock, now)
+	if clock > 0 && current {
+		planner.readClock(worker, clock, order.SentAt)
 	}
 	step, run := planner.openRun(order.Key, order.Number)
 	if run == nil {
@@ -76,6 +72,15 @@
 	}
 }
 
+// readClock takes a reading of a worker's clock that was made after a time.
+func (planner *Planner) readClock(worker *Worker, clock int64, after time.Time) {
+	if clock+clockSlack < worker.clockAtLeast(after) && !worker.clockAt.IsZero() {
+		planner.reborn(worker, 0) // its clock started anew
+		return
+	}
+	worker.observe(clock, planner.now)
+}
+
 // clockSlack is how far a worker's clock may read below what is expected of one that did not start anew,
 // in milliseconds: what rounding makes.
 const clockSlack = 10
