--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -89,7 +89,7 @@
 	route.mu.Lock()' ./tests 'TestFleetStoreCut'
 try 'fleet: another peer each time' daemon/scheduler/relay.go 'route.turn+attempt/bothWays' 'route.turn' ./tests 'TestFleetStoreCut'
 try 'fleet: cut deciders pass on' daemon/scheduler/watch.go 'host.passOn(tenure, election)' '' ./tests 'TestFleetStoreCut'
-try 'fleet: lost answers of the store' daemon/scheduler/journal.go 'attempts.journal.noteLoss(answer.number >= attempts.first)' '' ./tests 'TestFleetLateAppends'
+try 'fleet: lost answers of the store' daemon/scheduler/attempts.go 'attempts.journal.noteLoss(answer.number >= attempts.first)' '' ./tests 'TestFleetLateAppends'
 try 'fleet: lost answers of workers' daemon/scheduler/holder.go 'if tenure.losses.note(time.Since(holder.lost) < lostLately, tenure.host.uptime()) {' 'if false {' ./tests 'TestFleetMuteWorkers'
 try 'fleet: former decider that is gone' daemon/scheduler/tenure.go 'tenure.wait.Go(tenure.askFormer)' '' ./tests 'TestFleetAllLost'
 try 'fleet: lapses are recorded' library/planner/runs.go 'planner.noteLapses(now)' '_ = now' ./library/planner 'TestLapses'
