--- a/daemon/scheduler/strain.go
+++ b/daemon/scheduler/strain.go
@@ -11,7 +11,8 @@
 const (
 	strainWeight = 4                     // of the latest turn, as a divisor
 	strainedAt   = 25 * time.Millisecond // of lateness, as an average
-	reliefPause  = 8 * time.Second       // in which a host is neither relieved twice, nor after it relieved another
+	reliefAfter  = 10 * time.Second      // of deciding, in which a large fleet's workers were looked at
+	reliefPause  = 15 * time.Second      // in which a host is neither relieved twice, nor after it relieved another
 )
 
 func newStrain() strain { return strain{average{weight: strainWeight}} }
@@ -27,7 +28,7 @@
 func (host *Host) relieve(tenure *tenure, election Election) {
 	late := tenure.strain.lateness()
 	now := host.uptime()
-	if late < strainedAt || now-tenure.beganAt < settled || now-time.Duration(host.relievedAt.Load()) < reliefPause {
+	if late < strainedAt || now-tenure.beganAt < reliefAfter || now-time.Duration(host.relievedAt.Load()) < reliefPause {
 		return
 	}
 	for _, member := range host.fleet.others(host.settings.Host) {
