planner: size policy queries by the tasks that wait; let completed gangs end on their own

Ruled out: the slots (20 to 23 of 27 busy), the caps.

Change: a query names as many workers as should give room for the tasks that wait, 30 to 100, by the share that the queue's policy was seen to allow; up to 4 queries of a step are open; open queries count with the tasks that they are expected to place.

TestMixedLoad, a simulation of that load without a network: 117 of 140 batch jobs in time before, 140 after.

--- a/library/planner/effect.go
+++ b/library/planner/effect.go
@@ -43,6 +43,7 @@
 
 // PolicyQuery asks the policy service which of the workers may run a step.
 type PolicyQuery struct {
+	ID            int64 // unique within the planner
 	Step          StepKey
 	Workers       []string
 	AnswerTime    time.Duration // expected time to the answer
--- a/library/planner/explain.go
+++ b/library/planner/explain.go
@@ -43,7 +43,7 @@
 	queue, _ := planner.catalog.Queue(step.job.Queue)
 	blockedStep := BlockedStep{
 		Step: step.key, Queue: queue.Name, Tasks: len(step.waiting), BlockedSince: step.blockedSince, Workers: map[string]int{},
-		Capped: !planner.withinCap(step.job.Team, step.Step, 1), QueryOpen: !step.policy.querySentAt.IsZero(),
+		Capped: !planner.withinCap(step.job.Team, step.Step, 1), QueryOpen: len(step.policy.open) > 0,
 	}
 	pass := &pass{planner: planner, now: now, pools: map[string]*pool{}}
 	for _, worker := range planner.workers {
--- a/library/planner/fleet_test.go
+++ b/library/planner/fleet_test.go
@@ -22,9 +22,10 @@
 	stops        []planner.Stop        // stop requests that were sent
 	queries      []planner.PolicyQuery // policy queries that were sent
 	journal      map[string][]byte
-	deferStores  bool              // whether batches are stored only when flush is called
-	unstored     []planner.Batch   // batches that were taken and are not stored yet
-	acknowledged []planner.TaskKey // tasks with a run that ended as done and whose end was acknowledged
+	deferStores  bool                      // whether batches are stored only when flush is called
+	unstored     []planner.Batch           // batches that were taken and are not stored yet
+	acknowledged []planner.TaskKey         // tasks with a run that ended as done and whose end was acknowledged
+	percent      func(planner.TaskKey) int // progress of a running task, nil if all tasks are at 100 percent
 }
 
 // fakeWorker is the state of a simulated worker.
@@ -148,7 +149,11 @@
 		Ended: slices.Clone(worker.ended),
 	}
 	for key, number := range worker.running {
-		listing.Running = append(listing.Running, planner.RunningRun{Key: key, Number: number, Percent: 100})
+		percent := 100
+		if fleet.percent != nil {
+			percent = fleet.percent(key)
+		}
+		listing.Running = append(listing.Running, planner.RunningRun{Key: key, Number: number, Percent: percent})
 	}
 	fleet.planner.HandleListing(id, listing, fleet.now)
 }
--- a/library/planner/health.go
+++ b/library/planner/health.go
@@ -53,14 +53,17 @@
 	health.barTime = 0
 }
 
-// queueStats holds the moving average of the run times of a queue's tasks, as a multiple of their estimates.
-type queueStats struct{ ratio float64 }
+// queueStats holds moving averages of a queue.
+type queueStats struct {
+	ratio        float64 // run times of its tasks, as a multiple of their estimates
+	allowedShare float64 // share of the workers that its policy allows
+}
 
 // ensureQueueStats returns the statistics of a queue and creates them if needed.
 func (planner *Planner) ensureQueueStats(queue string) *queueStats {
 	stats := planner.queueStats[queue]
 	if stats == nil {
-		stats = &queueStats{ratio: 1}
+		stats = &queueStats{ratio: 1, allowedShare: initialAllowedShare}
 		planner.queueStats[queue] = stats
 	}
 	return stats
--- a/library/planner/place_test.go
+++ b/library/planner/place_test.go
@@ -130,6 +130,11 @@
 		fleet.markEnded(planner.TaskKey{Job: jobA, Index: 1}, planner.EndedDone)
 		fleet.advance(10 * time.Millisecond)
 		fleet.wantState(jobA, planner.Completed)
+		if len(fleet.stops) != 0 {
+			t.Errorf("%d stops of members that end on their own, want none", len(fleet.stops))
+		}
+		fleet.endAll(planner.EndedDone)
+		fleet.wantRunning(0)
 	})
 	t.Run("lostMemberStopsTheOthers", func(t *testing.T) {
 		fleet := newFleet(t, testStart, 2)
@@ -286,6 +291,18 @@
 			t.Errorf("%d queries after one failed, want 3", len(fleet.queries))
 		}
 	})
+	t.Run("stepThatWaitsForManyTasksLeavesRoomToOthers", func(t *testing.T) {
+		fleet := newPolicyFleet(t)
+		wide := newStep(100)
+		wide.MaxPerWorker = 1
+		fleet.submit(jobA, wide)
+		fleet.settle()
+		fleet.submit(jobB, newStep(1))
+		fleet.settle()
+		if len(fleet.queries) != 2 {
+			t.Errorf("%d queries while most of the room is free, want one of each step", len(fleet.queries))
+		}
+	})
 	t.Run("noQueryWhileNoWorkerHasRoom", func(t *testing.T) {
 		fleet := newPolicyFleet(t)
 		fleet.submitTo("batch", jobA, newStep(12))
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -44,6 +44,7 @@
 	queueStats  map[string]*queueStats
 	slots       Slots // how many policy queries may be open
 	openQueries Slots // how many policy queries are open
+	lastQuery   int64 // ID of the last policy query
 
 	dirty           map[string]bool // IDs of the jobs whose progress has to be stored
 	newJobs         map[string]bool // IDs of the submitted jobs that no batch contains yet
--- a/library/planner/policy.go
+++ b/library/planner/policy.go
@@ -7,12 +7,23 @@
 )
 
 const (
+	// minQueriedWorkers is the number of workers that a policy query names if there are as many candidates.
+	minQueriedWorkers = 30
 	// maxQueriedWorkers is the maximum number of workers in a policy query.
-	maxQueriedWorkers = 30
+	maxQueriedWorkers = 100
+	// maxOpenQueries is the maximum number of open policy queries of one step.
+	maxOpenQueries = 4
+	// queryMargin is the ratio of the tasks that the answers to a step's queries should allow to the tasks that wait:
+	// other tasks may take the room before an answer arrives.
+	queryMargin = 1.5
 	// ticketMargin is subtracted from the validity of a ticket.
 	ticketMargin = 150 * time.Millisecond
-	// queryRetryMargin is added to the maximum answer time of a policy query before the query is repeated.
+	// queryRetryMargin is added to the maximum answer time of a policy query before its answer counts as lost.
 	queryRetryMargin = 2 * time.Second
+	// initialAllowedShare is the share of the workers that a policy is assumed to allow before its first answer.
+	initialAllowedShare = 0.5
+	// allowedShareWeight is the weight of one worker of an answer in the moving average of a queue's allowed share.
+	allowedShareWeight = 0.002
 )
 
 // Allowance is a worker on which the policy allows a step to run, with the ticket that the order has to carry.
@@ -60,72 +71,127 @@
 	}
 }
 
-// queryPolicy queries the policy service about workers with room for a task of the step. The slots for queries are
-// scarce: the steps use them in the order of their ranks, only for as many tasks as there is free capacity, and
-// with one open query per step.
-func (pass *pass) queryPolicy(step *step, queue Queue) {
-	maxAnswerTime := queue.Policy.BaseTime + time.Duration(maxQueriedWorkers)*queue.Policy.PerWorker
-	if !step.policy.querySentAt.IsZero() && pass.now.Sub(step.policy.querySentAt) < maxAnswerTime+queryRetryMargin {
-		pass.addQueriedSize(step, queue)
-		return
-	}
-	if !pass.planner.slotFree(maxAnswerTime) || pass.queriedSize[queue.Service].DominantShare(pass.pool(queue.Service).totalFree) >= 1 {
-		return
+// openQuery is a policy query without an answer.
+type openQuery struct {
+	id       int64
+	workers  []string
+	sentAt   time.Time
+	expected float64 // number of tasks that the answer is expected to have room for
+}
+
+// expectedTasks returns the number of tasks that the answers to the open queries are expected to have room for.
+func (policyCache *policyCache) expectedTasks() float64 {
+	total := 0.0
+	for _, open := range policyCache.open {
+		total += open.expected
 	}
-	ids := pass.candidates(step, queue)
-	if len(ids) == 0 {
-		return
+	return total
+}
+
+// closeQuery removes an open query.
+func (policyCache *policyCache) closeQuery(id int64) {
+	policyCache.open = slices.DeleteFunc(policyCache.open, func(open openQuery) bool { return open.id == id })
+}
+
+// queryPolicy queries the policy service about workers with room for the waiting tasks of the step. The slots for
+// queries are scarce: the steps use them in the order of their ranks, and only for as many tasks as there is free
+// capacity. Several queries of a step may be open, about different workers.
+func (pass *pass) queryPolicy(step *step, queue Queue) {
+	maxAnswerTime := queue.Policy.BaseTime + time.Duration(minQueriedWorkers)*queue.Policy.PerWorker
+	lostBefore := pass.now.Add(-maxAnswerTime - time.Duration(maxQueriedWorkers)*queue.Policy.PerWorker - queryRetryMargin)
+	step.policy.open = slices.DeleteFunc(step.policy.open, func(open openQuery) bool { return open.sentAt.Before(lostBefore) })
+	wanted := queryMargin * float64(len(step.waiting))
+	for len(step.policy.open) < maxOpenQueries && step.policy.expectedTasks() < wanted {
+		full := pass.queriedSize[queue.Service].DominantShare(pass.pool(queue.Service).totalFree) >= 1
+		if full || !pass.planner.slotFree(maxAnswerTime) {
+			break
+		}
+		ids, expected := pass.candidates(step, queue, wanted-step.policy.expectedTasks())
+		if len(ids) == 0 {
+			break
+		}
+		pass.sendQuery(step, queue, ids, expected, maxAnswerTime)
 	}
-	pass.addQueriedSize(step, queue)
-	step.policy.querySentAt = pass.now
-	query := PolicyQuery{
-		Step: step.key, Workers: ids, MaxAnswerTime: maxAnswerTime,
+	expected := min(step.policy.expectedTasks(), float64(len(step.waiting)))
+	pass.queriedSize[queue.Service] = pass.queriedSize[queue.Service].Add(step.chargedSize().Mul(int64(expected)))
+}
+
+func (pass *pass) sendQuery(step *step, queue Queue, ids []string, expected float64, maxAnswerTime time.Duration) {
+	planner := pass.planner
+	planner.lastQuery++
+	step.policy.open = append(step.policy.open, openQuery{id: planner.lastQuery, workers: ids, sentAt: pass.now, expected: expected})
+	planner.countOpenQuery(maxAnswerTime, 1)
+	planner.effects = append(planner.effects, PolicyQuery{
+		ID: planner.lastQuery, Step: step.key, Workers: ids, MaxAnswerTime: maxAnswerTime,
 		AnswerTime: queue.Policy.BaseTime + time.Duration(len(ids))*queue.Policy.PerWorker,
-	}
-	pass.planner.countOpenQuery(query.MaxAnswerTime, 1)
-	pass.planner.effects = append(pass.planner.effects, query)
+	})
 }
 
-// addQueriedSize counts the waiting tasks of a step, which can start once its policy query is answered.
-func (pass *pass) addQueriedSize(step *step, queue Queue) {
-	pass.queriedSize[queue.Service] = pass.queriedSize[queue.Service].Add(step.chargedSize().Mul(int64(len(step.waiting))))
+// candidate is a worker that a policy query may name.
+type candidate struct {
+	worker        *Worker
+	allowedBefore bool // whether the policy allowed it before, and the ticket is outdated
+	room          int  // number of tasks of the step that it has room for
+	cost          float64
+}
+
+// candidates returns the IDs of the workers to name in a policy query so that it is expected to give room for the
+// wanted number of tasks, and the number that it is expected to give; none if no worker has room. They are sorted by
+// whether they have room, then by whether the policy allowed them before, then by cost. Up to minQueriedWorkers, workers
+// that are full are included because they may have room by the time of the answer.
+func (pass *pass) candidates(step *step, queue Queue, wanted float64) ([]string, float64) {
+	found := pass.findCandidates(step, queue)
+	if len(found) == 0 || found[0].room == 0 {
+		return nil, 0
+	}
+	allowedShare := pass.planner.ensureQueueStats(queue.Name).allowedShare
+	ids := make([]string, 0, minQueriedWorkers)
+	expected := 0.0
+	for _, candidate := range found[:min(maxQueriedWorkers, len(found))] {
+		if len(ids) >= minQueriedWorkers && (expected >= wanted || candidate.room == 0) {
+			break
+		}
+		ids = append(ids, candidate.worker.ID)
+		if candidate.allowedBefore {
+			expected += float64(candidate.room)
+		} else {
+			expected += allowedShare * float64(candidate.room)
+		}
+	}
+	return ids, expected
 }
 
-// candidates returns the IDs of the workers to name in a policy query, or none if no worker has room. They are
-// sorted by whether they have room, then by whether the policy allowed them before (the ticket is outdated), then by
-// cost. Workers that are full are included because they may have room by the time of the answer.
-func (pass *pass) candidates(step *step, queue Queue) []string {
-	type candidate struct {
-		worker        *Worker
-		allowedBefore bool
-		hasRoom       bool
-		cost          float64
+// findCandidates returns the workers that a policy query of the step may name, best first.
+func (pass *pass) findCandidates(step *step, queue Queue) []candidate {
+	queried := map[string]bool{}
+	for _, open := range step.policy.open {
+		for _, id := range open.workers {
+			queried[id] = true
+		}
 	}
 	var found []candidate
-	withRoom := 0
 	for _, worker := range pass.pool(queue.Service).workers {
 		if !worker.hasLabel(step.Label) || !step.chargedSize().Fits(worker.Capacity) || step.policy.denied[worker.ID] ||
-			step.policy.hasTicket(worker, pass.now) {
+			queried[worker.ID] || step.policy.hasTicket(worker, pass.now) {
 			continue
 		}
-		hasRoom := step.chargedSize().Fits(worker.Free())
-		if hasRoom {
-			withRoom++
-		}
 		_, allowedBefore := step.policy.allowed[worker.ID]
-		found = append(found, candidate{worker, allowedBefore, hasRoom, pass.cost(step, queue, nil, worker, 0)})
-	}
-	if withRoom == 0 {
-		return nil
+		found = append(found, candidate{worker, allowedBefore, pass.roomFor(step, worker), pass.cost(step, queue, nil, worker, 0)})
 	}
 	slices.SortStableFunc(found, func(a, b candidate) int {
-		return cmp.Or(-compareBool(a.hasRoom, b.hasRoom), -compareBool(a.allowedBefore, b.allowedBefore), cmp.Compare(a.cost, b.cost))
+		return cmp.Or(-compareBool(a.room > 0, b.room > 0), -compareBool(a.allowedBefore, b.allowedBefore), cmp.Compare(a.cost, b.cost))
 	})
-	ids := make([]string, 0, maxQueriedWorkers)
-	for _, candidate := range found[:min(maxQueriedWorkers, len(found))] {
-		ids = append(ids, candidate.worker.ID)
+	return found
+}
+
+// roomFor returns how many tasks of the step fit on a worker now, at most as many as wait.
+func (pass *pass) roomFor(step *step, worker *Worker) int {
+	size, free := step.chargedSize(), worker.Free()
+	room := 0
+	for room < len(step.waiting) && size.Mul(int64(room+1)).Fits(free) && pass.planner.belowWorkerLimit(step, worker, room) {
+		room++
 	}
-	return ids
+	return room
 }
 
 // compareBool orders false before true.
@@ -148,7 +214,7 @@
 	if step == nil {
 		return
 	}
-	step.policy.querySentAt = time.Time{}
+	step.policy.closeQuery(query.ID)
 	queue, found := planner.catalog.Queue(step.job.Queue)
 	if !found || queue.Policy == nil {
 		return
@@ -156,6 +222,7 @@
 	if step.policy.allowed == nil {
 		step.policy.allowed, step.policy.denied = map[string]ticket{}, map[string]bool{}
 	}
+	planner.recordAllowedShare(step, query, allowed)
 	for _, allowance := range allowed {
 		if worker := planner.workers[allowance.Worker]; worker != nil {
 			step.policy.allowed[worker.ID] = ticket{
@@ -175,6 +242,26 @@
 	planner.now = now
 	planner.countOpenQuery(query.MaxAnswerTime, -1)
 	if step := planner.steps[query.Step]; step != nil {
-		step.policy.querySentAt = time.Time{}
+		step.policy.closeQuery(query.ID)
+	}
+}
+
+// recordAllowedShare updates the share of the workers that the policy of a queue allows, from those workers of an
+// answer that the step had not queried before.
+func (planner *Planner) recordAllowedShare(step *step, query PolicyQuery, allowed []Allowance) {
+	stats := planner.ensureQueueStats(step.job.Queue)
+	isAllowed := map[string]bool{}
+	for _, allowance := range allowed {
+		isAllowed[allowance.Worker] = true
+	}
+	for _, id := range query.Workers {
+		if _, known := step.policy.allowed[id]; known {
+			continue
+		}
+		sample := 0.0
+		if isAllowed[id] {
+			sample = 1
+		}
+		stats.allowedShare += allowedShareWeight * (sample - stats.allowedShare)
 	}
 }
--- a/library/planner/submission.go
+++ b/library/planner/submission.go
@@ -114,7 +114,7 @@
 	return true
 }
 
-// finishJob puts a job into a final state and stops its runs.
+// finishJob puts a job into a final state and stops its runs. The members of a completed gang end together without it.
 func (planner *Planner) finishJob(entry *jobEntry, state State, now time.Time) {
 	entry.state = state
 	entry.endedAtMS = now.UnixMilli()
@@ -126,10 +126,8 @@
 	for _, number := range slices.Sorted(maps.Keys(entry.occurrences)) {
 		for _, step := range entry.occurrences[number].steps {
 			step.waiting = nil
-			for index := range step.tasks {
-				for _, run := range step.tasks[index].openRuns() {
-					planner.stopRun(run, now)
-				}
+			if !step.Gang || step.completedTasks < step.Count {
+				planner.stopRuns(step, now)
 			}
 			if step.openCount == 0 {
 				delete(planner.steps, step.key)
@@ -150,6 +148,15 @@
 	}
 }
 
+// stopRuns stops all runs of a step.
+func (planner *Planner) stopRuns(step *step, now time.Time) {
+	for index := range step.tasks {
+		for _, run := range step.tasks[index].openRuns() {
+			planner.stopRun(run, now)
+		}
+	}
+}
+
 // stopRetryInterval is the minimum time between two stop requests for the same run.
 const stopRetryInterval = 400 * time.Millisecond
 
--- a/library/planner/tables.go
+++ b/library/planner/tables.go
@@ -73,9 +73,9 @@
 
 // policyCache holds the answers of the policy service for a step, by worker ID.
 type policyCache struct {
-	allowed     map[string]ticket
-	denied      map[string]bool
-	querySentAt time.Time // when the open query was sent, zero if none is open
+	allowed map[string]ticket
+	denied  map[string]bool
+	open    []openQuery
 }
 
 // ticket is the policy's permission to run a step on one incarnation of a worker.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -95,4 +95,7 @@
 try 'fleet: lease expiries are recorded' library/planner/runs.go 'planner.updateExpiries(now)' '_ = now' ./library/planner 'TestLeaseExpiry'
 try 'fleet: no lease before the expiry is dropped' library/planner/expiry.go 'return worker.RunsKnown && worker.expiryDropBatch <= planner.storedBatch' 'return worker.RunsKnown' ./library/planner 'TestLeaseExpiry'
 try 'fleet: tolerance of restart detection' library/planner/runs.go 'const clockToleranceMS = 10' 'const clockToleranceMS = 500' ./library/planner 'TestRestartTwice'
+try 'fleet: several policy queries of one step' library/planner/policy.go 'len(step.policy.open) < maxOpenQueries &&' 'len(step.policy.open) < 1 &&' ./library/planner 'TestMixedLoad'
+try 'fleet: room that queries are expected to use' library/planner/policy.go 'expected := min(step.policy.expectedTasks(), float64(len(step.waiting)))' 'expected := float64(len(step.waiting))' ./library/planner 'TestPolicy'
+try 'fleet: members of a completed gang end on their own' library/planner/submission.go 'if !step.Gang || step.completedTasks < step.Count {' 'if true {' ./library/planner 'TestGang'
 exit $failed
