planner: keep a start on an idle worker whose last lease has lapsed

Cause: on the large site an idle worker is polled every 7.3 s and its lease lasts 7 s.

Change: only runs whose order may have been sent end with a lease; an order brings a new one.

TestStartOnIdleWorker fails without it.

--- a/library/planner/expiry_test.go
+++ b/library/planner/expiry_test.go
@@ -57,3 +57,20 @@
 		}
 	})
 }
+
+// TestStartOnIdleWorker starts a task on a worker that had no runs for longer than its last lease. The start is not
+// given up while its record is being stored: its order brings a new lease.
+func TestStartOnIdleWorker(t *testing.T) {
+	fleet := newFleet(t, testStart, 1)
+	fleet.deferStores = true
+	fleet.now = fleet.now.Add(testSettings.Lease + time.Second)
+	fleet.submit(jobA, newStep(1))
+	fleet.settle()
+	fleet.now = fleet.now.Add(20 * time.Millisecond)
+	fleet.settle()
+	fleet.flush(2)
+	fleet.wantRunning(1)
+	if len(fleet.orders) != 1 {
+		t.Errorf("%d orders, want 1", len(fleet.orders))
+	}
+}
--- a/library/planner/runs.go
+++ b/library/planner/runs.go
@@ -18,7 +18,7 @@
 		planner.closeRun(step, run, NeverRan, "", now)
 		return Order{}, false
 	}
-	run.Token, run.OrderedAt = worker.Token, now
+	run.Token, run.OrderedAt, run.Sent = worker.Token, now, true
 	order := Order{
 		Key: run.Key, Number: run.Number, Worker: worker.ID, Address: worker.Address,
 		Payload: step.job.Payload, Checkpoint: step.tasks[start.Key.Index].checkpoint,
@@ -278,12 +278,7 @@
 	for _, id := range planner.workerIDs {
 		worker := planner.workers[id]
 		if len(worker.Runs) > 0 && now.After(worker.leasesExpireAt()) {
-			if worker.RunsKnown {
-				planner.HandlePollFailure(id, now)
-			}
-			for _, run := range worker.sortedRuns() {
-				planner.closeVanished(run, now)
-			}
+			planner.closeSentRuns(worker, now)
 		}
 		if !worker.Listed && len(worker.Runs) == 0 && now.Sub(worker.unlistedSince) > unlistedRetention {
 			delete(planner.workers, id)
@@ -293,5 +288,19 @@
 	planner.workerIDs = slices.DeleteFunc(planner.workerIDs, func(id string) bool { return planner.workers[id] == nil })
 }
 
+// closeSentRuns closes the runs of a worker whose leases have expired. A run whose order was not sent yet stays open:
+// its order brings a new lease.
+func (planner *Planner) closeSentRuns(worker *Worker, now time.Time) {
+	for _, run := range worker.sortedRuns() {
+		if !run.Sent {
+			continue
+		}
+		if worker.RunsKnown {
+			planner.HandlePollFailure(worker.ID, now)
+		}
+		planner.closeVanished(run, now)
+	}
+}
+
 // unlistedRetention is how long a worker without runs stays in the table after it left the list.
 const unlistedRetention = 20 * time.Second
--- a/library/planner/worker.go
+++ b/library/planner/worker.go
@@ -72,6 +72,7 @@
 	Size        sizer.Size
 	Token       int64 // fencing token of its last order
 	OrderedAt   time.Time
+	Sent        bool      // whether its order may have been sent
 	Confirmed   bool      // whether the worker accepted the order or listed the run
 	ConfirmedAt time.Time // when the acceptance arrived, or when the poll that listed the run was sent
 	Stopping    bool
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -98,4 +98,5 @@
 try 'fleet: several policy queries of one step' library/planner/policy.go 'len(step.policy.open) < maxOpenQueries &&' 'len(step.policy.open) < 1 &&' ./library/planner 'TestMixedLoad'
 try 'fleet: room that queries are expected to use' library/planner/policy.go 'expected := min(step.policy.expectedTasks(), float64(len(step.waiting)))' 'expected := float64(len(step.waiting))' ./library/planner 'TestPolicy'
 try 'fleet: members of a completed gang end on their own' library/planner/submission.go 'if !step.Gang || step.completedTasks < step.Count {' 'if true {' ./library/planner 'TestGang'
+try 'fleet: runs that were not sent outlast an idle lease' library/planner/runs.go 'if !run.Sent {' 'if false {' ./library/planner 'TestStartOnIdleWorker'
 exit $failed
