scheduler: log and count the decider's load once a second; plan only when a batch may be stored

Cause: planOnce was called 2,300 times a second on the large site, after each answer of a worker, and each call sorted the members for the policy queries and counted the quorum, also when no batch could be stored: 0.3 s of planning a second. The `load` line and five gauges show how near a decider is to its limit.

--- /dev/null
+++ b/daemon/scheduler/load_meter.go
@@ -0,0 +1,81 @@
+package scheduler
+
+import (
+	"sync/atomic"
+	"time"
+
+	"ebonyshunt.org/library/planner"
+)
+
+// loadInterval is the time between two log lines about the load of the decider.
+const loadInterval = time.Second
+
+// loadMeter counts the work of the decider between two log lines.
+type loadMeter struct {
+	plans       atomic.Int64
+	planTime    atomic.Int64 // nanoseconds, including the wait for the planner's lock
+	polls       atomic.Int64
+	lostPolls   atomic.Int64
+	starts      atomic.Int64
+	lostStarts  atomic.Int64
+	stops       atomic.Int64
+	queries     atomic.Int64
+	batches     atomic.Int64
+	longestPlan atomic.Int64 // nanoseconds
+	longestWait atomic.Int64 // longest delay of a planning tick, in nanoseconds
+}
+
+// recordPlan records one call of planOnce that began at a time.
+func (loadMeter *loadMeter) recordPlan(began time.Time) {
+	took := int64(time.Since(began))
+	loadMeter.plans.Add(1)
+	loadMeter.planTime.Add(took)
+	raise(&loadMeter.longestPlan, took)
+}
+
+// raise sets a value to a sample that is greater.
+func raise(value *atomic.Int64, sample int64) {
+	for {
+		current := value.Load()
+		if sample <= current || value.CompareAndSwap(current, sample) {
+			return
+		}
+	}
+}
+
+// logLoad logs the work of the decider since the last line, once per loadInterval, until the tenure ends.
+func (tenure *tenure) logLoad() {
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-tenure.ctx.Done():
+			return
+		}
+		tenure.mu.Lock()
+		load := tenure.planner.Load()
+		tenure.mu.Unlock()
+		tenure.host.metrics.observeLoad(load, tenure.tickLag.current())
+		meter := &tenure.meter
+		tenure.host.log.Info("load", "term", tenure.term, "plans", meter.plans.Swap(0), "planning", milliseconds(&meter.planTime),
+			"longestPlan", milliseconds(&meter.longestPlan), "latestTick", milliseconds(&meter.longestWait),
+			"polls", meter.polls.Swap(0), "lostPolls", meter.lostPolls.Swap(0), "starts", meter.starts.Swap(0), "lostStarts", meter.lostStarts.Swap(0),
+			"stops", meter.stops.Swap(0), "queries", meter.queries.Swap(0), "batches", meter.batches.Swap(0),
+			"steps", load.WaitingSteps, "waiting", load.WaitingTasks, "runs", load.Runs, "unknownWorkers", load.UnknownWorkers, "usedShare", load.UsedShare)
+	}
+}
+
+// milliseconds returns a duration in milliseconds and resets it.
+func milliseconds(nanoseconds *atomic.Int64) float64 {
+	return float64(time.Duration(nanoseconds.Swap(0)).Microseconds()) / 1000
+}
+
+// observeLoad sets the gauges of the decider's load.
+func (metrics *metrics) observeLoad(load planner.Load, lag time.Duration) {
+	metrics.waitingTasks.Set(float64(load.WaitingTasks))
+	metrics.runs.Set(float64(load.Runs))
+	metrics.unknownWorkers.Set(float64(load.UnknownWorkers))
+	metrics.usedShare.Set(load.UsedShare)
+	metrics.lag.Set(lag.Seconds())
+}
--- a/daemon/scheduler/metrics.go
+++ b/daemon/scheduler/metrics.go
@@ -18,6 +18,13 @@
 	appends  prometheus.Histogram
 	jobs     *prometheus.HistogramVec
 	endings  *prometheus.CounterVec
+
+	// The load of the decider, from the last second in which this host decided.
+	waitingTasks   prometheus.Gauge
+	runs           prometheus.Gauge
+	unknownWorkers prometheus.Gauge
+	usedShare      prometheus.Gauge
+	lag            prometheus.Gauge
 }
 
 // Buckets of durations in seconds: 2 ms to 4 s, and 0.1 s to 7 minutes.
@@ -45,8 +52,14 @@
 		endings: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "ebonyshunt_run_endings_total", Help: "Runs that ended otherwise than done.",
 		}, []string{"ending"}),
+		waitingTasks:   newGauge("ebonyshunt_waiting_tasks", "Tasks that wait for capacity, on the decider."),
+		runs:           newGauge("ebonyshunt_runs", "Runs that exist or may exist, on the decider."),
+		unknownWorkers: newGauge("ebonyshunt_unknown_workers", "Workers whose runs are not known, on the decider."),
+		usedShare:      newGauge("ebonyshunt_used_share", "Share of the fleet's capacity that runs use, on the decider."),
+		lag:            newGauge("ebonyshunt_planning_lag_seconds", "Average delay of planning ticks, on the decider."),
 	}
 	metrics.registry.MustRegister(metrics.polls, metrics.starts, metrics.calls, metrics.appends, metrics.jobs, metrics.endings,
+		metrics.waitingTasks, metrics.runs, metrics.unknownWorkers, metrics.usedShare, metrics.lag,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "ebonyshunt_deciding", Help: "1 while this host decides.",
 		}, func() float64 {
@@ -65,6 +78,10 @@
 	return metrics
 }
 
+func newGauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
+}
+
 func (host *Host) routes() http.Handler {
 	router := chi.NewRouter()
 	router.Handle("/metrics", promhttp.HandlerFor(host.metrics.registry, promhttp.HandlerOpts{}))
--- a/daemon/scheduler/poller.go
+++ b/daemon/scheduler/poller.go
@@ -203,6 +203,7 @@
 	defer cancel()
 	listing, err := tenure.host.workers.Poll(pollCtx, poll, wait)
 	tenure.host.metrics.polls.Inc()
+	tenure.meter.polls.Add(1)
 	if tenure.ctx.Err() != nil {
 		return tenure.ctx.Err()
 	}
@@ -210,6 +211,7 @@
 	defer tenure.mu.Unlock()
 	tenure.recordAnswer(worker, err != nil)
 	if err != nil {
+		tenure.meter.lostPolls.Add(1)
 		tenure.planner.HandlePollFailure(worker, time.Now())
 		return err
 	}
@@ -250,10 +252,12 @@
 	for _, effect := range effects {
 		switch effect := effect.(type) {
 		case planner.Stop:
+			tenure.meter.stops.Add(1)
 			tenure.wait.Go(func() { tenure.sendStop(effect) })
 		case planner.Fence:
 			tenure.fenceWorker(effect.Worker)
 		case planner.PolicyQuery:
+			tenure.meter.queries.Add(1)
 			tenure.wait.Go(func() { tenure.policyQueries.send(effect) })
 		}
 	}
@@ -347,7 +351,9 @@
 	tenure.host.log.Info("start", attributes...)
 	tenure.mu.Lock()
 	defer tenure.mu.Unlock()
+	tenure.meter.starts.Add(1)
 	if outcome == planner.Unknown {
+		tenure.meter.lostStarts.Add(1)
 		tenure.recordAnswer(order.Worker, true)
 	}
 	tenure.planner.HandleOrderOutcome(order, outcome, clockMS, time.Now())
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -30,6 +30,7 @@
 	immediatePolls   chan struct{} // limits the polls without a wait that are in flight
 	answerLossRate   lossRate      // answers of workers that were lost
 	tickLag          lag
+	meter            loadMeter
 
 	mu          sync.Mutex
 	planner     *planner.Planner // nil until it is restored from the journal
@@ -122,6 +123,7 @@
 	tenure.host.log.Info("deciding", "term", tenure.term, "after", time.Since(began))
 	tenure.wait.Go(tenure.followWorkers)
 	tenure.wait.Go(tenure.probePreviousDecider)
+	tenure.wait.Go(tenure.logLoad)
 	tick := time.NewTicker(planInterval)
 	defer tick.Stop()
 	tenure.batchTimer = time.NewTimer(planInterval)
@@ -129,7 +131,9 @@
 	for {
 		select {
 		case due := <-tick.C:
-			tenure.tickLag.record(time.Since(due))
+			late := time.Since(due)
+			tenure.tickLag.record(late)
+			raise(&tenure.meter.longestWait, int64(late))
 		case <-tenure.planRequested:
 		case <-tenure.batchTimer.C:
 		case <-tenure.ctx.Done():
@@ -185,12 +189,7 @@
 // no batch, it only applies the effects that need no stored record.
 func (tenure *tenure) planOnce() {
 	now := time.Now()
-	slots := tenure.policyQueries.slots()
-	quorumSince := tenure.quorumSince()
 	tenure.mu.Lock()
-	if !quorumSince.IsZero() {
-		tenure.planner.EndFormerRenewals(quorumSince.Add(renewalWindow))
-	}
 	if free, wait := tenure.journal.acceptsBatch(len(tenure.waiters) > 0); !free {
 		effects := tenure.planner.TakeEffects()
 		tenure.mu.Unlock()
@@ -200,6 +199,14 @@
 		}
 		return
 	}
+	tenure.mu.Unlock()
+	defer tenure.meter.recordPlan(now)
+	slots := tenure.policyQueries.slots()
+	quorumSince := tenure.quorumSince()
+	tenure.mu.Lock()
+	if !quorumSince.IsZero() {
+		tenure.planner.EndFormerRenewals(quorumSince.Add(renewalWindow))
+	}
 	tenure.planner.SetSlots(slots)
 	tenure.planner.Plan(now)
 	blockedSteps := tenure.explainBlocked(now)
@@ -216,6 +223,7 @@
 	if len(batch.Records) == 0 {
 		return
 	}
+	tenure.meter.batches.Add(1)
 	tenure.journal.save(batch)
 }
 
--- /dev/null
+++ b/library/planner/load.go
@@ -0,0 +1,36 @@
+package planner
+
+import "ebonyshunt.org/library/sizer"
+
+// Load describes how much work the planner has.
+type Load struct {
+	WaitingSteps   int // steps with tasks to start
+	WaitingTasks   int
+	Runs           int     // runs that exist or may exist
+	UnknownWorkers int     // listed workers whose runs are not known
+	UsedShare      float64 // dominant share of the fleet's capacity that runs use
+}
+
+// Load returns the planner's current load.
+func (planner *Planner) Load() Load {
+	var load Load
+	for _, step := range planner.steps {
+		if len(step.waiting) > 0 {
+			load.WaitingSteps++
+			load.WaitingTasks += len(step.waiting)
+		}
+	}
+	var used, capacity sizer.Size
+	for _, worker := range planner.workers {
+		load.Runs += len(worker.Runs)
+		if !worker.Listed {
+			continue
+		}
+		used, capacity = used.Add(worker.Used), capacity.Add(worker.Capacity)
+		if !worker.RunsKnown {
+			load.UnknownWorkers++
+		}
+	}
+	load.UsedShare = used.DominantShare(capacity)
+	return load
+}
