planner: rate the workers of a step once, not for each of its tasks

Cause: each task of a step rated all workers of its service, 792 on the large site, 1,200 tasks a second. Steps whose queue has a policy looked at all workers although few have a ticket; a gang for one rack rated all workers once a rack.

Change: a heap of rated workers a step, of which only the chosen one is rated again; with a policy, only workers with a ticket; racks hold their workers. Loops over workers walk a sorted list in place of a map.

--- a/daemon/scheduler/poller.go
+++ b/daemon/scheduler/poller.go
@@ -66,10 +66,10 @@
 // updatePollers starts a poller for each new worker of the planner's table and stops those of removed workers.
 func (tenure *tenure) updatePollers() {
 	listed := map[string]bool{}
-	for _, worker := range tenure.planner.Workers() {
-		listed[worker.ID] = true
-		if tenure.pollers[worker.ID] == nil {
-			tenure.startPoller(worker.ID)
+	for _, id := range tenure.planner.WorkerIDs() {
+		listed[id] = true
+		if tenure.pollers[id] == nil {
+			tenure.startPoller(id)
 		}
 	}
 	for id, poller := range tenure.pollers {
--- a/library/planner/copies.go
+++ b/library/planner/copies.go
@@ -67,7 +67,7 @@
 	if !pass.planner.withinCap(step.job.Team, step.Step, 1) {
 		return
 	}
-	if worker := pass.chooseWorker(step, queue, task, nil, ""); worker != nil {
+	if worker := pass.chooseWorker(step, queue, task); worker != nil {
 		pass.planner.startRun(step, index, task.lastRunNumber+1, worker, pass.now)
 	}
 }
--- a/library/planner/expiry.go
+++ b/library/planner/expiry.go
@@ -43,11 +43,11 @@
 
 // updateExpiries marks the lease expiry records that have to be written or deleted.
 func (planner *Planner) updateExpiries(now time.Time) {
-	for id, worker := range planner.workers {
+	for _, worker := range planner.workerList {
 		unresponsive := !worker.RunsKnown && len(worker.Runs) > 0
 		switch {
 		case unresponsive && now.Sub(worker.runsUnknownSince) >= expiryRecordDelay && worker.leasesExpireAt().After(worker.recordedExpiry):
-			planner.changedExpiries[id] = true
+			planner.changedExpiries[worker.ID] = true
 		case !unresponsive && !worker.recordedExpiry.IsZero():
 			planner.dropExpiry(worker)
 		}
--- a/library/planner/explain.go
+++ b/library/planner/explain.go
@@ -46,7 +46,7 @@
 		Capped: !planner.withinCap(step.job.Team, step.Step, 1), QueryOpen: len(step.policy.open) > 0,
 	}
 	pass := &pass{planner: planner, now: now, pools: map[string]*pool{}}
-	for _, worker := range planner.workers {
+	for _, worker := range planner.workerList {
 		if worker.Service == queue.Service {
 			blockedStep.Workers[pass.obstacle(step, queue, worker)]++
 		}
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -138,7 +138,7 @@
 			entry.storedState, entry.storedStateBatch = batch.states[index], batch.Number
 		}
 	}
-	for _, worker := range planner.workers {
+	for _, worker := range planner.workerList {
 		worker.acknowledge(planner.storedBatch)
 	}
 }
--- a/library/planner/load.go
+++ b/library/planner/load.go
@@ -21,7 +21,7 @@
 		}
 	}
 	var used, capacity sizer.Size
-	for _, worker := range planner.workers {
+	for _, worker := range planner.workerList {
 		load.Runs += len(worker.Runs)
 		if !worker.Listed {
 			continue
--- a/library/planner/place.go
+++ b/library/planner/place.go
@@ -33,6 +33,7 @@
 	blockedSteps int        // number of steps that found no room
 	roomSearches int        // number of searches for workers to reserve or to preempt on
 	exhausted    bool       // whether the pass skips the remaining steps of the service
+	racks        []rack     // sorted by label, nil until first used
 }
 
 // run places the steps in order of their ranks. Among steps of the same tier and priority, a first round limits
@@ -76,18 +77,40 @@
 		pass.placeGang(step, queue)
 		return
 	}
+	pass.placeTasks(step, queue)
+}
+
+// placeTasks starts the waiting tasks of a step that is not a gang as far as there is room.
+func (pass *pass) placeTasks(step *step, queue Queue) {
+	var chooser *chooser // nil if it has to be built again
 	for len(step.waiting) > 0 {
 		index := step.waiting[0]
+		task := &step.tasks[index]
 		if !pass.planner.withinCap(step.job.Team, step.Step, 1) || !pass.withinShare(step) {
 			return
 		}
-		worker := pass.chooseWorker(step, queue, &step.tasks[index], nil, "")
+		var worker *Worker
+		usesChooser := len(task.failedOn) == 0 && task.run == nil
+		if usesChooser {
+			if chooser == nil {
+				chooser = pass.newChooser(step, queue, pass.placeable(step, queue))
+			}
+			worker = chooser.best()
+		} else {
+			worker = pass.chooseWorker(step, queue, task)
+		}
 		if worker == nil {
 			pass.handleBlocked(step, queue)
 			return
 		}
+		firstOfOccurrence := step.occurrence.zone == ""
 		step.waiting = step.waiting[1:]
-		pass.planner.startRun(step, index, step.tasks[index].lastRunNumber+1, worker, pass.now)
+		pass.planner.startRun(step, index, task.lastRunNumber+1, worker, pass.now)
+		if !usesChooser || firstOfOccurrence {
+			chooser = nil // the costs of other workers have changed
+		} else {
+			chooser.update(0)
+		}
 	}
 	step.blockedSince = time.Time{}
 }
@@ -130,21 +153,16 @@
 	}
 }
 
-// chooseWorker returns the eligible worker with the lowest cost for a task, or nil. The number of the step's other
-// tasks that the caller has assigned to each worker is given by assigned; a rack that is not empty restricts the
-// choice to workers with that label. A task that runs already gets another worker.
-func (pass *pass) chooseWorker(step *step, queue Queue, task *task, assigned map[string]int, rack string) *Worker {
+// chooseWorker returns the eligible worker with the lowest cost for a task, or nil. A task that runs already gets
+// another worker.
+func (pass *pass) chooseWorker(step *step, queue Queue, task *task) *Worker {
 	var best *Worker
 	bestCost := 0.0
 	for _, worker := range pass.pool(queue.Service).workers {
-		count := assigned[worker.ID]
-		if task != nil && task.run != nil && task.run.Worker == worker.ID {
-			continue
-		}
-		if !pass.eligible(step, queue, worker, count) || rack != "" && !slices.Contains(worker.Labels, rack) {
+		if task.run != nil && task.run.Worker == worker.ID || !pass.eligible(step, queue, worker, 0) {
 			continue
 		}
-		cost := pass.cost(step, queue, task, worker, count)
+		cost := pass.cost(step, queue, task, worker, 0)
 		if best == nil || cost < bestCost {
 			best, bestCost = worker, cost
 		}
@@ -158,13 +176,13 @@
 		return existing
 	}
 	created := &pool{}
-	for _, id := range pass.planner.workerIDs {
-		worker := pass.planner.workers[id]
+	for _, worker := range pass.planner.workerList {
 		if worker.Service != service || !worker.Listed || worker.Draining || !pass.planner.acceptsRuns(worker, pass.now) {
 			continue
 		}
 		free := worker.Free().Max(sizer.Size{})
 		created.workers = append(created.workers, worker)
+		worker.poolPass = pass.number
 		created.totalFree = created.totalFree.Add(free)
 		created.largestFree = created.largestFree.Max(free)
 	}
@@ -291,43 +309,53 @@
 // one rack if possible.
 func (pass *pass) chooseGang(step *step, queue Queue) []*Worker {
 	if step.OneRack {
-		for _, rack := range pass.planner.racks(queue.Service) {
-			if workers := pass.chooseWorkers(step, queue, rack); workers != nil {
+		for _, rack := range pass.racksOf(queue.Service) {
+			if workers := pass.chooseWorkers(step, queue, rack.workers); workers != nil {
 				return workers
 			}
 		}
 	}
-	return pass.chooseWorkers(step, queue, "")
+	return pass.chooseWorkers(step, queue, pass.placeable(step, queue))
 }
 
-// chooseWorkers returns a worker for each task of a gang, or nil; a rack that is not empty restricts the choice.
-func (pass *pass) chooseWorkers(step *step, queue Queue, rack string) []*Worker {
-	assigned := map[string]int{}
+// chooseWorkers returns one of the given workers for each task of a gang, or nil.
+func (pass *pass) chooseWorkers(step *step, queue Queue, among []*Worker) []*Worker {
+	chooser := pass.newChooser(step, queue, among)
 	workers := make([]*Worker, 0, step.Count)
-	for index := range step.tasks {
-		worker := pass.chooseWorker(step, queue, &step.tasks[index], assigned, rack)
+	for range step.tasks {
+		worker := chooser.best()
 		if worker == nil {
 			return nil
 		}
-		assigned[worker.ID]++
+		chooser.update(1)
 		workers = append(workers, worker)
 	}
 	return workers
 }
 
-// racks returns the labels that can be racks: those that some but not all workers of a service carry, sorted.
-func (planner *Planner) racks(service string) []string {
-	counts := map[string]int{}
-	total := 0
-	for _, worker := range planner.workers {
-		if worker.Service != service {
-			continue
-		}
-		total++
+// rack is a label that some but not all workers of a service carry, with these workers.
+type rack struct {
+	label   string
+	workers []*Worker // sorted by ID
+}
+
+// racksOf returns the racks of a service.
+func (pass *pass) racksOf(service string) []rack {
+	pool := pass.pool(service)
+	if pool.racks != nil {
+		return pool.racks
+	}
+	byLabel := map[string][]*Worker{}
+	for _, worker := range pool.workers {
 		for _, label := range worker.Labels {
-			counts[label]++
+			byLabel[label] = append(byLabel[label], worker)
+		}
+	}
+	pool.racks = []rack{}
+	for _, label := range slices.Sorted(maps.Keys(byLabel)) {
+		if len(byLabel[label]) < len(pool.workers) {
+			pool.racks = append(pool.racks, rack{label, byLabel[label]})
 		}
 	}
-	maps.DeleteFunc(counts, func(_ string, count int) bool { return count == total })
-	return slices.Sorted(maps.Keys(counts))
+	return pool.racks
 }
--- a/library/planner/plan.go
+++ b/library/planner/plan.go
@@ -120,8 +120,7 @@
 		return
 	}
 	planner.hangsCheckedAt = now
-	for _, id := range planner.workerIDs {
-		worker := planner.workers[id]
+	for _, worker := range planner.workerList {
 		if !worker.RunsKnown {
 			continue
 		}
@@ -150,8 +149,7 @@
 // evacuate stops runs on draining workers so that their tasks start elsewhere: runs of standing steps, as far as
 // Step.MaxUnavailable allows, and runs with checkpoints that would not end before the worker leaves.
 func (planner *Planner) evacuate(now time.Time) {
-	for _, id := range planner.workerIDs {
-		worker := planner.workers[id]
+	for _, worker := range planner.workerList {
 		if !worker.Draining || !worker.Listed {
 			continue
 		}
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -10,6 +10,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"ebonyshunt.org/library/sizer"
@@ -39,7 +40,7 @@
 	scheduled   map[string]*jobEntry // jobs with occurrences that are not due yet
 	steps       map[StepKey]*step    // active steps, and steps with runs that may exist
 	workers     map[string]*Worker
-	workerIDs   []string // keys of workers, sorted
+	workerList  []*Worker // sorted by ID
 	teams       map[string]*teamUsage
 	queueStats  map[string]*queueStats
 	slots       Slots // how many policy queries may be open
@@ -145,7 +146,15 @@
 			worker.unlistedSince = now
 		}
 	}
-	planner.workerIDs = slices.Sorted(maps.Keys(planner.workers))
+	planner.sortWorkers()
+}
+
+// sortWorkers rebuilds the sorted list of workers if any were added.
+func (planner *Planner) sortWorkers() {
+	if len(planner.workerList) == len(planner.workers) {
+		return // workers are removed from both at the same time
+	}
+	planner.workerList = slices.SortedFunc(maps.Values(planner.workers), func(a, b *Worker) int { return strings.Compare(a.ID, b.ID) })
 }
 
 func (planner *Planner) setWorker(info WorkerInfo, now time.Time) {
@@ -189,13 +198,22 @@
 
 // Workers returns copies of the worker entries, sorted by ID.
 func (planner *Planner) Workers() []Worker {
-	rows := make([]Worker, 0, len(planner.workerIDs))
-	for _, id := range planner.workerIDs {
-		rows = append(rows, *planner.workers[id])
+	rows := make([]Worker, 0, len(planner.workerList))
+	for _, worker := range planner.workerList {
+		rows = append(rows, *worker)
 	}
 	return rows
 }
 
+// WorkerIDs returns the IDs of the workers, sorted.
+func (planner *Planner) WorkerIDs() []string {
+	ids := make([]string, len(planner.workerList))
+	for index, worker := range planner.workerList {
+		ids[index] = worker.ID
+	}
+	return ids
+}
+
 // State returns the stored state of a job, and false if the job is unknown.
 func (planner *Planner) State(id string) (State, bool) {
 	entry, known := planner.jobs[id]
--- a/library/planner/runs.go
+++ b/library/planner/runs.go
@@ -275,17 +275,18 @@
 
 // closeExpiredRuns closes the runs on workers whose leases have expired, and removes workers that left the list.
 func (planner *Planner) closeExpiredRuns(now time.Time) {
-	for _, id := range planner.workerIDs {
-		worker := planner.workers[id]
+	for _, worker := range planner.workerList {
 		if len(worker.Runs) > 0 && now.After(worker.leasesExpireAt()) {
 			planner.closeSentRuns(worker, now)
 		}
 		if !worker.Listed && len(worker.Runs) == 0 && now.Sub(worker.unlistedSince) > unlistedRetention {
-			delete(planner.workers, id)
+			delete(planner.workers, worker.ID)
 		}
 	}
 	planner.updateExpiries(now)
-	planner.workerIDs = slices.DeleteFunc(planner.workerIDs, func(id string) bool { return planner.workers[id] == nil })
+	if len(planner.workers) < len(planner.workerList) {
+		planner.workerList = slices.DeleteFunc(planner.workerList, func(worker *Worker) bool { return planner.workers[worker.ID] == nil })
+	}
 }
 
 // closeSentRuns closes the runs of a worker whose leases have expired. A run whose order was not sent yet stays open:
--- a/library/planner/shares.go
+++ b/library/planner/shares.go
@@ -12,7 +12,7 @@
 // computeShares returns the capacity of the fleet and the total weight of the active teams.
 func (planner *Planner) computeShares() shares {
 	var result shares
-	for _, worker := range planner.workers {
+	for _, worker := range planner.workerList {
 		if worker.Listed {
 			result.fleetCapacity = result.fleetCapacity.Add(worker.Capacity)
 		}
--- a/library/planner/tables.go
+++ b/library/planner/tables.go
@@ -196,8 +196,7 @@
 	}
 	worker := planner.newWorker(id)
 	worker.unlistedSince = planner.now
-	planner.workerIDs = append(planner.workerIDs, id)
-	slices.Sort(planner.workerIDs)
+	planner.sortWorkers()
 	return worker
 }
 
--- a/library/planner/worker.go
+++ b/library/planner/worker.go
@@ -58,6 +58,7 @@
 	health          health
 	servingRuns     int // number of runs that serve requests of users
 	fillerRuns      int
+	poolPass        int64 // number of the last placement pass in which the worker accepted runs
 }
 
 // pendingEnd is an ended run that is acknowledged once a batch is stored.
