scheduler: let hosts of a worker's zone poll it and send its orders for the decider of a large fleet

Cause: with lapsed leases and planning mended, the decider of 1,100 workers spent half of its processor time on HTTP to workers: 1,300 polls and 1,200 orders a second.

Weighed: (a) a client without goroutines for each connection: 53 to 59 µs a request become 41 (measured on loopback), not enough; (b) a decider for each service: 76 % of the starts stay with one; (c) other hosts make the calls and the decider exchanges messages with several calls each. Delegates are in the worker's zone. A delegate that fails rests; polls are then made directly, orders count as unknown unless it certainly did not get them.

Also: no order is sent with an expired ticket; a late decider got thousands of refusals.

--- a/daemon/loader/scheduling.go
+++ b/daemon/loader/scheduling.go
@@ -28,6 +28,7 @@
 	StatusRetention  time.Duration // retention of the state of an ended job
 	CrossRackFactor  float64       // run time away from the data's rack or across racks, as a multiple of that within the rack
 	ShutdownGrace    time.Duration // maximum duration of a graceful shutdown
+	DelegateFrom     int64         // number of workers from which on the decider reaches them through other hosts
 	LogLevel         string
 }
 
@@ -37,6 +38,9 @@
 	maxCrossRackFactor = 100
 	maxDuration        = 24 * time.Hour
 
+	defaultDelegateFrom = 200
+	maxWorkers          = 1 << 20
+
 	defaultFileLimit = 4096
 	minFileLimit     = 256
 	maxFileLimit     = 1 << 20
@@ -109,5 +113,6 @@
 	scheduling.MaxStopTime = fields.Duration("stopTime", time.Second, 0, maxDuration)
 	scheduling.StatusRetention = fields.Duration("statusFor", 2*time.Minute, time.Second, maxDuration)
 	scheduling.CrossRackFactor = fields.Number("spread", 1.5, maxCrossRackFactor)
+	scheduling.DelegateFrom = fields.Integer("delegateFrom", defaultDelegateFrom, 1, maxWorkers)
 	scheduling.ShutdownGrace = fields.Duration("shutdownGrace", 5*time.Second, time.Second, maxDuration)
 }
--- a/daemon/scheduler/balancer.go
+++ b/daemon/scheduler/balancer.go
@@ -18,7 +18,7 @@
 	backoffs map[string]backoff       // of hosts that did not answer, by host
 }
 
-// backoff is the time in which a host gets no queries after it did not answer.
+// backoff is the time in which a host is not used after it did not answer.
 type backoff struct {
 	until  time.Time
 	length time.Duration
@@ -92,8 +92,15 @@
 		delete(balancer.backoffs, name)
 		return
 	}
-	length := min(max(minHostBackoff, 2*balancer.backoffs[name].length), maxHostBackoff)
-	balancer.backoffs[name] = backoff{until: time.Now().Add(length), length: length}
+	backoff := balancer.backoffs[name]
+	backoff.extend(time.Now())
+	balancer.backoffs[name] = backoff
+}
+
+// extend begins a backoff, which lasts twice as long as the one before.
+func (backoff *backoff) extend(now time.Time) {
+	backoff.length = min(max(minHostBackoff, 2*backoff.length), maxHostBackoff)
+	backoff.until = now.Add(backoff.length)
 }
 
 func (balancer *balancer) addBacklog(name string, delta time.Duration) time.Duration {
--- a/daemon/scheduler/calls.go
+++ b/daemon/scheduler/calls.go
@@ -18,6 +18,8 @@
 	methodCampaign    = "campaign"
 	methodPolicyQuery = "question"
 	methodRelay       = "relay"
+	methodDelegate    = "delegate"
+	methodCollect     = "collect"
 	methodSubmit      = "submit"
 	methodState       = "state"
 	methodCancel      = "cancel"
@@ -31,47 +33,47 @@
 func (host *Host) handlePeerCall(ctx context.Context, _, method string, body json.RawMessage) (any, error) {
 	switch method {
 	case methodHeartbeat:
-		var heartbeat Heartbeat
-		if err := json.Unmarshal(body, &heartbeat); err != nil {
-			return nil, fmt.Errorf("decode heartbeat: %w", err)
-		}
-		return host.answerHeartbeat(heartbeat), nil
+		return decodeAndHandle(body, func(heartbeat Heartbeat) (any, error) { return host.answerHeartbeat(heartbeat), nil })
 	case methodCampaign:
-		var election Election
-		if err := json.Unmarshal(body, &election); err != nil {
-			return nil, fmt.Errorf("decode election: %w", err)
-		}
-		if host.shuttingDown.Load() {
-			return nil, Error.New("host %s is shutting down", host.settings.Host)
-		}
-		host.overloadTransferAt.Store(int64(host.uptime()))
-		if err := host.campaign(ctx, election); err != nil {
-			return nil, err
-		}
-		current, _ := host.fleet.currentElection()
-		return current, nil
+		return decodeAndHandle(body, func(election Election) (any, error) { return host.campaignFor(ctx, election) })
 	case methodPolicyQuery:
-		var query PolicyQuery
-		if err := json.Unmarshal(body, &query); err != nil {
-			return nil, fmt.Errorf("decode policy query: %w", err)
-		}
-		return host.queryPolicy(ctx, query)
+		return decodeAndHandle(body, func(query PolicyQuery) (any, error) { return host.queryPolicy(ctx, query) })
 	case methodRelay:
-		var batch RelayedBatch
-		if err := json.Unmarshal(body, &batch); err != nil {
-			return nil, fmt.Errorf("decode relay call: %w", err)
-		}
-		return host.relay(ctx, batch), nil
+		return decodeAndHandle(body, func(batch RelayedBatch) (any, error) { return host.relay(ctx, batch), nil })
+	case methodDelegate:
+		return decodeAndHandle(body, func(calls DelegatedCalls) (any, error) { return struct{}{}, host.makeDelegatedCalls(calls) })
+	case methodCollect:
+		return decodeAndHandle(body, func(call CollectCall) (any, error) { return host.collectResults(ctx, call), nil })
 	}
-	var call Call
-	if err := json.Unmarshal(body, &call); err != nil {
+	return decodeAndHandle(body, func(call Call) (any, error) {
+		tenure := host.currentTenure()
+		if tenure == nil {
+			return nil, errNotDeciding
+		}
+		return tenure.answerCall(ctx, method, call)
+	})
+}
+
+// decodeAndHandle decodes the body of a call and passes it to a handler.
+func decodeAndHandle[Body any](body json.RawMessage, handle func(Body) (any, error)) (any, error) {
+	var decoded Body
+	if err := json.Unmarshal(body, &decoded); err != nil {
 		return nil, fmt.Errorf("decode call: %w", err)
 	}
-	tenure := host.currentTenure()
-	if tenure == nil {
-		return nil, errNotDeciding
+	return handle(decoded)
+}
+
+// campaignFor tries to become the decider at the request of a peer, and returns the latest election.
+func (host *Host) campaignFor(ctx context.Context, after Election) (Election, error) {
+	if host.shuttingDown.Load() {
+		return Election{}, Error.New("host %s is shutting down", host.settings.Host)
+	}
+	host.overloadTransferAt.Store(int64(host.uptime()))
+	if err := host.campaign(ctx, after); err != nil {
+		return Election{}, err
 	}
-	return tenure.answerCall(ctx, method, call)
+	current, _ := host.fleet.currentElection()
+	return current, nil
 }
 
 // answerCall answers a caller's call once the planner is restored.
--- /dev/null
+++ b/daemon/scheduler/delegator.go
@@ -0,0 +1,286 @@
+package scheduler
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"hash/fnv"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"ebonyshunt.org/daemon/linker"
+	"ebonyshunt.org/library/planner"
+	"ebonyshunt.org/platform/translator"
+)
+
+// delegator lets other hosts poll workers and send start orders for the decider of a large fleet, so that the decider
+// exchanges a few messages with each of these hosts in place of several with each worker. A call whose delegate fails
+// is made by the decider itself if it certainly was not made, or if it is a poll.
+type delegator struct {
+	tenure  *tenure
+	session string
+
+	mu          sync.Mutex
+	nextID      int64
+	delegates   map[string]*delegate // by host
+	byZone      map[string][]Member  // usable delegates by availability zone
+	refreshedAt time.Time
+}
+
+// delegate is a host that makes calls for the decider.
+type delegate struct {
+	member     Member
+	outbox     []DelegatedCall
+	pending    map[int64]chan DelegatedResult // calls without a result
+	collecting bool
+	backoff    backoff
+}
+
+const (
+	// delegateShareDivisor sets the capacity of a delegate: at least that of the decider divided by it.
+	delegateShareDivisor = 2
+	maxDelegatesPerZone  = 1
+	// delegateRefreshInterval is the time between two choices of the usable delegates.
+	delegateRefreshInterval = 250 * time.Millisecond
+	// outboxDelay is the wait before calls are sent to a delegate, so that one message carries several.
+	outboxDelay = 5 * time.Millisecond
+	// delegateTimeout bounds the time until a delegate confirms calls.
+	delegateTimeout = 300 * time.Millisecond
+	// collectWait is how long a delegate without results delays its answer.
+	collectWait = 300 * time.Millisecond
+	// delegateSlack is the time that a delegate adds to a call.
+	delegateSlack = 100 * time.Millisecond
+	// idleCollects is the number of collections without pending calls after which they end.
+	idleCollects = 3
+)
+
+func newDelegator(tenure *tenure) *delegator {
+	return &delegator{
+		tenure: tenure, session: tenure.host.bootID + "/" + strconv.FormatInt(tenure.term, 10),
+		delegates: map[string]*delegate{}, byZone: map[string][]Member{},
+	}
+}
+
+var (
+	errDelegateLost   = errors.New("the delegate did not return a result")
+	errDelegateUnsent = errors.New("the delegate did not get the call")
+)
+
+// pick returns the delegate of a worker: one of its availability zone, so that a network partition of the zone affects
+// no other workers, and the same one as long as that is usable. It returns nil if there is none.
+func (delegator *delegator) pick(worker, zone string, workerCount int) *delegate {
+	if int64(workerCount) < delegator.tenure.host.settings.DelegateFrom {
+		return nil
+	}
+	delegator.mu.Lock()
+	defer delegator.mu.Unlock()
+	if time.Since(delegator.refreshedAt) >= delegateRefreshInterval {
+		delegator.refresh()
+	}
+	best, bestScore := "", uint64(0)
+	for _, member := range delegator.byZone[zone] {
+		hash := fnv.New64a()
+		_, _ = hash.Write([]byte(member.Name)) // never fails
+		_, _ = hash.Write([]byte(worker))
+		if score := hash.Sum64(); best == "" || score > bestScore {
+			best, bestScore = member.Name, score
+		}
+	}
+	return delegator.delegates[best]
+}
+
+// refresh chooses the usable delegates again. The caller holds delegator.mu.
+func (delegator *delegator) refresh() {
+	delegator.refreshedAt = time.Now()
+	host := delegator.tenure.host
+	clear(delegator.byZone)
+	for _, member := range host.fleet.others(host.settings.Host) {
+		known := delegator.delegates[member.Name]
+		switch {
+		case member.ProcessorShare < host.settings.ProcessorShare/delegateShareDivisor || len(delegator.byZone[member.Zone]) >= maxDelegatesPerZone:
+			continue
+		case !delegator.tenure.quorum.includes(member.Name) || known != nil && delegator.refreshedAt.Before(known.backoff.until):
+			continue
+		}
+		delegator.byZone[member.Zone] = append(delegator.byZone[member.Zone], member)
+		if known == nil || known.member.BootID != member.BootID {
+			delegator.delegates[member.Name] = &delegate{member: member, pending: map[int64]chan DelegatedResult{}}
+		}
+	}
+}
+
+// call makes a call through a delegate and waits for its result, or until ctx is done.
+func (delegator *delegator) call(ctx context.Context, delegate *delegate, call DelegatedCall) DelegatedResult {
+	delegator.tenure.meter.delegated.Add(1)
+	results := make(chan DelegatedResult, 1)
+	delegator.mu.Lock()
+	delegator.nextID++
+	call.ID = delegator.nextID
+	delegate.pending[call.ID] = results
+	delegate.outbox = append(delegate.outbox, call)
+	first := len(delegate.outbox) == 1
+	collect := !delegate.collecting
+	delegate.collecting = true
+	delegator.mu.Unlock()
+	if first {
+		delegator.tenure.wait.Go(func() { delegator.sendOutbox(delegate) })
+	}
+	if collect {
+		delegator.tenure.wait.Go(func() { delegator.collect(delegate) })
+	}
+	select {
+	case result := <-results:
+		return result
+	case <-ctx.Done():
+		delegator.mu.Lock()
+		delete(delegate.pending, call.ID)
+		delegator.mu.Unlock()
+		return DelegatedResult{delegateErr: errDelegateLost}
+	}
+}
+
+// sendOutbox sends the calls that wait for a delegate.
+func (delegator *delegator) sendOutbox(delegate *delegate) {
+	tenure := delegator.tenure
+	sleep(tenure.ctx, outboxDelay)
+	delegator.mu.Lock()
+	calls := DelegatedCalls{Session: delegator.session, Calls: delegate.outbox, Payloads: map[string]string{}}
+	delegate.outbox = nil
+	delegator.mu.Unlock()
+	for _, call := range calls.Calls {
+		if call.Order != nil {
+			calls.Payloads[call.Order.Key.Job] = call.Order.Payload
+			call.Order.Payload = ""
+		}
+	}
+	ctx, cancel := context.WithTimeout(tenure.ctx, delegateTimeout)
+	defer cancel()
+	err := tenure.host.peerPool.Call(ctx, delegate.member.Address, methodDelegate, calls, nil)
+	if err == nil {
+		return
+	}
+	lost := errDelegateLost
+	if _, refused := linker.RemoteError(err); refused || linker.ErrUnsent.Has(err) {
+		lost = errDelegateUnsent
+	}
+	delegator.fail(delegate, calls.Calls, lost, err)
+}
+
+// fail ends calls without a result and lets a delegate rest.
+func (delegator *delegator) fail(delegate *delegate, calls []DelegatedCall, lost, reason error) {
+	delegator.mu.Lock()
+	delegate.backoff.extend(time.Now())
+	until := delegate.backoff.length
+	delegator.refreshedAt = time.Time{}
+	for _, call := range calls {
+		if results := delegate.pending[call.ID]; results != nil {
+			results <- DelegatedResult{ID: call.ID, delegateErr: lost}
+			delete(delegate.pending, call.ID)
+		}
+	}
+	delegator.mu.Unlock()
+	if delegator.tenure.ctx.Err() == nil {
+		delegator.tenure.host.log.Info("delegate failed", "delegate", delegate.member.Name, "calls", len(calls), "rests", until.String(), "error", reason)
+	}
+}
+
+// collect collects the results of a delegate until no calls are pending, or the delegate fails.
+func (delegator *delegator) collect(delegate *delegate) {
+	tenure := delegator.tenure
+	for idle := 0; idle < idleCollects && tenure.ctx.Err() == nil; {
+		var results []DelegatedResult
+		ctx, cancel := context.WithTimeout(tenure.ctx, collectWait+delegateTimeout)
+		err := tenure.host.peerPool.Call(ctx, delegate.member.Address, methodCollect, CollectCall{Session: delegator.session, Wait: collectWait}, &results)
+		cancel()
+		if err != nil {
+			delegator.failAll(delegate, err)
+			return
+		}
+		if delegator.deliver(delegate, results) {
+			idle++
+		} else {
+			idle = 0
+		}
+	}
+	delegator.mu.Lock()
+	delegate.collecting = false
+	restart := len(delegate.pending) > 0 && tenure.ctx.Err() == nil
+	if restart {
+		delegate.collecting = true
+	}
+	delegator.mu.Unlock()
+	if restart {
+		delegator.collect(delegate)
+	}
+}
+
+// deliver passes results to the calls that wait for them, and reports whether no calls are pending.
+func (delegator *delegator) deliver(delegate *delegate, results []DelegatedResult) (idle bool) {
+	delegator.mu.Lock()
+	defer delegator.mu.Unlock()
+	if len(results) > 0 {
+		delegate.backoff = backoff{}
+	}
+	for _, result := range results {
+		if waiting := delegate.pending[result.ID]; waiting != nil {
+			waiting <- result
+			delete(delegate.pending, result.ID)
+		}
+	}
+	return len(delegate.pending) == 0
+}
+
+func (delegator *delegator) failAll(delegate *delegate, reason error) {
+	delegator.mu.Lock()
+	delegate.collecting = false
+	var calls []DelegatedCall
+	for id := range delegate.pending {
+		calls = append(calls, DelegatedCall{ID: id})
+	}
+	delegator.mu.Unlock()
+	slices.SortFunc(calls, func(a, b DelegatedCall) int { return cmp.Compare(a.ID, b.ID) })
+	delegator.fail(delegate, calls, errDelegateLost, reason)
+}
+
+// poll makes a poll through a delegate, or directly if there is none or it fails.
+func (delegator *delegator) poll(ctx context.Context, delegate *delegate, poll planner.Poll, wait, timeout time.Duration) (planner.Listing, error) {
+	sentAt := time.Now()
+	if delegate != nil {
+		callCtx, cancel := context.WithTimeout(ctx, timeout+delegateSlack)
+		result := delegator.call(callCtx, delegate, DelegatedCall{Poll: &poll, Wait: wait, Timeout: timeout})
+		cancel()
+		switch {
+		case result.delegateErr == nil && result.Error != "":
+			return planner.Listing{Token: poll.Token, SentAt: sentAt}, Error.New("through %s: %s", delegate.member.Name, result.Error)
+		case result.delegateErr == nil:
+			return translator.DecodeListing(result.Listing, poll, sentAt)
+		}
+		wait, timeout = 0, delegator.tenure.answerTimeout(immediatePollTimeout)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return delegator.tenure.host.workers.Poll(ctx, poll, wait)
+}
+
+// start sends a start order through a delegate, or directly if there is none or it certainly did not get the order.
+func (delegator *delegator) start(ctx context.Context, delegate *delegate, order planner.Order, timeout time.Duration) (planner.Outcome, int64, error) {
+	if delegate != nil {
+		callCtx, cancel := context.WithTimeout(ctx, timeout+delegateSlack)
+		sent := order
+		result := delegator.call(callCtx, delegate, DelegatedCall{Order: &sent, Timeout: timeout})
+		cancel()
+		switch {
+		case errors.Is(result.delegateErr, errDelegateLost):
+			return planner.Unknown, 0, result.delegateErr
+		case result.delegateErr == nil && result.Error != "":
+			return result.Outcome, result.ClockMS, Error.New("through %s: %s", delegate.member.Name, result.Error)
+		case result.delegateErr == nil:
+			return result.Outcome, result.ClockMS, nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return delegator.tenure.host.workers.Start(ctx, order)
+}
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -53,6 +53,7 @@
 	storeAnsweredAt atomic.Int64 // uptime when the store last answered, in nanoseconds
 	shuttingDown    atomic.Bool
 	deciderStatus   deciderStatus
+	sessions        *sessions
 	// strongerTransferAt is the uptime when this host last asked a stronger host to take over.
 	strongerTransferAt time.Duration
 	// overloadTransferAt is the uptime in nanoseconds when this host last asked a peer to take over due to overload, or
@@ -89,7 +90,7 @@
 		store:    translator.NewStore(newHTTPClient(network, maxStoreConns), settings.StoreAddress),
 		workers:  translator.NewWorkerClient(newWorkerClient(network, int(settings.MaxOpenFiles))),
 		peerPool: linker.NewPool(network, settings.Host, clock),
-		fleet:    newFleet(),
+		fleet:    newFleet(), sessions: newSessions(),
 	}
 	host.metrics = newMetrics(host)
 	host.overloadTransferAt.Store(-int64(overloadTransferInterval))
--- a/daemon/scheduler/load_meter.go
+++ b/daemon/scheduler/load_meter.go
@@ -18,6 +18,7 @@
 	lostPolls   atomic.Int64
 	starts      atomic.Int64
 	lostStarts  atomic.Int64
+	delegated   atomic.Int64 // polls and starts through delegates
 	stops       atomic.Int64
 	queries     atomic.Int64
 	batches     atomic.Int64
@@ -61,7 +62,7 @@
 		tenure.host.log.Info("load", "term", tenure.term, "plans", meter.plans.Swap(0), "planning", milliseconds(&meter.planTime),
 			"longestPlan", milliseconds(&meter.longestPlan), "latestTick", milliseconds(&meter.longestWait),
 			"polls", meter.polls.Swap(0), "lostPolls", meter.lostPolls.Swap(0), "starts", meter.starts.Swap(0), "lostStarts", meter.lostStarts.Swap(0),
-			"stops", meter.stops.Swap(0), "queries", meter.queries.Swap(0), "batches", meter.batches.Swap(0),
+			"delegated", meter.delegated.Swap(0), "stops", meter.stops.Swap(0), "queries", meter.queries.Swap(0), "batches", meter.batches.Swap(0),
 			"steps", load.WaitingSteps, "waiting", load.WaitingTasks, "runs", load.Runs, "unknownWorkers", load.UnknownWorkers, "usedShare", load.UsedShare)
 	}
 }
--- a/daemon/scheduler/poller.go
+++ b/daemon/scheduler/poller.go
@@ -195,18 +195,18 @@
 	tenure.mu.Lock()
 	tenure.planner.SetMayLease(tenure.mayRenewLeases())
 	poll, found := tenure.planner.NextPoll(worker, time.Now())
+	zone, workerCount := tenure.workerInfos[worker].Zone, len(tenure.workerInfos)
 	tenure.mu.Unlock()
 	if !found {
 		sleep(ctx, maxRetryDelay)
 		return nil
 	}
-	slack := pollTimeoutSlack
-	if wait == 0 {
-		slack = immediatePollTimeout
+	var delegate *delegate
+	slack := immediatePollTimeout
+	if wait > 0 {
+		delegate, slack = tenure.delegator.pick(worker, zone, workerCount), pollTimeoutSlack
 	}
-	pollCtx, cancel := context.WithTimeout(ctx, wait+tenure.answerTimeout(slack))
-	defer cancel()
-	listing, err := tenure.host.workers.Poll(pollCtx, poll, wait)
+	listing, err := tenure.delegator.poll(ctx, delegate, poll, wait, wait+tenure.answerTimeout(slack))
 	tenure.host.metrics.polls.Inc()
 	tenure.meter.polls.Add(1)
 	if tenure.ctx.Err() != nil {
@@ -329,6 +329,7 @@
 		tenure.mu.Lock()
 		tenure.planner.SetMayLease(tenure.mayRenewLeases())
 		order, wanted := tenure.planner.PrepareOrder(start, time.Now())
+		zone, workerCount := tenure.workerInfos[order.Worker].Zone, len(tenure.workerInfos)
 		tenure.mu.Unlock()
 		if !wanted || tenure.ctx.Err() != nil {
 			tenure.requestPlan()
@@ -337,9 +338,8 @@
 		if poller != nil {
 			poller.wake()
 		}
-		ctx, cancel := context.WithTimeout(tenure.ctx, tenure.answerTimeout(startTimeout))
-		defer cancel()
-		outcome, clockMS, err := tenure.host.workers.Start(ctx, order)
+		delegate := tenure.delegator.pick(order.Worker, zone, workerCount)
+		outcome, clockMS, err := tenure.delegator.start(tenure.ctx, delegate, order, tenure.answerTimeout(startTimeout))
 		tenure.recordOutcome(order, outcome, clockMS, err)
 	})
 }
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -27,6 +27,7 @@
 	planRequested    chan struct{}
 	batchTimer       *time.Timer // plans again once the minimum interval between two batches is over
 	policyQueries    *balancer
+	delegator        *delegator
 	quorum           *quorum
 	immediatePolls   chan struct{} // limits the polls without a wait that are in flight
 	answerLossRate   lossRate      // answers of workers that were lost
@@ -71,6 +72,7 @@
 	}
 	tenure.journal = newJournal(tenure)
 	tenure.policyQueries = newBalancer(tenure)
+	tenure.delegator = newDelegator(tenure)
 	tenure.quorum = newQuorum()
 	tenure.confirmedAt.Store(neverAnswered) // the first append to the journal confirms the term
 	tenure.wait.Go(tenure.run)
--- a/library/planner/effect.go
+++ b/library/planner/effect.go
@@ -14,16 +14,16 @@
 
 // Order is a start as it is sent to a worker.
 type Order struct {
-	Key        TaskKey
-	Number     int
-	Worker     string
-	Address    string
-	Payload    string
-	Checkpoint string
-	Ticket     string
-	Token      int64
-	SentAt     time.Time
-	DeadlineMS int64 // end of the lease in milliseconds of the worker's clock
+	Key        TaskKey   `json:"key"`
+	Number     int       `json:"number"`
+	Worker     string    `json:"worker"`
+	Address    string    `json:"address"`
+	Payload    string    `json:"payload,omitempty"`
+	Checkpoint string    `json:"checkpoint,omitempty"`
+	Ticket     string    `json:"ticket,omitempty"`
+	Token      int64     `json:"token"`
+	SentAt     time.Time `json:"-"`
+	DeadlineMS int64     `json:"deadlineMS"` // end of the lease in milliseconds of the worker's clock
 }
 
 // Stop requests the end of a run.
@@ -57,11 +57,11 @@
 // Poll is a request to a worker to renew the lease of its runs, to list them, and to list ended runs. The worker may
 // delay its answer until a run ends.
 type Poll struct {
-	Worker     string
-	Address    string
-	Token      int64
-	AckCursor  int64 // acknowledged sequence number: the worker may drop ended runs up to it
-	DeadlineMS int64 // new end of the lease in milliseconds of the worker's clock, 0 to leave it unchanged
+	Worker     string `json:"worker"`
+	Address    string `json:"address"`
+	Token      int64  `json:"token"`
+	AckCursor  int64  `json:"ackCursor"`            // acknowledged sequence number: the worker may drop ended runs up to it
+	DeadlineMS int64  `json:"deadlineMS,omitempty"` // new end of the lease in milliseconds of the worker's clock, 0 to leave it unchanged
 }
 
 // Listing is a worker's answer to a poll.
--- a/library/planner/job.go
+++ b/library/planner/job.go
@@ -100,10 +100,10 @@
 
 // TaskKey identifies one task of one occurrence of a job.
 type TaskKey struct {
-	Job        string
-	Occurrence int
-	Step       int
-	Index      int
+	Job        string `json:"job"`
+	Occurrence int    `json:"occurrence,omitempty"`
+	Step       int    `json:"step,omitempty"`
+	Index      int    `json:"index,omitempty"`
 }
 
 // step returns the key of the task's step.
--- a/library/planner/place_test.go
+++ b/library/planner/place_test.go
@@ -276,6 +276,18 @@
 			t.Errorf("%d queries, want 2", len(fleet.queries))
 		}
 	})
+	t.Run("noOrderWithAnExpiredTicket", func(t *testing.T) {
+		fleet := newPolicyFleet(t)
+		fleet.submit(jobA, newStep(1))
+		fleet.settle()
+		fleet.deferStores = true
+		answerQuery(fleet, "w-001")
+		fleet.now = fleet.now.Add(2 * time.Second)
+		fleet.flush(1)
+		if len(fleet.orders) != 0 {
+			t.Errorf("%d orders that the worker has to refuse, want none", len(fleet.orders))
+		}
+	})
 	t.Run("noMoreOpenQueriesThanSlots", func(t *testing.T) {
 		fleet := newPolicyFleet(t)
 		for number := range 9 {
--- a/library/planner/runs.go
+++ b/library/planner/runs.go
@@ -29,10 +29,12 @@
 	return order, true
 }
 
-// routesTo reports whether a step's queue still uses the worker's service, and the worker still takes new runs.
+// routesTo reports whether a step's queue still uses the worker's service, the worker still takes new runs, and the
+// policy's ticket for it has not expired.
 func (planner *Planner) routesTo(step *step, worker *Worker) bool {
 	queue, found := planner.catalog.Queue(step.job.Queue)
-	return found && queue.Service == worker.Service && worker.Listed && !worker.Draining
+	return found && queue.Service == worker.Service && worker.Listed && !worker.Draining &&
+		(queue.Policy == nil || step.policy.hasTicket(worker, planner.now))
 }
 
 // HandleOrderOutcome processes the outcome of an order to start. The worker's clock is in milliseconds, 0 if the answer
--- a/library/planner/simulation_test.go
+++ b/library/planner/simulation_test.go
@@ -45,7 +45,6 @@
 	started    map[string]bool
 	ended      map[string]bool
 	runs       map[planner.TaskKey]interval // of the last run of each task
-	usedCores  float64                      // sum over all ticks of the cores in use
 }
 
 // interval is the time in which a run is at work.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -103,4 +103,8 @@
 try 'fleet: rest of a lease counted from its reading' library/planner/expiry.go 'planner.now.Add(time.Duration(leaseExpiry.RemainingMS) * time.Millisecond)' 'planner.now' ./library/planner 'TestClocks'
 try 'fleet: age of a job is stored' library/planner/journal.go 'planner.journalTime(stored.DueMS))' 'now)' ./library/planner 'TestClocks'
 try 'fleet: renewals end after the journal is fenced' daemon/scheduler/quorum.go 'if fencedAt.After(quorumSince) {' 'if false {' ./daemon/scheduler 'TestFormerRenewalsEnd'
+try 'fleet: start orders through delegates' daemon/scheduler/poller.go 'delegate := tenure.delegator.pick(order.Worker, zone, workerCount)' '_, _ = zone, workerCount
+		delegate := (*delegate)(nil)' ./tests 'TestFleetDelegatesCarryCalls'
+try 'fleet: polls through delegates' daemon/scheduler/poller.go 'delegate, slack = tenure.delegator.pick(worker, zone, workerCount), pollTimeoutSlack' '_, _, slack = zone, workerCount, pollTimeoutSlack' ./tests 'TestFleetDelegatesCarryCalls'
+try 'fleet: no order with an expired ticket' library/planner/runs.go '(queue.Policy == nil || step.policy.hasTicket(worker, planner.now))' 'true' ./library/planner 'TestPolicy'
 exit $failed
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -34,6 +34,7 @@
 	pathPrefix    string
 	acceptedJobs  []string // IDs of the accepted jobs
 	stopWorkers   chan struct{}
+	delegateFrom  int64 // loader.Scheduling.DelegateFrom of the hosts
 }
 
 const (
@@ -48,6 +49,15 @@
 // runFleetTest runs a test on the given number of scheduling hosts and on six workers, both spread over three
 // zones. At its end it checks that no task ran twice; see checkRuns.
 func runFleetTest(t *testing.T, hosts int, run func(fleet *fleet)) {
+	t.Helper()
+	runFleet(t, hosts, noDelegates, run)
+}
+
+// noDelegates is a number of workers that no fleet of the tests has.
+const noDelegates = 1000
+
+// runFleet is runFleetTest for hosts that reach workers through delegates from a number of workers on.
+func runFleet(t *testing.T, hosts int, delegateFrom int64, run func(fleet *fleet)) {
 	t.Helper()
 	if raceDetector {
 		t.Skip("the race detector's runtime crashes in large synctest bubbles")
@@ -56,6 +66,7 @@
 		fleet := &fleet{
 			T: t, fabric: connector.New(fleetNetworkLatency), store: emulator.NewStore(), hosts: map[string]*scheduler.Host{},
 			apiKeys: []string{fleetKey}, pathPrefix: fleetPathPrefix, stopWorkers: make(chan struct{}),
+			delegateFrom: delegateFrom,
 		}
 		fleet.client = fleet.fabric.Host("client").Client()
 		fleet.serve("store", fleetStoreAddress, fleet.store.Handler())
@@ -139,7 +150,7 @@
 		Host: name, Zone: name[6:7], HTTPAddress: hostAddress(name, 80), ReadinessAddress: hostAddress(name, 81),
 		PeerAddress: hostAddress(name, 82), ProcessorShare: 1, MemoryMB: 4096, MaxOpenFiles: 4096, StoreAddress: fleetStoreAddress, PolicyAddress: fleetPolicyAddress,
 		MaxLease: 6 * time.Second, MaxStopTime: 200 * time.Millisecond, StatusRetention: 2 * time.Minute,
-		CrossRackFactor: 1.5, ShutdownGrace: 5 * time.Second, Seeds: []string{hostAddress(fleet.hostNames[0], 82)},
+		CrossRackFactor: 1.5, ShutdownGrace: 5 * time.Second, DelegateFrom: fleet.delegateFrom, Seeds: []string{hostAddress(fleet.hostNames[0], 82)},
 	}, fleet.fabric.Host(name), log)
 	if err != nil {
 		fleet.Fatal(err)
@@ -469,6 +480,40 @@
 	}
 }
 
+// TestFleetDelegatesCarryCalls cuts the decider off from all workers, but not from the other hosts. Jobs must complete,
+// since start orders and polls go through these.
+func TestFleetDelegatesCarryCalls(t *testing.T) {
+	runFleet(t, 6, 1, func(fleet *fleet) {
+		fleet.submitJob(fleet.hostNames[0], 1)
+		fleet.awaitJobs(fleet.hostNames[0], 10*time.Second)
+		var workers []string
+		for _, worker := range fleet.workers {
+			workers = append(workers, worker.ID)
+		}
+		decider := fleet.decidingHost()
+		heal := fleet.fabric.Cut([]string{decider}, workers)
+		fleet.submitJob(fleet.hostNames[0], 2)
+		fleet.awaitJobs(fleet.hostNames[0], 2*time.Second)
+		if other := fleet.decidingHost(); other != decider {
+			fleet.Errorf("%s decides by now, want %s", other, decider)
+		}
+		heal()
+	})
+}
+
+// TestFleetDelegates is TestFleetFaults for a decider that reaches its workers through other hosts of their zones.
+func TestFleetDelegates(t *testing.T) {
+	for index, fault := range fleetFaults {
+		t.Run(fault.name, func(t *testing.T) {
+			runFleet(t, 6, 1, func(fleet *fleet) { fleet.submitUnderFaults(fault.begin) })
+		})
+		next := fleetFaults[(index+7)%len(fleetFaults)]
+		t.Run(fault.name+"+"+next.name, func(t *testing.T) {
+			runFleet(t, 6, 1, func(fleet *fleet) { fleet.submitUnderFaults(fault.begin, next.begin) })
+		})
+	}
+}
+
 // submitUnderFaults submits jobs, injects the faults, submits jobs while they last, which is 2 s, and submits jobs
 // after they ended. It then waits until all are completed.
 func (fleet *fleet) submitUnderFaults(faults ...func(*fleet) func()) {
