--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -109,7 +109,6 @@
 const (
 	maxStoreConns     = 40
 	maxConnsPerWorker = 4
-	connectTimeout    = time.Second
 	idleConnTimeout   = 30 * time.Second
 )
 
--- a/library/planner/bench_test.go
+++ b/library/planner/bench_test.go
@@ -9,6 +9,9 @@
 	"ebonyshunt.org/library/sizer"
 )
 
+// pollEvery is the number of iterations between two polls of all workers, well within a lease.
+const pollEvery = 100
+
 // BenchmarkOverload measures Plan on a grown fleet of 252 workers, all of them full, while hundreds of steps wait for
 // room.
 func BenchmarkOverload(b *testing.B) {
@@ -20,8 +23,16 @@
 	}
 	fleet.settle()
 	b.ResetTimer()
-	for range b.N {
-		now = now.Add(20 * time.Millisecond)
-		fleet.planner.Plan(now)
+	for iteration := range b.N {
+		fleet.now = fleet.now.Add(20 * time.Millisecond)
+		if iteration%pollEvery == 0 {
+			b.StopTimer()
+			fleet.sendPolls() // keeps the leases of the runs
+			b.StartTimer()
+		}
+		fleet.planner.Plan(fleet.time())
+	}
+	if fleet.runningCount() == 0 {
+		b.Error("the runs have ended")
 	}
 }
--- a/library/planner/chooser_test.go
+++ b/library/planner/chooser_test.go
@@ -33,6 +33,17 @@
 	}
 }
 
+// TestLaterCheckpoint checks that checkpoints are compared as numbers.
+func TestLaterCheckpoint(t *testing.T) {
+	for _, pair := range [][2]string{{"", "0"}, {"9", "10"}, {"0a", "0b"}} {
+		for _, got := range []string{laterCheckpoint(pair[0], pair[1]), laterCheckpoint(pair[1], pair[0])} {
+			if got != pair[1] {
+				t.Errorf("of %q and %q, %q counts as the later one", pair[0], pair[1], got)
+			}
+		}
+	}
+}
+
 // randomPass is a placement pass over random workers with one step to place.
 type randomPass struct {
 	pass    *pass
--- a/library/planner/endings.go
+++ b/library/planner/endings.go
@@ -117,7 +117,7 @@
 	planner.updateSlowness(step)
 	step.occurrence.completedSteps++
 	if step.occurrence.completedSteps < len(step.occurrence.steps) {
-		planner.activateSteps(step.occurrence, now)
+		planner.activateSteps(step.occurrence)
 		return
 	}
 	planner.completeOccurrence(step.job, step.occurrence, now)
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -282,7 +282,7 @@
 				occurrence.completedSteps++
 			}
 		}
-		planner.activateSteps(occurrence, now)
+		planner.activateSteps(occurrence)
 	}
 	planner.createDueOccurrences(entry, now)
 }
--- a/library/planner/place.go
+++ b/library/planner/place.go
@@ -1,9 +1,11 @@
 package planner
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"ebonyshunt.org/library/sizer"
@@ -280,7 +282,7 @@
 }
 
 // placeGang starts all tasks of a gang or none. They get one run number, above all earlier ones, and start from one
-// checkpoint, the greatest by string order.
+// checkpoint, the latest.
 func (pass *pass) placeGang(step *step, queue Queue) {
 	if !pass.planner.withinCap(step.job.Team, step.Step, int64(step.Count)) {
 		return
@@ -294,7 +296,7 @@
 	checkpoint := ""
 	for index := range step.tasks {
 		number = max(number, step.tasks[index].lastRunNumber)
-		checkpoint = max(checkpoint, step.tasks[index].checkpoint)
+		checkpoint = laterCheckpoint(checkpoint, step.tasks[index].checkpoint)
 	}
 	step.gangNumber = number + 1
 	step.waiting = nil
@@ -305,6 +307,14 @@
 	}
 }
 
+// laterCheckpoint returns the later one of two checkpoints, which are numbers of any length in a fixed base.
+func laterCheckpoint(a, b string) string {
+	if order := cmp.Or(cmp.Compare(len(a), len(b)), strings.Compare(a, b)); order < 0 {
+		return b
+	}
+	return a
+}
+
 // chooseGang returns a worker for each task of a gang, or nil. A gang that is slower across racks gets workers of
 // one rack if possible.
 func (pass *pass) chooseGang(step *step, queue Queue) []*Worker {
--- a/library/planner/place_test.go
+++ b/library/planner/place_test.go
@@ -60,6 +60,17 @@
 		fleet.settle()
 		fleet.wantRunning(2)
 	})
+	t.Run("teamCapOfFillers", func(t *testing.T) {
+		catalog := testCatalog()
+		catalog.Teams[testTeam] = planner.Team{Name: testTeam, Weight: 1000, Cap: sizer.Size{MilliCores: 17000}}
+		fleet := newFleet(t, testStart, 3)
+		fleet.takeOver(2, catalog)
+		filler := newStep(9)
+		filler.Filler = true
+		fleet.submit(jobA, filler)
+		fleet.settle()
+		fleet.wantRunning(2)
+	})
 	t.Run("drainingWorkerGetsNoRuns", func(t *testing.T) {
 		fleet := newFleet(t, testStart, 1)
 		fleet.planner.SetWorkers([]planner.WorkerInfo{{
@@ -276,6 +287,27 @@
 			t.Errorf("%d queries, want 2", len(fleet.queries))
 		}
 	})
+	t.Run("preemptsOnlyWhereThePolicyAllowsTheStep", func(t *testing.T) {
+		fleet := newPolicyFleet(t)
+		batch := newStep(12)
+		batch.Checkpoints = true
+		fleet.submitTo("batch", jobA, batch)
+		fleet.settle()
+		fleet.submit(jobB, newStep(1))
+		for range 10 {
+			fleet.advance(60 * time.Millisecond)
+		}
+		if len(fleet.stops) != 0 || len(fleet.queries) == 0 {
+			t.Fatalf("%d stops and %d queries before the policy allows a worker, want none and some", len(fleet.stops), len(fleet.queries))
+		}
+		answerQuery(fleet, "w-001")
+		for range 10 {
+			fleet.advance(60 * time.Millisecond)
+		}
+		if len(fleet.stops) != 1 || fleet.stops[0].Worker != "w-001" {
+			t.Errorf("stops %+v, want one on w-001", fleet.stops)
+		}
+	})
 	t.Run("noOrderWithAnExpiredTicket", func(t *testing.T) {
 		fleet := newPolicyFleet(t)
 		fleet.submit(jobA, newStep(1))
--- a/library/planner/plan.go
+++ b/library/planner/plan.go
@@ -105,10 +105,13 @@
 }
 
 // A run hangs if it makes no progress for longer than both minHangTime and hangTimeFactor times its expected run
-// time. It is then stopped, and its task starts again.
+// time. It is then stopped, and its task starts again. After each such stop the task's next run gets twice that time, so
+// that a task whose progress is not reported, or that is much longer than estimated, is done in the end.
 const (
 	minHangTime    = 2500 * time.Millisecond
 	hangTimeFactor = 1.0
+	// maxHangDoublings bounds the doublings of that time.
+	maxHangDoublings = 16
 )
 
 // hangCheckInterval is the minimum time between two searches for hung runs.
@@ -126,6 +129,7 @@
 		}
 		for _, run := range worker.sortedRuns() {
 			if planner.hangs(run, now) {
+				planner.countHang(run)
 				worker.health.recordFailure(run.Key.Job, now)
 				planner.stopRun(run, now)
 			}
@@ -143,7 +147,15 @@
 		return false
 	}
 	maxStall := time.Duration(hangTimeFactor * float64(planner.expectedRunTime(step.Step, step.job.Queue)))
-	return now.Sub(run.ProgressAt) > max(minHangTime, maxStall)
+	hangs := min(step.tasks[run.Key.Index].hangs, maxHangDoublings)
+	return now.Sub(run.ProgressAt) > max(minHangTime, maxStall)<<hangs
+}
+
+// countHang counts a run of a task that hangs.
+func (planner *Planner) countHang(run *Run) {
+	if step := planner.steps[run.Key.step()]; step != nil {
+		step.tasks[run.Key.Index].hangs++
+	}
 }
 
 // evacuate stops runs on draining workers so that their tasks start elsewhere: runs of standing steps, as far as
--- a/library/planner/policy.go
+++ b/library/planner/policy.go
@@ -38,6 +38,12 @@
 	return found && ticket.incarnation == worker.Incarnation && now.Before(ticket.validUntil)
 }
 
+// allowedBefore reports whether the policy allowed the worker, also if the ticket has expired.
+func (policyCache *policyCache) allowedBefore(worker *Worker) bool {
+	_, found := policyCache.allowed[worker.ID]
+	return found
+}
+
 // Slots are numbers of concurrent policy queries, by the maximum time to their answer.
 type Slots struct {
 	Short int // queries with a maximum answer time of up to MaxShortQuery
@@ -136,12 +142,13 @@
 }
 
 // candidates returns the IDs of the workers to name in a policy query so that it is expected to give room for the
-// wanted number of tasks, and the number that it is expected to give; none if no worker has room. They are sorted by
+// wanted number of tasks, and the number that it is expected to give; none if no worker has room and the step may not
+// make any by preemption. They are sorted by
 // whether they have room, then by whether the policy allowed them before, then by cost. Up to minQueriedWorkers, workers
 // that are full are included because they may have room by the time of the answer.
 func (pass *pass) candidates(step *step, queue Queue, wanted float64) ([]string, float64) {
 	found := pass.findCandidates(step, queue)
-	if len(found) == 0 || found[0].room == 0 {
+	if len(found) == 0 || found[0].room == 0 && !pass.mayPreempt(step, queue) {
 		return nil, 0
 	}
 	allowedShare := pass.planner.ensureQueueStats(queue.Name).allowedShare
@@ -175,8 +182,7 @@
 			queried[worker.ID] || step.policy.hasTicket(worker, pass.now) {
 			continue
 		}
-		_, allowedBefore := step.policy.allowed[worker.ID]
-		found = append(found, candidate{worker, allowedBefore, pass.roomFor(step, worker), pass.cost(step, queue, nil, worker, 0)})
+		found = append(found, candidate{worker, step.policy.allowedBefore(worker), pass.roomFor(step, worker), pass.cost(step, queue, nil, worker, 0)})
 	}
 	slices.SortStableFunc(found, func(a, b candidate) int {
 		return cmp.Or(-compareBool(a.room > 0, b.room > 0), -compareBool(a.allowedBefore, b.allowedBefore), cmp.Compare(a.cost, b.cost))
--- a/library/planner/preempt.go
+++ b/library/planner/preempt.go
@@ -41,7 +41,7 @@
 		return
 	}
 	pool.roomSearches++
-	if queue.Priority == 0 || step.Standing {
+	if pass.mayPreempt(step, queue) {
 		pass.preempt(step, queue)
 	}
 	if waited >= reserveDelay && len(pass.reserved) < maxReserved {
@@ -51,10 +51,17 @@
 	}
 }
 
-// reservable reports whether a worker may be reserved for a step, or preempted on for it.
+// mayPreempt reports whether a step may preempt other runs: it is urgent or standing, and has been blocked for
+// preemptDelay.
+func (pass *pass) mayPreempt(step *step, queue Queue) bool {
+	return (queue.Priority == 0 || step.Standing) && pass.now.Sub(step.blockedSince) >= preemptDelay
+}
+
+// reservable reports whether a worker may be reserved for a step, or preempted on for it. With a policy it has to have
+// allowed the worker before: room on any other worker is most likely of no use to the step.
 func (pass *pass) reservable(step *step, queue Queue, worker *Worker) bool {
 	return worker.hasLabel(step.Label) && step.chargedSize().Fits(worker.Capacity) && !pass.reserved[worker.ID] &&
-		(queue.Policy == nil || !step.policy.denied[worker.ID]) && pass.planner.belowWorkerLimit(step, worker, 0)
+		(queue.Policy == nil || step.policy.allowedBefore(worker)) && pass.planner.belowWorkerLimit(step, worker, 0)
 }
 
 // mostFreeWorker returns the reservable worker with the largest free share of its capacity, or nil.
--- a/library/planner/shares.go
+++ b/library/planner/shares.go
@@ -33,7 +33,7 @@
 	if !pass.limitShares {
 		return true
 	}
-	used := pass.planner.ensureTeam(step.job.Team).used.Add(step.chargedSize())
+	used := pass.planner.ensureTeam(step.job.Team).used.Add(step.Size)
 	return used.DominantShare(pass.shares.fleetCapacity)*pass.shares.activeWeight <= pass.planner.weight(step.job.Team)
 }
 
--- a/library/planner/submission.go
+++ b/library/planner/submission.go
@@ -82,7 +82,7 @@
 	if entry.Runs == 0 {
 		if entry.nextOccurrence == 0 {
 			entry.nextOccurrence = 1
-			planner.activateSteps(planner.newOccurrence(entry, 0, entry.acceptedAt), now)
+			planner.activateSteps(planner.newOccurrence(entry, 0, entry.acceptedAt))
 		}
 		return
 	}
@@ -93,7 +93,7 @@
 			planner.scheduled[entry.ID] = entry
 			return
 		}
-		planner.activateSteps(planner.newOccurrence(entry, entry.nextOccurrence, now.Add(-late)), now)
+		planner.activateSteps(planner.newOccurrence(entry, entry.nextOccurrence, now.Add(-late)))
 		entry.nextOccurrence++
 		planner.markDirty(entry)
 	}
--- a/library/planner/tables.go
+++ b/library/planner/tables.go
@@ -43,7 +43,6 @@
 	openCount      int   // number of runs that exist or may exist
 	completedTasks int
 	active         bool // whether all steps that it depends on are completed
-	activeSince    time.Time
 	// gangNumber is the run number of the gang's last start, 0 once a failure of that start was counted.
 	gangNumber int
 	policy     policyCache
@@ -65,6 +64,7 @@
 type task struct {
 	lastRunNumber int
 	failures      int
+	hangs         int // number of its runs that were stopped because they hung
 	done          bool
 	checkpoint    string
 	run           *Run     // open run, nil if none
@@ -103,12 +103,12 @@
 }
 
 // activateSteps makes the steps whose dependencies are completed available to placement.
-func (planner *Planner) activateSteps(occurrence *occurrence, now time.Time) {
+func (planner *Planner) activateSteps(occurrence *occurrence) {
 	for _, step := range occurrence.steps {
 		if step.active || !occurrence.ready(step) {
 			continue
 		}
-		step.active, step.activeSince = true, now
+		step.active = true
 		step.waiting = step.waiting[:0]
 		for index := range step.tasks {
 			if !step.tasks[index].done && step.tasks[index].run == nil {
@@ -163,7 +163,8 @@
 	return []*Run{task.run, task.copy}
 }
 
-// addRun adds an open run to its task and worker, and charges its size to the job's team.
+// addRun adds an open run to its task and worker, and charges the size of its step to the job's team: fillers too, which
+// take no processors of a worker's capacity.
 func (planner *Planner) addRun(step *step, run *Run) {
 	if task := &step.tasks[run.Key.Index]; task.run == nil {
 		task.run = run
@@ -173,7 +174,7 @@
 	step.openCount++
 	planner.ensureWorker(run.Worker).addRun(run)
 	usage := planner.ensureTeam(step.job.Team)
-	usage.used = usage.used.Add(run.Size)
+	usage.used = usage.used.Add(step.Size)
 }
 
 // removeRun undoes addRun. If the first run of a task is removed, its copy becomes the first.
@@ -186,7 +187,7 @@
 	step.openCount--
 	planner.ensureWorker(run.Worker).removeRun(run)
 	usage := planner.ensureTeam(step.job.Team)
-	usage.used = usage.used.Sub(run.Size)
+	usage.used = usage.used.Sub(step.Size)
 }
 
 // ensureWorker returns the entry of a worker and creates it if needed: a stored run may name a worker that is not
--- a/library/planner/upkeep_test.go
+++ b/library/planner/upkeep_test.go
@@ -90,6 +90,25 @@
 	}
 }
 
+// TestSlowTask runs a task for 60 times its estimate on a worker that reports no progress. It is done in the end.
+func TestSlowTask(t *testing.T) {
+	const runTime = time.Minute
+	fleet := newFleet(t, testStart, 3)
+	fleet.percent = func(planner.TaskKey) int { return 0 }
+	fleet.submit(jobA, newStep(1))
+	fleet.settle()
+	for range 3000 {
+		fleet.advance(100 * time.Millisecond)
+		if last := fleet.orders[len(fleet.orders)-1]; fleet.time().Sub(last.SentAt) >= runTime {
+			fleet.markEnded(last.Key, planner.EndedDone)
+		}
+		if state, _ := fleet.planner.State(jobA); state.Final() {
+			break
+		}
+	}
+	fleet.wantState(jobA, planner.Completed)
+}
+
 // TestRetention checks that the record of a job as submitted is deleted when the job ends, and the record of its
 // state once Settings.StatusRetention has passed after that.
 func TestRetention(t *testing.T) {
