server: copy a zone's records again to hosts that were restarted, and let no planned stop outrun it

Cause: records were copied to other hosts only when they were written. After a zone's hosts were restarted one after the other, only the decider had them; when it was killed next, keys and jobs were gone. And a host that was the holder of the latest term and came back at once waited for the first host by name, which waited for it as the holder: the zone had no decider for good.

Change: the decider sends all records to each incarnation of a replica peer once; a stopping host waits, 5 s at most, until the decider says that all others have them; a host that came back is not ready before; takeover counts only hosts with all records when it says that none are missing; the holder of a term that is not the decider begins a new one. A host is ready only once it knows the deciders of all zones, for 5 s after its start.

--- a/daemon/server/heartbeat.go
+++ b/daemon/server/heartbeat.go
@@ -25,6 +25,7 @@
 		ShuttingDown: server.shuttingDown.Load(),
 		Term:         server.peers.Term(server.settings.Zone),
 		Deciding:     tenure != nil && tenure.ready.Load(),
+		HasRecords:   server.hasZoneRecords.Load(),
 		AsOf:         server.register.AsOf(),
 		StaleMS:      roundUpStaleness(server.staleness()).Milliseconds(),
 		Relayed:      server.directDeciders(),
@@ -273,6 +274,7 @@
 		ShuttingDown:  heartbeat.ShuttingDown,
 		Term:          heartbeat.Term,
 		Deciding:      heartbeat.Deciding,
+		HasRecords:    heartbeat.HasRecords,
 		AsOf:          heartbeat.AsOf,
 		LastHeartbeat: time.Now(),
 	}
--- a/daemon/server/keep.go
+++ b/daemon/server/keep.go
@@ -17,6 +17,9 @@
 // restored into the tenure.
 func (server *Server) storeRecords(call StoreRecordsCall) (struct{}, error) {
 	tenure := server.currentTenure()
+	if call.Complete {
+		defer server.hasZoneRecords.Store(true)
+	}
 	for _, record := range call.Records {
 		ownZone := record.Home == server.settings.Zone
 		if ownZone && !call.HandedBack && record.Term.Less(server.peers.Term(record.Home)) {
@@ -26,7 +29,6 @@
 		if !ownZone {
 			continue
 		}
-		server.receivedZoneRecords.Store(true)
 		if call.HandedBack && tenure != nil {
 			tenure.restoreLateRecord(record)
 		}
@@ -153,6 +155,7 @@
 	}
 	wait.Wait()
 	tenure.recordsMayBeMissing = tenure.term.Number > 1 && !tenure.hasPredecessorRecords()
+	server.hasZoneRecords.Store(true) // from now on, it has all that can still be had
 	if tenure.recordsMayBeMissing {
 		server.Timeline.Record(recorder.Event{Kind: "recordsMayBeMissing", Detail: tenure.term.String()})
 	}
@@ -163,15 +166,15 @@
 	}
 }
 
-// hasPredecessorRecords reports whether all records of earlier terms are known to be available: this host received
-// records of the zone, or another host of the zone is alive, and each host of the zone stores copies of all.
+// hasPredecessorRecords reports whether all records of earlier terms are known to be available: this host or another live
+// host of the zone has copies of all.
 func (tenure *tenure) hasPredecessorRecords() bool {
 	server := tenure.server
-	if server.receivedZoneRecords.Load() {
+	if server.hasZoneRecords.Load() {
 		return true
 	}
 	for _, peer := range server.peers.Alive(time.Now()) {
-		if peer.Zone == tenure.zone {
+		if peer.Zone == tenure.zone && peer.HasRecords {
 			return true
 		}
 	}
--- a/daemon/server/routes.go
+++ b/daemon/server/routes.go
@@ -70,9 +70,29 @@
 	case server.conflictingZone() != "":
 		return fmt.Sprintf("settings say zone %s, the platform's list says %s: correct [host] zone", server.settings.Zone, server.conflictingZone())
 	}
+	return server.undecidedReason()
+}
+
+// maxDeciderWait is the time after a start in which a host is not ready until it knows the deciders of all zones. A zone
+// whose hosts are all lost keeps others unready for no longer than that.
+const maxDeciderWait = 5 * time.Second
+
+// undecidedReason returns why this host cannot pass requests on to deciders yet, or an empty text.
+func (server *Server) undecidedReason() string {
 	if _, found := server.anyDecider(); !found {
 		return "no live host decides for any zone"
 	}
+	if _, found := server.peers.Decider(server.settings.Zone, time.Now()); found && server.currentTenure() == nil && !server.hasZoneRecords.Load() {
+		return "no copies of the zone's records yet"
+	}
+	if time.Since(server.startedAt) > maxDeciderWait {
+		return ""
+	}
+	for _, zone := range server.viewer.View().Fleet.Zones {
+		if _, found := server.peers.Decider(zone, time.Now()); !found && zone != server.settings.Zone {
+			return "the decider of zone " + zone + " is not known yet"
+		}
+	}
 	return ""
 }
 
--- a/daemon/server/server.go
+++ b/daemon/server/server.go
@@ -62,15 +62,15 @@
 	httpServer  *http.Server
 	inFlight    sync.WaitGroup // HTTP handlers, and the reports to deciders that they send in the background
 
-	shuttingDown        atomic.Bool
-	fetchingSections    atomic.Bool
-	otherListedZone     atomic.Pointer[string] // zone in which the platform lists this host, empty if it is that of the settings
-	receivedZoneRecords atomic.Bool            // this host stored copies of records of its own zone
-	abandonContext      context.Context        // canceled when shutdown no longer waits for requests
-	abandon             context.CancelFunc
-	endStreamsContext   context.Context // canceled when a stopping host ends its streams of records
-	endStreams          context.CancelFunc
-	activeRequests      sync.Map // requests in flight: ID (string) to arrival time (time.Time)
+	shuttingDown      atomic.Bool
+	fetchingSections  atomic.Bool
+	otherListedZone   atomic.Pointer[string] // zone in which the platform lists this host, empty if it is that of the settings
+	hasZoneRecords    atomic.Bool            // this host has copies of all records of its own zone
+	abandonContext    context.Context        // canceled when shutdown no longer waits for requests
+	abandon           context.CancelFunc
+	endStreamsContext context.Context // canceled when a stopping host ends its streams of records
+	endStreams        context.CancelFunc
+	activeRequests    sync.Map // requests in flight: ID (string) to arrival time (time.Time)
 
 	mu                 sync.Mutex
 	closed             bool
@@ -291,6 +291,14 @@
 		return decodeAndCall(body, func(call ListRecordsCall) (ListRecordsAnswer, error) {
 			return ListRecordsAnswer{Records: server.records.ByHome(call.Zone)}, nil
 		})
+	case methodReplicas:
+		return decodeAndCall(body, func(struct{}) (ReplicasAnswer, error) {
+			tenure := server.currentTenure()
+			if tenure == nil {
+				return ReplicasAnswer{}, errNotDeciding
+			}
+			return ReplicasAnswer{Complete: tenure.replicasComplete()}, nil
+		})
 	case methodTimeline:
 		return decodeAndCall(body, func(filter recorder.Filter) ([]recorder.Event, error) {
 			return server.Timeline.Events(filter), nil
--- a/daemon/server/shutdown.go
+++ b/daemon/server/shutdown.go
@@ -23,6 +23,7 @@
 // Shutdown returns the requests that were still in flight.
 func (server *Server) Shutdown(ctx context.Context) AbandonedRequests {
 	server.startShutdown()
+	server.awaitReplicas(ctx)
 	server.handOverZone(ctx)
 	server.drain(ctx)
 	abandoned := server.unfinishedRequests()
--- a/daemon/server/tenure.go
+++ b/daemon/server/tenure.go
@@ -31,8 +31,9 @@
 	jobs                map[string]*jobState
 	unmatchedEnds       map[string]unmatchedEnd // by work ID; ends of tasks whose jobs are not known yet
 	keys                map[string]*keyState
-	recordsMayBeMissing bool            // neither this host nor a live host of the zone has the records of earlier terms
-	pendingRecord       *limiter.Record // slice record that was not read back from the log yet; nil if none
+	replicas            map[string]string // incarnations of the peers that have copies of all records, by name
+	recordsMayBeMissing bool              // neither this host nor a live host of the zone has the records of earlier terms
+	pendingRecord       *limiter.Record   // slice record that was not read back from the log yet; nil if none
 	startedAt           time.Time
 	keyAuthorityFrom    time.Time // until then, the former decider may still answer for idempotency keys
 
@@ -84,6 +85,7 @@
 		jobs:          map[string]*jobState{},
 		unmatchedEnds: map[string]unmatchedEnd{},
 		keys:          map[string]*keyState{},
+		replicas:      map[string]string{},
 		startedAt:     time.Now(),
 	}
 	tenure.ctx, tenure.cancel = context.WithCancel(context.Background())
@@ -93,6 +95,7 @@
 func (tenure *tenure) run() {
 	tenure.ready.Store(true)
 	tenure.goroutines.Go(tenure.tickLoop)
+	tenure.goroutines.Go(func() { tenure.server.runEvery(tenure.ctx, replicaInterval, tenure.copyToReplicas) })
 	tenure.goroutines.Go(func() { tenure.server.runEvery(tenure.ctx, claimScanInterval, tenure.sendDueClaims) })
 	tenure.goroutines.Go(func() { tenure.server.runEvery(tenure.ctx, sliceInterval, tenure.appendSliceRecord) })
 }
--- a/daemon/server/wire.go
+++ b/daemon/server/wire.go
@@ -22,6 +22,7 @@
 	methodResolve      = "resolve"
 	methodStoreRecords = "keep"
 	methodListRecords  = "kept"
+	methodReplicas     = "replicas"
 	methodTakeKey      = "takeKey"
 	methodEndKey       = "endKey"
 	methodSubmitJob    = "submitJob"
@@ -40,9 +41,10 @@
 	ShuttingDown bool        `json:"leaving,omitempty"`
 	Term         fencer.Term `json:"term,omitzero"` // latest term of its zone that is known to the host
 	Deciding     bool        `json:"deciding,omitempty"`
-	AsOf         int64       `json:"asOf,omitempty"`    // log offset of its configuration
-	StaleMS      int64       `json:"staleMS,omitempty"` // milliseconds since its configuration was last known to be the latest, -1 for never
-	Relayed      []Heartbeat `json:"relayed,omitempty"` // deciders from which the host receives heartbeats directly
+	HasRecords   bool        `json:"hasRecords,omitempty"` // has copies of all records of its zone
+	AsOf         int64       `json:"asOf,omitempty"`       // log offset of its configuration
+	StaleMS      int64       `json:"staleMS,omitempty"`    // milliseconds since its configuration was last known to be the latest, -1 for never
+	Relayed      []Heartbeat `json:"relayed,omitempty"`    // deciders from which the host receives heartbeats directly
 
 	Same bool `json:"same,omitempty"` // all other fields but Want are as in the host's last full heartbeat to the same peer, and omitted
 	Want bool `json:"want,omitempty"` // the host has no full heartbeat of the peer and requests one
@@ -111,7 +113,13 @@
 // StoreRecordsCall sends a peer copies of records to store.
 type StoreRecordsCall struct {
 	Records    []keeper.Record `json:"records"`
-	HandedBack bool            `json:"handedBack,omitempty"` // sent by a peer to the decider of their home zone
+	HandedBack bool            `json:"handedBack,omitempty"` // of any term: handed back to the decider of their home zone, or copied by it
+	Complete   bool            `json:"complete,omitempty"`   // with the calls before it, these are all records of the sender's zone
+}
+
+// ReplicasAnswer is a decider's answer to whether all other hosts have copies of its zone's records.
+type ReplicasAnswer struct {
+	Complete bool `json:"complete"`
 }
 
 // ListRecordsCall requests the stored records of a home zone from a peer.
--- a/library/detector/detector.go
+++ b/library/detector/detector.go
@@ -20,6 +20,7 @@
 	ShuttingDown  bool        // is shutting down
 	Term          fencer.Term // latest term that the peer has recorded for its zone
 	Deciding      bool        // is the decider of its zone under Term
+	HasRecords    bool        // has copies of all records of its zone
 	AsOf          int64       // log offset of its configuration
 	LastHeartbeat time.Time   // arrival time of the last heartbeat; zero after MarkDead
 	ProcessEnded  bool        // its process is known to have ended, such as after a refused connection
@@ -153,14 +154,18 @@
 	return peer, true
 }
 
-// ShouldDecide reports whether self should begin a new term in its zone. It should if the holder of the
-// latest term is dead or shutting down, and self has the first name among the live hosts of the zone that
-// are not shutting down.
+// ShouldDecide reports whether self, which is not the decider, should begin a new term in its zone. It should if it holds
+// the latest term, which it does after a restart: the other hosts see it alive and wait for it. It also should if the
+// holder is dead or shutting down, and self has the first name among the live hosts of the zone that are not shutting
+// down.
 func (detector *Detector) ShouldDecide(self Peer, now time.Time) bool {
 	if self.ShuttingDown {
 		return false
 	}
 	holder := detector.Term(self.Zone).Holder
+	if holder == self.Name {
+		return true
+	}
 	firstName := self.Name
 	for _, peer := range detector.Alive(now) {
 		if peer.Zone != self.Zone || peer.ShuttingDown {
--- a/tests/rolling_restart_test.go
+++ b/tests/rolling_restart_test.go
@@ -113,3 +113,19 @@
 		h.Errorf("a request with a key ran %d times", len(attempts))
 	}
 }
+
+// TestReadyHostKnowsAllDeciders restarts the only hosts of two zones. As soon as one of them is ready, it has to know the
+// deciders of all zones.
+func TestReadyHostKnowsAllDeciders(t *testing.T) {
+	runCellTest(t, 1, func(h *harness) {
+		h.KillHost("entry-a-0")
+		h.KillHost("entry-c-0")
+		if err := h.StartHost("entry-c-0"); err != nil {
+			h.Fatal(err)
+		}
+		h.startAgain("entry-a-0")
+		for _, zone := range zoneNames {
+			h.deciderOf(zone)
+		}
+	})
+}
