Log lines carry the uptime of their process; explain orders by it

Cause: the time of day jumps on some hosts, and explain ordered a job's story by it. An unreadable log file ends with exit code 1, as other failures do.

--- a/command/cmd_explain.go
+++ b/command/cmd_explain.go
@@ -29,17 +29,49 @@
 	for _, path := range invocation.args[1:] {
 		fileLines, err := readLog(path)
 		if err != nil {
-			return &exitError{code: exitUsage, err: err}
+			return &exitError{code: exitFailed, err: err}
 		}
+		correctTimes(fileLines)
 		lines = append(lines, fileLines...)
 	}
 	return printJobHistory(invocation.stdout, invocation.args[0], lines)
 }
 
-// logLine is one line of a host's log. Its fields are all JSON fields but time, msg and level.
+// correctTimes replaces the times of day in the lines of one file by the uptimes of their process, which no step of the
+// host's clock changes. A process is taken to have started when most of its lines say.
+func correctTimes(lines []logLine) {
+	for begin := 0; begin < len(lines); {
+		end := begin + 1
+		for end < len(lines) && lines[end].uptime >= lines[end-1].uptime {
+			end++
+		}
+		correctProcessTimes(lines[begin:end])
+		begin = end
+	}
+}
+
+func correctProcessTimes(lines []logLine) {
+	var starts []time.Time
+	for _, line := range lines {
+		if line.uptime > 0 {
+			starts = append(starts, line.at.Add(-line.uptime))
+		}
+	}
+	if len(starts) == 0 {
+		return
+	}
+	slices.SortFunc(starts, time.Time.Compare)
+	started := starts[len(starts)/2]
+	for index := range lines {
+		lines[index].at = started.Add(lines[index].uptime)
+	}
+}
+
+// logLine is one line of a host's log. Its fields are all JSON fields but time, msg, level and up.
 type logLine struct {
 	file    string
 	at      time.Time
+	uptime  time.Duration // of the process, 0 if the line does not say
 	message string
 	fields  map[string]any
 }
@@ -77,10 +109,11 @@
 	if err != nil || message == "" {
 		return logLine{}, false
 	}
-	for _, name := range []string{"time", "msg", "level"} {
+	seconds, _ := fields["up"].(float64)
+	for _, name := range []string{"time", "msg", "level", "up"} {
 		delete(fields, name)
 	}
-	return logLine{file: path, at: at, message: message, fields: fields}, true
+	return logLine{file: path, at: at, uptime: time.Duration(seconds * float64(time.Second)), message: message, fields: fields}, true
 }
 
 // contextMessages are the log messages about the decider, the store, the journal and the log itself that printJobHistory
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -96,7 +96,8 @@
 	if err := level.UnmarshalText([]byte(levelName)); err != nil {
 		return nil, fmt.Errorf("parse log level: %w", err)
 	}
-	return slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: level})), nil
+	lines := slog.NewJSONHandler(out, &slog.HandlerOptions{Level: level})
+	return slog.New(uptimeHandler{Handler: lines, started: time.Now()}), nil
 }
 
 // serve runs the daemon until SIGTERM or SIGINT. The first signal starts a graceful shutdown, which lasts at most
