--- a/daemon/main.go
+++ b/daemon/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"ebonyshunt.org/daemon/dialer"
 	"ebonyshunt.org/daemon/loader"
