--- a/command/api.go
+++ b/command/api.go
@@ -143,13 +143,20 @@
 func (problemError *problemError) Error() string { return problemError.text }
 
 func exitCodeOf(problem responder.Problem) int {
-	switch {
-	case problem.Code() == responder.CodeConflict:
+	if problem.Code() == responder.CodeConflict {
 		return exitConflict
-	case problem.Outcome == responder.Unknown:
-		return exitUnknown
-	case problem.Outcome == responder.NotRun:
+	}
+	return exitCodeOfOutcome(problem.Outcome)
+}
+
+// exitCodeOfOutcome returns the exit code for an outcome other than answered.
+func exitCodeOfOutcome(outcome responder.Outcome) int {
+	switch outcome {
+	case responder.NotRun:
 		return exitNotRun
+	case responder.Unknown:
+		return exitUnknown
+	case responder.Answered, responder.Failed:
 	}
 	return exitFailed
 }
--- a/command/cmd_publish.go
+++ b/command/cmd_publish.go
@@ -32,6 +32,11 @@
 	if err := mistakes.Err(); err != nil {
 		return exitErrorf(exitFailed, "%w", err)
 	}
+	for _, name := range invocation.args[1:] {
+		if !slices.ContainsFunc(sections, func(section parser.Section) bool { return section.Name == name }) {
+			return exitErrorf(exitFailed, "%s has no section [%s]: nothing was published", invocation.args[0], name)
+		}
+	}
 	current, err := invocation.fetchSections()
 	if err != nil {
 		return err
--- a/command/cmd_request.go
+++ b/command/cmd_request.go
@@ -93,9 +93,11 @@
 	if outcome == "" {
 		outcome = responder.Outcome(response.Header.Get(responder.HeaderOutcome))
 	}
-	fmt.Fprintf(invocation.stderr, "ebonyshunt: %s, request %s\n", outcome, response.Header.Get("Ebonyshunt-Request"))
+	if id := response.Header.Get("Ebonyshunt-Request"); id != "" {
+		fmt.Fprintf(invocation.stderr, "ebonyshunt: %s, request %s\n", outcome, id)
+	}
 	if outcome != responder.Answered {
-		return exitErrorf(exitFailed, "the request was not answered: status %d", response.StatusCode)
+		return exitErrorf(exitCodeOfOutcome(outcome), "the request was not answered: status %d", response.StatusCode)
 	}
 	return nil
 }
--- a/command/cmd_watch.go
+++ b/command/cmd_watch.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -66,6 +67,11 @@
 		}
 		fmt.Fprintf(invocation.stdout, "version %d: %s\n", job.Version, taskSummary(*job))
 	}
+	if err := scanner.Err(); errors.Is(err, bufio.ErrTooLong) {
+		return exitErrorf(exitFailed, "a version of the job is longer than %d bytes", maxJobLineBytes)
+	} else if err != nil {
+		fmt.Fprintf(invocation.stderr, "ebonyshunt: the event stream broke off: %v\n", err)
+	}
 	return nil
 }
 
@@ -87,14 +93,9 @@
 
 // outcomeError returns nil if a finished job was answered, and otherwise an exitError with the exit code of its outcome.
 func outcomeError(job server.Job) error {
-	switch outcome := job.Outcome(); outcome {
-	case responder.Answered:
+	outcome := job.Outcome()
+	if outcome == responder.Answered {
 		return nil
-	case responder.NotRun:
-		return exitErrorf(exitNotRun, "job %s: %s", job.ID, taskSummary(job))
-	case responder.Unknown:
-		return exitErrorf(exitUnknown, "job %s: %s", job.ID, taskSummary(job))
-	case responder.Failed:
 	}
-	return exitErrorf(exitFailed, "job %s: %s", job.ID, taskSummary(job))
+	return exitErrorf(exitCodeOfOutcome(outcome), "job %s: %s", job.ID, taskSummary(job))
 }
--- /dev/null
+++ b/daemon/linker/linker_test.go
@@ -0,0 +1,79 @@
+package linker
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ebonyshunt.org/daemon/dialer"
+	"ebonyshunt.org/library/recorder"
+)
+
+// flakyListener fails to accept the first connections.
+type flakyListener struct {
+	net.Listener
+	failures atomic.Int32
+}
+
+// Accept fails while failures are left.
+func (flakyListener *flakyListener) Accept() (net.Conn, error) {
+	if flakyListener.failures.Add(-1) >= 0 {
+		return nil, errors.New("too many open files")
+	}
+	return flakyListener.Listener.Accept()
+}
+
+// serveEcho starts a server that answers each call with an empty object.
+func serveEcho(t *testing.T, listener net.Listener) {
+	t.Helper()
+	server := Serve(listener, "b", &recorder.Clock{}, slog.New(slog.DiscardHandler), func(context.Context, string, string, json.RawMessage) (any, error) {
+		return struct{}{}, nil
+	})
+	t.Cleanup(server.Close)
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener
+}
+
+// TestAcceptErrors checks that a server goes on accepting connections after an error.
+func TestAcceptErrors(t *testing.T) {
+	listener := &flakyListener{Listener: listen(t)}
+	listener.failures.Store(2)
+	serveEcho(t, listener)
+	pool := NewPool(dialer.TCP(), "a", &recorder.Clock{})
+	defer pool.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	if err := pool.Call(ctx, listener.Addr().String(), "x", struct{}{}, nil); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestDropWhileCalling checks that a call that already had the entry of a dropped connection opens no connection that
+// the pool does not know.
+func TestDropWhileCalling(t *testing.T) {
+	listener := listen(t)
+	serveEcho(t, listener)
+	address := listener.Addr().String()
+	pool := NewPool(dialer.TCP(), "a", &recorder.Clock{})
+	defer pool.Close()
+	entry := pool.peer(address)
+	pool.Drop(address)
+	if _, err := pool.connect(t.Context(), entry, address); !errors.Is(err, errDropped) {
+		t.Errorf("error %v, want errDropped", err)
+	}
+	if err := pool.Call(t.Context(), address, "x", struct{}{}, nil); err != nil {
+		t.Error(err)
+	}
+}
--- a/daemon/linker/pool.go
+++ b/daemon/linker/pool.go
@@ -72,6 +72,7 @@
 type peerConn struct {
 	lock       chan struct{}
 	conn       *jsonrpc2.Conn
+	closed     bool         // dropped from the pool, and opens no connection any more
 	unanswered atomic.Int32 // calls that timed out since the last answer
 }
 
@@ -100,6 +101,10 @@
 func (pool *Pool) Call(ctx context.Context, address, method string, body, result any) error {
 	peer := pool.peer(address)
 	conn, err := pool.connect(ctx, peer, address)
+	if errors.Is(err, errDropped) {
+		peer = pool.peer(address) // the entry that replaces the dropped one
+		conn, err = pool.connect(ctx, peer, address)
+	}
 	if err != nil {
 		return ErrUnsent.Wrap(fmt.Errorf("connect to %s: %w", address, err))
 	}
@@ -152,6 +157,9 @@
 		return nil, fmt.Errorf("wait for connection: %w", ctx.Err())
 	}
 	defer func() { peer.lock <- struct{}{} }()
+	if peer.closed {
+		return nil, errDropped
+	}
 	if peer.conn != nil && !disconnected(peer.conn) {
 		return peer.conn, nil
 	}
@@ -186,9 +194,15 @@
 	}
 }
 
+// errDropped reports that the connection to a peer was dropped while a call waited for it.
+var errDropped = errors.New("the connection was dropped")
+
+// close closes the connection, and keeps calls that already have this entry from opening another one, which nothing
+// would close.
 func (peerConn *peerConn) close() {
 	<-peerConn.lock
 	defer func() { peerConn.lock <- struct{}{} }()
+	peerConn.closed = true
 	if peerConn.conn != nil {
 		_ = peerConn.conn.Close()
 		<-peerConn.conn.DisconnectNotify()
--- a/daemon/linker/server.go
+++ b/daemon/linker/server.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net"
 	"sync"
+	"time"
 
 	"ebonyshunt.org/library/recorder"
 	"github.com/sourcegraph/jsonrpc2"
@@ -20,6 +22,7 @@
 	host    string
 	clock   *recorder.Clock
 	handler Handler
+	log     *slog.Logger
 	cancel  context.CancelFunc
 	wait    sync.WaitGroup
 	bytes   ByteCounter
@@ -30,10 +33,23 @@
 	closed   bool
 }
 
+// acceptRetryDelay is the wait after a connection could not be accepted, for example because all file descriptors are in
+// use.
+const acceptRetryDelay = 100 * time.Millisecond
+
+func sleep(ctx context.Context, delay time.Duration) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // Serve starts a server that accepts connections on the listener and answers their calls until Close.
-func Serve(listener net.Listener, host string, clock *recorder.Clock, handler Handler) *Server {
+func Serve(listener net.Listener, host string, clock *recorder.Clock, log *slog.Logger, handler Handler) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
-	server := &Server{host: host, clock: clock, handler: handler, cancel: cancel, listener: listener, conns: map[*jsonrpc2.Conn]bool{}}
+	server := &Server{host: host, clock: clock, handler: handler, log: log, cancel: cancel, listener: listener, conns: map[*jsonrpc2.Conn]bool{}}
 	server.wait.Go(func() { server.accept(ctx) })
 	return server
 }
@@ -45,7 +61,12 @@
 	for {
 		raw, err := server.listener.Accept()
 		if err != nil {
-			return
+			if ctx.Err() != nil {
+				return
+			}
+			server.log.Warn("cannot accept a peer's connection, retrying", "error", err)
+			sleep(ctx, acceptRetryDelay)
+			continue
 		}
 		stream := jsonrpc2.NewBufferedStream(server.bytes.Wrap(raw), jsonrpc2.VarintObjectCodec{})
 		conn := jsonrpc2.NewConn(ctx, stream, server, discardLogs)
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -142,7 +142,7 @@
 	if err != nil {
 		return fmt.Errorf("listen on peerAddress %s: %w", host.settings.PeerAddress, err)
 	}
-	host.peerServer = linker.Serve(peers, host.settings.Host, host.clock, host.handlePeerCall)
+	host.peerServer = linker.Serve(peers, host.settings.Host, host.clock, host.log, host.handlePeerCall)
 	ingress := &translator.Ingress{Gateway: &gateway{host: host}}
 	host.httpServer, err = host.serve(host.settings.HTTPAddress, ingress)
 	if err != nil {
--- a/daemon/server/check.go
+++ b/daemon/server/check.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"ebonyshunt.org/library/decider"
 	"ebonyshunt.org/library/parser"
@@ -122,8 +123,8 @@
 	}
 	if _, present := r.Header[headerKey]; present {
 		key := r.Header.Get(headerKey)
-		if key == "" || len(key) > maxKeyLength {
-			return badRequest("header %s has %d characters: send 1 to %d", headerKey, len(key), maxKeyLength)
+		if key == "" || utf8.RuneCountInString(key) > maxKeyLength {
+			return badRequest("header %s has %d characters: send 1 to %d", headerKey, utf8.RuneCountInString(key), maxKeyLength)
 		}
 	}
 	if text := r.Header.Get(headerIdempotent); text != "" {
--- a/daemon/server/jobs.go
+++ b/daemon/server/jobs.go
@@ -219,7 +219,7 @@
 	default:
 		task.State = JobQueued
 		if !tenure.decider.AllClaimed() {
-			tenure.decider.Defer(job.work(index), time.Now())
+			tenure.decider.Defer(job.work(index))
 			return
 		}
 		tenure.enqueueTask(job, index)
--- a/daemon/server/place.go
+++ b/daemon/server/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"ebonyshunt.org/library/decider"
@@ -138,10 +139,26 @@
 	case <-tenure.ctx.Done():
 		return ResolveAnswer{}, errNotDeciding
 	}
-	_, answer = tenure.currentResolution(call)
+	tenure.removeEndWaiter(ended)
+	waiter, answer := tenure.currentResolution(call)
+	tenure.removeEndWaiter(waiter)
 	return answer, nil
 }
 
+// removeEndWaiter removes a channel of currentResolution that nothing waits for any more.
+func (tenure *tenure) removeEndWaiter(ended chan struct{}) {
+	tenure.mu.Lock()
+	defer tenure.mu.Unlock()
+	for task, waiters := range tenure.endWaiters {
+		waiters = slices.DeleteFunc(waiters, func(waiter chan struct{}) bool { return waiter == ended })
+		if len(waiters) == 0 {
+			delete(tenure.endWaiters, task)
+		} else {
+			tenure.endWaiters[task] = waiters
+		}
+	}
+}
+
 // currentResolution returns what is known of the end of an attempt. For a started task it also expedites the
 // claim of the worker and returns a channel that is closed at the end of the task.
 func (tenure *tenure) currentResolution(call ResolveCall) (chan struct{}, ResolveAnswer) {
--- a/daemon/server/tenure.go
+++ b/daemon/server/tenure.go
@@ -230,8 +230,8 @@
 	tenure.reply(effect.Work.ID, PlaceAnswer{Problem: deadlineProblem()})
 }
 
-// stopTask sends the stop or checkpoint call to the worker until it succeeds, the worker refuses
-// it because of a later term, or the tenure ends.
+// stopTask sends the stop or checkpoint call to the worker until it succeeds, the worker does not know the task or refuses
+// the call because of a later term, or the tenure ends.
 func (tenure *tenure) stopTask(effect decider.Stop) {
 	for tenure.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(tenure.ctx, clientTimeout)
@@ -241,7 +241,7 @@
 		}
 		err := call(ctx, effect.Address, effect.Task, effect.Term)
 		cancel()
-		if err == nil || starter.ErrFenced.Has(err) {
+		if err == nil || starter.ErrFenced.Has(err) || starter.ErrNoTask.Has(err) {
 			tenure.mu.Lock()
 			tenure.expediteClaim(effect.Worker)
 			tenure.mu.Unlock()
--- a/daemon/starter/client.go
+++ b/daemon/starter/client.go
@@ -111,6 +111,9 @@
 		return Report{}, fmt.Errorf("claim worker at %s: %w", address, err)
 	}
 	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusConflict {
+		return Report{}, Error.New("claim worker at %s: unexpected status %d", address, response.StatusCode)
+	}
 	var report Report
 	if err := json.NewDecoder(response.Body).Decode(&report); err != nil {
 		return Report{}, fmt.Errorf("decode report of worker at %s: %w", address, err)
@@ -123,7 +126,11 @@
 
 // Stop ends a task. A task that is unknown to the worker counts as stopped.
 func (client *Client) Stop(ctx context.Context, address, task string, term fencer.Term) error {
-	return client.sendControl(ctx, http.MethodDelete, address, url.PathEscape(task), term)
+	err := client.sendControl(ctx, http.MethodDelete, address, url.PathEscape(task), term)
+	if ErrNoTask.Has(err) {
+		return nil
+	}
+	return err
 }
 
 // Checkpoint ends a task and has the worker save its progress. A later report contains the checkpoint.
@@ -154,7 +161,10 @@
 	if response.StatusCode == http.StatusConflict {
 		return ErrFenced.New("%s task %s: a later term owns the worker", method, path)
 	}
-	if response.StatusCode >= http.StatusBadRequest && response.StatusCode != http.StatusNotFound {
+	if response.StatusCode == http.StatusNotFound {
+		return ErrNoTask.New("%s task %s", method, path)
+	}
+	if response.StatusCode >= http.StatusBadRequest {
 		return Error.New("%s task %s: unexpected status %d", method, path, response.StatusCode)
 	}
 	return nil
--- a/daemon/starter/wire.go
+++ b/daemon/starter/wire.go
@@ -18,6 +18,9 @@
 // ErrFenced marks a call that the worker refused because a later term owns it.
 var ErrFenced = errs.Class("fenced")
 
+// ErrNoTask marks a call about a task that the worker does not know.
+var ErrNoTask = errs.Class("unknown task")
+
 // Headers of calls to a worker and, for HeaderRefusal, of its responses.
 const (
 	HeaderGrant   = "Ebonyshunt-Grant"
--- a/daemon/tailer/tailer.go
+++ b/daemon/tailer/tailer.go
@@ -134,7 +134,7 @@
 	for len(page.Entries) > 0 {
 		for _, entry := range page.Entries {
 			var record replayer.Record
-			if json.Unmarshal(entry.Data, &record) != nil || record.State == nil || record.AsOf+1 < page.Oldest {
+			if json.Unmarshal(entry.Data, &record) != nil || !record.IsCheckpoint() || record.AsOf+1 < page.Oldest {
 				continue
 			}
 			_, err := tailer.Register.Apply(entry.Offset, record)
--- a/library/decider/decider.go
+++ b/library/decider/decider.go
@@ -34,7 +34,7 @@
 	deadlines         deadlineHeap
 	reservationCounts map[string]int // number of reserved workers, by reservation holder
 	queueLengths      map[string]int // number of queued tasks, by queue
-	deferred          []deferredWork // held back until all workers are claimed
+	deferred          []Work         // held back until all workers are claimed
 	reservingGang     string         // job of the gang that holds or last held reservations
 }
 
@@ -75,17 +75,20 @@
 	for name, team := range decider.teams {
 		if !present[name] {
 			team.Slice = sizer.Size{}
-			team.Limit = sizer.Size{MilliCores: 1, MemoryMB: 1, Accelerators: 1}
+			team.Limit = minLimit
 		}
 	}
 }
 
-// ensureTeam returns the team's row. For an unknown team it creates one with a processor limit and an empty
-// slice, so that the team's tasks are counted but none start.
+// minLimit limits all resources of a team that is not configured; its slice of the limit is empty.
+var minLimit = sizer.Size{MilliCores: 1, MemoryMB: 1, Accelerators: 1}
+
+// ensureTeam returns the team's row. For an unknown team it creates one with limits and an empty slice, so that the team's
+// tasks are counted but none start.
 func (decider *Decider) ensureTeam(name string) *Team {
 	team, found := decider.teams[name]
 	if !found {
-		team = &Team{TeamInfo: TeamInfo{Name: name, Share: 1, Limit: sizer.Size{MilliCores: 1}}}
+		team = &Team{TeamInfo: TeamInfo{Name: name, Share: 1, Limit: minLimit}}
 		decider.teams[name] = team
 	}
 	return team
--- a/library/decider/rules_test.go
+++ b/library/decider/rules_test.go
@@ -105,6 +105,17 @@
 	}
 }
 
+// TestUnknownTeam checks that no task of a team that is not configured starts, whichever resource it takes.
+func TestUnknownTeam(t *testing.T) {
+	for name, size := range map[string]sizer.Size{"cores": {MilliCores: 1000}, "memory": {MemoryMB: 100}, "accelerators": {Accelerators: 1}} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(plainSettings(), 1, sizer.Size{MilliCores: 4000, MemoryMB: 8000, Accelerators: 4})
+			harness.Enqueue(newWork("x", "nobody", Batch, size), harness.now)
+			assertGrants(t, harness.step(time.Millisecond), 0)
+		})
+	}
+}
+
 // TestRebootedWorker guards against errors after a worker restarts under a new boot ID and has not reported its
 // tasks again. Such a task may still run, so it counts against its team until its lease ends or the worker reports
 // it. The new boot must not be claimed before other workers confirm the term.
--- a/library/decider/takeover.go
+++ b/library/decider/takeover.go
@@ -44,14 +44,8 @@
 
 // Defer holds a work item back from the queue until every listed worker is claimed, as an unclaimed worker may be
 // running it.
-func (decider *Decider) Defer(work Work, now time.Time) {
-	decider.deferred = append(decider.deferred, deferredWork{work: work, since: now})
-}
-
-// deferredWork is a work item that Defer holds back.
-type deferredWork struct {
-	work  Work
-	since time.Time
+func (decider *Decider) Defer(work Work) {
+	decider.deferred = append(decider.deferred, work)
 }
 
 // enqueueDeferred queues the deferred work items once all workers are claimed. Those that a worker reported as
@@ -60,15 +54,15 @@
 	if len(decider.deferred) == 0 || !decider.AllClaimed() {
 		return
 	}
-	for _, deferred := range decider.deferred {
-		decider.Enqueue(deferred.work, now)
+	for _, work := range decider.deferred {
+		decider.Enqueue(work, now)
 	}
 	decider.deferred = nil
 }
 
 // dropDeferred removes a work item from the deferred ones.
 func (decider *Decider) dropDeferred(work string) {
-	decider.deferred = slices.DeleteFunc(decider.deferred, func(deferred deferredWork) bool { return deferred.work.ID == work })
+	decider.deferred = slices.DeleteFunc(decider.deferred, func(deferred Work) bool { return deferred.ID == work })
 }
 
 // AddressOf returns the address of a listed worker.
--- a/library/parser/document.go
+++ b/library/parser/document.go
@@ -81,7 +81,9 @@
 			reason := fmt.Sprintf("duplicate section, first on line %d: keep one", firstLine)
 			mistakes = append(mistakes, Mistake{File: file, Line: i + 1, Section: name, Reason: reason})
 		}
-		seen[name] = i + 1
+		if _, repeated := seen[name]; !repeated {
+			seen[name] = i + 1
+		}
 		sections = append(sections, Section{Name: name, Line: i + 1})
 	}
 	return sections, mistakes
--- a/library/parser/fields.go
+++ b/library/parser/fields.go
@@ -54,8 +54,8 @@
 // lineOf returns the line number of a key, or that of the section's header if the key is empty or absent.
 func (fields *Fields) lineOf(key string) int {
 	for i, text := range strings.Split(fields.section.Text, "\n") {
-		name, _, found := strings.Cut(text, "=")
-		if found && key != "" && strings.TrimSpace(name) == key {
+		end := strings.IndexAny(text, "=:") // both separate a key from its value
+		if end >= 0 && key != "" && strings.TrimSpace(text[:end]) == key {
 			return fields.section.Line + 1 + i
 		}
 	}
@@ -257,12 +257,3 @@
 	number, _ := strings.CutSuffix(value, "MB")
 	return number, 1
 }
-
-// FormatSize formats a size in the format of ParseSize.
-func FormatSize(size sizer.Size) string {
-	text := fmt.Sprintf("cores:%g memory:%dMB", float64(size.MilliCores)/1000, size.MemoryMB)
-	if size.Accelerators != 0 {
-		text += fmt.Sprintf(" accelerators:%d", size.Accelerators)
-	}
-	return text
-}
--- a/library/replayer/register.go
+++ b/library/replayer/register.go
@@ -52,13 +52,16 @@
 	if decoded.Format != Format {
 		return Error.New("unsupported record format %d: this program reads format %d", decoded.Format, Format)
 	}
-	if decoded.ID == "" || (decoded.Section == "" && decoded.State == nil && decoded.Slice == nil) {
+	if decoded.ID == "" || (decoded.Section == "" && !(*Record)(&decoded).IsCheckpoint() && decoded.Slice == nil) {
 		return Error.New("record without id or content")
 	}
 	*record = Record(decoded)
 	return nil
 }
 
+// IsCheckpoint reports whether the record holds the whole state, which may have no sections.
+func (record *Record) IsCheckpoint() bool { return record.State != nil || record.AsOf > 0 }
+
 // Version is the value of one section. Offset is the log offset of the record that set it and identifies the version.
 type Version struct {
 	Section string `json:"section"`
@@ -124,7 +127,7 @@
 	if offset <= register.asOf {
 		return false, nil
 	}
-	if record.State != nil {
+	if record.IsCheckpoint() {
 		return register.applyCheckpoint(offset, record)
 	}
 	if offset != register.asOf+1 {
--- a/library/replayer/register_test.go
+++ b/library/replayer/register_test.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"testing"
 
+	"ebonyshunt.org/library/limiter"
 	"pgregory.net/rapid"
 )
 
@@ -148,3 +149,18 @@
 		}
 	})
 }
+
+// TestCheckpointWithoutSections checks that a checkpoint is decoded as one also if all sections were removed.
+func TestCheckpointWithoutSections(t *testing.T) {
+	data, err := json.Marshal(Record{Format: Format, ID: "c", Author: "h", AsOf: 7, Ledger: &limiter.State{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var record Record
+	if err := json.Unmarshal(data, &record); err != nil {
+		t.Fatalf("checkpoint is refused: %v", err)
+	}
+	if !record.IsCheckpoint() {
+		t.Error("not taken for a checkpoint")
+	}
+}
--- a/library/viewer/view.go
+++ b/library/viewer/view.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 
@@ -175,7 +176,7 @@
 		if queue.Team != team.Name {
 			continue
 		}
-		for _, name := range queue.Services {
+		for _, name := range view.servicesOf(queue) {
 			service := view.Services[name]
 			if reason := LimitExcessReason(service.Size, team.Limit); reason != "" {
 				fields.Add("limit", "cannot hold one task of service %s of queue %s (%s): raise it", name, queue.Name, reason)
@@ -184,6 +185,14 @@
 	}
 }
 
+// servicesOf returns the names of the services that a queue accepts: all, if it names none.
+func (view *View) servicesOf(queue parser.Queue) []string {
+	if len(queue.Services) > 0 {
+		return queue.Services
+	}
+	return slices.Sorted(maps.Keys(view.Services))
+}
+
 // LimitExcessReason returns a text that names the first resource of which size exceeds a team's upper limit, such as
 // "memoryMB 512 exceeds 256", or "" if none does. A resource of which limit is 0 is unlimited.
 func LimitExcessReason(size, limit sizer.Size) string {
