tests: TestFleetLateAppends also wants the decider to notice the losses; drop what nothing read

TestConfigurationInForce had a function that was never called and did nothing in all cases; the stand-in's halted channel had no receiver.

--- a/standin/workerserver/worker.go
+++ b/standin/workerserver/worker.go
@@ -38,7 +38,6 @@
 	tasks         map[string]*task
 	faults        Faults
 	paused        chan struct{}  // closed by Resume, nil when not paused
-	halted        chan struct{}  // closed by Reboot
 	granted       sizer.Size     // sum of the sizes of the running tasks
 	overcommitted bool           // granted has exceeded Capacity
 	wait          sync.WaitGroup // of the asynchronous tasks
@@ -84,11 +83,7 @@
 	for _, id := range slices.Sorted(maps.Keys(worker.tasks)) {
 		worker.end(worker.tasks[id], starter.Stopped, 0)
 	}
-	if worker.halted != nil {
-		close(worker.halted)
-	}
 	worker.boots++
-	worker.halted = make(chan struct{})
 	worker.bootID = fmt.Sprintf("%s-%d-%d", worker.Name, worker.boots, time.Now().UnixNano())
 	worker.bootedAt = time.Now()
 	worker.term = fencer.Term{}
--- a/tests/configuration_test.go
+++ b/tests/configuration_test.go
@@ -74,12 +74,11 @@
 	cases := []struct {
 		name   string
 		before func(*harness)
-		after  func(*harness)
 	}{
-		{"logHealthy", func(*harness) {}, func(*harness) {}},
-		{"logSlow", func(h *harness) { h.Log.SetFaults(logserver.Faults{Delay: 2 * time.Second}) }, func(*harness) {}},
-		{"logDownForOneZone", func(h *harness) { h.fabric.Cut(h.nodesOfZone("c"), platformHosts) }, func(*harness) {}},
-		{"answerLost", func(h *harness) { h.Log.SetFaults(logserver.Faults{LoseAnswers: 1}) }, func(*harness) {}},
+		{"logHealthy", func(*harness) {}},
+		{"logSlow", func(h *harness) { h.Log.SetFaults(logserver.Faults{Delay: 2 * time.Second}) }},
+		{"logDownForOneZone", func(h *harness) { h.fabric.Cut(h.nodesOfZone("c"), platformHosts) }},
+		{"answerLost", func(h *harness) { h.Log.SetFaults(logserver.Faults{LoseAnswers: 1}) }},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,6 +36,7 @@
 	pathPrefix    string
 	acceptedJobs  []string // IDs of the accepted jobs
 	stopWorkers   chan struct{}
+	logged        *messageCounter
 	delegateFrom  int64 // loader.Scheduling.DelegateFrom of the hosts
 }
 
@@ -66,7 +69,7 @@
 		fleet := &fleet{
 			T: t, fabric: connector.New(fleetNetworkLatency), store: emulator.NewStore(), hosts: map[string]*scheduler.Host{},
 			apiKeys: []string{fleetKey}, pathPrefix: fleetPathPrefix, stopWorkers: make(chan struct{}),
-			delegateFrom: delegateFrom,
+			delegateFrom: delegateFrom, logged: &messageCounter{counts: map[string]int{}},
 		}
 		fleet.client = fleet.fabric.Host("client").Client()
 		fleet.serve("store", fleetStoreAddress, fleet.store.Handler())
@@ -142,7 +145,7 @@
 
 func (fleet *fleet) startHost(name string) {
 	fleet.Helper()
-	log := slog.New(slog.DiscardHandler)
+	log := slog.New(fleet.logged)
 	if os.Getenv("EBONYSHUNT_TEST_LOG") != "" {
 		log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug})).With("at", name)
 	}
@@ -158,6 +161,38 @@
 	fleet.hosts[name] = host
 }
 
+// messageCounter is a log handler that counts the records by message.
+type messageCounter struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+// count returns how many records had a message.
+func (messageCounter *messageCounter) count(message string) int {
+	messageCounter.mu.Lock()
+	defer messageCounter.mu.Unlock()
+	return messageCounter.counts[message]
+}
+
+// Enabled reports whether the level is logged in production.
+func (*messageCounter) Enabled(_ context.Context, level slog.Level) bool {
+	return level >= slog.LevelInfo
+}
+
+// Handle counts a record.
+func (messageCounter *messageCounter) Handle(_ context.Context, record slog.Record) error {
+	messageCounter.mu.Lock()
+	defer messageCounter.mu.Unlock()
+	messageCounter.counts[record.Message]++
+	return nil
+}
+
+// WithAttrs returns the same handler.
+func (messageCounter *messageCounter) WithAttrs([]slog.Attr) slog.Handler { return messageCounter }
+
+// WithGroup returns the same handler.
+func (messageCounter *messageCounter) WithGroup(string) slog.Handler { return messageCounter }
+
 // killHost ends a host without a shutdown, as a power failure does.
 func (fleet *fleet) killHost(name string) {
 	fleet.fabric.Kill(name)
@@ -671,6 +706,9 @@
 	runFleetTest(t, 4, func(fleet *fleet) {
 		fleet.store.SetFaults(emulator.StoreFaults{LateShare: 0.6, LateBy: 3 * time.Second})
 		fleet.checkJobLatencies(60, objective)
+		if fleet.logged.count("losses of the store's answers") == 0 {
+			fleet.Error("the decider has not noticed that appends are lost")
+		}
 	})
 }
 
