scheduler: do not wait for a lost decider to campaign

The capacity that they compare themselves with was that of all registered hosts.

Change: only peers that answered and reach the store count.

--- a/daemon/scheduler/watch.go
+++ b/daemon/scheduler/watch.go
@@ -207,9 +207,10 @@
 type surveyResult struct {
 	asked          int
 	answered       int
-	notListening   int  // peers at whose address no process listens
-	betterPlaced   int  // peers that are better placed to decide and reach the store
-	reachesDecider bool // a peer reaches the decider, and the decider reaches the store
+	notListening   int     // peers at whose address no process listens
+	betterPlaced   int     // peers that are better placed to decide and reach the store
+	reachesDecider bool    // a peer reaches the decider, and the decider reaches the store
+	maxShare       float64 // largest capacity of the peers that could replace the decider: they answered and reach the store
 }
 
 // considerCampaign campaigns, unless a peer still reaches the decider. Better placed hosts campaign first. A host
@@ -222,7 +223,7 @@
 	if result.reachesDecider || host.isSuperseded(election) {
 		return
 	}
-	delay := time.Duration(result.betterPlaced)*campaignRankDelay + host.capacityDelay()
+	delay := time.Duration(result.betterPlaced)*campaignRankDelay + host.capacityDelay(result.maxShare)
 	switch {
 	case result.asked > 0 && result.answered+result.notListening == 0:
 		delay += isolationDelay
@@ -251,12 +252,10 @@
 	return current.Term > election.Term
 }
 
-// capacityDelay returns how long this host lets hosts with more capacity campaign first.
-func (host *Host) capacityDelay() time.Duration {
-	maxShare := host.settings.ProcessorShare
-	for _, member := range host.fleet.allMembers() {
-		maxShare = max(maxShare, member.ProcessorShare)
-	}
+// capacityDelay returns how long this host lets hosts with more capacity campaign first, given the largest capacity of
+// those that could.
+func (host *Host) capacityDelay(maxShare float64) time.Duration {
+	maxShare = max(maxShare, host.settings.ProcessorShare)
 	if maxShare <= 0 {
 		return 0
 	}
@@ -323,7 +322,11 @@
 			if answer.ReachesDecider && answer.Election.Term >= election.Term && (peer.Name != election.Host || answer.StoreOutage < maxStoreOutage) {
 				result.reachesDecider = result.reachesDecider || !host.deciderLostStore()
 			}
-			if answer.StoreOutage < maxStoreOutage && compareMembers(peer, host.member()) < 0 && peer.Name != election.Host {
+			if answer.StoreOutage >= maxStoreOutage || peer.Name == election.Host {
+				return
+			}
+			result.maxShare = max(result.maxShare, peer.ProcessorShare)
+			if compareMembers(peer, host.member()) < 0 {
 				result.betterPlaced++
 			}
 		})
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -37,7 +37,8 @@
 	acceptedJobs  []string // IDs of the accepted jobs
 	stopWorkers   chan struct{}
 	logged        *messageCounter
-	delegateFrom  int64 // loader.Scheduling.DelegateFrom of the hosts
+	shares        map[string]float64 // loader.Scheduling.ProcessorShare of the hosts, 1 if not set
+	delegateFrom  int64              // loader.Scheduling.DelegateFrom of the hosts
 }
 
 const (
@@ -145,13 +146,17 @@
 
 func (fleet *fleet) startHost(name string) {
 	fleet.Helper()
+	share := fleet.shares[name]
+	if share == 0 {
+		share = 1
+	}
 	log := slog.New(fleet.logged)
 	if os.Getenv("EBONYSHUNT_TEST_LOG") != "" {
 		log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug})).With("at", name)
 	}
 	host, err := scheduler.Start(loader.Scheduling{
 		Host: name, Zone: name[6:7], HTTPAddress: hostAddress(name, 80), ReadinessAddress: hostAddress(name, 81),
-		PeerAddress: hostAddress(name, 82), ProcessorShare: 1, MemoryMB: 4096, MaxOpenFiles: 4096, StoreAddress: fleetStoreAddress, PolicyAddress: fleetPolicyAddress,
+		PeerAddress: hostAddress(name, 82), ProcessorShare: share, MemoryMB: 4096, MaxOpenFiles: 4096, StoreAddress: fleetStoreAddress, PolicyAddress: fleetPolicyAddress,
 		MaxLease: 6 * time.Second, MaxStopTime: 200 * time.Millisecond, StatusRetention: 2 * time.Minute,
 		CrossRackFactor: 1.5, ShutdownGrace: 5 * time.Second, DelegateFrom: fleet.delegateFrom, Seeds: []string{hostAddress(fleet.hostNames[0], 82)},
 	}, fleet.fabric.Host(name), log)
@@ -669,6 +674,31 @@
 	}
 }
 
+// TestFleetTakeoverOfStrongest loses a decider that has ten times the capacity of the other hosts. They must not wait
+// for it to campaign.
+func TestFleetTakeoverOfStrongest(t *testing.T) {
+	const bound = 1400 * time.Millisecond
+	runFleetTest(t, 4, func(fleet *fleet) {
+		strongest := fleet.hostNames[0]
+		fleet.killHost(strongest)
+		fleet.shares = map[string]float64{strongest: 10}
+		fleet.startHost(strongest)
+		time.Sleep(10 * time.Second)
+		if decider := fleet.decidingHost(); decider != strongest {
+			fleet.Fatalf("%s decides, want the strongest host", decider)
+		}
+		fleet.killHost(strongest)
+		failedAt := time.Now()
+		fleet.submitJob(fleet.hostNames[1], 1)
+		fleet.awaitJobs(fleet.hostNames[1], 10*time.Second)
+		took := time.Since(failedAt) - 250*time.Millisecond // 200 ms of it is the run time of the job
+		t.Logf("a job is completed %v after the loss", took)
+		if took > bound {
+			t.Errorf("took %v, the bound for urgent work is %v", took, bound)
+		}
+	})
+}
+
 // TestFleetStoreCut disconnects the decider from the store, which its peers still reach. Jobs submitted meanwhile
 // must be completed within their objective, and another host must become the decider.
 func TestFleetStoreCut(t *testing.T) {
