--- a/daemon/linker/server.go
+++ b/daemon/linker/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ebonyshunt.org/library/recorder"
+	"ebonyshunt.org/library/retrier"
 	"github.com/sourcegraph/jsonrpc2"
 )
 
@@ -37,15 +38,6 @@
 // use.
 const acceptRetryDelay = 100 * time.Millisecond
 
-func sleep(ctx context.Context, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Serve starts a server that accepts connections on the listener and answers their calls until Close.
 func Serve(listener net.Listener, host string, clock *recorder.Clock, log *slog.Logger, handler Handler) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -65,7 +57,7 @@
 				return
 			}
 			server.log.Warn("cannot accept a peer's connection, retrying", "error", err)
-			sleep(ctx, acceptRetryDelay)
+			retrier.Sleep(ctx, acceptRetryDelay)
 			continue
 		}
 		stream := jsonrpc2.NewBufferedStream(server.bytes.Wrap(raw), jsonrpc2.VarintObjectCodec{})
--- a/daemon/server/job_ends.go
+++ b/daemon/server/job_ends.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ebonyshunt.org/library/decider"
+	"ebonyshunt.org/library/retrier"
 )
 
 // handleJobTaskEnd applies the end of an attempt to its task. An end whose job is not known yet is stored in
@@ -94,7 +95,7 @@
 // enqueueAfter queues a task after a delay, if its state is still JobQueued then.
 func (tenure *tenure) enqueueAfter(job *jobState, index int, delay time.Duration) {
 	tenure.goroutines.Go(func() {
-		sleep(tenure.ctx, delay)
+		retrier.Sleep(tenure.ctx, delay)
 		tenure.mu.Lock()
 		defer tenure.mu.Unlock()
 		if job.Tasks[index].State == JobQueued {
--- a/daemon/server/jobs.go
+++ b/daemon/server/jobs.go
@@ -15,6 +15,7 @@
 	"ebonyshunt.org/library/decider"
 	"ebonyshunt.org/library/keeper"
 	"ebonyshunt.org/library/responder"
+	"ebonyshunt.org/library/retrier"
 )
 
 // jobState is the state of a job in the decider of its home zone.
@@ -269,7 +270,7 @@
 		}
 		tenure.mu.Unlock()
 		if err != nil {
-			sleep(tenure.ctx, controlRetryDelay)
+			retrier.Sleep(tenure.ctx, controlRetryDelay)
 		}
 	}
 }
--- a/daemon/server/replicas.go
+++ b/daemon/server/replicas.go
@@ -6,6 +6,7 @@
 
 	"ebonyshunt.org/library/detector"
 	"ebonyshunt.org/library/keeper"
+	"ebonyshunt.org/library/retrier"
 )
 
 // maxReplicaBatchBytes bounds the data of the records in one call.
@@ -83,7 +84,7 @@
 	ctx, cancel := context.WithTimeout(ctx, replicaWait)
 	defer cancel()
 	for ctx.Err() == nil && !server.replicasComplete(ctx) {
-		sleep(ctx, drainPollInterval)
+		retrier.Sleep(ctx, drainPollInterval)
 	}
 	if ctx.Err() != nil {
 		server.log.Warn("stopping although other hosts may lack copies of the zone's records", "zone", server.settings.Zone)
--- a/daemon/server/request.go
+++ b/daemon/server/request.go
@@ -182,7 +182,7 @@
 		if problem := server.placementProblem(request, err, searchDeadline); problem != nil {
 			return fencer.Grant{}, problem
 		}
-		sleep(request.r.Context(), backoff.Next())
+		retrier.Sleep(request.r.Context(), backoff.Next())
 	}
 }
 
--- a/daemon/server/shutdown.go
+++ b/daemon/server/shutdown.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ebonyshunt.org/library/recorder"
+	"ebonyshunt.org/library/retrier"
 )
 
 // loadBalancerDelay is how long the load balancer may still send requests after readiness became false.
@@ -63,7 +64,7 @@
 		if _, found := server.peers.Decider(server.settings.Zone, time.Now()); found {
 			return
 		}
-		sleep(ctx, drainPollInterval)
+		retrier.Sleep(ctx, drainPollInterval)
 	}
 }
 
@@ -79,7 +80,7 @@
 // awaitJobReplication waits until no job has a version that is still being replicated.
 func (tenure *tenure) awaitJobReplication(ctx context.Context) {
 	for ctx.Err() == nil && tenure.hasUnreplicatedJobs() {
-		sleep(ctx, drainPollInterval)
+		retrier.Sleep(ctx, drainPollInterval)
 	}
 }
 
@@ -98,13 +99,13 @@
 // the context it ends the streams of records, each after a complete record, so that their callers can resume
 // through another host.
 func (server *Server) drain(ctx context.Context) {
-	sleep(ctx, loadBalancerDelay)
+	retrier.Sleep(ctx, loadBalancerDelay)
 	if deadline, bounded := ctx.Deadline(); bounded {
 		timer := time.AfterFunc(time.Until(deadline)/2, server.endStreams)
 		defer timer.Stop()
 	}
 	for ctx.Err() == nil && len(server.unfinishedRequests()) > 0 {
-		sleep(ctx, drainPollInterval)
+		retrier.Sleep(ctx, drainPollInterval)
 	}
 }
 
--- a/daemon/server/tenure.go
+++ b/daemon/server/tenure.go
@@ -12,6 +12,7 @@
 	"ebonyshunt.org/library/decider"
 	"ebonyshunt.org/library/fencer"
 	"ebonyshunt.org/library/limiter"
+	"ebonyshunt.org/library/retrier"
 )
 
 // tenure is the state of one term in which this host is the decider of its zone.
@@ -148,16 +149,7 @@
 		case <-tenure.tickRequested:
 		}
 		tenure.tick()
-		sleep(tenure.ctx, minTickGap)
-	}
-}
-
-func sleep(ctx context.Context, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		retrier.Sleep(tenure.ctx, minTickGap)
 	}
 }
 
@@ -247,7 +239,7 @@
 			tenure.mu.Unlock()
 			return
 		}
-		sleep(tenure.ctx, controlRetryDelay)
+		retrier.Sleep(tenure.ctx, controlRetryDelay)
 	}
 }
 
--- a/daemon/tailer/tailer.go
+++ b/daemon/tailer/tailer.go
@@ -65,22 +65,13 @@
 	for ctx.Err() == nil {
 		if err := tailer.poll(ctx); err != nil {
 			tailer.log.Debug("read of the log failed", "error", err)
-			sleep(ctx, backoff.Next())
+			retrier.Sleep(ctx, backoff.Next())
 			continue
 		}
 		backoff.Reset()
 	}
 }
 
-func sleep(ctx context.Context, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (tailer *Tailer) poll(ctx context.Context) error {
 	since := tailer.Register.AsOf()
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
--- a/library/planner/clock_test.go
+++ b/library/planner/clock_test.go
@@ -76,12 +76,7 @@
 // not start elsewhere before the lease has expired, and must start soon after.
 func checkExpiryAcrossClocks(t *testing.T, base time.Duration) {
 	t.Helper()
-	fleet := newFleet(t, testStart, 3)
-	step := newStep(1)
-	step.Standing = true
-	fleet.submit(jobA, step)
-	fleet.settle()
-	worker := fleet.workers[fleet.orders[0].Worker]
+	fleet, worker := newFleetWithStandingTask(t)
 	for range 20 { // no former decider may renew leases any more
 		fleet.advance(time.Second)
 	}
--- a/library/planner/expiry_test.go
+++ b/library/planner/expiry_test.go
@@ -5,24 +5,24 @@
 	"time"
 )
 
+// newFleetWithStandingTask returns a fleet of three workers, and that of them which runs a standing task.
+func newFleetWithStandingTask(t *testing.T) (*fleet, *fakeWorker) {
+	t.Helper()
+	fleet := newFleet(t, testStart, 3)
+	step := newStep(1)
+	step.Standing = true
+	fleet.submit(jobA, step)
+	fleet.settle()
+	return fleet, fleet.workers[fleet.orders[0].Worker]
+}
+
 // TestLeaseExpiry checks the journal record of the time by which the leases of an unresponsive worker have expired.
 // Without it, each takeover starts the wait for the leases from the beginning, so that frequent takeovers keep the worker's
 // tasks from starting elsewhere.
 func TestLeaseExpiry(t *testing.T) {
-	// newFleetWithUnresponsiveWorker submits a standing step and returns the worker of its run, which gives no answers
-	// from then on.
-	newFleetWithUnresponsiveWorker := func(t *testing.T) (*fleet, *fakeWorker) {
-		fleet := newFleet(t, testStart, 3)
-		step := newStep(1)
-		step.Standing = true
-		fleet.submit(jobA, step)
-		fleet.settle()
-		worker := fleet.workers[fleet.orders[0].Worker]
-		worker.unresponsive = true
-		return fleet, worker
-	}
 	t.Run("takeoversDoNotRestartTheWait", func(t *testing.T) {
-		fleet, _ := newFleetWithUnresponsiveWorker(t)
+		fleet, worker := newFleetWithStandingTask(t)
+		worker.unresponsive = true
 		unresponsiveSince := fleet.now
 		for term := int64(2); term < 8; term++ {
 			for range 4 {
@@ -35,7 +35,8 @@
 		}
 	})
 	t.Run("noLeaseBeforeTheRecordIsDeleted", func(t *testing.T) {
-		fleet, worker := newFleetWithUnresponsiveWorker(t)
+		fleet, worker := newFleetWithStandingTask(t)
+		worker.unresponsive = true
 		for range 3 {
 			fleet.advance(time.Second)
 		}
