--- a/library/planner/plan.go
+++ b/library/planner/plan.go
@@ -110,8 +110,8 @@
 const (
 	minHangTime    = 2500 * time.Millisecond
 	hangTimeFactor = 1.0
-	// maxHangDoublings bounds the doublings of that time.
-	maxHangDoublings = 16
+	// maxHangTime is the time from which on it is not doubled any more.
+	maxHangTime = 30 * 24 * time.Hour
 )
 
 // hangCheckInterval is the minimum time between two searches for hung runs.
@@ -147,8 +147,15 @@
 		return false
 	}
 	maxStall := time.Duration(hangTimeFactor * float64(planner.expectedRunTime(step.Step, step.job.Queue)))
-	hangs := min(step.tasks[run.Key.Index].hangs, maxHangDoublings)
-	return now.Sub(run.ProgressAt) > max(minHangTime, maxStall)<<hangs
+	return now.Sub(run.ProgressAt) > doubled(max(minHangTime, maxStall), step.tasks[run.Key.Index].hangs)
+}
+
+// doubled returns a duration that is doubled a number of times, at most maxHangTime unless it was longer before.
+func doubled(duration time.Duration, times int) time.Duration {
+	for ; times > 0 && duration < maxHangTime; times-- {
+		duration *= 2
+	}
+	return duration
 }
 
 // countHang counts a run of a task that hangs.
--- a/library/planner/policy.go
+++ b/library/planner/policy.go
@@ -141,11 +141,10 @@
 	cost          float64
 }
 
-// candidates returns the IDs of the workers to name in a policy query so that it is expected to give room for the
-// wanted number of tasks, and the number that it is expected to give; none if no worker has room and the step may not
-// make any by preemption. They are sorted by
-// whether they have room, then by whether the policy allowed them before, then by cost. Up to minQueriedWorkers, workers
-// that are full are included because they may have room by the time of the answer.
+// candidates returns the IDs of the workers to name in a policy query, and for how many tasks the answer is expected to
+// give room. It names as many as should give room for the wanted number of tasks, and none if no worker has room and the
+// step may not make any by preemption. Up to minQueriedWorkers, workers that are full are included because they may
+// have room by the time of the answer.
 func (pass *pass) candidates(step *step, queue Queue, wanted float64) ([]string, float64) {
 	found := pass.findCandidates(step, queue)
 	if len(found) == 0 || found[0].room == 0 && !pass.mayPreempt(step, queue) {
@@ -168,7 +167,8 @@
 	return ids, expected
 }
 
-// findCandidates returns the workers that a policy query of the step may name, best first.
+// findCandidates returns the workers that a policy query of the step may name: first those with room, then those that the
+// policy allowed before, then by cost.
 func (pass *pass) findCandidates(step *step, queue Queue) []candidate {
 	queried := map[string]bool{}
 	for _, open := range step.policy.open {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -107,7 +107,7 @@
 		delegate := (*delegate)(nil)' ./tests 'TestFleetDelegatesCarryCalls'
 try 'fleet: polls through delegates' daemon/scheduler/poller.go 'delegate, slack = tenure.delegator.pick(worker, zone, workerCount), pollTimeoutSlack' '_, _, slack = zone, workerCount, pollTimeoutSlack' ./tests 'TestFleetDelegatesCarryCalls'
 try 'fleet: no order with an expired ticket' library/planner/runs.go '(queue.Policy == nil || step.policy.hasTicket(worker, planner.now))' 'true' ./library/planner 'TestPolicy'
-try 'fleet: more time for a task after each hang' library/planner/plan.go 'max(minHangTime, maxStall)<<hangs' 'max(minHangTime, maxStall+0*time.Duration(hangs))' ./library/planner 'TestSlowTask'
+try 'fleet: more time for a task after each hang' library/planner/plan.go 'duration *= 2' '_ = duration' ./library/planner 'TestSlowTask'
 try 'fleet: preemption only where the policy allows' library/planner/preempt.go 'step.policy.allowedBefore(worker)) &&' '!step.policy.denied[worker.ID]) &&' ./library/planner 'TestPolicy'
 try 'fleet: caps count the processors of fillers' library/planner/tables.go 'usage.used = usage.used.Add(step.Size)' 'usage.used = usage.used.Add(run.Size)' ./library/planner 'TestPlacement'
 try 'fleet: nobody waits for a lost decider to campaign' daemon/scheduler/watch.go 'if answer.StoreOutage >= maxStoreOutage || peer.Name == election.Host {' 'result.maxShare = 10
