server: copies of another zone's records do not count as those of the own zone

Found on reading the diff: a zone's decider also copies to one host of another zone, which then took itself for a host with all records of its own. TestCompleteCopies fails without the zone in the call.

--- a/daemon/server/keep.go
+++ b/daemon/server/keep.go
@@ -17,7 +17,7 @@
 // restored into the tenure.
 func (server *Server) storeRecords(call StoreRecordsCall) (struct{}, error) {
 	tenure := server.currentTenure()
-	if call.Complete {
+	if call.Complete == server.settings.Zone {
 		defer server.hasZoneRecords.Store(true)
 	}
 	for _, record := range call.Records {
--- a/daemon/server/replicas.go
+++ b/daemon/server/replicas.go
@@ -41,7 +41,10 @@
 	defer cancel()
 	batches := splitRecords(tenure.server.records.ByHome(tenure.zone))
 	for number, batch := range batches {
-		call := StoreRecordsCall{Records: batch, HandedBack: true, Complete: number == len(batches)-1}
+		call := StoreRecordsCall{Records: batch, HandedBack: true}
+		if number == len(batches)-1 {
+			call.Complete = tenure.zone
+		}
 		if err := tenure.server.peerPool.Call(ctx, peer.Address, methodStoreRecords, call, nil); err != nil {
 			tenure.server.log.Debug("records not copied to peer, retrying", "peer", peer.Name, "error", err)
 			return
--- a/daemon/server/wire.go
+++ b/daemon/server/wire.go
@@ -114,7 +114,7 @@
 type StoreRecordsCall struct {
 	Records    []keeper.Record `json:"records"`
 	HandedBack bool            `json:"handedBack,omitempty"` // of any term: handed back to the decider of their home zone, or copied by it
-	Complete   bool            `json:"complete,omitempty"`   // with the calls before it, these are all records of the sender's zone
+	Complete   string          `json:"complete,omitempty"`   // zone of which these are, with the calls before, all records
 }
 
 // ReplicasAnswer is a decider's answer to whether all other hosts have copies of its zone's records.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -112,4 +112,7 @@
 try 'fleet: caps count the processors of fillers' library/planner/tables.go 'usage.used = usage.used.Add(step.Size)' 'usage.used = usage.used.Add(run.Size)' ./library/planner 'TestPlacement'
 try 'fleet: nobody waits for a lost decider to campaign' daemon/scheduler/watch.go 'if answer.StoreOutage >= maxStoreOutage || peer.Name == election.Host {' 'result.maxShare = 10
 			if answer.StoreOutage >= maxStoreOutage || peer.Name == election.Host {' ./tests 'TestFleetTakeoverOfStrongest'
+try 'duplicate runs: copies on hosts that were restarted' daemon/server/tenure.go 'tenure.goroutines.Go(func() { tenure.server.runEvery(tenure.ctx, replicaInterval, tenure.copyToReplicas) })' '' ./tests 'TestRollingRestarts'
+try 'duplicate runs: copies of another zone do not count' daemon/server/keep.go 'if call.Complete == server.settings.Zone {' 'if call.Complete != "" {' ./daemon/server 'TestCompleteCopies'
+try 'takeover by the holder of the term' library/detector/detector.go 'if holder == self.Name {' 'if false {' ./tests 'TestRollingRestarts'
 exit $failed
