--- a/daemon/scheduler/metrics.go
+++ b/daemon/scheduler/metrics.go
@@ -18,6 +18,8 @@
 	appends  prometheus.Histogram
 	jobs     *prometheus.HistogramVec
 	endings  *prometheus.CounterVec
+	// sentCatalogBytes counts the bytes of the configurations that were sent to other hosts.
+	sentCatalogBytes prometheus.Counter
 
 	// The load of the decider, from the last second in which this host decided.
 	waitingTasks   prometheus.Gauge
@@ -52,13 +54,16 @@
 		endings: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "ebonyshunt_run_endings_total", Help: "Runs that ended otherwise than done.",
 		}, []string{"ending"}),
+		sentCatalogBytes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "ebonyshunt_sent_config_bytes_total", Help: "Bytes of configurations sent to other hosts.",
+		}),
 		waitingTasks:   newGauge("ebonyshunt_waiting_tasks", "Tasks that wait for capacity, on the decider."),
 		runs:           newGauge("ebonyshunt_runs", "Runs that exist or may exist, on the decider."),
 		unknownWorkers: newGauge("ebonyshunt_unknown_workers", "Workers whose runs are not known, on the decider."),
 		usedShare:      newGauge("ebonyshunt_used_share", "Share of the fleet's capacity that runs use, on the decider."),
 		lag:            newGauge("ebonyshunt_planning_lag_seconds", "Average delay of planning ticks, on the decider."),
 	}
-	metrics.registry.MustRegister(metrics.polls, metrics.starts, metrics.calls, metrics.appends, metrics.jobs, metrics.endings,
+	metrics.registry.MustRegister(metrics.polls, metrics.starts, metrics.calls, metrics.appends, metrics.jobs, metrics.endings, metrics.sentCatalogBytes,
 		metrics.waitingTasks, metrics.runs, metrics.unknownWorkers, metrics.usedShare, metrics.lag,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "ebonyshunt_deciding", Help: "1 while this host decides.",
--- a/daemon/scheduler/watch.go
+++ b/daemon/scheduler/watch.go
@@ -176,6 +176,8 @@
 	}
 	if text := host.catalogText.Load(); text != nil && host.catalogVersion() > heartbeat.CatalogVersion {
 		answer.Catalog = *text
+		host.metrics.sentCatalogBytes.Add(float64(len(*text)))
+		host.log.Info("configuration sent", "to", heartbeat.Host, "version", host.catalogVersion(), "bytes", len(*text))
 	}
 	if host.fleet.size() > heartbeat.KnownHosts {
 		answer.Members = host.fleet.allMembers()
