--- a/standin/connector/conn.go
+++ b/standin/connector/conn.go
@@ -71,10 +71,8 @@
 			return 0, os.ErrDeadlineExceeded
 		}
 		if fabric.reachable(conn.host, conn.peer.host) {
-			if remaining := conn.timeToArrival(); remaining > 0 {
-				fabric.mu.Unlock()
-				time.Sleep(remaining)
-				fabric.mu.Lock()
+			if conn.timeToArrival() > 0 {
+				conn.wait(earlier(conn.inbox[0].arrivesAt, conn.readDeadline))
 				continue
 			}
 			if count := conn.readChunk(data); count > 0 {
@@ -97,6 +95,14 @@
 	return time.Until(conn.inbox[0].arrivesAt)
 }
 
+// earlier returns the earlier one of a time and a deadline; the zero deadline means none.
+func earlier(at, deadline time.Time) time.Time {
+	if deadline.IsZero() || at.Before(deadline) {
+		return at
+	}
+	return deadline
+}
+
 // readChunk moves data from the first chunk of the inbox to data and returns the number of bytes, 0 for an empty inbox.
 func (conn *conn) readChunk(data []byte) int {
 	if len(conn.inbox) == 0 {
@@ -130,7 +136,7 @@
 		return 0, os.ErrDeadlineExceeded
 	}
 	sent := append([]byte(nil), data...)
-	conn.peer.inbox = append(conn.peer.inbox, chunk{data: sent, arrivesAt: time.Now().Add(fabric.Latency)})
+	conn.peer.inbox = append(conn.peer.inbox, chunk{data: sent, arrivesAt: fabric.arrivalTime(conn.host, conn.peer.host, len(data))})
 	conn.peer.inboxBytes += len(data)
 	fabric.traffic[conn.host] += int64(len(data))
 	fabric.traffic[conn.peer.host] += int64(len(data))
--- a/standin/connector/fabric.go
+++ b/standin/connector/fabric.go
@@ -23,7 +23,9 @@
 	paused       map[string]bool
 	conns        map[*conn]bool
 	traffic      map[string]int64
-	pathsChanged chan struct{} // closed and replaced when a path or listener changes
+	bandwidths   map[string]int64            // of the hosts' links, in bytes per second and direction
+	linkFreeAt   map[linkDirection]time.Time // when the data that was sent so far has passed a link
+	pathsChanged chan struct{}               // closed and replaced when a path or listener changes
 }
 
 // notifyChange wakes all pending dials, reads, writes and accepts after a path or listener changed.
@@ -48,6 +50,8 @@
 		paused:       map[string]bool{},
 		conns:        map[*conn]bool{},
 		traffic:      map[string]int64{},
+		bandwidths:   map[string]int64{},
+		linkFreeAt:   map[linkDirection]time.Time{},
 		pathsChanged: make(chan struct{}),
 	}
 }
@@ -69,6 +73,39 @@
 	return fabric.traffic[host]
 }
 
+// linkDirection is one direction of a host's link.
+type linkDirection struct {
+	host    string
+	inbound bool
+}
+
+// SetBandwidth limits the link of a host to a number of bytes per second in each direction. Links have no limit at first.
+func (fabric *Fabric) SetBandwidth(host string, bytesPerSecond int64) {
+	fabric.mu.Lock()
+	defer fabric.mu.Unlock()
+	fabric.bandwidths[host] = bytesPerSecond
+}
+
+// arrivalTime returns when data that is sent now arrives. The caller holds the lock.
+func (fabric *Fabric) arrivalTime(from, to string, bytes int) time.Time {
+	sentAt := fabric.passLink(linkDirection{host: from}, time.Now(), bytes)
+	return fabric.passLink(linkDirection{host: to, inbound: true}, sentAt.Add(fabric.Latency), bytes)
+}
+
+// passLink returns when data that reaches a link at a time has passed it, behind the data that was sent before.
+func (fabric *Fabric) passLink(direction linkDirection, at time.Time, bytes int) time.Time {
+	bandwidth := fabric.bandwidths[direction.host]
+	if bandwidth <= 0 {
+		return at
+	}
+	if freeAt := fabric.linkFreeAt[direction]; freeAt.After(at) {
+		at = freeAt
+	}
+	passedAt := at.Add(time.Duration(bytes) * time.Second / time.Duration(bandwidth))
+	fabric.linkFreeAt[direction] = passedAt
+	return passedAt
+}
+
 // hostPair is an unordered pair of hosts, stored in the order of their names.
 type hostPair struct{ first, second string }
 
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -122,8 +122,17 @@
 
 // publishConfiguration stores the next version of the operators' configuration.
 func (fleet *fleet) publishConfiguration() {
+	data, err := json.Marshal(fleet.nextConfiguration())
+	if err != nil {
+		fleet.Fatal(err)
+	}
+	fleet.store.Put("keyed.op", "config", data)
+}
+
+// nextConfiguration returns the next version of the operators' configuration.
+func (fleet *fleet) nextConfiguration() map[string]any {
 	fleet.configVersion += 3
-	document := map[string]any{
+	return map[string]any{
 		"version": fleet.configVersion,
 		"routes": []map[string]any{{
 			"name": "checks", "pathPrefix": fleet.pathPrefix, "service": "survey", "priority": 0, "maxAttempts": 3,
@@ -133,11 +142,6 @@
 		"tenants":  []map[string]any{{"name": "wardens", "apiKeys": fleet.apiKeys, "weight": 1000}},
 		"limits":   map[string]any{"maxBodyBytes": 4096},
 	}
-	data, err := json.Marshal(document)
-	if err != nil {
-		fleet.Fatal(err)
-	}
-	fleet.store.Put("keyed.op", "config", data)
 }
 
 func hostAddress(name string, port int) string {
