scheduler: heartbeats tell versions of the configuration, copies go apart from them

What callers saw: for some eight seconds after a configuration with 1,400 more queues, jobs were late or refused, and lasting tasks whose worker left were not started again in time. Cause: the answer to a heartbeat carried the whole configuration (887 kB) to every host with an older version. On a link of 20 Mbit/s it takes longer than the timeout of a heartbeat (150 ms), so that it was thrown away and sent again with the next one, by the decider and by every peer that a worried host asked. The copies filled the links, more heartbeats failed, and hosts elected one decider after another; each term waits for the leases of the former ones. Bulk data on the path of a liveness check, and retries that add load. Now heartbeats carry the version only.

--- a/daemon/scheduler/calls.go
+++ b/daemon/scheduler/calls.go
@@ -16,6 +16,7 @@
 const (
 	methodHeartbeat   = "beat"
 	methodCampaign    = "campaign"
+	methodCatalog     = "catalog"
 	methodPolicyQuery = "question"
 	methodRelay       = "relay"
 	methodDelegate    = "delegate"
@@ -36,6 +37,8 @@
 		return decodeAndHandle(body, func(heartbeat Heartbeat) (any, error) { return host.answerHeartbeat(heartbeat), nil })
 	case methodCampaign:
 		return decodeAndHandle(body, func(election Election) (any, error) { return host.campaignFor(ctx, election) })
+	case methodCatalog:
+		return decodeAndHandle(body, func(request CatalogRequest) (any, error) { return host.catalogFetcher.answer(request) })
 	case methodPolicyQuery:
 		return decodeAndHandle(body, func(query PolicyQuery) (any, error) { return host.queryPolicy(ctx, query) })
 	case methodRelay:
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -49,6 +49,7 @@
 
 	catalog         atomic.Pointer[planner.Catalog]
 	catalogText     atomic.Pointer[[]byte] // encoded catalog, for peers that cannot read it from the store
+	catalogFetcher  *catalogFetcher
 	fleet           *fleet
 	storeAnsweredAt atomic.Int64 // uptime when the store last answered, in nanoseconds
 	shuttingDown    atomic.Bool
@@ -93,6 +94,7 @@
 		fleet:    newFleet(), sessions: newSessions(),
 	}
 	host.metrics = newMetrics(host)
+	host.catalogFetcher = newCatalogFetcher(host)
 	host.overloadTransferAt.Store(-int64(overloadTransferInterval))
 	host.ctx, host.cancel = context.WithCancel(context.Background())
 	if err := host.listen(); err != nil {
@@ -100,6 +102,7 @@
 		return nil, err
 	}
 	host.wait.Go(host.followCatalog)
+	host.wait.Go(host.catalogFetcher.run)
 	host.wait.Go(host.followFleet)
 	host.wait.Go(host.watchDecider)
 	log.Info("started", "host", settings.Host, "zone", settings.Zone, "boot", host.bootID)
@@ -219,6 +222,7 @@
 		host.peerServer.Close()
 	}
 	host.peerPool.Close()
+	host.catalogFetcher.close()
 	if tenure := host.currentTenure(); tenure != nil {
 		tenure.close()
 	}
--- a/daemon/scheduler/watch.go
+++ b/daemon/scheduler/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"sync"
@@ -45,19 +44,19 @@
 type Heartbeat struct {
 	Host           string `json:"host"`
 	Term           int64  `json:"term"`
-	CatalogVersion int64  `json:"version"` // version of the sender's configuration
+	CatalogVersion int64  `json:"version"` // version of the sender's configuration, which earlier releases send along if it is lower than theirs
 	KnownHosts     int    `json:"known"`   // number of hosts known to the sender
 }
 
 // HeartbeatAnswer is the answer to a Heartbeat.
 type HeartbeatAnswer struct {
-	Election       Election        `json:"election,omitzero"`
-	BootID         string          `json:"boot"`
-	Deciding       bool            `json:"deciding"`          // whether the answering host is the decider
-	ReachesDecider bool            `json:"reaches"`           // whether the answering host reaches the decider
-	StoreOutage    time.Duration   `json:"storeSilent"`       // duration of the answering host's store outage, 0 for none
-	Catalog        json.RawMessage `json:"catalog,omitempty"` // set if newer than the sender's
-	Members        []Member        `json:"members,omitempty"` // set if more hosts are known to the answering host than to the sender
+	Election       Election      `json:"election,omitzero"`
+	BootID         string        `json:"boot"`
+	Deciding       bool          `json:"deciding"`          // whether the answering host is the decider
+	ReachesDecider bool          `json:"reaches"`           // whether the answering host reaches the decider
+	StoreOutage    time.Duration `json:"storeSilent"`       // duration of the answering host's store outage, 0 for none
+	CatalogVersion int64         `json:"version"`           // version of the answering host's configuration
+	Members        []Member      `json:"members,omitempty"` // set if more hosts are known to the answering host than to the sender
 }
 
 // neverAnswered is the uptime that is stored before a decider has answered.
@@ -155,9 +154,7 @@
 	if err := host.peerPool.Call(ctx, address, methodHeartbeat, heartbeat, &answer); err != nil {
 		return answer, err
 	}
-	if len(answer.Catalog) > 0 {
-		host.applyCatalog(answer.Catalog, "peer")
-	}
+	host.catalogFetcher.report(answer.CatalogVersion, address)
 	for _, member := range answer.Members {
 		host.fleet.register(member)
 	}
@@ -172,12 +169,7 @@
 	election, _ := host.fleet.currentElection()
 	answer := HeartbeatAnswer{
 		Election: election, BootID: host.bootID, Deciding: host.currentTenure() != nil, ReachesDecider: host.reachesDecider(),
-		StoreOutage: host.storeOutage(),
-	}
-	if text := host.catalogText.Load(); text != nil && host.catalogVersion() > heartbeat.CatalogVersion {
-		answer.Catalog = *text
-		host.metrics.sentCatalogBytes.Add(float64(len(*text)))
-		host.log.Info("configuration sent", "to", heartbeat.Host, "version", host.catalogVersion(), "bytes", len(*text))
+		StoreOutage: host.storeOutage(), CatalogVersion: host.catalogVersion(),
 	}
 	if host.fleet.size() > heartbeat.KnownHosts {
 		answer.Members = host.fleet.allMembers()
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -115,4 +115,5 @@
 try 'duplicate runs: copies on hosts that were restarted' daemon/server/tenure.go 'tenure.goroutines.Go(func() { tenure.server.runEvery(tenure.ctx, replicaInterval, tenure.copyToReplicas) })' '' ./tests 'TestRollingRestarts'
 try 'duplicate runs: copies of another zone do not count' daemon/server/keep.go 'if call.Complete == server.settings.Zone {' 'if call.Complete != "" {' ./daemon/server 'TestCompleteCopies'
 try 'takeover by the holder of the term' library/detector/detector.go 'if holder == self.Name {' 'if false {' ./tests 'TestRollingRestarts'
+try 'fleet: configurations from peers' daemon/scheduler/watch.go 'host.catalogFetcher.report(answer.CatalogVersion, address)' '' ./tests 'TestFleetConfiguration'
 exit $failed
