planner: leases of workers that leave end soon after the time at which they may leave

Cause: a worker that drains got whole leases of 7 s until it left, and its tasks start elsewhere only once the last one has expired. Now a lease lasts 3 s beyond the time until the worker may leave, and never longer than usual. Long before that it is whole, so that a short failure of the decider ends no run.

--- a/library/planner/plan.go
+++ b/library/planner/plan.go
@@ -172,7 +172,7 @@
 		if !worker.Draining || !worker.Listed {
 			continue
 		}
-		timeLeft := worker.DrainingSince.Add(worker.LeavesIn).Sub(now) - planner.Settings.MaxStopTime
+		timeLeft := worker.timeUntilLeaving(now) - planner.Settings.MaxStopTime
 		for _, run := range worker.sortedRuns() {
 			step := planner.steps[run.Key.step()]
 			if step == nil || run.Stopping || !run.Confirmed {
--- a/library/planner/polling.go
+++ b/library/planner/polling.go
@@ -9,7 +9,7 @@
 const (
 	ReasonRunsUnknown        PollReason = iota // its runs are not known, or it has runs and has not answered recently
 	ReasonUnacknowledgedEnds                   // it listed ended runs whose consequences are not stored yet
-	ReasonUrgentRuns                           // it has urgent runs, whose ends should be known soon
+	ReasonUrgentRuns                           // it has urgent runs, whose ends should be known soon, or short leases since it leaves
 	ReasonRuns                                 // it has other runs
 	ReasonIdle                                 // it has no runs
 )
@@ -26,6 +26,8 @@
 		return ReasonRunsUnknown
 	case len(worker.Runs) == 0:
 		return ReasonIdle
+	case worker.Draining:
+		return ReasonUrgentRuns
 	}
 	for _, run := range worker.Runs {
 		if run.Urgent {
@@ -58,6 +60,9 @@
 	// unresponsiveWorkerLease is the maximum lease of a worker that has not answered for maxAnswerAge: it may
 	// have failed, and with a shorter lease a task that was sent there starts elsewhere sooner.
 	unresponsiveWorkerLease = 2500 * time.Millisecond
+	// leavingWorkerLease is how long the lease of a draining worker lasts beyond the time until it may leave: its tasks start
+	// elsewhere only once its last lease has expired.
+	leavingWorkerLease = 3 * time.Second
 )
 
 // answeredRecently reports whether the last answer of the worker is less than maxAnswerAge old.
@@ -72,10 +77,13 @@
 
 // leaseFor returns the duration of the lease to give to a worker now.
 func (planner *Planner) leaseFor(worker *Worker, now time.Time) time.Duration {
-	if worker.answeredRecently(now) {
-		return planner.Settings.Lease
+	switch {
+	case !worker.answeredRecently(now):
+		return min(planner.Settings.Lease, unresponsiveWorkerLease)
+	case worker.Draining:
+		return min(planner.Settings.Lease, max(worker.timeUntilLeaving(now), 0)+leavingWorkerLease)
 	}
-	return min(planner.Settings.Lease, unresponsiveWorkerLease)
+	return planner.Settings.Lease
 }
 
 // WorkerOf returns the ID of the worker of a start's run, or an empty string if the run is no longer open.
--- a/library/planner/upkeep_test.go
+++ b/library/planner/upkeep_test.go
@@ -50,6 +50,41 @@
 			t.Errorf("%d stops once the first task is available again, want 2", len(fleet.stops))
 		}
 	})
+	// Guards against a standing task that may not be stopped, and is then down for a whole lease after its worker left.
+	t.Run("standingTaskStartsElsewhereSoonAfterItsWorkerLeft", func(t *testing.T) {
+		const notice, bound = 6500 * time.Millisecond, 6 * time.Second
+		standing := newStep(1)
+		standing.Standing = true
+		fleet := newFleet(t, testStart, 2)
+		fleet.submit(jobA, standing)
+		fleet.settle()
+		worker := fleet.workers[fleet.orders[0].Worker]
+		fleet.setDraining(notice, worker.id)
+		for left := notice; left > 0; left -= 250 * time.Millisecond {
+			fleet.advance(250 * time.Millisecond)
+		}
+		worker.unresponsive = true
+		leftAt := fleet.now
+		for len(fleet.orders) == 1 && fleet.now.Sub(leftAt) < time.Minute {
+			fleet.advance(50 * time.Millisecond)
+		}
+		if took := fleet.now.Sub(leftAt); took > bound {
+			t.Errorf("the task started elsewhere after %v, want %v at most", took, bound)
+		}
+	})
+	// Guards against runs that end when the decider fails for a moment while their worker still stays for a while.
+	t.Run("leaseIsWholeLongBeforeTheWorkerLeaves", func(t *testing.T) {
+		const notice = 20 * time.Second
+		fleet := newFleet(t, testStart, 2)
+		fleet.submit(jobA, newStep(1))
+		fleet.settle()
+		worker := fleet.workers[fleet.orders[0].Worker]
+		fleet.setDraining(notice, worker.id)
+		fleet.advance(250 * time.Millisecond)
+		if lease := worker.leaseEnd.Sub(fleet.now); lease < testSettings.Lease*9/10 {
+			t.Errorf("a lease of %v %v before the worker leaves, want about %v", lease, notice, testSettings.Lease)
+		}
+	})
 	t.Run("longRunIsCheckpointedBeforeTheWorkerLeaves", func(t *testing.T) {
 		long := newStep(1)
 		long.Checkpoints, long.EstimateMS = true, 20_000
--- a/library/planner/worker.go
+++ b/library/planner/worker.go
@@ -127,6 +127,11 @@
 	worker.Token++
 }
 
+// timeUntilLeaving returns the minimum time until a draining worker leaves, negative once that has passed.
+func (worker *Worker) timeUntilLeaving(now time.Time) time.Duration {
+	return worker.DrainingSince.Add(worker.LeavesIn).Sub(now)
+}
+
 // Free returns the capacity that is not in use.
 func (worker *Worker) Free() sizer.Size { return worker.Capacity.Sub(worker.Used) }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -116,4 +116,5 @@
 try 'duplicate runs: copies of another zone do not count' daemon/server/keep.go 'if call.Complete == server.settings.Zone {' 'if call.Complete != "" {' ./daemon/server 'TestCompleteCopies'
 try 'takeover by the holder of the term' library/detector/detector.go 'if holder == self.Name {' 'if false {' ./tests 'TestRollingRestarts'
 try 'fleet: configurations from peers' daemon/scheduler/watch.go 'host.catalogFetcher.report(answer.CatalogVersion, address)' '' ./tests 'TestFleetConfiguration'
+try 'fleet: short leases of leaving workers' library/planner/polling.go 'max(worker.timeUntilLeaving(now), 0)+leavingWorkerLease' 'planner.Settings.Lease' ./library/planner 'TestEvacuation'
 exit $failed
