planner: the time until a worker leaves counts from its latest registration

What callers saw: tasks on a draining worker were stopped for their checkpoints earlier than needed, some of which would have ended. Cause: each registration of a draining worker says how long it stays from then on, and the planner counted that from the first one. TestEvacuation/timeLeftCountsFromTheLatestRegistration stopped a run 2 s before its worker left; passes now.

--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -180,15 +180,13 @@
 		worker = planner.newWorker(info.ID)
 	}
 	incarnation := worker.Incarnation
+	if info.Draining && (!worker.Draining || info.LeavesIn != worker.LeavesIn) {
+		worker.leavesAt = now.Add(info.LeavesIn)
+	}
 	worker.WorkerInfo, worker.Listed = info, true
 	if incarnation != 0 {
 		worker.Incarnation = incarnation // a known value changes only through the worker's own answers
 	}
-	if !info.Draining {
-		worker.DrainingSince = time.Time{}
-	} else if worker.DrainingSince.IsZero() {
-		worker.DrainingSince = now
-	}
 }
 
 func (planner *Planner) newWorker(id string) *Worker {
--- a/library/planner/upkeep_test.go
+++ b/library/planner/upkeep_test.go
@@ -85,6 +85,23 @@
 			t.Errorf("a lease of %v %v before the worker leaves, want about %v", lease, notice, testSettings.Lease)
 		}
 	})
+	// Guards against time that is counted twice: registrations repeat how long the worker stays, counted from each of them.
+	t.Run("timeLeftCountsFromTheLatestRegistration", func(t *testing.T) {
+		long := newStep(1)
+		long.Checkpoints, long.EstimateMS = true, 20_000
+		fleet := newFleet(t, testStart, 2)
+		fleet.submitTo("batch", jobA, long)
+		fleet.settle()
+		worker := fleet.orders[0].Worker
+		fleet.setDraining(6*time.Second, worker)
+		for left := 6 * time.Second; left > 2*time.Second; left -= time.Second {
+			fleet.setDraining(left, worker)
+			fleet.advance(time.Second)
+		}
+		if len(fleet.stops) != 0 {
+			t.Errorf("stops %v 2 s before the worker leaves, want none", fleet.stops)
+		}
+	})
 	t.Run("longRunIsCheckpointedBeforeTheWorkerLeaves", func(t *testing.T) {
 		long := newStep(1)
 		long.Checkpoints, long.EstimateMS = true, 20_000
--- a/library/planner/worker.go
+++ b/library/planner/worker.go
@@ -17,7 +17,7 @@
 	Labels      []string
 	Capacity    sizer.Size
 	Draining    bool
-	LeavesIn    time.Duration // minimum time until it leaves, while draining
+	LeavesIn    time.Duration // minimum time until it leaves, as of this registration, while draining
 	Incarnation int64         // start of its incarnation in Unix milliseconds, 0 if unknown
 }
 
@@ -33,12 +33,12 @@
 	Cursor int64
 	// AckCursor is the highest sequence number of an ended run whose consequences are stored. Polls acknowledge
 	// ended runs up to it.
-	AckCursor     int64
-	Used          sizer.Size
-	Runs          map[TaskKey]*Run
-	AnsweredAt    time.Time // time of its last answer
-	DrainingSince time.Time // when it was first listed as draining, zero while it is not
+	AckCursor  int64
+	Used       sizer.Size
+	Runs       map[TaskKey]*Run
+	AnsweredAt time.Time // time of its last answer
 
+	leavesAt    time.Time // earliest time at which it leaves, valid while it drains
 	restarted   bool      // whether it restarted and its runs were not read since
 	clockMS     int64     // worker's clock at clockReadAt, in milliseconds
 	clockReadAt time.Time // when clockMS was received
@@ -129,7 +129,7 @@
 
 // timeUntilLeaving returns the minimum time until a draining worker leaves, negative once that has passed.
 func (worker *Worker) timeUntilLeaving(now time.Time) time.Duration {
-	return worker.DrainingSince.Add(worker.LeavesIn).Sub(now)
+	return worker.leavesAt.Sub(now)
 }
 
 // Free returns the capacity that is not in use.
