--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -23,8 +23,11 @@
 	// Simulate returns how long a run takes and its outcome. If nil, each run takes RunTime and is "done".
 	Simulate func(task string, run int) (time.Duration, string)
 	RunTime  time.Duration
+	// CrashDowntime is how long the worker is away after a run whose outcome is Crash.
+	CrashDowntime time.Duration
 
 	mu              sync.Mutex
+	downUntil       time.Time // when the worker is back after a crash
 	faults          WorkerFaults
 	calls           int                   // orders and polls received
 	born            time.Time             // start of the worker's process
@@ -38,6 +41,9 @@
 	history         []RunRecord   // of all runs, across restarts
 }
 
+// Crash is the outcome of a simulated run that crashes its worker instead of ending.
+const Crash = "crash"
+
 // Amount is the capacity of a worker: CPU in thousandths of a core, memory in MB and a number of accelerators.
 type Amount struct {
 	CPU   int64 `json:"cpu"`
@@ -89,6 +95,25 @@
 func (worker *Worker) Restart() {
 	worker.mu.Lock()
 	defer worker.mu.Unlock()
+	worker.restart()
+}
+
+// crash ends all runs; the worker is back as a new incarnation after CrashDowntime. The caller holds the lock.
+func (worker *Worker) crash() {
+	worker.restart()
+	worker.downUntil = time.Now().Add(worker.CrashDowntime)
+	time.AfterFunc(worker.CrashDowntime, worker.Restart)
+}
+
+// Down reports whether the worker has crashed and is not back yet. It then answers no calls.
+func (worker *Worker) Down() bool {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	return time.Now().Before(worker.downUntil)
+}
+
+// restart is Restart for callers that hold the lock.
+func (worker *Worker) restart() {
 	for task, run := range worker.running {
 		run.timer.Stop()
 		worker.recordEnd(run, "crashed")
@@ -162,13 +187,17 @@
 	}
 }
 
-// countCall counts an order or poll. Every MuteEvery-th one gets no response and
-// blocks until its request is canceled.
+// countCall counts an order or poll. A worker that is down aborts its connection. Every MuteEvery-th one gets no
+// response and blocks until its request is canceled.
 func (worker *Worker) countCall(r *http.Request) (WorkerFaults, int) {
 	worker.mu.Lock()
 	worker.calls++
 	faults, count := worker.faults, worker.calls
+	down := time.Now().Before(worker.downUntil)
 	worker.mu.Unlock()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
 	if faults.MuteEvery > 0 && count%faults.MuteEvery == 0 {
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
@@ -222,7 +251,11 @@
 	started.timer = time.AfterFunc(duration, func() {
 		worker.mu.Lock()
 		defer worker.mu.Unlock()
-		if worker.running[request.Task] == started && !worker.faults.Hang {
+		switch {
+		case worker.running[request.Task] != started || worker.faults.Hang:
+		case outcome == Crash:
+			worker.crash()
+		default:
 			worker.end(request.Task, outcome)
 		}
 	})
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -110,7 +110,9 @@
 		ticker := time.NewTicker(workerEntryInterval)
 		defer ticker.Stop()
 		for {
-			fleet.store.Put("keyed.servers", worker.ID, worker.Entry(address, "ready"))
+			if !worker.Down() {
+				fleet.store.Put("keyed.servers", worker.ID, worker.Entry(address, "ready"))
+			}
 			select {
 			case <-ticker.C:
 			case <-fleet.stopWorkers:
