planner: give up tasks that crash their workers, and start suspects apart

Callers saw: a job with a task that crashes each worker that starts it stayed running for ever, and took worker after worker along, with the tasks of others on them.

Cause: a run that is lost with its worker counts as no attempt, and nothing kept that its worker had crashed. The speculative copy crashed a second worker 0.3 s later, and the task started again with each lapse of a lease.

A crash is certain only once the worker is back as another incarnation, or its machine as another worker (a newer start time). It counts against every task whose run was lost there, as the cause is not known: once for each run of a gang, and not against a standing task that had run for 30 s. A run whose lease lapsed while its worker was silent is kept until the worker answers: the same incarnation has crashed nothing. Counts and lost runs are in the job's progress record (optional fields), so that a takeover keeps them. A suspect gets no copy, starts where no other suspect began within 2 s and where the next crash takes little along, and from two crashes on nothing new joins it. It is given up, and its job failed, after three crashes, or after two if it was alone on the last worker. A task with three losses whose workers are still silent waits for them.

--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -222,6 +222,7 @@
 	}
 	tenure.mu.Unlock()
 	tenure.logBlocked(blockedSteps, now)
+	tenure.logCrashes(batch.Crashes)
 	tenure.logEvents(batch.Events)
 	tenure.applyEffects(batch.Effects)
 	if len(batch.Records) == 0 {
--- a/library/planner/copies.go
+++ b/library/planner/copies.go
@@ -32,7 +32,7 @@
 			continue
 		}
 		for index := range step.tasks {
-			if pass.needsCopy(step, &step.tasks[index], queue) {
+			if step.suspicion(index) == 0 && pass.needsCopy(step, &step.tasks[index], queue) {
 				pass.startCopy(step, index, queue)
 			}
 		}
--- /dev/null
+++ b/library/planner/crash_records.go
@@ -0,0 +1,63 @@
+package planner
+
+import "slices"
+
+// LostRun is the journal record of a run on a worker that fell silent and was not heard of since.
+type LostRun struct {
+	Index       int    `json:"index"`
+	Worker      string `json:"worker"`
+	Incarnation int64  `json:"born,omitempty"` // Run.Incarnation
+	Number      int    `json:"number"`
+	Alone       bool   `json:"alone,omitempty"`
+	Sound       bool   `json:"sound,omitempty"`
+}
+
+// addCrashes adds the crashes that count against the step's tasks, or may do so, to its stored progress.
+func (step *step) addCrashes(progress *StepProgress) {
+	if !step.suspected {
+		return
+	}
+	progress.CrashedRun = step.crashedRun
+	for index := range step.tasks {
+		task := &step.tasks[index]
+		if task.done {
+			continue
+		}
+		if task.crashes > 0 {
+			if progress.Crashes == nil {
+				progress.Crashes = map[int]int{}
+			}
+			progress.Crashes[index] = task.crashes
+		}
+		for _, lost := range task.lost {
+			progress.Lost = append(progress.Lost, LostRun{
+				Index: index, Worker: lost.worker, Incarnation: lost.incarnation, Number: lost.number, Alone: lost.alone, Sound: lost.sound,
+			})
+		}
+	}
+}
+
+// restoreCrashes restores what addCrashes stored.
+func (planner *Planner) restoreCrashes(step *step, stored StepProgress) {
+	step.crashedRun = stored.CrashedRun
+	for index, crashes := range stored.Crashes {
+		if index >= 0 && index < len(step.tasks) {
+			step.tasks[index].crashes = crashes
+			step.suspected = true
+		}
+	}
+	for _, lost := range stored.Lost {
+		if lost.Index < 0 || lost.Index >= len(step.tasks) {
+			continue
+		}
+		task, worker := &step.tasks[lost.Index], planner.ensureWorker(lost.Worker)
+		task.lost = append(task.lost, lostRun{
+			worker: lost.Worker, incarnation: lost.Incarnation, number: lost.Number, alone: lost.Alone, sound: lost.Sound,
+		})
+		key := TaskKey{Job: step.key.Job, Occurrence: step.key.Occurrence, Step: step.key.Step, Index: lost.Index}
+		if !slices.Contains(worker.lostTasks, key) {
+			worker.lostTasks = append(worker.lostTasks, key)
+		}
+		step.suspected = true
+	}
+}
--- /dev/null
+++ b/library/planner/crashes.go
@@ -0,0 +1,221 @@
+package planner
+
+import (
+	"slices"
+	"time"
+)
+
+// A task may crash every worker that starts it. A crash is certain only once the worker is back as another incarnation,
+// or its machine as another worker. It counts against all tasks whose runs were lost in it, since nothing tells which of
+// them caused it. These suspects start again apart from each other (see quarantine.go), so that the next crash tells more.
+
+const (
+	// maxCrashes is the number of crashes of workers under a task after which it is given up.
+	maxCrashes = 3
+	// maxCrashesAlone is the same number if nothing else ran on the worker that crashed last.
+	maxCrashesAlone = 2
+	// soundRunTime is the run time of a standing task after which a crash of its worker is no evidence against it.
+	soundRunTime = 30 * time.Second
+)
+
+// lostRun is a run that was on a worker that fell silent or crashed.
+type lostRun struct {
+	worker      string
+	incarnation int64 // Run.Incarnation
+	number      int
+	alone       bool // whether no run of another step, or of another task that is not in the same gang, was on the worker
+	sound       bool // whether its task is standing and had run for soundRunTime
+}
+
+// CrashEvent describes the crash of a worker, for logs.
+type CrashEvent struct {
+	Worker   string
+	Suspects []Suspect
+}
+
+// Suspect is a task that had a run on a worker when it crashed.
+type Suspect struct {
+	Task    TaskKey
+	Number  int  // number of the run
+	Crashes int  // number of crashes that count against the task
+	Alone   bool // whether nothing else ran on the worker
+	GivenUp bool // whether the job of the task has failed for it
+}
+
+// suspect returns the entry of a task that its crashes are counted in: for a gang, that of the first task.
+func (step *step) suspect(index int) *task {
+	if step.Gang {
+		return &step.tasks[0]
+	}
+	return &step.tasks[index]
+}
+
+// suspicion returns the number of crashes that count against a task, or may do so: a lost run counts until the worker is
+// heard of again.
+func (step *step) suspicion(index int) int {
+	if !step.suspected {
+		return 0
+	}
+	task := step.suspect(index)
+	count := task.crashes
+	for position, lost := range task.lost {
+		sameRun := func(other lostRun) bool { return other.number == lost.number }
+		counted := step.Gang && lost.number == step.crashedRun
+		if !counted && !slices.ContainsFunc(task.lost[:position], sameRun) {
+			count++
+		}
+	}
+	return count
+}
+
+// markLosses notes what a worker ran when it fell silent or crashed. A worker that is draining leaves as planned.
+func (planner *Planner) markLosses(worker *Worker) {
+	if worker.Draining {
+		return
+	}
+	for _, run := range worker.Runs {
+		if run.Sent && run.loss == nil {
+			run.loss = planner.lossOf(worker, run)
+		}
+	}
+}
+
+func (planner *Planner) lossOf(worker *Worker, run *Run) *lostRun {
+	loss := &lostRun{worker: worker.ID, incarnation: run.Incarnation, number: run.Number, alone: true}
+	step := planner.steps[run.Key.step()]
+	if step != nil && step.Standing && run.Confirmed {
+		loss.sound = worker.AnsweredAt.Sub(run.ConfirmedAt) >= soundRunTime
+	}
+	for _, other := range worker.Runs {
+		sameGang := step != nil && step.Gang && other.Key.step() == run.Key.step()
+		if other != run && other.Sent && !sameGang {
+			loss.alone = false
+		}
+	}
+	return loss
+}
+
+// recordLoss counts the crash of a run's worker against its task, or keeps the loss of the run until it is known whether
+// the worker crashed.
+func (planner *Planner) recordLoss(step *step, run *Run, ending Ending) {
+	if run.loss == nil || step.job.state.Final() || step.tasks[run.Key.Index].done {
+		return
+	}
+	switch ending {
+	case EndedCrashed:
+		planner.countCrash(step, run.Key, *run.loss)
+	case Vanished:
+		task, worker := step.suspect(run.Key.Index), planner.ensureWorker(run.Worker)
+		task.lost = append(task.lost, *run.loss)
+		worker.lostTasks = append(worker.lostTasks, run.Key)
+		step.suspected = true
+	case EndedDone, EndedFailed, EndedStopped, EndedLeaseExpired, EndedGangBroken, EndedGangIncomplete, NeverRan:
+	}
+}
+
+// countCrash counts a crash against a task, once for each run of a gang, and gives the task up if that is enough: its job
+// has then failed.
+func (planner *Planner) countCrash(step *step, key TaskKey, loss lostRun) {
+	task := step.suspect(key.Index)
+	if step.job.state.Final() || task.done || step.Gang && step.crashedRun == loss.number {
+		return
+	}
+	planner.markDirty(step.job)
+	if step.Gang {
+		step.crashedRun = loss.number
+	}
+	if loss.sound {
+		task.crashes = 0
+		return
+	}
+	step.suspected = true
+	task.crashes++
+	givenUp := task.crashes >= maxCrashes || loss.alone && task.crashes >= maxCrashesAlone
+	planner.recordSuspect(loss.worker, Suspect{
+		Task: key, Number: loss.number, Crashes: task.crashes, Alone: loss.alone, GivenUp: givenUp,
+	})
+	if givenUp {
+		planner.finishJob(step.job, Failed, planner.now)
+	}
+}
+
+// recordSuspect adds a suspect to the event of its worker's crash.
+func (planner *Planner) recordSuspect(worker string, suspect Suspect) {
+	for index := range planner.crashes {
+		if planner.crashes[index].Worker == worker {
+			planner.crashes[index].Suspects = append(planner.crashes[index].Suspects, suspect)
+			return
+		}
+	}
+	planner.crashes = append(planner.crashes, CrashEvent{Worker: worker, Suspects: []Suspect{suspect}})
+}
+
+// resolveLosses decides about the runs that were lost on a worker, now that it is known whether it crashed.
+func (planner *Planner) resolveLosses(worker *Worker, crashed func(lostRun) bool) {
+	keys := worker.lostTasks
+	worker.lostTasks = nil
+	for _, key := range keys {
+		step := planner.steps[key.step()]
+		if step == nil || key.Index >= len(step.tasks) {
+			continue
+		}
+		task := step.suspect(key.Index)
+		resolved := slices.Clone(task.lost)
+		task.lost = slices.DeleteFunc(task.lost, func(lost lostRun) bool { return lost.worker == worker.ID })
+		for _, lost := range resolved {
+			if lost.worker != worker.ID {
+				continue
+			}
+			planner.markDirty(step.job)
+			if crashed(lost) {
+				planner.countCrash(step, key, lost)
+			}
+		}
+	}
+}
+
+// resolveAnswered decides about the lost runs of a worker that answers again: it crashed if it is another incarnation.
+func (planner *Planner) resolveAnswered(worker *Worker) {
+	worker.replaced = false
+	if len(worker.lostTasks) > 0 {
+		planner.resolveLosses(worker, func(lost lostRun) bool {
+			return lost.incarnation != 0 && worker.Incarnation != 0 && lost.incarnation != worker.Incarnation
+		})
+	}
+}
+
+// resolveGone decides about the lost runs of a worker that is gone for good. Whether it crashed is not certain, so that
+// such a loss alone is weaker evidence.
+func (planner *Planner) resolveGone(worker *Worker) {
+	planner.resolveLosses(worker, func(lostRun) bool { return true })
+}
+
+// markEarlierIncarnation notes which runs of a worker were placed on an incarnation before the one that answers.
+func (planner *Planner) markEarlierIncarnation(worker *Worker) {
+	for _, run := range worker.Runs {
+		if run.Sent && run.loss == nil && run.Incarnation != 0 && worker.Incarnation != 0 && run.Incarnation != worker.Incarnation {
+			run.loss = planner.lossOf(worker, run)
+		}
+	}
+}
+
+// detectReplaced finds the workers whose machines have started anew as other workers: they have crashed, unless they were
+// draining.
+func (planner *Planner) detectReplaced() {
+	newest := map[string]*Worker{} // by machine
+	for _, worker := range planner.workers {
+		if current := newest[worker.Machine]; current == nil || worker.Incarnation > current.Incarnation {
+			newest[worker.Machine] = worker
+		}
+	}
+	delete(newest, "")
+	for _, worker := range planner.workerList {
+		successor := newest[worker.Machine]
+		if successor == nil || worker.replaced || worker.Draining || worker.Incarnation == 0 || worker.Incarnation >= successor.Incarnation {
+			continue
+		}
+		worker.replaced = true
+		planner.markLosses(worker)
+		planner.resolveGone(worker)
+	}
+}
--- a/library/planner/effect.go
+++ b/library/planner/effect.go
@@ -122,7 +122,8 @@
 	Starts  []Start    // to carry out once the records are stored
 	JobIDs  []string   // IDs of the jobs whose progress the records store
 	Events  []EndEvent // jobs and runs that ended since the last batch
-	states  []State    // states of the jobs of JobIDs, which State returns once the records are stored
+	Crashes []CrashEvent
+	states  []State // states of the jobs of JobIDs, which State returns once the records are stored
 }
 
 // EndEvent describes the end of a job, or the end of a run with another ending than EndedDone, for logs and metrics.
--- a/library/planner/explain.go
+++ b/library/planner/explain.go
@@ -78,6 +78,8 @@
 		return "full"
 	case !pass.planner.belowWorkerLimit(step, worker, 0):
 		return "apart"
+	case worker.isolated(pass.now):
+		return "isolated"
 	case step.Filler && worker.servingRuns > 0 || step.TailMS > 0 && worker.fillerRuns > 0:
 		return "disturbed"
 	case queue.Policy != nil && step.policy.denied[worker.ID]:
--- a/library/planner/fleet_test.go
+++ b/library/planner/fleet_test.go
@@ -28,6 +28,8 @@
 	unstored     []planner.Batch           // batches that were taken and are not stored yet
 	acknowledged []planner.TaskKey         // tasks with a run that ended as done and whose end was acknowledged
 	percent      func(planner.TaskKey) int // progress of a running task, nil if all tasks are at 100 percent
+	// crashOn tells which tasks crash the workers that start them, nil if none does; see crashes_test.go.
+	crashOn func(planner.TaskKey) bool
 }
 
 // fakeWorker is the state of a simulated worker.
@@ -41,6 +43,9 @@
 	running      map[planner.TaskKey]int // numbers of its runs
 	ended        []planner.EndedRun      // ended runs that are not acknowledged
 	sequence     int64                   // sequence number of the last ended run
+	machine      string                  // as planner.WorkerInfo.Machine
+	gone         bool                    // whether it is not listed
+	backAt       time.Time               // when it is back after a crash, zero if it has not crashed
 }
 
 const (
@@ -112,8 +117,11 @@
 func (fleet *fleet) listWorkers() {
 	var infos []planner.WorkerInfo
 	for _, id := range slices.Sorted(maps.Keys(fleet.workers)) {
+		if fleet.workers[id].gone {
+			continue
+		}
 		infos = append(infos, planner.WorkerInfo{
-			ID: id, Service: testService, Address: id, Zone: fleet.zoneOf(id), Labels: []string{"a", "r-1"},
+			ID: id, Machine: fleet.workers[id].machine, Service: testService, Address: id, Zone: fleet.zoneOf(id), Labels: []string{"a", "r-1"},
 			Capacity: sizer.Size{MilliCores: 32000, MemoryMB: 65536, Accelerators: 8}, Incarnation: fleet.workers[id].incarnation,
 		})
 	}
@@ -275,6 +283,11 @@
 		fleet.planner.HandleOrderOutcome(order, planner.Unknown, 0, fleet.time())
 		return
 	}
+	if fleet.crashOn != nil && fleet.crashOn(order.Key) {
+		fleet.crash(worker)
+		fleet.planner.HandleOrderOutcome(order, planner.Unknown, 0, fleet.time())
+		return
+	}
 	worker.running[order.Key] = order.Number
 	if leaseEnd := worker.clockStart.Add(time.Duration(order.DeadlineMS) * time.Millisecond); leaseEnd.After(worker.leaseEnd) {
 		worker.leaseEnd = leaseEnd
--- a/library/planner/health.go
+++ b/library/planner/health.go
@@ -81,7 +81,7 @@
 		if !step.Standing {
 			worker.health.recordFailure(run.Key.Job, now)
 		}
-	case EndedStopped, EndedLeaseExpired, EndedGangBroken, EndedGangIncomplete, NeverRan, Vanished:
+	case EndedStopped, EndedLeaseExpired, EndedGangBroken, EndedGangIncomplete, NeverRan, Vanished, EndedCrashed:
 	}
 }
 
--- a/library/planner/job.go
+++ b/library/planner/job.go
@@ -158,4 +158,5 @@
 	EndedGangIncomplete Ending = "alone"    // the gang did not assemble in time
 	NeverRan            Ending = "neverRan" // the order was refused, or not carried out
 	Vanished            Ending = "vanished" // lost with its worker or its lease
+	EndedCrashed        Ending = "crashed"  // its worker crashed
 )
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -46,6 +46,9 @@
 	Failures    []int          `json:"failures,omitempty"`
 	Checkpoints map[int]string `json:"checkpoints,omitempty"`
 	Open        []OpenRun      `json:"open,omitempty"`
+	Crashes     map[int]int    `json:"crashes,omitempty"`    // numbers of crashes that count against tasks, by task index
+	CrashedRun  int            `json:"crashedRun,omitempty"` // step.crashedRun
+	Lost        []LostRun      `json:"lost,omitempty"`
 }
 
 // OpenRun is a run that may exist.
@@ -81,6 +84,7 @@
 func (planner *Planner) Take() (Batch, error) {
 	batch := Batch{Effects: planner.effects, Starts: planner.starts, Events: planner.events}
 	planner.effects, planner.starts, planner.events = nil, nil, nil
+	batch.Crashes, planner.crashes = planner.crashes, nil
 	for _, id := range slices.Sorted(maps.Keys(planner.dirty)) {
 		entry := planner.jobs[id]
 		if entry == nil {
@@ -222,6 +226,7 @@
 	if failed {
 		progress.Failures = failures
 	}
+	step.addCrashes(&progress)
 	return progress
 }
 
@@ -304,6 +309,7 @@
 		}
 		task.checkpoint = stored.Checkpoints[index]
 	}
+	planner.restoreCrashes(step, stored)
 	for _, open := range stored.Open {
 		if open.Index >= len(step.tasks) {
 			continue
--- a/library/planner/place.go
+++ b/library/planner/place.go
@@ -1,10 +1,8 @@
 package planner
 
 import (
-	"cmp"
 	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"ebonyshunt.org/library/sizer"
@@ -84,8 +82,13 @@
 // placeTasks starts the waiting tasks of a step that is not a gang as far as there is room.
 func (pass *pass) placeTasks(step *step, queue Queue) {
 	var chooser *chooser // nil if it has to be built again
+	step.sortWaiting()
 	for len(step.waiting) > 0 {
 		index := step.waiting[0]
+		if step.suspicion(index) > 0 {
+			pass.placeSuspects(step, queue)
+			return
+		}
 		task := &step.tasks[index]
 		if !pass.planner.withinCap(step.job.Team, step.Step, 1) || !pass.withinShare(step) {
 			return
@@ -148,8 +151,9 @@
 func (planner *Planner) newRun(step *step, key TaskKey, number int, worker *Worker, now time.Time) *Run {
 	queue, _ := planner.catalog.Queue(step.job.Queue)
 	return &Run{
-		Urgent: queue.Priority == 0 && !step.Standing,
-		Key:    key, Number: number, Worker: worker.ID, Incarnation: worker.Incarnation, Size: step.chargedSize(), Token: worker.Token,
+		Suspicion: step.suspicion(key.Index),
+		Urgent:    queue.Priority == 0 && !step.Standing,
+		Key:       key, Number: number, Worker: worker.ID, Incarnation: worker.Incarnation, Size: step.chargedSize(), Token: worker.Token,
 		OrderedAt: now, ProgressAt: now, Filler: step.Filler, Serving: step.TailMS > 0,
 	}
 }
@@ -195,7 +199,7 @@
 // which have no runs yet.
 func (pass *pass) eligible(step *step, queue Queue, worker *Worker, assigned int) bool {
 	planner := pass.planner
-	if !worker.hasLabel(step.Label) || pass.reserved[worker.ID] {
+	if !worker.hasLabel(step.Label) || pass.reserved[worker.ID] || worker.isolated(pass.now) {
 		return false
 	}
 	if !step.chargedSize().Mul(int64(assigned+1)).Fits(worker.Free()) || !planner.belowWorkerLimit(step, worker, assigned) {
@@ -259,6 +263,9 @@
 	if !worker.answeredRecently(pass.now) {
 		cost += unresponsiveCost
 	}
+	if step.Gang && step.suspicion(0) > 0 {
+		cost += worker.neighborCost()
+	}
 	if task != nil {
 		cost += pass.historyCost(task, worker)
 	}
@@ -279,65 +286,3 @@
 	}
 	return cost
 }
-
-// placeGang starts all tasks of a gang or none. They get one run number, above all earlier ones, and start from one
-// checkpoint, the latest.
-func (pass *pass) placeGang(step *step, queue Queue) {
-	if !pass.planner.withinCap(step.job.Team, step.Step, int64(step.Count)) {
-		return
-	}
-	workers := pass.chooseGang(step, queue)
-	if workers == nil {
-		pass.handleBlocked(step, queue)
-		return
-	}
-	number := step.gangNumber
-	checkpoint := ""
-	for index := range step.tasks {
-		number = max(number, step.tasks[index].lastRunNumber)
-		checkpoint = laterCheckpoint(checkpoint, step.tasks[index].checkpoint)
-	}
-	step.gangNumber = number + 1
-	step.waiting = nil
-	step.blockedSince = time.Time{}
-	for index, worker := range workers {
-		step.tasks[index].checkpoint = checkpoint
-		pass.planner.startRun(step, index, step.gangNumber, worker, pass.now)
-	}
-}
-
-// laterCheckpoint returns the later one of two checkpoints, which are numbers of any length in a fixed base.
-func laterCheckpoint(a, b string) string {
-	if order := cmp.Or(cmp.Compare(len(a), len(b)), strings.Compare(a, b)); order < 0 {
-		return b
-	}
-	return a
-}
-
-// chooseGang returns a worker for each task of a gang, or nil. A gang that is slower across racks gets workers of
-// one rack if possible.
-func (pass *pass) chooseGang(step *step, queue Queue) []*Worker {
-	if step.OneRack {
-		for _, rack := range pass.racksOf(queue.Service) {
-			if workers := pass.chooseWorkers(step, queue, rack.workers); workers != nil {
-				return workers
-			}
-		}
-	}
-	return pass.chooseWorkers(step, queue, pass.placeable(step, queue))
-}
-
-// chooseWorkers returns one of the given workers for each task of a gang, or nil.
-func (pass *pass) chooseWorkers(step *step, queue Queue, among []*Worker) []*Worker {
-	chooser := pass.newChooser(step, queue, among)
-	workers := make([]*Worker, 0, step.Count)
-	for range step.tasks {
-		worker := chooser.best()
-		if worker == nil {
-			return nil
-		}
-		chooser.update(1)
-		workers = append(workers, worker)
-	}
-	return workers
-}
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -70,6 +70,7 @@
 	effects              []Effect
 	starts               []Start
 	events               []EndEvent
+	crashes              []CrashEvent
 }
 
 // endedJob is a job whose state is kept for Settings.StatusRetention after it ended.
@@ -164,6 +165,7 @@
 		}
 	}
 	planner.sortWorkers()
+	planner.detectReplaced()
 }
 
 // sortWorkers rebuilds the sorted list of workers if any were added.
--- /dev/null
+++ b/library/planner/quarantine.go
@@ -0,0 +1,136 @@
+package planner
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// suspectTime is how long after its start a run of a suspect is kept apart from others.
+	suspectTime = 2 * time.Second
+	// maxIsolationWait is how long a step waits for workers without suspects before its suspects start beside others.
+	maxIsolationWait = time.Second
+	// isolatedFrom is the suspicion from which on a task's worker takes no other runs for suspectTime.
+	isolatedFrom = 2
+	// neighborCost is added to the cost of a worker for a suspect, for each run that the next crash would take along.
+	neighborCost = 0.5
+)
+
+// hasSuspect reports whether a run of a suspect started on the worker less than suspectTime ago.
+func (worker *Worker) hasSuspect(now time.Time) bool { return now.Before(worker.suspectUntil) }
+
+// isolated reports whether the worker takes no runs beside the suspect that it has.
+func (worker *Worker) isolated(now time.Time) bool { return now.Before(worker.isolatedUntil) }
+
+// beginTrial keeps other suspects, or all other runs, off a worker that gets a run of a suspect.
+func (worker *Worker) beginTrial(run *Run) {
+	if run.Suspicion == 0 {
+		return
+	}
+	worker.suspectUntil = run.OrderedAt.Add(suspectTime)
+	if run.Suspicion >= isolatedFrom {
+		worker.isolatedUntil = worker.suspectUntil
+	}
+}
+
+// endTrial undoes beginTrial.
+func (worker *Worker) endTrial(run *Run) {
+	if run.Suspicion > 0 {
+		worker.suspectUntil, worker.isolatedUntil = time.Time{}, time.Time{}
+	}
+}
+
+// held reports whether a task waits until it is known what became of the workers that fell silent under it.
+func (step *step) held(index int) bool { return step.suspicion(index) >= maxCrashes }
+
+// sortWaiting puts the suspects among the waiting tasks last, so that the others do not wait for them.
+func (step *step) sortWaiting() {
+	if !step.suspected {
+		return
+	}
+	slices.SortStableFunc(step.waiting, func(a, b int) int {
+		return compareBool(step.suspicion(a) > 0, step.suspicion(b) > 0)
+	})
+}
+
+// mayJoinSuspects reports whether a step has waited so long that its suspects may start beside others.
+func (pass *pass) mayJoinSuspects(step *step) bool {
+	return !step.blockedSince.IsZero() && pass.now.Sub(step.blockedSince) >= maxIsolationWait
+}
+
+// placeSuspects starts the waiting tasks of a step, all of which are suspects, as far as there are workers for them.
+func (pass *pass) placeSuspects(step *step, queue Queue) {
+	missing := false
+	for _, index := range slices.Clone(step.waiting) {
+		if step.held(index) {
+			continue
+		}
+		if !pass.planner.withinCap(step.job.Team, step.Step, 1) || !pass.withinShare(step) {
+			return
+		}
+		worker := pass.chooseForSuspect(step, queue, index)
+		if worker == nil {
+			missing = true
+			continue
+		}
+		step.waiting = slices.DeleteFunc(step.waiting, func(waiting int) bool { return waiting == index })
+		pass.planner.startRun(step, index, step.tasks[index].lastRunNumber+1, worker, pass.now)
+	}
+	if !missing {
+		step.blockedSince = time.Time{}
+		return
+	}
+	pass.handleMissing(step, queue)
+}
+
+// handleMissing processes a step whose suspects found no worker. If there is room beside other suspects, no room has to be
+// made.
+func (pass *pass) handleMissing(step *step, queue Queue) {
+	hasRoom := slices.ContainsFunc(pass.pool(queue.Service).workers, func(worker *Worker) bool {
+		return pass.eligible(step, queue, worker, 0)
+	})
+	if !hasRoom {
+		pass.handleBlocked(step, queue)
+		return
+	}
+	if step.blockedSince.IsZero() {
+		step.blockedSince = pass.now
+	}
+	if queue.Policy != nil {
+		pass.queryPolicy(step, queue)
+	}
+}
+
+// chooseForSuspect returns the eligible worker with the lowest cost for a suspect, or nil. Workers with another suspect are
+// left out at first, so that a crash tells which of the two caused it.
+func (pass *pass) chooseForSuspect(step *step, queue Queue, index int) *Worker {
+	var best *Worker
+	bestCost := 0.0
+	for _, worker := range pass.withoutSuspects(step, pass.pool(queue.Service).workers) {
+		if !pass.eligible(step, queue, worker, 0) {
+			continue
+		}
+		cost := pass.cost(step, queue, &step.tasks[index], worker, 0) + worker.neighborCost()
+		if best == nil || cost < bestCost {
+			best, bestCost = worker, cost
+		}
+	}
+	return best
+}
+
+// neighborCost returns the part of a worker's cost for a suspect that depends on the runs beside it.
+func (worker *Worker) neighborCost() float64 { return neighborCost * float64(len(worker.Runs)) }
+
+// withoutSuspects returns the workers on which the suspects of a step may start.
+func (pass *pass) withoutSuspects(step *step, workers []*Worker) []*Worker {
+	if pass.mayJoinSuspects(step) {
+		return workers
+	}
+	kept := make([]*Worker, 0, len(workers))
+	for _, worker := range workers {
+		if !worker.hasSuspect(pass.now) {
+			kept = append(kept, worker)
+		}
+	}
+	return kept
+}
--- a/library/planner/runs.go
+++ b/library/planner/runs.go
@@ -122,6 +122,7 @@
 // Each of its runs either was on the earlier incarnation, or was started on the new one before the restart was
 // detected; the answer to a poll under the raised token shows which.
 func (planner *Planner) handleRestart(worker *Worker, incarnation int64) {
+	planner.markLosses(worker)
 	planner.fence(worker)
 	worker.restarted = true
 	if bound := planner.now.Add(planner.Settings.maxLeaseDuration(planner.Settings.MaxLease)); bound.After(worker.leasesExpireBy) {
@@ -139,9 +140,15 @@
 
 // closeVanished closes a run that its worker no longer has, or whose lease has expired.
 func (planner *Planner) closeVanished(run *Run, now time.Time) {
-	if step, open := planner.openRun(run.Key, run.Number); open == run {
-		planner.closeRun(step, run, Vanished, "", now)
+	step, open := planner.openRun(run.Key, run.Number)
+	if open != run {
+		return
+	}
+	ending := Vanished
+	if planner.ensureWorker(run.Worker).replaced {
+		ending = EndedCrashed
 	}
+	planner.closeRun(step, run, ending, "", now)
 }
 
 // sortedRuns returns the worker's runs, sorted by key.
@@ -184,6 +191,7 @@
 		worker.Incarnation = listing.Incarnation
 	}
 	worker.recordClock(listing.ClockMS, now)
+	planner.resolveAnswered(worker)
 	for _, ended := range listing.Ended {
 		planner.recordEnded(worker, ended, now)
 	}
@@ -235,6 +243,7 @@
 			})
 			continue
 		}
+		run.loss = nil // it was started on the current incarnation
 		if !run.Confirmed {
 			run.Confirmed, run.ConfirmedAt, run.ProgressAt = true, listing.SentAt, now
 		}
@@ -256,6 +265,7 @@
 	if len(worker.Runs) == 0 {
 		return
 	}
+	planner.markEarlierIncarnation(worker)
 	present := make(map[TaskKey]int, len(listing.Running))
 	for _, running := range listing.Running {
 		present[running.Key] = running.Number
@@ -268,13 +278,23 @@
 		case run.Confirmed && run.ConfirmedAt.Before(listing.SentAt):
 			planner.closeVanished(run, now)
 		case !run.Confirmed && run.Token < listing.Token:
-			if step, open := planner.openRun(run.Key, run.Number); open == run {
-				planner.closeRun(step, run, NeverRan, "", now)
-			}
+			planner.closeRefused(run, now)
 		}
 	}
 }
 
+// closeRefused closes a run that its worker does not have and refuses from now on: it was lost in a crash, or never ran.
+func (planner *Planner) closeRefused(run *Run, now time.Time) {
+	step, open := planner.openRun(run.Key, run.Number)
+	switch {
+	case open != run:
+	case run.loss != nil:
+		planner.closeRun(step, run, EndedCrashed, "", now)
+	default:
+		planner.closeRun(step, run, NeverRan, "", now)
+	}
+}
+
 // closeExpiredRuns closes the runs on workers whose leases have expired, and removes workers that left the list.
 func (planner *Planner) closeExpiredRuns(now time.Time) {
 	for _, worker := range planner.workerList {
@@ -282,6 +302,7 @@
 			planner.closeSentRuns(worker, now)
 		}
 		if !worker.Listed && len(worker.Runs) == 0 && now.Sub(worker.unlistedSince) > unlistedRetention {
+			planner.resolveGone(worker)
 			delete(planner.workers, worker.ID)
 		}
 	}
@@ -294,6 +315,7 @@
 // closeSentRuns closes the runs of a worker whose leases have expired. A run whose order was not sent yet stays open:
 // its order brings a new lease.
 func (planner *Planner) closeSentRuns(worker *Worker, now time.Time) {
+	planner.markLosses(worker)
 	for _, run := range worker.sortedRuns() {
 		if !run.Sent {
 			continue
--- a/library/planner/tables.go
+++ b/library/planner/tables.go
@@ -46,6 +46,10 @@
 	// gangNumber is the run number of the gang's last start, 0 once a failure of that start was counted.
 	gangNumber int
 	policy     policyCache
+	// crashedRun is the run number of the gang's last start whose crash was counted.
+	crashedRun int
+	// suspected reports whether a worker crashed, or may have crashed, under one of its tasks.
+	suspected bool
 	// blockedSince is when placement first found no room for the step, zero while it is not blocked.
 	blockedSince time.Time
 	// blockedPass is the number of the last placement pass that found no room for the step.
@@ -70,6 +74,9 @@
 	run           *Run     // open run, nil if none
 	copy          *Run     // open speculative second run, nil if none
 	failedOn      []string // IDs of the workers on which it failed
+	crashes       int      // number of crashes of workers that count against it, see crashes.go
+	// lost holds its runs on workers that fell silent and were not heard of since.
+	lost []lostRun
 }
 
 // policyCache holds the answers of the policy service for a step, by worker ID.
--- a/library/planner/worker.go
+++ b/library/planner/worker.go
@@ -60,7 +60,11 @@
 	health          health
 	servingRuns     int // number of runs that serve requests of users
 	fillerRuns      int
-	poolPass        int64 // number of the last placement pass in which the worker accepted runs
+	replaced        bool      // whether its machine has started anew as another worker
+	lostTasks       []TaskKey // tasks with runs that were lost on it, and of which it is not known whether it crashed
+	suspectUntil    time.Time // until when it takes no other suspect, zero while it has none
+	isolatedUntil   time.Time // until when it takes no other run
+	poolPass        int64     // number of the last placement pass in which the worker accepted runs
 }
 
 // pendingEnd is an ended run that is acknowledged once a batch is stored.
@@ -85,6 +89,8 @@
 	Filler      bool
 	Serving     bool
 	Urgent      bool // whether its queue has the highest priority and its step is not standing
+	Suspicion   int  // suspicion of its task when it was placed
+	loss        *lostRun
 }
 
 const (
@@ -154,6 +160,7 @@
 	if run.Filler {
 		worker.fillerRuns++
 	}
+	worker.beginTrial(run)
 }
 
 func (worker *Worker) removeRun(run *Run) {
@@ -168,4 +175,5 @@
 	if run.Filler {
 		worker.fillerRuns--
 	}
+	worker.endTrial(run)
 }
