planner: tasks of a crashed machine start again once it is back, not after their leases

Callers saw: all jobs with tasks on a worker that crashed waited 6.4 s for its lease, also when the machine was back as another worker after 3.3 s.

Cause: the crash of a worker was known from the entry of its machine's next worker, which has a newer start time, and its runs were still kept until the lease was over.

The machine runs nothing of before then, and orders on their way name the former worker, so that its runs are closed at once. A drained worker is left to its lease as before; an entry with an older start time closes nothing (TestMachineBack).

--- a/library/planner/crashes.go
+++ b/library/planner/crashes.go
@@ -214,8 +214,20 @@
 		if successor == nil || worker.replaced || worker.Draining || worker.Incarnation == 0 || worker.Incarnation >= successor.Incarnation {
 			continue
 		}
-		worker.replaced = true
-		planner.markLosses(worker)
-		planner.resolveGone(worker)
+		planner.closeReplaced(worker)
 	}
 }
+
+// closeReplaced closes the runs of a worker whose machine has started anew as another worker. The machine runs nothing of
+// before, and orders that are still on their way name the former worker, so that the end of the leases is not awaited.
+func (planner *Planner) closeReplaced(worker *Worker) {
+	worker.replaced = true
+	if worker.RunsKnown {
+		planner.invalidateRuns(worker)
+	}
+	planner.markLosses(worker)
+	for _, run := range worker.sortedRuns() {
+		planner.closeRefused(run, planner.now)
+	}
+	planner.resolveGone(worker)
+}
--- a/library/planner/crashes_test.go
+++ b/library/planner/crashes_test.go
@@ -296,6 +296,44 @@
 	})
 }
 
+// TestMachineBack guards against tasks that wait for the leases of a machine that has started anew, and against runs that are
+// closed for the entry of a machine's former worker.
+func TestMachineBack(t *testing.T) {
+	t.Run("tasksStartAgainOnceTheMachineIsBack", func(t *testing.T) {
+		fleet := newCrashFleet(t, 2)
+		fleet.submit(jobA, newStep(1))
+		fleet.settle()
+		fleet.crash(fleet.workers[fleet.orders[0].Worker])
+		fleet.play(crashDowntime+2*crashTestStep, fleet.reviveAsOther, noTask, func() bool { return false })
+		fleet.wantRunning(1)
+	})
+	t.Run("entryOfAFormerWorkerClosesNothing", func(t *testing.T) {
+		fleet := newCrashFleet(t, 1)
+		fleet.submit(jobA, newStep(1))
+		fleet.settle()
+		running := fleet.workers["w-000"]
+		fleet.workers["w-001"] = &fakeWorker{id: "w-001", machine: running.machine, incarnation: running.incarnation - 1, unresponsive: true}
+		fleet.play(time.Second, fleet.reviveSame, noTask, func() bool { return false })
+		fleet.wantRunning(1)
+		if starts := fleet.startsOf(jobA); starts != 1 {
+			t.Errorf("the task was started %d times, want 1", starts)
+		}
+	})
+	t.Run("drainedWorkerHasNotCrashed", func(t *testing.T) {
+		fleet, step := newCrashFleet(t, 1), newStep(1)
+		fleet.submit(jobA, step)
+		fleet.settle()
+		for range 4 {
+			worker := fleet.workers[fleet.orders[len(fleet.orders)-1].Worker]
+			worker.draining = true
+			fleet.listWorkers()
+			fleet.crash(worker)
+			fleet.play(15*time.Second, fleet.reviveAsOther, noTask, func() bool { return false })
+		}
+		fleet.wantState(jobA, planner.Running)
+	})
+}
+
 // TestCrashedWorkerIsUsed guards against a worker that is barred for the tasks that crashed it.
 func TestCrashedWorkerIsUsed(t *testing.T) {
 	fleet := newCrashFleet(t, 1)
--- a/library/planner/fleet_test.go
+++ b/library/planner/fleet_test.go
@@ -44,8 +44,9 @@
 	ended        []planner.EndedRun      // ended runs that are not acknowledged
 	sequence     int64                   // sequence number of the last ended run
 	machine      string                  // as planner.WorkerInfo.Machine
-	gone         bool                    // whether it is not listed
-	backAt       time.Time               // when it is back after a crash, zero if it has not crashed
+	draining     bool
+	gone         bool      // whether it is not listed
+	backAt       time.Time // when it is back after a crash, zero if it has not crashed
 }
 
 const (
@@ -121,7 +122,7 @@
 			continue
 		}
 		infos = append(infos, planner.WorkerInfo{
-			ID: id, Machine: fleet.workers[id].machine, Service: testService, Address: id, Zone: fleet.zoneOf(id), Labels: []string{"a", "r-1"},
+			ID: id, Machine: fleet.workers[id].machine, Draining: fleet.workers[id].draining, Service: testService, Address: id, Zone: fleet.zoneOf(id), Labels: []string{"a", "r-1"},
 			Capacity: sizer.Size{MilliCores: 32000, MemoryMB: 65536, Accelerators: 8}, Incarnation: fleet.workers[id].incarnation,
 		})
 	}
--- a/library/planner/runs.go
+++ b/library/planner/runs.go
@@ -140,15 +140,9 @@
 
 // closeVanished closes a run that its worker no longer has, or whose lease has expired.
 func (planner *Planner) closeVanished(run *Run, now time.Time) {
-	step, open := planner.openRun(run.Key, run.Number)
-	if open != run {
-		return
-	}
-	ending := Vanished
-	if planner.ensureWorker(run.Worker).replaced {
-		ending = EndedCrashed
+	if step, open := planner.openRun(run.Key, run.Number); open == run {
+		planner.closeRun(step, run, Vanished, "", now)
 	}
-	planner.closeRun(step, run, ending, "", now)
 }
 
 // sortedRuns returns the worker's runs, sorted by key.
