planner: no start on a worker whose capacity has shrunk since the start was planned

The order now checks again that the run fits beside the others that count there; a run that is being stopped counts until its end is listed, as before. A start that no longer fits never ran, and its task waits for room.

--- a/library/planner/runs.go
+++ b/library/planner/runs.go
@@ -6,7 +6,7 @@
 )
 
 // PrepareOrder returns the order to send for a start. It reports false, and closes the run if it is still open, when
-// the start is obsolete: the run was stopped, or its worker may get no lease, restarted, or left the service.
+// the start is obsolete: the run was stopped, or its worker may get no lease, restarted, left the service, or has shrunk.
 func (planner *Planner) PrepareOrder(start Start, now time.Time) (Order, bool) {
 	planner.now = now
 	step, run := planner.openRun(start.Key, start.Number)
@@ -14,7 +14,8 @@
 		return Order{}, false
 	}
 	worker := planner.ensureWorker(run.Worker)
-	if run.Stopping || !planner.leasable(worker) || worker.Incarnation != run.Incarnation || !planner.routesTo(step, worker) {
+	if run.Stopping || !planner.leasable(worker) || worker.Incarnation != run.Incarnation || !planner.routesTo(step, worker) ||
+		!worker.stillFits(run) {
 		planner.closeRun(step, run, NeverRan, "", now)
 		return Order{}, false
 	}
--- a/library/planner/worker.go
+++ b/library/planner/worker.go
@@ -136,6 +136,10 @@
 // Free returns the capacity that is not in use.
 func (worker *Worker) Free() sizer.Size { return worker.Capacity.Sub(worker.Used) }
 
+// stillFits reports whether a run that is counted in Used fits beside the others: the listed capacity may have shrunk since
+// the run was placed.
+func (worker *Worker) stillFits(run *Run) bool { return run.Size.Fits(worker.Free().Add(run.Size)) }
+
 // hasLabel reports whether the worker carries a label. An empty label matches every worker.
 func (worker *Worker) hasLabel(label string) bool {
 	return label == "" || slices.Contains(worker.Labels, label)
