limiter: take reserves back only once no other zone records unmet demand

Seen: TestSliceMovesToLoadedZone failed in 31 of 900 runs (three side by side): the loaded zone had its slice after 6 to 12 s, the bound is 5 s.

Cause, traced by logging each record with the account that it was planned on: the two idle zones released 3 cores each for the 4 that the loaded zone wanted, and in the next round all three planned on the same account. Each idle zone saw 2 cores more than were wanted and took them back as its reserve; when both records came before that of the loaded zone, it got 2 of 4. The next round released them and the same could happen again, every 1.5 s.

Change: a zone takes back reserve only while no other zone records unmet demand. The loaded zone's record that takes what it needs clears its demand, so the reserves follow one round later.

TestConcurrentPlans applies the records of the idle zones first and fails without the change.

--- a/library/limiter/ledger_test.go
+++ b/library/limiter/ledger_test.go
@@ -143,3 +143,35 @@
 		t.Errorf("z0 holds %s, want %s", held, want)
 	}
 }
+
+// TestConcurrentPlans lets all zones plan on the same state of the account in each round. It guards against zones that
+// together take back more of their reserves than the unmet demand of another zone leaves: they released it in the
+// next round and took it again, and the demand was not met for as long as their records came first.
+func TestConcurrentPlans(t *testing.T) {
+	const rounds = 10
+	zones := []string{"idle1", "idle2", "loaded"} // in the order in which their records are applied
+	var ledger Ledger
+	ledger.SetLimit("one", cores(12), 1)
+	for _, zone := range zones {
+		ledger.Apply(newRecord(zone, 1, 1, Change{Take: cores(4)}), 2)
+	}
+	changes := 0 // of the last round
+	for round := range int64(rounds) {
+		account := ledger.Account("one")
+		changes = 0
+		for _, zone := range zones {
+			demand := Demand{Team: "one"}
+			if zone == "loaded" {
+				demand.QueuedSize = cores(8)
+			}
+			if change, due := Plan(account, zone, len(zones), demand); due {
+				changes++
+				ledger.Apply(newRecord(zone, 1, 2+round, change), 3+round)
+			}
+		}
+	}
+	assertHeld(t, &ledger, "loaded", 8)
+	if changes > 0 {
+		t.Errorf("%d zones still request changes after %d rounds", changes, rounds)
+	}
+}
--- a/library/limiter/plan.go
+++ b/library/limiter/plan.go
@@ -13,8 +13,9 @@
 // Plan returns the change that a zone requests of an account, and false if it requests none.
 //
 // A zone keeps an even share of the limit in reserve while no other zone has unmet demand, so that it can
-// start work when it is cut off from the log. It takes back such a reserve only after the unmet demand of
-// the other zones is covered, and it always leaves the other zones' floors unallocated.
+// start work when it is cut off from the log. It takes back such a reserve only once no other zone records unmet
+// demand: several zones plan on the same account at once, and could otherwise take what that demand needs. It
+// always leaves the other zones' floors unallocated.
 //
 // A zone releases capacity that it does not use to zones with unmet demand, down to its floor. When the
 // slices add up to more than a lowered limit, it releases the excess, but keeps what its running tasks use and at
@@ -29,8 +30,11 @@
 	if change.Release.Zero() {
 		free := unallocated.Sub(reservedForOthers(account, zone, zones))
 		takenForDemand := amountToTake(needed, held, free)
-		takenForReserve := amountToTake(evenShare, held.Add(takenForDemand), free.Sub(takenForDemand).Sub(account.WantedByOthers(zone)))
-		change.Take = takenForDemand.Add(takenForReserve)
+		change.Take = takenForDemand
+		if account.WantedByOthers(zone).Zero() {
+			takenForReserve := amountToTake(evenShare, held.Add(takenForDemand), free.Sub(takenForDemand))
+			change.Take = takenForDemand.Add(takenForReserve)
+		}
 		change.Want = needed.Sub(held.Add(change.Take)).Max(sizer.Size{})
 	}
 	unchanged := change.Release.Zero() && change.Take.Zero() && change.Want == account.wantOf(zone)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -36,6 +36,7 @@
 try 'API keys: queues of other teams' daemon/server/check.go 'case queue.Team != team && !queue.Open:' 'case false:' ./tests 'TestScripts/badRequests'
 try 'limits: amount within the slice' library/decider/tables.go 'return limit == 0 || amount <= slice' 'return true' ./library/decider 'TestDifferential'
 try 'limits: takes bounded by unallocated amount' library/limiter/ledger.go 'change.Take.Min(account.Unallocated().Max(sizer.Size{}))' 'change.Take' ./library/limiter 'TestLedger'
+try 'limits: reserves wait for unmet demand' library/limiter/plan.go 'if account.WantedByOthers(zone).Zero() {' 'if true {' ./library/limiter 'TestConcurrentPlans'
 try 'limits: capacity of unclaimed workers withheld' library/decider/systems.go 'decider.unclaimedCapacity)' 'decider.totalCapacity.Sub(decider.totalCapacity))' ./library/decider 'TestUnclaimed'
 try 'truncated answers: connection is aborted' daemon/server/request.go 'panic(http.ErrAbortHandler)' 'return' ./tests 'TestUpstreamEnds'
 try 'outcome notRun: only if proven' daemon/server/request.go 'if known && ending == decider.NeverRan {' 'if true {' ./tests 'TestUpstreamEnds'
