linker: a closed pool opens no connection

Seen by reading: after Close the pool made a new entry for each address, and a call that came later, such as a heartbeat on its way, opened a connection that nothing closed. TestCallAfterClose got an answer in place of ErrUnsent without the change.

Change: entries of a closed pool are closed from the start, so that a connection is refused before it is dialed.

--- a/daemon/linker/linker_test.go
+++ b/daemon/linker/linker_test.go
@@ -60,6 +60,17 @@
 	}
 }
 
+// TestCallAfterClose guards against a call on a closed pool that opens a connection, which nothing would close.
+func TestCallAfterClose(t *testing.T) {
+	listener := listen(t)
+	serveEcho(t, listener)
+	pool := NewPool(dialer.TCP(), "a", &recorder.Clock{})
+	pool.Close()
+	if err := pool.Call(t.Context(), listener.Addr().String(), "x", struct{}{}, nil); !ErrUnsent.Has(err) {
+		t.Errorf("error %v, want ErrUnsent", err)
+	}
+}
+
 // TestDropWhileCalling checks that a call that already had the entry of a dropped connection opens no connection that
 // the pool does not know.
 func TestDropWhileCalling(t *testing.T) {
--- a/daemon/linker/pool.go
+++ b/daemon/linker/pool.go
@@ -62,9 +62,10 @@
 	host    string
 	clock   *recorder.Clock
 
-	mu    sync.Mutex
-	conns map[string]*peerConn // by address
-	bytes ByteCounter
+	mu     sync.Mutex
+	conns  map[string]*peerConn // by address
+	closed bool
+	bytes  ByteCounter
 }
 
 // peerConn is the connection to one address. The channel lock is a mutex that guards conn: it holds a token
@@ -138,13 +139,14 @@
 	return Envelope{Version: Version, From: host, Stamp: clock.Now(), Body: data}, nil
 }
 
-// peer returns the entry of an address, which may have no connection yet.
+// peer returns the entry of an address, which may have no connection yet. Once the pool is closed, it opens none.
 func (pool *Pool) peer(address string) *peerConn {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	peer := pool.conns[address]
 	if peer == nil {
 		peer = newPeerConn()
+		peer.closed = pool.closed
 		pool.conns[address] = peer
 	}
 	return peer
@@ -213,7 +215,7 @@
 func (pool *Pool) Close() {
 	pool.mu.Lock()
 	conns := pool.conns
-	pool.conns = map[string]*peerConn{}
+	pool.conns, pool.closed = map[string]*peerConn{}, true
 	pool.mu.Unlock()
 	for _, peer := range conns {
 		peer.close()
