decider: a gang that loses a reserved worker reserves anew

Seen by reading, shown by TestGangs/reservedWorkerIsLost and reservedWorkerLeaves: a gang of two reserved two of three workers; one was taken off the list, or left, and the gang kept the other reservation alone for good.

Cause: the count of reservations of a gang was not lowered with the worker, and a gang that has any reservation makes no other. Other tasks could take the third worker again and again, and no other gang could reserve meanwhile.

Change: a blocked gang whose reserved workers are not all usable cancels its reservations and makes them anew. A single task did so before. Both subtests fail without it.

--- a/library/decider/reservation.go
+++ b/library/decider/reservation.go
@@ -111,6 +111,18 @@
 	}
 }
 
+// reservationsUsable reports whether all workers that were reserved for the task or its gang are still usable.
+func (decider *Decider) reservationsUsable(task *Task, now time.Time) bool {
+	holder := reservationHolder(task)
+	usable := 0
+	for _, worker := range decider.workers {
+		if worker.reserved != nil && worker.reserved.holder == holder && worker.Usable(now) {
+			usable++
+		}
+	}
+	return usable == decider.reservationCounts[holder]
+}
+
 // placeGang grants all tasks of a gang at once, or none, and reports whether it did. Only one blocked gang
 // reserves workers at a time, as two could deadlock, each with half of the workers that both need.
 func (decider *Decider) placeGang(taskQueue *taskQueue, count int, now time.Time) bool {
@@ -155,12 +167,19 @@
 }
 
 // reserveForGang reserves enough workers for the whole gang, or none, once the gang has waited for the
-// reservation delay. It does nothing while another gang holds reservations.
+// reservation delay. It reserves anew if a reserved worker is no longer usable. It does nothing while another gang holds
+// reservations.
 func (decider *Decider) reserveForGang(head *Task, count int, now time.Time) {
 	waited := now.Sub(head.QueuedAt)
-	if waited < decider.Settings.ReservationDelay || decider.hasReservation(head) {
+	if waited < decider.Settings.ReservationDelay {
 		return
 	}
+	if decider.hasReservation(head) {
+		if decider.reservationsUsable(head, now) {
+			return
+		}
+		decider.cancelReservations(head.Job)
+	}
 	if decider.reservingGang != "" && decider.reservationCounts[decider.reservingGang] > 0 {
 		return
 	}
--- a/library/decider/rules_test.go
+++ b/library/decider/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -180,8 +181,8 @@
 	assertGrants(t, harness.Tick(harness.now), 2)
 }
 
-// TestGangs guards against gangs that start in part, and against a deadlock of two gangs that each reserve
-// a part of the workers that both need.
+// TestGangs guards against gangs that start in part, against a deadlock of two gangs that each reserve a part of the
+// workers that both need, and against a gang that lost a reserved worker and reserves no other.
 func TestGangs(t *testing.T) {
 	enqueueGang := func(harness *harness, job string, size sizer.Size, count int) {
 		for number := range count {
@@ -221,6 +222,51 @@
 			t.Errorf("%d of 8 members started", started)
 		}
 	})
+	for name, lose := range map[string]func(*harness, string){"reservedWorkerIsLost": removeWorker, "reservedWorkerLeaves": setLeaving} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(DefaultSettings(), 3, fourCore)
+			harness.SetTeams([]TeamInfo{unlimitedTeam("one", 1), unlimitedTeam("two", 1)})
+			startFillers(harness, 12)
+			enqueueGang(harness, "gang", fourCore, 2)
+			harness.step(DefaultSettings().ReservationDelay)
+			reserved := reservedWorkers(harness, "gang")
+			if len(reserved) != 2 {
+				t.Fatalf("workers %v are reserved, want 2", reserved)
+			}
+			lose(harness, reserved[0])
+			harness.step(time.Second)
+			harness.step(time.Second)
+			if reserved := reservedWorkers(harness, "gang"); len(reserved) != 2 {
+				t.Errorf("workers %v are reserved, want the 2 that are left", reserved)
+			}
+		})
+	}
+}
+
+// reservedWorkers returns the usable workers that are reserved for a holder.
+func reservedWorkers(harness *harness, holder string) []string {
+	var names []string
+	for _, name := range harness.workerNames {
+		worker := harness.workers[name]
+		if worker.reserved != nil && worker.reserved.holder == holder && worker.Usable(harness.now) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// removeWorker removes a worker from the list of the zone's workers.
+func removeWorker(harness *harness, name string) {
+	harness.infos = slices.DeleteFunc(harness.infos, func(info WorkerInfo) bool { return info.Name == name })
+	harness.SetWorkers(harness.infos, harness.now)
+}
+
+// setLeaving marks a worker as leaving in the list of the zone's workers.
+func setLeaving(harness *harness, name string) {
+	for index := range harness.infos {
+		harness.infos[index].Leaving = harness.infos[index].Leaving || harness.infos[index].Name == name
+	}
+	harness.SetWorkers(harness.infos, harness.now)
 }
 
 // startFillers starts one-core tasks of team two with an expected run time of one second, and returns their task
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -35,6 +35,7 @@
 try 'API keys: withdrawn keys' library/viewer/view.go 'view.Keys[body.Digest] = body' 'body.Withdrawn = false; view.Keys[body.Digest] = body' ./tests 'TestConfigurationInForce'
 try 'API keys: queues of other teams' daemon/server/check.go 'case queue.Team != team && !queue.Open:' 'case false:' ./tests 'TestScripts/badRequests'
 try 'limits: amount within the slice' library/decider/tables.go 'return limit == 0 || amount <= slice' 'return true' ./library/decider 'TestDifferential'
+try 'gangs: reserve anew when a reserved worker is lost' library/decider/reservation.go 'if decider.reservationsUsable(head, now) {' 'if true {' ./library/decider 'TestGangs'
 try 'limits: takes bounded by unallocated amount' library/limiter/ledger.go 'change.Take.Min(account.Unallocated().Max(sizer.Size{}))' 'change.Take' ./library/limiter 'TestLedger'
 try 'limits: reserves wait for unmet demand' library/limiter/plan.go 'if account.WantedByOthers(zone).Zero() {' 'if true {' ./library/limiter 'TestConcurrentPlans'
 try 'limits: capacity of unclaimed workers withheld' library/decider/systems.go 'decider.unclaimedCapacity)' 'decider.totalCapacity.Sub(decider.totalCapacity))' ./library/decider 'TestUnclaimed'
