server: a starting host is ready only once its own zone has a decider too

Seen: TestReadyHostAcceptsJobs/0s: the only host of a zone was ready as soon as it knew the deciders of the other zones, before it had begun a term itself, and refused a job as homeUnreachable.

Cause: readiness left out the own zone, as the list of peers does not hold the host itself.

Change: readiness asks for the decider of each zone, which for the own zone may be this host.

--- a/daemon/server/routes.go
+++ b/daemon/server/routes.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -79,7 +80,7 @@
 
 // undecidedReason returns why this host cannot pass requests on to deciders yet, or an empty text.
 func (server *Server) undecidedReason() string {
-	if _, found := server.anyDecider(); !found {
+	if !server.knowsAnyDecider() {
 		return "no live host decides for any zone"
 	}
 	if _, found := server.peers.Decider(server.settings.Zone, time.Now()); found && server.currentTenure() == nil && !server.hasZoneRecords.Load() {
@@ -89,23 +90,24 @@
 		return ""
 	}
 	for _, zone := range server.viewer.View().Fleet.Zones {
-		if _, found := server.peers.Decider(zone, time.Now()); !found && zone != server.settings.Zone {
+		if !server.knowsDecider(zone) {
 			return "the decider of zone " + zone + " is not known yet"
 		}
 	}
 	return ""
 }
 
-func (server *Server) anyDecider() (string, bool) {
-	if server.currentTenure() != nil {
-		return server.settings.Zone, true
-	}
-	for _, zone := range server.viewer.View().Fleet.Zones {
-		if _, found := server.peers.Decider(zone, time.Now()); found {
-			return zone, true
-		}
+func (server *Server) knowsAnyDecider() bool {
+	return server.currentTenure() != nil || slices.ContainsFunc(server.viewer.View().Fleet.Zones, server.knowsDecider)
+}
+
+// knowsDecider reports whether a live host, which may be this one, is known to be the decider of a zone.
+func (server *Server) knowsDecider(zone string) bool {
+	if zone == server.settings.Zone && server.currentTenure() != nil {
+		return true
 	}
-	return "", false
+	_, found := server.peers.Decider(zone, time.Now())
+	return found
 }
 
 // refuseWhileStopping refuses new requests once the host has been shutting down for longer than loadBalancerDelay.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -116,5 +116,6 @@
 			if answer.StoreOutage >= maxStoreOutage || peer.Name == election.Host {' ./tests 'TestFleetTakeoverOfStrongest'
 try 'duplicate runs: copies on hosts that were restarted' daemon/server/tenure.go 'tenure.goroutines.Go(func() { tenure.server.runEvery(tenure.ctx, replicaInterval, tenure.copyToReplicas) })' '' ./tests 'TestRollingRestarts'
 try 'duplicate runs: copies of another zone do not count' daemon/server/keep.go 'if call.Complete == server.settings.Zone {' 'if call.Complete != "" {' ./daemon/server 'TestCompleteCopies'
+try 'ready hosts know all deciders' daemon/server/routes.go 'if time.Since(server.startedAt) > maxDeciderWait {' 'if true {' ./tests 'TestReadyHostAcceptsJobs'
 try 'takeover by the holder of the term' library/detector/detector.go 'if holder == self.Name {' 'if false {' ./tests 'TestRollingRestarts'
 exit $failed
--- a/tests/rolling_restart_test.go
+++ b/tests/rolling_restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -129,3 +130,26 @@
 		}
 	})
 }
+
+// TestReadyHostAcceptsJobs restarts the only host of a zone, which is cut off from the other zones for a while. It guards
+// against a host that is ready although it does not know the decider of its own or another zone yet: it refuses the
+// jobs and keys whose home that zone is.
+func TestReadyHostAcceptsJobs(t *testing.T) {
+	const keys = 12 // enough for some of each zone
+	for _, cutOff := range []time.Duration{0, 1500 * time.Millisecond, 2500 * time.Millisecond, 3500 * time.Millisecond, 4500 * time.Millisecond} {
+		t.Run(cutOff.String(), func(t *testing.T) {
+			runCellTest(t, 1, func(h *harness) {
+				h.KillHost("entry-c-0")
+				time.Sleep(time.Minute)
+				heal := h.fabric.Cut([]string{"entry-c-0"}, []string{"entry-a-0", "entry-b-0"})
+				time.AfterFunc(cutOff, heal)
+				h.startAgain("entry-c-0")
+				spec := server.JobSpec{Service: "work", Tasks: taskSpecs(1, "?workMS=10")}
+				h.submitJob("entry-c-0", spec)
+				for key := range keys {
+					h.submitJob("entry-c-0", spec, "Idempotency-Key", fmt.Sprint("key", key))
+				}
+			})
+		})
+	}
+}
