limiter: a forfeit that is repeated or late removes nothing that its zone has taken since

Seen: TestForfeitedZone takes a lost zone out of the fleet, forfeits its slices, takes it back and repeats the append: team one ran 20000 millicores under a limit of 12000. TestLedger/repeatedForfeitKeepsWhatWasTakenSince fails as well.

Cause: a forfeit was applied whenever it was read, so that a second append of it, or one whose answer was lost and that took effect late, removed the slices of a zone that was back and ran work within them.

Change: a forfeit holds the term and step of the last record of its zone that the host knew, and is ignored once the zone has written a later one. The call waits until the record has been read back, and reports a conflict in that case.

--- a/daemon/server/publish.go
+++ b/daemon/server/publish.go
@@ -243,12 +243,48 @@
 		}
 	}
 	author, _ := server.operator(r)
-	record := replayer.Record{Format: replayer.Format, ID: uuid.NewString(), Author: author, Slice: &limiter.Record{Forfeit: zone}}
 	ctx, cancel := context.WithTimeout(r.Context(), publishTimeout)
 	defer cancel()
-	if _, err := server.logClient.Append(ctx, record); err != nil {
-		server.writeProblem(w, "", responder.New(http.StatusServiceUnavailable, responder.CodeLogUnavailable, responder.Unknown, "%v", err).WithRetryAfter(time.Second))
+	if problem := server.forfeit(ctx, zone, author); problem != nil {
+		server.writeProblem(w, "", problem)
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
+
+// forfeit appends a forfeit of a zone's slices to the log and waits until it has been read back.
+func (server *Server) forfeit(ctx context.Context, zone, author string) *responder.Problem {
+	last := server.register.Tenure(zone)
+	slice := limiter.Record{Forfeit: zone, Term: last.Term, Step: last.Step}
+	record := replayer.Record{Format: replayer.Format, ID: uuid.NewString(), Author: author, Slice: &slice}
+	offset, err := server.logClient.Append(ctx, record)
+	if err != nil {
+		return responder.New(http.StatusServiceUnavailable, responder.CodeLogUnavailable, responder.Unknown, "%v", err).WithRetryAfter(time.Second)
+	}
+	if !server.awaitOffset(ctx, offset) {
+		return responder.New(http.StatusGatewayTimeout, responder.CodeLogUnavailable, responder.Unknown,
+			"record %s has not been read back from the log yet", record.ID).WithRetryAfter(time.Second)
+	}
+	if server.register.Tenure(zone) != last {
+		return responder.Refuse(http.StatusConflict, responder.CodeConflict,
+			"zone %s has changed its slices meanwhile: make sure that it is stopped, and forfeit again", zone)
+	}
+	return nil
+}
+
+// awaitOffset waits until the register has reached an offset of the log. It returns false if the context ends first.
+func (server *Server) awaitOffset(ctx context.Context, offset int64) bool {
+	for {
+		server.mu.Lock()
+		changed := server.sectionsChanged
+		server.mu.Unlock()
+		if server.register.AsOf() >= offset {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
--- a/library/limiter/ledger.go
+++ b/library/limiter/ledger.go
@@ -30,13 +30,15 @@
 }
 
 // Record is an entry of the log in which a zone's decider changes its slices, or an operator forfeits the
-// slices of a zone. Within a term, the records of a decider are numbered from 1.
+// slices of a zone. Within a term, the records of a decider are numbered from 1. A forfeit holds the term and step of the
+// last record of its zone that the operator's host knew; it has no term if there was none, or if it was written
+// before forfeits had terms.
 type Record struct {
 	Zone    string      `json:"zone"`
 	Term    fencer.Term `json:"term"`
 	Step    int64       `json:"step"`
 	Changes []Change    `json:"changes,omitempty"`
-	Forfeit string      `json:"forfeit,omitempty"` // zone whose slices are removed by an operator; the other members are ignored
+	Forfeit string      `json:"forfeit,omitempty"` // zone whose slices are removed by an operator; Zone and Changes are ignored
 }
 
 // UnmarshalJSON decodes a record and returns an error if zone, term or step is missing
@@ -76,6 +78,11 @@
 	Step int64       `json:"step"`
 }
 
+// after reports whether the last record of the zone is later than the record of a term and step.
+func (tenure Tenure) after(term fencer.Term, step int64) bool {
+	return term.Less(tenure.Term) || (term == tenure.Term && step < tenure.Step)
+}
+
 // State is the content of a ledger: all accounts, or only those that changed after an offset.
 type State struct {
 	Accounts []Account `json:"accounts,omitempty"`
@@ -113,9 +120,13 @@
 }
 
 // Apply replays the record at a log offset and reports whether it was applied. A record that repeats a step
-// or has an older term than the last record of its zone is ignored. A forfeit is always applied.
+// or has an older term than the last record of its zone is ignored. So is a forfeit of a zone that has written a record
+// since: it may be in use again, and an append that is repeated or comes late must not remove what it took.
 func (ledger *Ledger) Apply(record Record, offset int64) bool {
 	if record.Forfeit != "" {
+		if !record.Term.Zero() && ledger.tenures[record.Forfeit].after(record.Term, record.Step) {
+			return false
+		}
 		ledger.removeZone(record.Forfeit, offset)
 		return true
 	}
--- a/library/limiter/ledger_test.go
+++ b/library/limiter/ledger_test.go
@@ -65,6 +65,17 @@
 		ledger.Apply(newRecord("b", 1, 2, Change{Take: cores(10)}), 5)
 		assertHeld(t, &ledger, "b", 10)
 	})
+	t.Run("repeatedForfeitKeepsWhatWasTakenSince", func(t *testing.T) {
+		var ledger Ledger
+		ledger.SetLimit("one", cores(10), 1)
+		ledger.Apply(newRecord("a", 1, 1, Change{Take: cores(10)}), 2)
+		forfeit := Record{Forfeit: "a", Term: ledger.Tenure("a").Term, Step: ledger.Tenure("a").Step}
+		ledger.Apply(forfeit, 3)
+		assertHeld(t, &ledger, "a", 0)
+		ledger.Apply(newRecord("a", 2, 1, Change{Take: cores(6)}), 4)
+		ledger.Apply(forfeit, 5)
+		assertHeld(t, &ledger, "a", 6)
+	})
 }
 
 // TestLedgerProperty replays random releases and takes, some of them twice, as when an append is sent again.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -38,6 +38,7 @@
 try 'gangs: reserve anew when a reserved worker is lost' library/decider/reservation.go 'if decider.reservationsUsable(head, now) {' 'if true {' ./library/decider 'TestGangs'
 try 'limits: takes bounded by unallocated amount' library/limiter/ledger.go 'change.Take.Min(account.Unallocated().Max(sizer.Size{}))' 'change.Take' ./library/limiter 'TestLedger'
 try 'limits: reserves wait for unmet demand' library/limiter/plan.go 'if account.WantedByOthers(zone).Zero() {' 'if true {' ./library/limiter 'TestConcurrentPlans'
+try 'limits: repeated forfeits' library/limiter/ledger.go 'ledger.tenures[record.Forfeit].after(record.Term, record.Step)' 'false' ./tests 'TestForfeitedZone'
 try 'limits: capacity of unclaimed workers withheld' library/decider/systems.go 'decider.unclaimedCapacity)' 'decider.totalCapacity.Sub(decider.totalCapacity))' ./library/decider 'TestUnclaimed'
 try 'truncated answers: connection is aborted' daemon/server/request.go 'panic(http.ErrAbortHandler)' 'return' ./tests 'TestUpstreamEnds'
 try 'outcome notRun: only if proven' daemon/server/request.go 'if known && ending == decider.NeverRan {' 'if true {' ./tests 'TestUpstreamEnds'
--- a/tests/limits_test.go
+++ b/tests/limits_test.go
@@ -1,10 +1,14 @@
 package tests
 
 import (
+	"encoding/json"
+	"net/http"
 	"testing"
 	"time"
 
+	"ebonyshunt.org/daemon/logger"
 	"ebonyshunt.org/daemon/server"
+	"ebonyshunt.org/library/replayer"
 	"ebonyshunt.org/standin/logserver"
 )
 
@@ -94,3 +98,66 @@
 		}
 	})
 }
+
+// TestForfeitedZone takes a lost zone out of the fleet and forfeits its slices, so that the other zones may use the whole
+// limit. It then takes the zone back and repeats the append of the forfeit, and guards against a repetition that
+// removes what the zone has taken since: the team would exceed its limit.
+func TestForfeitedZone(t *testing.T) {
+	runCellTest(t, 1, func(h *harness) {
+		submit := func(host string) {
+			h.submitJob(host, server.JobSpec{Service: "work", Idempotent: true, Tasks: taskSpecs(12, "?workMS=20000")})
+		}
+		h.KillHost("entry-c-0")
+		h.setZones("a, b")
+		if answer := h.send(h.ctx, "entry-a-0", http.MethodPost, "/v1/zones/c/forfeit", rootKey, nil); answer.status != http.StatusNoContent {
+			h.Fatalf("not forfeited: %+v", answer)
+		}
+		submit("entry-a-0")
+		submit("entry-b-0")
+		time.Sleep(2 * maxSliceDelay)
+		if running := h.observer.runningMilliCores("one"); running != teamLimitMilliCores {
+			h.Errorf("%d of %d millicores run after the forfeit", running, teamLimitMilliCores)
+		}
+		h.setZones("a, b, c")
+		h.startAgain("entry-c-0")
+		submit("entry-c-0")
+		time.Sleep(time.Minute)
+		for _, host := range h.Names {
+			submit(host)
+		}
+		time.Sleep(2 * maxSliceDelay)
+		h.repeatForfeit()
+		time.Sleep(time.Minute)
+	})
+}
+
+func (h *harness) setZones(zones string) {
+	h.Helper()
+	text := "owner = ops\nzones = " + zones + "\n"
+	if _, err := h.PublishSection(h.ctx, "entry-a-0", "fleet", text, h.sectionVersion("entry-a-0", "fleet")); err != nil {
+		h.Fatal(err)
+	}
+}
+
+// repeatForfeit appends the first forfeit in the log again.
+func (h *harness) repeatForfeit() {
+	h.Helper()
+	client := logger.New(h.client, h.Hosts["entry-a-0"].Settings.LogAddress, "fleet")
+	for next := int64(1); ; {
+		page, err := client.Read(h.ctx, next, 0)
+		if err != nil || len(page.Entries) == 0 {
+			h.Fatalf("no forfeit in the log: %v", err)
+		}
+		for _, entry := range page.Entries {
+			next = entry.Offset + 1
+			var record replayer.Record
+			if json.Unmarshal(entry.Data, &record) != nil || record.Slice == nil || record.Slice.Forfeit == "" {
+				continue
+			}
+			if _, err := client.Append(h.ctx, record); err != nil {
+				h.Fatal(err)
+			}
+			return
+		}
+	}
+}
