server: a forfeit that the log refused is not run, not unknown

Seen by reading: serveForfeit answered 503 with the outcome unknown for each failed append, also for those that the log service had refused; API.md gives 503 for what did not run. TestForfeit fails without the change.

Change: as for publications, a refused append is notRun with 503, one without an answer is unknown with 504.

--- a/daemon/server/publish.go
+++ b/daemon/server/publish.go
@@ -258,8 +258,11 @@
 	slice := limiter.Record{Forfeit: zone, Term: last.Term, Step: last.Step}
 	record := replayer.Record{Format: replayer.Format, ID: uuid.NewString(), Author: author, Slice: &slice}
 	offset, err := server.logClient.Append(ctx, record)
+	if logger.ErrUncertain.Has(err) {
+		return responder.New(http.StatusGatewayTimeout, responder.CodeLogUnavailable, responder.Unknown, "%v", err).WithRetryAfter(time.Second)
+	}
 	if err != nil {
-		return responder.New(http.StatusServiceUnavailable, responder.CodeLogUnavailable, responder.Unknown, "%v", err).WithRetryAfter(time.Second)
+		return responder.Refuse(http.StatusServiceUnavailable, responder.CodeLogUnavailable, "not forfeited: %v", err).WithRetryAfter(time.Second)
 	}
 	if !server.awaitOffset(ctx, offset) {
 		return responder.New(http.StatusGatewayTimeout, responder.CodeLogUnavailable, responder.Unknown,
--- a/tests/limits_test.go
+++ b/tests/limits_test.go
@@ -9,6 +9,7 @@
 	"ebonyshunt.org/daemon/logger"
 	"ebonyshunt.org/daemon/server"
 	"ebonyshunt.org/library/replayer"
+	"ebonyshunt.org/library/responder"
 	"ebonyshunt.org/standin/logserver"
 )
 
@@ -99,6 +100,25 @@
 	})
 }
 
+// TestForfeit guards against a forfeit that the log has refused and that is reported as possibly in force, and against the
+// reverse.
+func TestForfeit(t *testing.T) {
+	forfeit := func(h *harness, wantStatus int, want responder.Outcome) {
+		h.Helper()
+		answer := h.send(h.ctx, "entry-a-0", http.MethodPost, "/v1/zones/gone/forfeit", rootKey, nil)
+		if answer.status != wantStatus || answer.outcome != want {
+			h.Errorf("status %d with outcome %q, want %d with %q", answer.status, answer.outcome, wantStatus, want)
+		}
+	}
+	runCellTest(t, 1, func(h *harness) {
+		forfeit(h, http.StatusNoContent, "")
+		h.Log.SetFaults(logserver.Faults{LoseAnswers: 1})
+		forfeit(h, http.StatusGatewayTimeout, responder.Unknown)
+		h.Log.SetFaults(logserver.Faults{Down: true})
+		forfeit(h, http.StatusServiceUnavailable, responder.NotRun)
+	})
+}
+
 // TestForfeitedZone takes a lost zone out of the fleet and forfeits its slices, so that the other zones may use the whole
 // limit. It then takes the zone back and repeats the append of the forfeit, and guards against a repetition that
 // removes what the zone has taken since: the team would exceed its limit.
