tailer: each read of the log has a time limit of its own

Seen by reading: one limit of 15 s covered a whole search for a checkpoint, which reads page after page and begins anew after each failure.

Change: the limit applies to each read.

--- a/daemon/tailer/tailer.go
+++ b/daemon/tailer/tailer.go
@@ -32,7 +32,7 @@
 
 const (
 	longPollWait      = 10 * time.Second
-	readTimeout       = 15 * time.Second
+	readTimeout       = 15 * time.Second // longer than longPollWait
 	initialRetryDelay = 100 * time.Millisecond
 	maxRetryDelay     = 2 * time.Second
 )
@@ -74,14 +74,12 @@
 
 func (tailer *Tailer) poll(ctx context.Context) error {
 	since := tailer.Register.AsOf()
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
 	// The first reads return at once, so that an empty log is confirmed without delay.
 	wait := longPollWait
 	if tailer.LastCaughtUp().IsZero() {
 		wait = 0
 	}
-	page, err := tailer.client.Read(ctx, since+1, wait)
+	page, err := tailer.read(ctx, since+1, wait)
 	if err != nil {
 		return err
 	}
@@ -101,6 +99,13 @@
 	return err
 }
 
+// read reads one page of the log. Each read has a time limit of its own: a search for a checkpoint takes many of them.
+func (tailer *Tailer) read(ctx context.Context, from int64, wait time.Duration) (logger.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return tailer.client.Read(ctx, from, wait)
+}
+
 func (tailer *Tailer) replay(entries []logger.Entry) error {
 	for _, entry := range entries {
 		var record replayer.Record
@@ -131,7 +136,7 @@
 			_, err := tailer.Register.Apply(entry.Offset, record)
 			return err
 		}
-		next, err := tailer.client.Read(ctx, page.Entries[len(page.Entries)-1].Offset+1, 0)
+		next, err := tailer.read(ctx, page.Entries[len(page.Entries)-1].Offset+1, 0)
 		if err != nil {
 			return err
 		}
