server: a read of a job that gets no answer is not run, not unknown

Seen by reading: jobs and answers of tasks that were only read ended as 502 with the outcome unknown when their home zone sent no answer, as if the read could have run something; the command line then exits with the code for it.

Change: a read that fails is 503 notRun with Retry-After, as API.md gives it; a cancellation without an answer stays unknown.

--- a/daemon/server/routes.go
+++ b/daemon/server/routes.go
@@ -201,8 +201,8 @@
 	return spec, nil
 }
 
-// writeJob sends a job, or the problem of its call. If the call got no answer, it is unknown whether a submitted job was
-// accepted; submitting it again under the same idempotency key is safe.
+// writeJob sends a job, or the problem of its call. If the call got no answer, it is unknown whether a job was accepted
+// or canceled; submitting it again under the same idempotency key is safe.
 func (server *Server) writeJob(w http.ResponseWriter, id string, answer JobAnswer, err error, status int) {
 	switch {
 	case err != nil && isUnsent(err):
@@ -218,11 +218,11 @@
 }
 
 // lookupJob requests a job from the decider of its home zone. If that fails, it returns the copy stored on this host,
-// if any.
-func (server *Server) lookupJob(r *http.Request, after int64, wait time.Duration) (JobAnswer, error) {
+// if any, or else a problem. A read changes nothing, so that its outcome is never unknown.
+func (server *Server) lookupJob(r *http.Request, after int64, wait time.Duration) JobAnswer {
 	team, problem := server.authenticate(server.viewer.View(), r)
 	if problem != nil {
-		return JobAnswer{Problem: problem}, nil
+		return JobAnswer{Problem: problem}
 	}
 	id := chi.URLParam(r, "job")
 	ctx, cancel := context.WithTimeout(r.Context(), wait+clientTimeout)
@@ -230,20 +230,20 @@
 	var answer JobAnswer
 	err := server.callDecider(ctx, zoneOfJob(id), methodJob, JobCall{ID: id, Team: team, After: after, WaitMS: wait.Milliseconds()}, &answer)
 	if err == nil {
-		return answer, nil
+		return answer
 	}
 	if record, found := server.records.Get(id); found {
 		var job Job
 		if json.Unmarshal(record.Data, &job) == nil && job.Team == team {
-			return JobAnswer{Job: &job}, nil
+			return JobAnswer{Job: &job}
 		}
 	}
-	return JobAnswer{}, err
+	problem = responder.Refuse(http.StatusServiceUnavailable, responder.CodeHomeUnreachable, "the home zone of job %s sent no answer: %v", id, err)
+	return JobAnswer{Problem: problem.WithRetryAfter(time.Second)}
 }
 
 func (server *Server) serveJob(w http.ResponseWriter, r *http.Request) {
-	answer, err := server.lookupJob(r, 0, 0)
-	server.writeJob(w, chi.URLParam(r, "job"), answer, err, http.StatusOK)
+	server.writeJob(w, chi.URLParam(r, "job"), server.lookupJob(r, 0, 0), nil, http.StatusOK)
 }
 
 // serveJobEvents streams the versions of a job as JSON lines until the job is finished. A caller whose stream was cut
@@ -253,12 +253,12 @@
 	began := false
 	encoder := json.NewEncoder(w)
 	for r.Context().Err() == nil && server.abandonContext.Err() == nil {
-		answer, err := server.lookupJob(r, after, eventsPollTimeout)
-		if !began && (err != nil || answer.Problem != nil) {
-			server.writeJob(w, chi.URLParam(r, "job"), answer, err, http.StatusOK)
+		answer := server.lookupJob(r, after, eventsPollTimeout)
+		if !began && answer.Problem != nil {
+			server.writeProblem(w, chi.URLParam(r, "job"), answer.Problem)
 			return
 		}
-		if err != nil || answer.Job == nil {
+		if answer.Job == nil {
 			return
 		}
 		if !began {
@@ -280,9 +280,9 @@
 const eventsPollTimeout = 5 * time.Second
 
 func (server *Server) serveJobAnswer(w http.ResponseWriter, r *http.Request) {
-	answer, err := server.lookupJob(r, 0, 0)
-	if err != nil || answer.Problem != nil {
-		server.writeJob(w, chi.URLParam(r, "job"), answer, err, http.StatusOK)
+	answer := server.lookupJob(r, 0, 0)
+	if answer.Problem != nil {
+		server.writeProblem(w, chi.URLParam(r, "job"), answer.Problem)
 		return
 	}
 	index, err := strconv.Atoi(chi.URLParam(r, "task"))
