tests: the length of a key is counted in characters

The count was changed from bytes to characters without a test. TestKeyLength fails with the count of bytes: a key of 256 characters was refused as one of 512. The comment on the constant says characters now.

--- a/daemon/server/check.go
+++ b/daemon/server/check.go
@@ -33,7 +33,7 @@
 	headerDeadline   = "Ebonyshunt-Deadline"   // RFC 3339, or seconds from now
 	headerIdempotent = "Ebonyshunt-Idempotent" // true or false
 	headerKey        = "Idempotency-Key"
-	maxKeyLength     = 256 // bytes of an idempotency key
+	maxKeyLength     = 256 // characters of an idempotency key
 )
 
 // singleHeaders may occur at most once in a request.
--- a/tests/requests_test.go
+++ b/tests/requests_test.go
@@ -76,6 +76,22 @@
 	})
 }
 
+// TestKeyLength sends idempotency keys of letters that take two bytes each. It guards against a limit of the length that
+// counts bytes although the message speaks of characters.
+func TestKeyLength(t *testing.T) {
+	const maxCharacters = 256
+	runCellTest(t, 1, func(h *harness) {
+		longest := strings.Repeat("é", maxCharacters)
+		if answer := h.post("entry-a-0", "", "Idempotency-Key", longest); answer.outcome != responder.Answered {
+			t.Errorf("key of %d characters: got problem %+v, want outcome answered", maxCharacters, answer.problem)
+		}
+		answer := h.post("entry-a-0", "", "Idempotency-Key", longest+"é")
+		if answer.status != http.StatusBadRequest || !strings.Contains(answer.problem.Detail, "257 characters") {
+			t.Errorf("key of %d characters: got %+v, want status 400", maxCharacters+1, answer.problem)
+		}
+	})
+}
+
 // TestCallerBehavior covers callers that send slowly, disconnect, stop reading or lose their key. Every task that began
 // must end, and a request that is refused or abandoned while it is queued must not run.
 func TestCallerBehavior(t *testing.T) {
