decider: drop the field of a report that nothing read

Whether a report lists all tasks made no difference to the decider: tasks that a worker no longer reports end by its clock. The field of the worker's answer stays on the wire.

--- a/daemon/server/claims.go
+++ b/daemon/server/claims.go
@@ -111,7 +111,6 @@
 		Clock:    report.Clock,
 		Term:     report.Term,
 		Sequence: report.Sequence,
-		Full:     report.Full,
 	}
 	for _, task := range report.Tasks {
 		converted.Tasks = append(converted.Tasks, decider.TaskReport{
--- a/library/decider/report.go
+++ b/library/decider/report.go
@@ -16,7 +16,6 @@
 	Clock    int64       // worker's clock, milliseconds since its boot
 	Term     fencer.Term // term that owns the worker
 	Sequence int64       // number of the last change in the report
-	Full     bool        // Tasks is the full table
 	Tasks    []TaskReport
 }
 
--- a/library/decider/rules_test.go
+++ b/library/decider/rules_test.go
@@ -129,7 +129,7 @@
 		return harness
 	}
 	report := func(harness *harness, clock int64, tasks ...TaskReport) []Effect {
-		harness.ApplyReport("w000", Report{Boot: "2", Clock: clock, Term: harness.Term, Full: true, Tasks: tasks}, harness.now)
+		harness.ApplyReport("w000", Report{Boot: "2", Clock: clock, Term: harness.Term, Tasks: tasks}, harness.now)
 		return harness.Tick(harness.now)
 	}
 	t.Run("unreportedTaskCountsUntilItsLeaseEnds", func(t *testing.T) {
