tests: hosts that restart on stored records complete all jobs, also of slow tasks

Two faults were seen once without a trace: a job still running 3 min after all hosts had been ended and started on the records in the store, in about one run of 60, and a job whose tasks took 50 to 80 times what they declare.

--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -842,6 +842,34 @@
 	})
 }
 
+// TestFleetRestartOnRecords ends all hosts at once while tasks run, of which those on one worker can no longer be reached,
+// and starts them on the records in the store. It guards against jobs that are left running for good, also if their
+// tasks take up to 80 times what they declare.
+func TestFleetRestartOnRecords(t *testing.T) {
+	const jobs, timeout = 12, 3 * time.Minute
+	for _, runTime := range []time.Duration{100 * time.Millisecond, 2 * time.Second, 5 * time.Second, 8 * time.Second} {
+		t.Run(runTime.String(), func(t *testing.T) {
+			runFleetTest(t, 4, func(fleet *fleet) {
+				for _, worker := range fleet.workers {
+					worker.RunTime = runTime
+				}
+				for number := range jobs {
+					fleet.submitJob(fleet.hostNames[number%len(fleet.hostNames)], number)
+				}
+				fleet.fabric.Cut([]string{"w-0"}, append(slices.Clone(fleet.hostNames), "store"))
+				time.Sleep(time.Second)
+				for _, name := range fleet.hostNames {
+					fleet.killHost(name)
+				}
+				for _, name := range fleet.hostNames {
+					fleet.startHost(name)
+				}
+				fleet.awaitJobs(fleet.hostNames[1], timeout)
+			})
+		})
+	}
+}
+
 // latestRun returns the run with the highest number: its worker and its number, which is 0 if there was no run.
 func (fleet *fleet) latestRun() (string, int) {
 	worker, number := "", 0
