--- a/daemon/server/keyed.go
+++ b/daemon/server/keyed.go
@@ -100,8 +100,7 @@
 	answer, err := server.takeKey(request)
 	switch {
 	case err != nil:
-		server.completeRequest(request, responder.Refuse(http.StatusServiceUnavailable, responder.CodeHomeUnreachable,
-			"zone %s, which stores this idempotency key, cannot be reached", home).WithRetryAfter(time.Second))
+		server.completeRequest(request, keyUnreachable(home))
 	case answer.Problem != nil:
 		server.completeRequest(request, answer.Problem)
 	case answer.Answer != nil:
@@ -131,12 +130,16 @@
 	request.takeKeyCall.Zone = request.zone
 	answer, err := server.takeKey(request)
 	if err != nil || time.Since(sent) > maxKeyAnswerAge {
-		return responder.Refuse(http.StatusServiceUnavailable, responder.CodeHomeUnreachable,
-			"zone %s, which stores this idempotency key, cannot be reached", request.home).WithRetryAfter(time.Second)
+		return keyUnreachable(request.home)
 	}
 	return answer.Problem
 }
 
+func keyUnreachable(home string) *responder.Problem {
+	return responder.Refuse(http.StatusServiceUnavailable, responder.CodeHomeUnreachable,
+		"zone %s, which stores this idempotency key, cannot be reached", home).WithRetryAfter(time.Second)
+}
+
 // endKey records the outcome in the home zone of the idempotency key. A problem is sent to the caller only afterwards; a
 // streamed answer has been delivered already.
 func (server *Server) endKey(request *clientRequest, problem *responder.Problem) {
--- a/daemon/server/publish.go
+++ b/daemon/server/publish.go
@@ -163,9 +163,7 @@
 // 0 if it is not known whether the record was appended.
 func (server *Server) awaitRecord(ctx context.Context, record *replayer.Record, offset int64) *Conflict {
 	for {
-		server.mu.Lock()
-		changed := server.sectionsChanged
-		server.mu.Unlock()
+		changed := server.registerChanged()
 		asOf := server.register.AsOf()
 		current, _ := server.register.Get(record.Section)
 		switch {
@@ -186,6 +184,13 @@
 	}
 }
 
+// registerChanged returns a channel that is closed at the next change of the register.
+func (server *Server) registerChanged() <-chan struct{} {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	return server.sectionsChanged
+}
+
 func versionConflict(current replayer.Version) *Conflict {
 	problem := responder.Refuse(http.StatusPreconditionFailed, responder.CodeConflict,
 		"section %q is at version %d by %s", current.Section, current.Offset, current.Author)
@@ -278,9 +283,7 @@
 // awaitOffset waits until the register has reached an offset of the log. It returns false if the context ends first.
 func (server *Server) awaitOffset(ctx context.Context, offset int64) bool {
 	for {
-		server.mu.Lock()
-		changed := server.sectionsChanged
-		server.mu.Unlock()
+		changed := server.registerChanged()
 		if server.register.AsOf() >= offset {
 			return true
 		}
