--- a/daemon/server/publish.go
+++ b/daemon/server/publish.go
@@ -163,9 +163,7 @@
 // 0 if it is not known whether the record was appended.
 func (server *Server) awaitRecord(ctx context.Context, record *replayer.Record, offset int64) *Conflict {
 	for {
-		server.mu.Lock()
-		changed := server.sectionsChanged
-		server.mu.Unlock()
+		changed := server.registerChanged()
 		asOf := server.register.AsOf()
 		current, _ := server.register.Get(record.Section)
 		switch {
@@ -186,6 +184,13 @@
 	}
 }
 
+// registerChanged returns a channel that is closed at the next change of the register.
+func (server *Server) registerChanged() <-chan struct{} {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	return server.sectionsChanged
+}
+
 func versionConflict(current replayer.Version) *Conflict {
 	problem := responder.Refuse(http.StatusPreconditionFailed, responder.CodeConflict,
 		"section %q is at version %d by %s", current.Section, current.Offset, current.Author)
@@ -243,12 +248,49 @@
 		}
 	}
 	author, _ := server.operator(r)
-	record := replayer.Record{Format: replayer.Format, ID: uuid.NewString(), Author: author, Slice: &limiter.Record{Forfeit: zone}}
 	ctx, cancel := context.WithTimeout(r.Context(), publishTimeout)
 	defer cancel()
-	if _, err := server.logClient.Append(ctx, record); err != nil {
-		server.writeProblem(w, "", responder.New(http.StatusServiceUnavailable, responder.CodeLogUnavailable, responder.Unknown, "%v", err).WithRetryAfter(time.Second))
+	if problem := server.forfeit(ctx, zone, author); problem != nil {
+		server.writeProblem(w, "", problem)
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
+
+// forfeit appends a forfeit of a zone's slices to the log and waits until it has been read back.
+func (server *Server) forfeit(ctx context.Context, zone, author string) *responder.Problem {
+	last := server.register.Tenure(zone)
+	slice := limiter.Record{Forfeit: zone, Term: last.Term, Step: last.Step}
+	record := replayer.Record{Format: replayer.Format, ID: uuid.NewString(), Author: author, Slice: &slice}
+	offset, err := server.logClient.Append(ctx, record)
+	if logger.ErrUncertain.Has(err) {
+		return responder.New(http.StatusGatewayTimeout, responder.CodeLogUnavailable, responder.Unknown, "%v", err).WithRetryAfter(time.Second)
+	}
+	if err != nil {
+		return responder.Refuse(http.StatusServiceUnavailable, responder.CodeLogUnavailable, "not forfeited: %v", err).WithRetryAfter(time.Second)
+	}
+	if !server.awaitOffset(ctx, offset) {
+		return responder.New(http.StatusGatewayTimeout, responder.CodeLogUnavailable, responder.Unknown,
+			"record %s has not been read back from the log yet", record.ID).WithRetryAfter(time.Second)
+	}
+	if server.register.Tenure(zone) != last {
+		return responder.Refuse(http.StatusConflict, responder.CodeConflict,
+			"zone %s has changed its slices meanwhile: make sure that it is stopped, and forfeit again", zone)
+	}
+	return nil
+}
+
+// awaitOffset waits until the register has reached an offset of the log. It returns false if the context ends first.
+func (server *Server) awaitOffset(ctx context.Context, offset int64) bool {
+	for {
+		changed := server.registerChanged()
+		if server.register.AsOf() >= offset {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
