planner: the clock of a machine does not decide which of its workers is the latest

What callers could see: a task that runs twice. A worker that is listed while the entry of its machine's former worker still stands was taken for the former one if the machine's time of day had gone back between them; its runs were closed and started elsewhere. Cause: workers of one machine were ordered by the times of their starts. The later one must now also have been listed after the earlier one in the same term; otherwise the end of the leases is awaited as before. TestMachineBack/ laterWorkerWithAnEarlierTimeIsNotReplaced failed before and passes. Also: a worker that left the list without a word may only be cut off, so that its lost runs never count as alone.

--- a/library/planner/crashes.go
+++ b/library/planner/crashes.go
@@ -184,9 +184,28 @@
 	}
 }
 
-// resolveGone decides about the lost runs of a worker that is gone for good. Whether it crashed is not certain, so that
-// such a loss alone is weaker evidence.
+// resolveGone decides about the lost runs of a worker that has left the list without a word: they count as lost in a
+// crash, but never as alone, since the worker may only be cut off.
 func (planner *Planner) resolveGone(worker *Worker) {
+	for _, key := range worker.lostTasks {
+		if step := planner.steps[key.step()]; step != nil && key.Index < len(step.tasks) {
+			step.suspect(key.Index).weakenLosses(worker.ID)
+		}
+	}
+	planner.resolveReplaced(worker)
+}
+
+// weakenLosses marks the runs of a task that were lost on a worker as not alone there.
+func (task *task) weakenLosses(worker string) {
+	for index := range task.lost {
+		if task.lost[index].worker == worker {
+			task.lost[index].alone = false
+		}
+	}
+}
+
+// resolveReplaced counts the lost runs of a worker whose machine is back as another worker.
+func (planner *Planner) resolveReplaced(worker *Worker) {
 	planner.resolveLosses(worker, func(lostRun) bool { return true })
 }
 
@@ -200,7 +219,8 @@
 }
 
 // detectReplaced finds the workers whose machines have started anew as other workers: they have crashed, unless they were
-// draining.
+// draining. Times of day alone do not tell which worker of a machine is the latest, since its clock may go back: the later
+// one must also have been listed after the earlier one, both in this term.
 func (planner *Planner) detectReplaced() {
 	newest := map[string]*Worker{} // by machine
 	for _, worker := range planner.workers {
@@ -211,13 +231,18 @@
 	delete(newest, "")
 	for _, worker := range planner.workerList {
 		successor := newest[worker.Machine]
-		if successor == nil || worker.replaced || worker.Draining || worker.Incarnation == 0 || worker.Incarnation >= successor.Incarnation {
-			continue
+		if successor != nil && !worker.replaced && !worker.Draining && worker.precedes(successor) {
+			planner.closeReplaced(worker)
 		}
-		planner.closeReplaced(worker)
 	}
 }
 
+// precedes reports whether a worker is certainly older than another one of its machine.
+func (worker *Worker) precedes(other *Worker) bool {
+	return worker.Incarnation != 0 && worker.Incarnation < other.Incarnation &&
+		!worker.firstListedAt.IsZero() && worker.firstListedAt.Before(other.firstListedAt)
+}
+
 // closeReplaced closes the runs of a worker whose machine has started anew as another worker. The machine runs nothing of
 // before, and orders that are still on their way name the former worker, so that the end of the leases is not awaited.
 func (planner *Planner) closeReplaced(worker *Worker) {
@@ -229,5 +254,5 @@
 	for _, run := range worker.sortedRuns() {
 		planner.closeRefused(run, planner.now)
 	}
-	planner.resolveGone(worker)
+	planner.resolveReplaced(worker)
 }
--- a/library/planner/crashes_test.go
+++ b/library/planner/crashes_test.go
@@ -319,6 +319,26 @@
 			t.Errorf("the task was started %d times, want 1", starts)
 		}
 	})
+	// Guards against a second run beside the first one: the clock of a machine may have gone back between two of its workers.
+	t.Run("laterWorkerWithAnEarlierTimeIsNotReplaced", func(t *testing.T) {
+		fleet := newCrashFleet(t, 1)
+		former := fleet.workers["w-000"]
+		fleet.reviveSame(former)
+		fleet.advance(time.Second)
+		fleet.crash(former)
+		fleet.advance(time.Second)
+		fleet.workers["w-001"] = &fakeWorker{
+			id: "w-001", machine: former.machine, incarnation: former.incarnation - 1, clockStart: fleet.now, running: map[planner.TaskKey]int{},
+		}
+		fleet.listWorkers()
+		fleet.submit(jobA, newStep(1))
+		fleet.settle()
+		fleet.play(2*time.Second, func(*fakeWorker) {}, noTask, func() bool { return false })
+		fleet.wantRunning(1)
+		if starts := fleet.startsOf(jobA); starts != 1 {
+			t.Errorf("the task was started %d times, want 1", starts)
+		}
+	})
 	t.Run("drainedWorkerHasNotCrashed", func(t *testing.T) {
 		fleet, step := newCrashFleet(t, 1), newStep(1)
 		fleet.submit(jobA, step)
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -185,6 +185,9 @@
 	if info.Draining && (!worker.Draining || info.LeavesIn != worker.LeavesIn) {
 		worker.leavesAt = now.Add(info.LeavesIn)
 	}
+	if worker.firstListedAt.IsZero() {
+		worker.firstListedAt = now
+	}
 	worker.WorkerInfo, worker.Listed = info, true
 	if incarnation != 0 {
 		worker.Incarnation = incarnation // a known value changes only through the worker's own answers
--- a/library/planner/worker.go
+++ b/library/planner/worker.go
@@ -38,11 +38,13 @@
 	Runs       map[TaskKey]*Run
 	AnsweredAt time.Time // time of its last answer
 
-	leavesAt    time.Time // earliest time at which it leaves, valid while it drains
-	restarted   bool      // whether it restarted and its runs were not read since
-	clockMS     int64     // worker's clock at clockReadAt, in milliseconds
-	clockReadAt time.Time // when clockMS was received
-	leaseEndMS  int64     // latest lease end that was requested, in milliseconds of the worker's clock
+	// firstListedAt is when this planner first found it in the platform's list, zero before.
+	firstListedAt time.Time
+	leavesAt      time.Time // earliest time at which it leaves, valid while it drains
+	restarted     bool      // whether it restarted and its runs were not read since
+	clockMS       int64     // worker's clock at clockReadAt, in milliseconds
+	clockReadAt   time.Time // when clockMS was received
+	leaseEndMS    int64     // latest lease end that was requested, in milliseconds of the worker's clock
 	// leasesExpireBy is the time by which every lease has expired; valid while the worker's runs are not known.
 	leasesExpireBy   time.Time
 	runsUnknownSince time.Time
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -121,4 +121,5 @@
 try 'takeover by the holder of the term' library/detector/detector.go 'if holder == self.Name {' 'if false {' ./tests 'TestRollingRestarts'
 try 'fleet: configurations from peers' daemon/scheduler/watch.go 'host.catalogFetcher.report(answer.CatalogVersion, address)' '' ./tests 'TestFleetConfiguration'
 try 'fleet: short leases of leaving workers' library/planner/polling.go 'max(worker.timeUntilLeaving(now), 0)+leavingWorkerLease' 'planner.Settings.Lease' ./library/planner 'TestEvacuation'
+try 'duplicate runs: order of the workers of a machine' library/planner/crashes.go '!worker.firstListedAt.IsZero() && worker.firstListedAt.Before(other.firstListedAt)' 'true' ./library/planner 'TestMachineBack'
 exit $failed
