--- a/library/planner/catalog.go
+++ b/library/planner/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync"
 	"time"
 
 	"ebonyshunt.org/library/sizer"
@@ -15,6 +16,8 @@
 	Teams    map[string]Team
 	Keys     map[string]string // team names by API key
 	Limits   Limits
+
+	index queueIndex
 }
 
 // Limits are the limits that an entry host applies to its connections.
@@ -62,31 +65,50 @@
 	Cap    sizer.Size // maximum total size of its concurrent runs, 0 for a resource without limit
 }
 
+// queueIndex finds queues by name and by prefix: a fleet may have thousands, and each call and step looks one up.
+type queueIndex struct {
+	built         sync.Once
+	byName        map[string]*Queue
+	byPrefix      map[string][]*Queue // in the order of Catalog.Queues
+	longestPrefix int                 // in bytes
+}
+
+// indexed returns the index, which is built on first use.
+func (catalog *Catalog) indexed() *queueIndex {
+	catalog.index.built.Do(func() {
+		catalog.index.byName = make(map[string]*Queue, len(catalog.Queues))
+		catalog.index.byPrefix = make(map[string][]*Queue, len(catalog.Queues))
+		for number := range catalog.Queues {
+			queue := &catalog.Queues[number]
+			if _, duplicate := catalog.index.byName[queue.Name]; !duplicate {
+				catalog.index.byName[queue.Name] = queue
+			}
+			catalog.index.byPrefix[queue.Prefix] = append(catalog.index.byPrefix[queue.Prefix], queue)
+			catalog.index.longestPrefix = max(catalog.index.longestPrefix, len(queue.Prefix))
+		}
+	})
+	return &catalog.index
+}
+
 // Route returns the queue with the longest prefix of the path among those whose host matches, and false if there is
 // none. A queue without a host matches every host.
 func (catalog *Catalog) Route(host, path string) (Queue, bool) {
-	best := -1
-	for number := range catalog.Queues {
-		queue := &catalog.Queues[number]
-		if queue.Host != "" && !strings.EqualFold(queue.Host, host) || !strings.HasPrefix(path, queue.Prefix) {
-			continue
-		}
-		if best < 0 || len(queue.Prefix) > len(catalog.Queues[best].Prefix) {
-			best = number
+	index := catalog.indexed()
+	for length := min(len(path), index.longestPrefix); length >= 0; length-- {
+		for _, queue := range index.byPrefix[path[:length]] {
+			if queue.Host == "" || strings.EqualFold(queue.Host, host) {
+				return *queue, true
+			}
 		}
 	}
-	if best < 0 {
-		return Queue{}, false
-	}
-	return catalog.Queues[best], true
+	return Queue{}, false
 }
 
 // Queue returns the queue with a name, and false if there is none.
 func (catalog *Catalog) Queue(name string) (Queue, bool) {
-	for number := range catalog.Queues {
-		if catalog.Queues[number].Name == name {
-			return catalog.Queues[number], true
-		}
+	queue, found := catalog.indexed().byName[name]
+	if !found {
+		return Queue{}, false
 	}
-	return Queue{}, false
+	return *queue, true
 }
