translator: reads of the store are bounded by their progress, not as a whole

Now a read ends when its answer does not begin in time, or stands still for a second; in all it may take 30 s. TestStoreReads/answerThatArrivesSlowlyIsRead: fails with the former limit of 2 s in all, passes; a read that stops is given up within two of these seconds. The test network now delivers data in segments of 16 KB.

--- a/daemon/scheduler/catalog.go
+++ b/daemon/scheduler/catalog.go
@@ -14,9 +14,13 @@
 	// deciderTailWait replaces tailWait on the decider for the topic of the fleet, since each read confirms its term: the
 	// time from the sending of one read to the answer of the next one has to be less than renewalWindow.
 	deciderTailWait = time.Second
-	// tailTimeoutSlack is how long an answer may take beyond tailWait before the connection is considered dead.
+	// tailTimeoutSlack is how long an answer may take to begin beyond tailWait before the connection is considered dead.
 	tailTimeoutSlack = 700 * time.Millisecond
-	storeTimeout     = 2 * time.Second // of any other store call
+	storeTimeout     = 2 * time.Second // until any other store call is answered
+	// readStallTimeout is how long no part of an answer that has begun may arrive. A large configuration takes seconds over
+	// a slow link, which other traffic shares.
+	readStallTimeout = time.Second
+	maxReadTime      = 30 * time.Second // of one read with all its parts
 	minStoreBackoff  = 100 * time.Millisecond
 	maxStoreBackoff  = 400 * time.Millisecond
 )
@@ -62,9 +66,8 @@
 }
 
 func (host *Host) readNewest(ctx context.Context, topic translator.Topic) ([]translator.Entry, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	entries, next, err := host.store.ReadNewest(ctx, topic)
+	limits := translator.ReadLimits{First: storeTimeout, Stall: readStallTimeout, Total: maxReadTime}
+	entries, next, err := host.store.ReadNewest(ctx, topic, limits)
 	if err == nil {
 		host.recordStoreAnswer()
 	}
@@ -80,9 +83,8 @@
 		if host.currentTenure() != nil && topic == translator.Fleet {
 			wait = deciderTailWait
 		}
-		pollCtx, cancel := context.WithTimeout(ctx, wait+tailTimeoutSlack)
-		entries, after, err := host.store.Tail(pollCtx, topic, next, wait)
-		cancel()
+		limits := translator.ReadLimits{First: wait + tailTimeoutSlack, Stall: readStallTimeout, Total: maxReadTime}
+		entries, after, err := host.store.Tail(ctx, topic, next, wait, limits)
 		switch {
 		case err == nil:
 			failed = false
--- a/standin/connector/conn.go
+++ b/standin/connector/conn.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -26,7 +27,10 @@
 	writeDeadline time.Time
 }
 
-// chunk is the data of one write. It can be read from arrivesAt on.
+// maxSegmentBytes is the size of the parts in which the data of one write arrives.
+const maxSegmentBytes = 16 << 10
+
+// chunk is a part of the data of one write. It can be read from arrivesAt on.
 type chunk struct {
 	data      []byte
 	arrivesAt time.Time
@@ -135,8 +139,9 @@
 	case expired(conn.writeDeadline):
 		return 0, os.ErrDeadlineExceeded
 	}
-	sent := append([]byte(nil), data...)
-	conn.peer.inbox = append(conn.peer.inbox, chunk{data: sent, arrivesAt: fabric.arrivalTime(conn.host, conn.peer.host, len(data))})
+	for sent := range slices.Chunk(slices.Clone(data), maxSegmentBytes) {
+		conn.peer.inbox = append(conn.peer.inbox, chunk{data: sent, arrivesAt: fabric.arrivalTime(conn.host, conn.peer.host, len(sent))})
+	}
 	conn.peer.inboxBytes += len(data)
 	fabric.traffic[conn.host] += int64(len(data))
 	fabric.traffic[conn.peer.host] += int64(len(data))
