linker: a closed pool opens no connection

A call under way tries again when its entry is dropped. After Close it made a new entry and a connection that nothing closed: TestFleetDelegates ended with goroutines left in its bubble.

--- a/daemon/linker/pool.go
+++ b/daemon/linker/pool.go
@@ -62,9 +62,10 @@
 	host    string
 	clock   *recorder.Clock
 
-	mu    sync.Mutex
-	conns map[string]*peerConn // by address
-	bytes ByteCounter
+	mu     sync.Mutex
+	conns  map[string]*peerConn // by address
+	closed bool
+	bytes  ByteCounter
 }
 
 // peerConn is the connection to one address. The channel lock is a mutex that guards conn: it holds a token
@@ -145,6 +146,7 @@
 	peer := pool.conns[address]
 	if peer == nil {
 		peer = newPeerConn()
+		peer.closed = pool.closed
 		pool.conns[address] = peer
 	}
 	return peer
@@ -209,9 +211,10 @@
 	}
 }
 
-// Close closes all connections and waits until they have ended.
+// Close closes all connections and waits until they have ended. Later calls open no connection.
 func (pool *Pool) Close() {
 	pool.mu.Lock()
+	pool.closed = true
 	conns := pool.conns
 	pool.conns = map[string]*peerConn{}
 	pool.mu.Unlock()
