emulator: runs report their progress

Each run reported 50 %, so that the scheduler took tasks of several seconds for hanging and stopped them.

--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -74,6 +74,13 @@
 	number       int
 	historyIndex int         // of its record in Worker.history
 	timer        *time.Timer // ends the run
+	began        time.Time
+	duration     time.Duration
+}
+
+// percent returns the progress of a run. A run that hangs stays below 100.
+func (activeRun *activeRun) percent() int {
+	return min(99, int(100*time.Since(activeRun.began)/max(activeRun.duration, 1)))
 }
 
 const defaultMaxLease = 10 * time.Second
@@ -243,7 +250,7 @@
 		outcome = "failed"
 	}
 	worker.history = append(worker.history, RunRecord{Task: request.Task, Run: request.Run, At: time.Now()})
-	started := &activeRun{number: request.Run, historyIndex: len(worker.history) - 1}
+	started := &activeRun{number: request.Run, historyIndex: len(worker.history) - 1, began: time.Now(), duration: duration}
 	started.timer = time.AfterFunc(duration, func() {
 		worker.mu.Lock()
 		defer worker.mu.Unlock()
@@ -362,11 +369,11 @@
 	}
 }
 
-// listing returns the runs and the pending ends in the form of the protocol. Each run has a fixed progress.
+// listing returns the runs and the pending ends in the form of the protocol.
 func (worker *Worker) listing() map[string]any {
 	listed := [][]any{}
 	for _, task := range slices.Sorted(maps.Keys(worker.running)) {
-		listed = append(listed, []any{task, worker.running[task].number, "", 50, 0})
+		listed = append(listed, []any{task, worker.running[task].number, "", worker.running[task].percent(), 0})
 	}
 	return map[string]any{"running": listed, "finished": slices.Clone(worker.pendingEnds)}
 }
