soaker: a fault soak of hosts as processes of their own

Hosts run as processes against the emulated platform; a proxy on loopback carries each path between hosts, store, workers and clients. A seed determines sizes, jobs and faults: links, signals, store, workers, configurations.

Addresses in what a host reads are replaced by those of its own proxies, since hosts announce the address on which they listen.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,12 @@
 known = $(shell sed -n 's/^test: //p' KNOWN-RED.txt | paste -sd '|' -)
 skip = $(if $(known),-skip '$(known)',)
 
-.PHONY: build known test race bench fmt lint demo
+.PHONY: build known test soak race bench fmt lint demo
+
+# Of make soak: how many seeds, the first one, and how many runs side by side.
+SEEDS = 50
+FROM = $(shell date +%s)
+SIDE = 2
 
 build:
 	go build -o bin/ebonyshunt ./command
@@ -16,6 +21,7 @@
 	@$(MAKE) --no-print-directory known
 	go test -race $(skip) $(packages)
 	go test $(skip) ./tests
+	go test $(skip) ./tests/soaker
 
 known:
 	@for name in $$(sed -n 's/^test: //p' KNOWN-RED.txt); do \
@@ -23,6 +29,9 @@
 		go test -count=1 -run "^$$(echo $$name | sed 's,/,$$/^,g')$$" ./tests | grep -v '^FAIL' || true; \
 	done
 
+soak:
+	go test -count=1 -timeout 24h -v -parallel $(SIDE) -run TestSeeds ./tests/soaker -seeds $(SEEDS) -from $(FROM) -logs $(CURDIR)/target
+
 bench:
 	mkdir -p bin && rm -f bin/figures.json
 	EBONYSHUNT_FIGURES=$(CURDIR)/bin/figures.json go test -count=1 -run TestTraffic ./tests
--- /dev/null
+++ b/tests/soaker/checks_live.go
@@ -0,0 +1,82 @@
+package soaker
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// isInTouch reports whether a host is in touch all through a span: whether no fault of its own and none of the store
+// was under way in it and in the time before it.
+func (soak *soak) isInTouch(host int, from, to time.Time) bool {
+	return soak.timeline.isCalm(from.Add(-contact), to, concerns(host))
+}
+
+// checkComplete checks that a call got its answer, unless faults were under way. Planned stops and changes of the
+// configuration are no excuse.
+func (soak *soak) checkComplete(method, id string, host int, answer answer) {
+	took := answer.receivedAt.Sub(answer.sentAt)
+	if answer.status != 0 || answer.refused || answer.timedOut || took < lossSlack {
+		return
+	}
+	if soak.timeline.isCalm(answer.sentAt.Add(-contact), answer.receivedAt, isUnplanned) {
+		soak.report("LOST: %s %s at host %d ended without an answer after %v", method, id, host, took)
+	}
+}
+
+// checkState checks the answer to a query for the state of a job that was accepted.
+func (soak *soak) checkState(job *job, host int, answer answer) {
+	seen := job.sightings()
+	switch {
+	case answer.status == http.StatusGone:
+		isDue := answer.sentAt.Sub(seen.acceptedAt) > visibleWithin
+		if isDue && seen.cancelSentAt.IsZero() && soak.isInTouch(host, answer.sentAt, answer.receivedAt) {
+			soak.report("LOST: host %d answers 410 for the accepted job %s", host, job.ID)
+		}
+	case answer.status != http.StatusOK:
+	case answer.state == "completed":
+		soak.checkCompleted(job, answer.receivedAt)
+	case answer.state == "failed":
+		if !soak.hasFailedTask(job) {
+			soak.report("LOST: job %s is shown as failed, and no task failed %d times", job.ID, maxAttempts)
+		}
+	case answer.state == "cancelled": //nolint:misspell // the platform's spelling
+		if seen.cancelSentAt.IsZero() {
+			soak.report("LOST: job %s is shown as canceled, and nobody canceled it", job.ID)
+		}
+	}
+}
+
+// checkCompleted checks that all tasks of a job had ended as done when it was shown as completed.
+func (soak *soak) checkCompleted(job *job, shownAt time.Time) {
+	runs := soak.runsOf(job.ID)
+	for number, step := range job.Steps {
+		if missing := countMissing(runs, number, step, shownAt); missing > 0 {
+			soak.report("MIXED: job %s is shown as completed, and %d tasks of step %d have not ended as done", job.ID, missing, number)
+		}
+	}
+}
+
+// hasFailedTask reports whether a task, or a gang, of a job has used up its attempts.
+func (soak *soak) hasFailedTask(job *job) bool {
+	failedRuns := map[string]map[int]bool{}
+	for _, run := range soak.runsOf(job.ID) {
+		_, number := splitTask(run.Task)
+		name := run.Task
+		if job.Steps[number].Gang {
+			name = fmt.Sprint(number)
+		}
+		if failedRuns[name] == nil {
+			failedRuns[name] = map[int]bool{}
+		}
+		if run.Outcome == "failed" {
+			failedRuns[name][run.Run] = true
+		}
+	}
+	for _, runs := range failedRuns {
+		if len(runs) >= maxAttempts {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/tests/soaker/checks_runs.go
@@ -0,0 +1,178 @@
+package soaker
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"ebonyshunt.org/standin/emulator"
+	"ebonyshunt.org/tests/auditor"
+)
+
+// placedRun is a run with its worker's number.
+type placedRun struct {
+	emulator.RunRecord
+	worker int
+}
+
+// allRuns returns the runs of all workers in the order of their starts.
+func (soak *soak) allRuns() []placedRun {
+	var runs []placedRun
+	for index, worker := range soak.platform.workers {
+		for _, run := range worker.History() {
+			runs = append(runs, placedRun{run, index + 1})
+		}
+	}
+	slices.SortStableFunc(runs, func(a, b placedRun) int { return a.At.Compare(b.At) })
+	return runs
+}
+
+// runsOf returns the runs of a job.
+func (soak *soak) runsOf(id string) []placedRun {
+	return slices.DeleteFunc(soak.allRuns(), func(run placedRun) bool { return !strings.HasPrefix(run.Task, id+".") })
+}
+
+// countMissing returns how many tasks of a step had not ended as done at a time. One end stands for a whole gang.
+func countMissing(runs []placedRun, number int, step step, at time.Time) int {
+	done := map[string]bool{}
+	for _, run := range runs {
+		if _, ofStep := splitTask(run.Task); ofStep == number && run.Outcome == "done" && !run.Ended.After(at) {
+			done[run.Task] = true
+		}
+	}
+	if step.Gang && len(done) > 0 {
+		return 0
+	}
+	return step.Count - len(done)
+}
+
+// checkRuns checks all runs so far.
+func (soak *soak) checkRuns() {
+	for _, violation := range auditor.CheckRuns(soak.platform.workers) {
+		soak.report("TWICE: %s", violation)
+	}
+	runs := soak.allRuns()
+	byJob := map[string][]placedRun{}
+	for _, run := range runs {
+		id, _ := splitTask(run.Task)
+		byJob[id] = append(byJob[id], run)
+	}
+	jobs := map[string]*job{}
+	for _, job := range soak.ledger.all() {
+		jobs[job.ID] = job
+		soak.checkJobRuns(job, byJob[job.ID])
+	}
+	for id, unknown := range byJob {
+		if jobs[id] == nil {
+			soak.report("UNASKED: %s started, and no client submitted it", unknown[0].Task)
+		}
+	}
+	soak.checkCapacity(runs, jobs)
+	soak.checkDrains(runs)
+}
+
+// checkDrains checks that no task starts on a worker that drains, unless faults were near.
+func (soak *soak) checkDrains(runs []placedRun) {
+	for _, drain := range soak.timeline.drains() {
+		for _, run := range runs {
+			since := run.At.Sub(drain.from)
+			isOn := drain.fault == Draining{run.worker}
+			if isOn && since > drainWithin && run.At.Before(drain.to) && soak.timeline.isCalm(run.At.Add(-contact), run.At, isUnplanned) {
+				soak.report("DRAIN: %s run %d started on worker %d, which had drained for %v", run.Task, run.Run, run.worker, since)
+			}
+		}
+	}
+}
+
+// checkJobRuns checks the runs of one job: the order of its steps, and no run after a refusal or a cancel.
+func (soak *soak) checkJobRuns(job *job, runs []placedRun) {
+	seen := job.sightings()
+	if len(runs) > 0 && seen.rejected == seen.attempts && isClosed(soak.trafficEnded) {
+		soak.report("REFUSED: %s started, and all %d submissions were refused", runs[0].Task, seen.attempts)
+	}
+	for _, run := range runs {
+		_, number := splitTask(run.Task)
+		for _, dependency := range job.Steps[number].DependsOn {
+			if missing := countMissing(runs, dependency, job.Steps[dependency], run.At); missing > 0 {
+				soak.report("ORDER: %s run %d started, and %d tasks of step %d had not ended as done", run.Task, run.Run, missing, dependency)
+			}
+		}
+		if !seen.canceledAt.IsZero() && run.At.Sub(seen.canceledAt) > cancelWithin {
+			soak.report("UNASKED: %s run %d started %v after its job's cancel was acknowledged", run.Task, run.Run, run.At.Sub(seen.canceledAt))
+		}
+	}
+}
+
+// checkCapacity checks that no worker and no team is ever above its limit.
+func (soak *soak) checkCapacity(runs []placedRun, jobs map[string]*job) {
+	for index, run := range runs {
+		job := jobs[jobOf(run)]
+		if job == nil {
+			continue
+		}
+		worker, team := int64(0), int64(0)
+		for _, other := range runs[:index+1] {
+			isActive := other.Ended.IsZero() || other.Ended.After(run.At)
+			owner := jobs[jobOf(other)]
+			if !isActive || owner == nil {
+				continue
+			}
+			cpu := cpuOf(owner, other)
+			if other.worker == run.worker {
+				worker += cpu
+			}
+			if owner.Key == cappedKey {
+				team += cpu
+			}
+		}
+		if worker > workerCPU {
+			soak.report("LIMIT: %s run %d brings worker %d to %d of %d", run.Task, run.Run, run.worker, worker, workerCPU)
+		}
+		if limit := int64(float64(soak.plan.CapCPU)*(1+capOverage)) + cpuOf(job, run); job.Key == cappedKey && team > limit {
+			soak.report("QUOTA: %s run %d brings its team to %d, its cap is %d", run.Task, run.Run, team, soak.plan.CapCPU)
+		}
+	}
+}
+
+func jobOf(run placedRun) string {
+	id, _ := splitTask(run.Task)
+	return id
+}
+
+func cpuOf(job *job, run placedRun) int64 {
+	_, number := splitTask(run.Task)
+	return job.Steps[number].CPU
+}
+
+// checkStanding checks that each standing task ran again in time, unless faults were near.
+func (soak *soak) checkStanding(job *job, until time.Time) {
+	byTask := map[string][]placedRun{}
+	for _, run := range soak.runsOf(job.ID) {
+		byTask[run.Task] = append(byTask[run.Task], run)
+	}
+	if len(byTask) < job.Steps[0].Count {
+		soak.report("STANDING: only %d tasks of job %s ever ran", len(byTask), job.ID)
+	}
+	for task, runs := range byTask {
+		for index, run := range runs {
+			if run.Ended.IsZero() {
+				continue
+			}
+			next := until
+			if index+1 < len(runs) {
+				next = runs[index+1].At
+			}
+			soak.checkGap(task, run.Ended, next)
+		}
+	}
+}
+
+// checkGap checks the time between two runs of a standing task.
+func (soak *soak) checkGap(task string, ended, next time.Time) {
+	for due := ended.Add(standingWithin); due.Before(next); due = due.Add(probeInterval) {
+		if soak.timeline.isCalm(due.Add(-standingCalm), due, isAny) {
+			soak.report("STANDING: %s did not run for %v", task, next.Sub(ended))
+			return
+		}
+	}
+}
--- /dev/null
+++ b/tests/soaker/jobs.go
@@ -0,0 +1,145 @@
+package soaker
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// jobKind is the first digit of a job's ID.
+type jobKind int
+
+// The kinds of jobs.
+const (
+	chainJob    jobKind = iota // steps that depend on each other
+	gangJob                    // a gang, then a step that depends on it
+	longJob                    // tasks of several seconds, which are canceled more often
+	standingJob                // tasks that run until the job is canceled
+)
+
+// step is a step of a job, in the form of the platform's protocol.
+type step struct {
+	Count       int   `json:"count"`
+	CPU         int64 `json:"cpu"`
+	MemMB       int64 `json:"memMb"`
+	EstimateMS  int64 `json:"estimateMs"`
+	DependsOn   []int `json:"dependsOn,omitempty"`
+	Gang        bool  `json:"gang,omitempty"`
+	LongRunning bool  `json:"longRunning,omitempty"`
+}
+
+// job is a job of a client and what the client has seen of it.
+type job struct {
+	ID    string
+	Key   string
+	Steps []step
+
+	mu   sync.Mutex
+	seen sightings
+}
+
+// sightings is what a client has seen of a job.
+type sightings struct {
+	attempts     int       // submissions
+	rejected     int       // of them, with status 429 or 503
+	acceptedAt   time.Time // first answer 2xx to a submission
+	cancelSentAt time.Time
+	canceledAt   time.Time // first answer 2xx to a cancel
+	endedAt      time.Time // first answer that showed the job as ended
+	state        string    // at endedAt
+}
+
+func newJob(random *rand.Rand, kind jobKind, number int) *job {
+	job := &job{ID: fmt.Sprintf("%x%015x", int(kind), number), Key: durableKey}
+	if random.IntN(3) == 0 {
+		job.Key = cappedKey
+	}
+	cpu := int64(500 + 500*random.IntN(4))
+	switch kind {
+	case chainJob:
+		for index := range 1 + random.IntN(4) {
+			next := step{Count: 1 + random.IntN(4), CPU: cpu, MemMB: 10, EstimateMS: 300}
+			if index > 0 {
+				next.DependsOn = []int{random.IntN(index)}
+			}
+			job.Steps = append(job.Steps, next)
+		}
+	case gangJob:
+		job.Steps = []step{
+			{Count: 2 + random.IntN(2), CPU: cpu, MemMB: 10, EstimateMS: 300, Gang: true},
+			{Count: 1, CPU: cpu, MemMB: 10, EstimateMS: 300, DependsOn: []int{0}},
+		}
+	case longJob:
+		job.Steps = []step{{Count: 1 + random.IntN(3), CPU: cpu, MemMB: 10, EstimateMS: 5000}}
+	case standingJob:
+		job.Key = durableKey
+		job.Steps = []step{{Count: 2, CPU: 500, MemMB: 10, EstimateMS: 1000, LongRunning: true}}
+	}
+	return job
+}
+
+// body returns the body of the job's submission.
+func (job *job) body() string {
+	data, err := json.Marshal(map[string]any{"spec": "s", "steps": job.Steps})
+	if err != nil {
+		panic(err) // unreachable: steps consist of numbers and lists of them
+	}
+	return string(data)
+}
+
+// sightings returns what the client has seen.
+func (job *job) sightings() sightings {
+	job.mu.Lock()
+	defer job.mu.Unlock()
+	return job.seen
+}
+
+// update changes what the client has seen.
+func (job *job) update(change func(seen *sightings)) {
+	job.mu.Lock()
+	defer job.mu.Unlock()
+	change(&job.seen)
+}
+
+// kindOf returns the kind of the job that a task belongs to.
+func kindOf(task string) jobKind { return jobKind(task[0] - '0') }
+
+// splitTask returns the job's ID and the step's number in a task's name.
+func splitTask(task string) (string, int) {
+	parts := strings.Split(task, ".")
+	if len(parts) != 4 {
+		return task, 0
+	}
+	number, err := strconv.Atoi(parts[2])
+	if err != nil {
+		return task, 0
+	}
+	return parts[0], number
+}
+
+// ledger holds all jobs of a run.
+type ledger struct {
+	mu   sync.Mutex
+	jobs []*job
+}
+
+// add adds a job of the next number.
+func (ledger *ledger) add(random *rand.Rand, kind jobKind) *job {
+	ledger.mu.Lock()
+	defer ledger.mu.Unlock()
+	job := newJob(random, kind, len(ledger.jobs)+1)
+	ledger.jobs = append(ledger.jobs, job)
+	return job
+}
+
+// all returns all jobs.
+func (ledger *ledger) all() []*job {
+	ledger.mu.Lock()
+	defer ledger.mu.Unlock()
+	return slices.Clone(ledger.jobs)
+}
--- /dev/null
+++ b/tests/soaker/plan.go
@@ -0,0 +1,228 @@
+package soaker
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"ebonyshunt.org/standin/emulator"
+)
+
+// Fault is a fault or a planned change. Its kinds are LinkFault, SignalFault, StoreFault, WorkerFault, Draining, Compaction
+// and Reconfiguration.
+type Fault interface{ isFault() }
+
+// LinkFault changes the mode of the links between a host and some servers.
+type LinkFault struct {
+	Host   int
+	Target LinkTarget
+	Mode   LinkMode
+	Delay  time.Duration
+}
+
+// LinkTarget selects the links of a host.
+type LinkTarget string
+
+// The targets of a LinkFault.
+const (
+	ToStore     LinkTarget = "store"
+	ToPeers     LinkTarget = "peers"     // links to and from all other hosts
+	ToWorkers   LinkTarget = "workers"   // links to all workers
+	ToHalf      LinkTarget = "half"      // links to every second worker
+	FromClients LinkTarget = "clients"   // links from clients
+	Everything  LinkTarget = "all"       // all of these
+	WorkerLinks LinkTarget = "oneWorker" // links of all hosts to the worker with the number Host
+)
+
+// SignalFault is a signal to a host.
+type SignalFault struct {
+	Host   int
+	Signal HostSignal
+}
+
+// HostSignal is what happens to a host.
+type HostSignal string
+
+// The signals. A host that was stopped or killed is started again when the fault ends.
+const (
+	Stop  HostSignal = "SIGTERM"
+	Kill  HostSignal = "SIGKILL"
+	Pause HostSignal = "SIGSTOP" // until the fault ends
+)
+
+// StoreFault injects faults of the store.
+type StoreFault struct{ Faults emulator.StoreFaults }
+
+// WorkerFault injects faults of a worker. A worker that crashes starts again at once.
+type WorkerFault struct {
+	Worker  int
+	Faults  emulator.WorkerFaults
+	Crashes bool // when the fault ends
+}
+
+// Draining lets a worker report that it drains, until the fault ends.
+type Draining struct{ Worker int }
+
+// Compaction lets the store forget its history.
+type Compaction struct{}
+
+// Reconfiguration stores the next version of the configuration.
+type Reconfiguration struct{}
+
+func (LinkFault) isFault()       {}
+func (SignalFault) isFault()     {}
+func (StoreFault) isFault()      {}
+func (WorkerFault) isFault()     {}
+func (Draining) isFault()        {}
+func (Compaction) isFault()      {}
+func (Reconfiguration) isFault() {}
+
+// Event is a fault with its time, counted from the start of the clients.
+type Event struct {
+	At    time.Duration
+	For   time.Duration
+	Fault Fault
+}
+
+// String describes the event in one line.
+func (event Event) String() string {
+	return fmt.Sprintf("%6.2fs for %5.2fs %T%+v", event.At.Seconds(), event.For.Seconds(), event.Fault, event.Fault)
+}
+
+// Plan is what a seed determines: sizes and faults.
+type Plan struct {
+	Seed    uint64
+	Profile string
+	Hosts   int
+	Workers int
+	Clients int
+	CapCPU  int64 // of the team with a cap, in thousandths of a core
+	Events  []Event
+
+	DelegateFrom int // number of workers from which on the decider reaches them through other hosts
+}
+
+const (
+	calmStart     = 4 * time.Second // before the first fault
+	faultTime     = 22 * time.Second
+	calmMiddle    = 9 * time.Second // without faults, so that the rules for hosts in touch apply
+	maxInterval   = 1500 * time.Millisecond
+	maxFaultTime  = 4500 * time.Millisecond
+	rollingPause  = 500 * time.Millisecond
+	capPerClient  = 1500 // thousandths of a core, less than the clients use at times, and enough to end all jobs in time
+	largeRunEvery = 10   // every tenth seed uses the limits of hosts and workers
+
+	delegatesEvery = 3    // share of the runs in which calls to workers go through other hosts
+	noDelegates    = 1000 // workers
+)
+
+// profiles are the mixes of faults. Each name stands for one kind of fault in planner.pick.
+var profiles = []struct {
+	name  string
+	kinds []string
+}{
+	{"mixed", []string{"link", "link", "signal", "signal", "store", "worker", "worker", "drain", "compact", "configure", "herd", "roll"}},
+	{"planned", []string{"stop", "roll", "drain", "configure", "configure"}},
+	{"signals", []string{"signal", "signal", "signal", "herd", "roll", "configure"}},
+	{"links", []string{"link", "link", "link", "link", "configure"}},
+	{"platform", []string{"store", "store", "worker", "worker", "drain", "compact", "configure"}},
+}
+
+// NewPlan returns the plan of a seed.
+func NewPlan(seed uint64) Plan {
+	random := rand.New(rand.NewPCG(seed, seed))
+	profile := profiles[seed%uint64(len(profiles))]
+	plan := Plan{Seed: seed, Profile: profile.name, Hosts: 3 + random.IntN(3), Workers: 4 + random.IntN(3), Clients: 6, DelegateFrom: noDelegates}
+	if seed%largeRunEvery == 0 {
+		plan.Hosts, plan.Workers, plan.Clients = maxHosts, 20, 20
+	}
+	plan.CapCPU = capPerClient * int64(plan.Clients)
+	if random.IntN(delegatesEvery) == 0 {
+		plan.DelegateFrom = 1
+	}
+	for _, begin := range []time.Duration{calmStart, calmStart + faultTime/2 + calmMiddle} {
+		end := begin + faultTime/2
+		for at := begin; at < end; at += time.Duration(random.Int64N(int64(maxInterval))) {
+			kind := profile.kinds[random.IntN(len(profile.kinds))]
+			plan.Events = append(plan.Events, plan.pick(random, kind, at)...)
+		}
+	}
+	return plan
+}
+
+// pick returns the faults of a kind at a time.
+func (plan *Plan) pick(random *rand.Rand, kind string, at time.Duration) []Event {
+	lasting := 100*time.Millisecond + time.Duration(random.Int64N(int64(maxFaultTime)))
+	host := 1 + random.IntN(plan.Hosts)
+	event := func(fault Fault) []Event { return []Event{{at, lasting, fault}} }
+	switch kind {
+	case "link":
+		return event(plan.pickLinkFault(random, host))
+	case "signal":
+		return event(SignalFault{host, []HostSignal{Stop, Kill, Kill, Pause, Pause}[random.IntN(5)]})
+	case "stop":
+		return event(SignalFault{host, Stop})
+	case "herd", "roll":
+		var events []Event
+		signal := []HostSignal{Kill, Pause, Stop}[random.IntN(3)]
+		if kind == "roll" {
+			signal = Stop
+		}
+		for number := 1; number <= plan.Hosts; number++ {
+			events = append(events, Event{at, lasting, SignalFault{number, signal}})
+			if kind == "roll" {
+				at += rollingPause
+			}
+		}
+		return events
+	case "store":
+		return event(StoreFault{pickStoreFaults(random)})
+	case "worker":
+		return event(plan.pickWorkerFault(random))
+	case "drain":
+		return event(Draining{1 + random.IntN(plan.Workers)})
+	case "compact":
+		return event(Compaction{})
+	}
+	return event(Reconfiguration{})
+}
+
+func (plan *Plan) pickLinkFault(random *rand.Rand, host int) LinkFault {
+	targets := []LinkTarget{ToStore, ToPeers, ToWorkers, ToHalf, FromClients, Everything, WorkerLinks}
+	linkFault := LinkFault{Host: host, Target: targets[random.IntN(len(targets))], Mode: 1 + LinkMode(random.IntN(int(linkModes)-1))}
+	if linkFault.Target == WorkerLinks {
+		linkFault.Host = 1 + random.IntN(plan.Workers)
+	}
+	if linkFault.Mode == Delayed {
+		linkFault.Delay = time.Duration(5+random.IntN(400)) * time.Millisecond
+	}
+	return linkFault
+}
+
+func pickStoreFaults(random *rand.Rand) emulator.StoreFaults {
+	return []emulator.StoreFaults{
+		{Down: true},
+		{Silent: true},
+		{Delay: time.Duration(20+random.IntN(500)) * time.Millisecond},
+		{LoseEvery: 1 + random.IntN(4)},
+		{LateShare: 0.6, LateBy: time.Duration(200+random.IntN(2000)) * time.Millisecond},
+	}[random.IntN(5)]
+}
+
+func (plan *Plan) pickWorkerFault(random *rand.Rand) WorkerFault {
+	late := time.Duration(200+random.IntN(2500)) * time.Millisecond
+	return []WorkerFault{
+		{Faults: emulator.WorkerFaults{LoseEvery: 1 + random.IntN(5)}},
+		{Faults: emulator.WorkerFaults{LateEvery: 1 + random.IntN(5), LateBy: late}},
+		{Faults: emulator.WorkerFaults{MuteEvery: 1 + random.IntN(5)}},
+		{Faults: emulator.WorkerFaults{FailAll: true}},
+		{Faults: emulator.WorkerFaults{Hang: true}, Crashes: true},
+		{Crashes: true},
+	}[random.IntN(6)].at(1 + random.IntN(plan.Workers))
+}
+
+// at returns the fault for a worker.
+func (workerFault WorkerFault) at(number int) WorkerFault {
+	workerFault.Worker = number
+	return workerFault
+}
