soaker: job IDs that contain no beginning of an address

A link replaces the source in addresses between hosts. It took 127.0. in a task's name for one, when the job's ID ended in 127, so that delegates reported runs of unknown tasks and the decider started the task again.

--- a/tests/soaker/address_test.go
+++ b/tests/soaker/address_test.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"math/rand/v2"
 	"reflect"
 	"testing"
 )
@@ -33,6 +34,18 @@
 	}
 }
 
+// TestTaskNames checks that no address is found in the names of tasks.
+func TestTaskNames(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for number := range 10000 {
+		name := newJob(random, chainJob, number).ID + ".0.0.0"
+		data := []byte(name)
+		if readdress(data, 3); string(data) != name || len(name) != len("0000000000000000.0.0.0") {
+			t.Errorf("%s became %s", name, data)
+		}
+	}
+}
+
 // TestPlan checks that a seed determines its plan.
 func TestPlan(t *testing.T) {
 	for seed := range uint64(10) {
--- a/tests/soaker/soak_test.go
+++ b/tests/soaker/soak_test.go
@@ -31,6 +31,7 @@
 	{120, "the soak: 20 clients kept a team at a cap meant for 6, so that its jobs were still waiting at the end"},
 	{150, "as seed 120"},
 	{142, "the emulator: runs reported no progress, so that a task of 7 s was taken for hanging, stopped and run again"},
+	{1050, "the soak: a link took 127.0. in the name of a task, whose job's ID ended in 127, for an address"},
 }
 
 // TestSoak plays one seed.
