planner: the end of one suspect does not let others join the next

Cause: the removal of any suspect's run from a worker ended the isolation there, also for a suspect that had started since. The times are now derived again from the runs that are left (TestSuspectsStartApart/nothingNewAfterTheEndOfAnotherSuspect). A trial lasts 1 s in place of 2 s, since workers with a suspect of two crashes take nothing else meanwhile.

--- a/library/planner/quarantine.go
+++ b/library/planner/quarantine.go
@@ -7,7 +7,7 @@
 
 const (
 	// suspectTime is how long after its start a run of a suspect is kept apart from others.
-	suspectTime = 2 * time.Second
+	suspectTime = time.Second
 	// maxIsolationWait is how long a step waits for workers without suspects before its suspects start beside others.
 	maxIsolationWait = time.Second
 	// isolatedFrom is the suspicion from which on a task's worker takes no other runs for suspectTime.
@@ -27,16 +27,23 @@
 	if run.Suspicion == 0 {
 		return
 	}
-	worker.suspectUntil = run.OrderedAt.Add(suspectTime)
-	if run.Suspicion >= isolatedFrom {
-		worker.isolatedUntil = worker.suspectUntil
+	until := run.OrderedAt.Add(suspectTime)
+	if until.After(worker.suspectUntil) {
+		worker.suspectUntil = until
+	}
+	if run.Suspicion >= isolatedFrom && until.After(worker.isolatedUntil) {
+		worker.isolatedUntil = until
 	}
 }
 
-// endTrial undoes beginTrial.
+// endTrial undoes beginTrial for a run that was removed. Other suspects on the worker are kept apart as before.
 func (worker *Worker) endTrial(run *Run) {
-	if run.Suspicion > 0 {
-		worker.suspectUntil, worker.isolatedUntil = time.Time{}, time.Time{}
+	if run.Suspicion == 0 {
+		return
+	}
+	worker.suspectUntil, worker.isolatedUntil = time.Time{}, time.Time{}
+	for _, other := range worker.Runs {
+		worker.beginTrial(other)
 	}
 }
 
