--- a/daemon/linker/pool.go
+++ b/daemon/linker/pool.go
@@ -214,7 +214,6 @@
 // Close closes all connections and waits until they have ended. Later calls open no connection.
 func (pool *Pool) Close() {
 	pool.mu.Lock()
-	pool.closed = true
 	conns := pool.conns
 	pool.conns, pool.closed = map[string]*peerConn{}, true
 	pool.mu.Unlock()
