--- a/tests/soaker/checks_runs.go
+++ b/tests/soaker/checks_runs.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -103,32 +104,51 @@
 	}
 }
 
-// checkCapacity checks that no worker and no team is ever above its limit.
-func (soak *soak) checkCapacity(runs []placedRun, jobs map[string]*job) {
-	for index, run := range runs {
+// usageChange is the start or the end of a run, as a change of what its worker and its team use.
+type usageChange struct {
+	at  time.Time
+	run placedRun
+	job *job
+	cpu int64 // negative for an end
+}
+
+// usageChanges returns the starts and ends of runs in order. Of changes at one time, ends come first.
+func usageChanges(runs []placedRun, jobs map[string]*job) []usageChange {
+	changes := make([]usageChange, 0, 2*len(runs))
+	for _, run := range runs {
 		job := jobs[jobOf(run)]
 		if job == nil {
 			continue
 		}
-		worker, team := int64(0), int64(0)
-		for _, other := range runs[:index+1] {
-			isActive := other.Ended.IsZero() || other.Ended.After(run.At)
-			owner := jobs[jobOf(other)]
-			if !isActive || owner == nil {
-				continue
-			}
-			cpu := cpuOf(owner, other)
-			if other.worker == run.worker {
-				worker += cpu
-			}
-			if owner.Key == cappedKey {
-				team += cpu
-			}
+		cpu := cpuOf(job, run)
+		changes = append(changes, usageChange{run.At, run, job, cpu})
+		if !run.Ended.IsZero() {
+			changes = append(changes, usageChange{run.Ended, run, job, -cpu})
+		}
+	}
+	slices.SortStableFunc(changes, func(a, b usageChange) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.cpu, b.cpu))
+	})
+	return changes
+}
+
+// checkCapacity checks that no worker and no team is ever above its limit. It looks at each run twice only, since it shares
+// its process with the emulator.
+func (soak *soak) checkCapacity(runs []placedRun, jobs map[string]*job) {
+	workers, team := map[int]int64{}, int64(0)
+	for _, change := range usageChanges(runs, jobs) {
+		run := change.run
+		workers[run.worker] += change.cpu
+		if change.job.Key == cappedKey {
+			team += change.cpu
+		}
+		if change.cpu <= 0 {
+			continue
 		}
-		if worker > workerCPU {
-			soak.report("LIMIT: %s run %d brings worker %d to %d of %d", run.Task, run.Run, run.worker, worker, workerCPU)
+		if used := workers[run.worker]; used > workerCPU {
+			soak.report("LIMIT: %s run %d brings worker %d to %d of %d", run.Task, run.Run, run.worker, used, workerCPU)
 		}
-		if limit := int64(float64(soak.plan.CapCPU)*(1+capOverage)) + cpuOf(job, run); job.Key == cappedKey && team > limit {
+		if limit := int64(float64(soak.plan.CapCPU)*(1+capOverage)) + change.cpu; change.job.Key == cappedKey && team > limit {
 			soak.report("QUOTA: %s run %d brings its team to %d, its cap is %d", run.Task, run.Run, team, soak.plan.CapCPU)
 		}
 	}
