--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -141,4 +141,5 @@
 try 'fleet: drained workers have not crashed' library/planner/crashes.go 'if worker.Draining {' 'if false {' ./library/planner 'TestMachineBack'
 try 'fleet: no start on a worker that has shrunk' library/planner/runs.go '!worker.stillFits(run) {' 'false {' ./library/planner 'TestCapacityThatChanges'
 try 'fleet: crashes are noticed by whole hosts' library/planner/runs.go 'case run.loss != nil:' 'case false:' ./tests 'TestFleetCrashingTask'
+try 'fleet: store outage of the former decider' daemon/scheduler/fleet.go 'host.deciderStatus.storeOutage.Store(0) // it was that of the former decider' '' ./tests 'TestFleetReturnFromCut'
 exit $failed
