--- a/daemon/scheduler/journal.go
+++ b/daemon/scheduler/journal.go
@@ -150,7 +150,9 @@
 	journal.mu.Lock()
 	journal.inFlight--
 	journal.mu.Unlock()
-	tenure.host.metrics.appends.Observe(time.Since(startedAt).Seconds())
+	took := time.Since(startedAt)
+	tenure.meter.appendTime.Add(int64(took))
+	tenure.host.metrics.appends.Observe(took.Seconds())
 	tenure.completeBatch(batch)
 	tenure.requestPlan()
 }
@@ -167,6 +169,15 @@
 	return len(entries)
 }
 
+// sizeOf returns the size of entries in bytes.
+func sizeOf(entries []translator.Entry) int {
+	size := 0
+	for _, entry := range entries {
+		size += len(entry.Key) + len(entry.Value)
+	}
+	return size
+}
+
 // savePart repeats one append until it is stored, and returns false if the tenure has ended.
 func (journal *journal) savePart(sequence int64, entries []translator.Entry) bool {
 	tenure := journal.tenure
@@ -293,6 +304,8 @@
 func (journal *journal) attemptAppend(ctx context.Context, attempt int, sequence int64, entries []translator.Entry) error {
 	tenure := journal.tenure
 	sentAt := tenure.host.uptime()
+	tenure.meter.appendAttempts.Add(1)
+	tenure.meter.appendedBytes.Add(int64(sizeOf(entries)))
 	peer, relayed := journal.route.peerFor(attempt)
 	var err error
 	if relayed {
@@ -304,8 +317,12 @@
 		journal.recordAnswerTime(tenure.host.uptime() - sentAt)
 	}
 	var outOfTurn *translator.SequenceError
-	if errors.As(err, &outOfTurn) && outOfTurn.Expected > sequence {
-		err = nil // an earlier attempt succeeded
+	if errors.As(err, &outOfTurn) {
+		if outOfTurn.Expected > sequence {
+			err = nil // an earlier attempt succeeded
+		} else {
+			tenure.meter.outOfTurn.Add(1)
+		}
 	}
 	if err != nil {
 		return err
--- a/daemon/scheduler/load_meter.go
+++ b/daemon/scheduler/load_meter.go
@@ -24,6 +24,13 @@
 	batches     atomic.Int64
 	longestPlan atomic.Int64 // nanoseconds
 	longestWait atomic.Int64 // longest delay of a planning tick, in nanoseconds
+
+	lockTime       atomic.Int64 // part of planTime that is spent waiting for the planner's lock, in nanoseconds
+	encodeTime     atomic.Int64 // part of planTime that is spent encoding records, in nanoseconds
+	appendTime     atomic.Int64 // total time until batches were stored, in nanoseconds
+	appendAttempts atomic.Int64 // attempts at appends to the journal
+	appendedBytes  atomic.Int64 // in these attempts
+	outOfTurn      atomic.Int64 // of these attempts, those that the store rejected since the preceding append was not stored
 }
 
 // recordPlan records one call of planOnce that began at a time.
@@ -49,6 +56,7 @@
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
 	var drains drainWatch
+	runtimeMeter := newRuntimeMeter()
 	for {
 		select {
 		case <-ticker.C:
@@ -62,19 +70,28 @@
 		tenure.host.metrics.shares.observe(shares)
 		tenure.reportDrains(&drains, drainedRuns, time.Now())
 		meter := &tenure.meter
+		processor := runtimeMeter.read()
 		tenure.host.log.Info("load", "term", tenure.term, "plans", meter.plans.Swap(0), "planning", milliseconds(&meter.planTime),
 			"longestPlan", milliseconds(&meter.longestPlan), "latestTick", milliseconds(&meter.longestWait),
 			"polls", meter.polls.Swap(0), "lostPolls", meter.lostPolls.Swap(0), "starts", meter.starts.Swap(0), "lostStarts", meter.lostStarts.Swap(0),
 			"delegated", meter.delegated.Swap(0), "stops", meter.stops.Swap(0), "queries", meter.queries.Swap(0), "batches", meter.batches.Swap(0),
-			"steps", load.WaitingSteps, "waiting", load.WaitingTasks, "runs", load.Runs, "unknownWorkers", load.UnknownWorkers, "usedShare", load.UsedShare)
+			"steps", load.WaitingSteps, "waiting", load.WaitingTasks, "runs", load.Runs, "unknownWorkers", load.UnknownWorkers, "usedShare", load.UsedShare,
+			"lockWait", milliseconds(&meter.lockTime), "encoding", milliseconds(&meter.encodeTime),
+			"appending", milliseconds(&meter.appendTime), "appendAttempts", meter.appendAttempts.Swap(0), "appendedBytes", meter.appendedBytes.Swap(0),
+			"outOfTurn", meter.outOfTurn.Swap(0), "storeLossy", tenure.journal.lossRate.isHigh(), "workersLossy", tenure.answerLossRate.isHigh(),
+			"queriedWorkers", load.QueriedWorkers, "requeriedWorkers", load.RequeriedWorkers, "examinedSteps", load.ExaminedSteps,
+			"wakeups", processor.wakeups, "medianWait", inMilliseconds(processor.medianWait), "highWait", inMilliseconds(processor.highWait),
+			"garbageCollection", inMilliseconds(processor.gcTime))
 	}
 }
 
 // milliseconds returns a duration in milliseconds and resets it.
 func milliseconds(nanoseconds *atomic.Int64) float64 {
-	return float64(time.Duration(nanoseconds.Swap(0)).Microseconds()) / 1000
+	return inMilliseconds(time.Duration(nanoseconds.Swap(0)))
 }
 
+func inMilliseconds(duration time.Duration) float64 { return float64(duration.Microseconds()) / 1000 }
+
 // observeLoad sets the gauges of the decider's load.
 func (metrics *metrics) observeLoad(load planner.Load, lag time.Duration) {
 	metrics.waitingTasks.Set(float64(load.WaitingTasks))
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -214,14 +214,18 @@
 	defer tenure.meter.recordPlan(now)
 	slots := tenure.policyQueries.slots()
 	quorumSince := tenure.quorumSince()
+	lockedFrom := time.Now()
 	tenure.mu.Lock()
+	tenure.meter.lockTime.Add(int64(time.Since(lockedFrom)))
 	if !quorumSince.IsZero() {
 		tenure.planner.EndFormerRenewals(formerRenewalsEnd(quorumSince, tenure.fencedAt))
 	}
 	tenure.planner.SetSlots(slots)
 	tenure.planner.Plan(now)
 	blockedSteps := tenure.explainBlocked(now)
+	encodedFrom := time.Now()
 	batch, err := tenure.planner.Take()
+	tenure.meter.encodeTime.Add(int64(time.Since(encodedFrom)))
 	if err != nil {
 		tenure.mu.Unlock()
 		tenure.host.log.Error("cannot encode batch", "error", err)
--- a/library/planner/load.go
+++ b/library/planner/load.go
@@ -9,9 +9,17 @@
 	Runs           int     // runs that exist or may exist
 	UnknownWorkers int     // listed workers whose runs are not known
 	UsedShare      float64 // dominant share of the fleet's capacity that runs use
+
+	// The following count since the last call of Load.
+	QueriedWorkers   int // workers named in policy queries
+	RequeriedWorkers int // of these, those that the policy allowed before: their tickets expired
+	ExaminedSteps    int // steps that placement passes tried to place
 }
 
-// Load returns the planner's current load.
+// workCounts counts work of the planner since the last call of Load.
+type workCounts struct{ queriedWorkers, requeriedWorkers, examinedSteps int }
+
+// Load returns the planner's current load, and resets the counts of its work.
 func (planner *Planner) Load() Load {
 	var load Load
 	for _, step := range planner.steps {
@@ -32,5 +40,7 @@
 		}
 	}
 	load.UsedShare = used.DominantShare(capacity)
+	load.QueriedWorkers, load.RequeriedWorkers, load.ExaminedSteps = planner.counts.queriedWorkers, planner.counts.requeriedWorkers, planner.counts.examinedSteps
+	planner.counts = workCounts{}
 	return load
 }
--- a/library/planner/place.go
+++ b/library/planner/place.go
@@ -76,6 +76,7 @@
 	if pool.exhausted {
 		return
 	}
+	pass.planner.counts.examinedSteps++
 	if !step.chargedSize().Fits(pool.largestFree) {
 		pass.handleBlocked(step, queue)
 		return
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -83,6 +83,7 @@
 	crashes              []CrashEvent
 	hedging              hedging
 	giveBacks            []GiveBack
+	counts               workCounts
 }
 
 // endedJob is a job whose state is kept for Settings.StatusRetention after it ended.
--- a/library/planner/policy.go
+++ b/library/planner/policy.go
@@ -132,6 +132,12 @@
 	planner.lastQuery++
 	step.policy.open = append(step.policy.open, openQuery{id: planner.lastQuery, workers: ids, sentAt: pass.now, expected: expected})
 	planner.countOpenQuery(maxAnswerTime, 1)
+	planner.counts.queriedWorkers += len(ids)
+	for _, id := range ids {
+		if _, found := step.policy.allowed[id]; found {
+			planner.counts.requeriedWorkers++
+		}
+	}
 	planner.effects = append(planner.effects, PolicyQuery{
 		ID: planner.lastQuery, Step: step.key, Workers: ids, MaxAnswerTime: maxAnswerTime,
 		AnswerTime: queue.Policy.BaseTime + time.Duration(len(ids))*queue.Policy.PerWorker,
