tests: late answers of a busy decider's store, sharper

With 80 ms of each 100 ms held back no append was repeated, so that the mechanism was not exercised; 170 of 200 ms do, and 400 jobs show the cost of appends that overtake each other.

--- a/tests/fleet_busy_test.go
+++ b/tests/fleet_busy_test.go
@@ -13,15 +13,15 @@
 	t.Run("unevenDelays", func(t *testing.T) {
 		runFleetTest(t, 4, func(fleet *fleet) {
 			fleet.store.SetFaults(emulator.StoreFaults{Delay: 20 * time.Millisecond, Spread: 60 * time.Millisecond})
-			fleet.checkJobLatencies(200, maxUrgentDelay)
+			fleet.checkJobLatencies(400, maxUrgentDelay)
 			fleet.wantNoLosses()
 		})
 	})
 	t.Run("busyDecider", func(t *testing.T) {
 		runFleetTest(t, 4, func(fleet *fleet) {
-			stop := fleet.holdUpMessages(fleet.decidingHost(), 80*time.Millisecond, 20*time.Millisecond)
+			stop := fleet.holdUpMessages(fleet.decidingHost(), 170*time.Millisecond, 30*time.Millisecond)
 			defer stop()
-			fleet.checkJobLatencies(200, maxUrgentDelay)
+			fleet.checkJobLatencies(400, maxUrgentDelay)
 			fleet.wantNoLosses()
 		})
 	})
