scheduler: polls while answers get lost are bounded for a fleet

Callers saw: jobs of the large fleet late from the moment on at which a few in a hundred workers left orders unanswered. Cause: while answers get lost, each of 1,100 workers with runs was asked to answer after 0.2 s in place of 1 or 2 s, up to 4,200 polls a second for one decider. Its lateness then counted as further losses. The wait now grows with the number of workers, so that all polls stay under 1,200 a second; up to 240 workers nothing changes, and 350 wait 0.29 s.

--- a/daemon/scheduler/journal.go
+++ b/daemon/scheduler/journal.go
@@ -266,13 +266,12 @@
 	ctx, cancel := context.WithTimeout(journal.tenure.ctx, appendTimeout)
 	attempts := &attempts{journal: journal, ctx: ctx, sequence: sequence, entries: entries, results: make(chan error, maxAttemptsInFlight)}
 	err := journal.attemptUntilStored(attempts)
-	if err != nil || attempts.inFlight == 0 {
+	if err != nil {
 		cancel()
-	}
-	switch {
-	case err != nil:
 		return err
-	case attempts.inFlight == 0:
+	}
+	if attempts.inFlight == 0 {
+		cancel()
 		journal.recordLoss(attempts.unknown > 0)
 		return nil
 	}
--- a/daemon/scheduler/poller.go
+++ b/daemon/scheduler/poller.go
@@ -40,7 +40,7 @@
 	pollTimeoutSlack = 300 * time.Millisecond
 	// immediatePollTimeout is the time-out of a poll without a wait.
 	immediatePollTimeout = 250 * time.Millisecond
-	// lossyPollWait replaces urgentPollWait and pollWait while answers get lost.
+	// lossyPollWait is the minimum wait while answers get lost, see lossyPollWaitFor.
 	lossyPollWait = 200 * time.Millisecond
 	// lossyAnswerTimeout bounds startTimeout, pollTimeoutSlack and immediatePollTimeout while answers get lost.
 	lossyAnswerTimeout = 100 * time.Millisecond
@@ -125,10 +125,14 @@
 	for {
 		tenure.mu.Lock()
 		reason := tenure.planner.PollReasonOf(poller.worker, time.Now())
-		stored, idleInterval := tenure.stored, tenure.idlePollInterval()
+		stored, idleInterval, workers := tenure.stored, tenure.idlePollInterval(), len(tenure.pollers)
 		tenure.mu.Unlock()
 		if reason != planner.ReasonUnacknowledgedEnds {
-			return tenure.delayPoll(ctx, poller, reason, idleInterval)
+			wait := tenure.delayPoll(ctx, poller, reason, idleInterval)
+			if tenure.answerLossRate.isHigh() {
+				wait = min(wait, lossyPollWaitFor(workers))
+			}
+			return wait
 		}
 		select {
 		case <-stored:
@@ -155,7 +159,7 @@
 }
 
 // delayPoll waits before a poll, so that the poll lists several ends, and returns how long the worker may delay its
-// answer. While answers get lost, that is short, since a lost answer is noticed only after the wait.
+// answer while no answers get lost.
 func (tenure *tenure) delayPoll(ctx context.Context, poller *poller, reason planner.PollReason, idleInterval time.Duration) time.Duration {
 	lossy := tenure.answerLossRate.isHigh()
 	wait := pollWait
@@ -177,9 +181,6 @@
 		}
 		pause(ctx, poller.wakeups, idleInterval)
 	}
-	if lossy {
-		return lossyPollWait
-	}
 	return wait
 }
 
