scheduler: heartbeats of large fleets are bounded

The twelve strongest hosts, which campaign first and are asked by the others, send as many as before. The others share 220 a second, at least one each 0.7 s. Up to 45 hosts nothing changes. A host suspects the decider after that much longer; hosts of this kind wait up to 1.5 s for stronger ones before they campaign in any case.

--- a/daemon/scheduler/fleet.go
+++ b/daemon/scheduler/fleet.go
@@ -84,6 +84,18 @@
 	return len(fleet.members)
 }
 
+// rank returns how many members come before one by falling capacity, and the number of all members.
+func (fleet *fleet) rank(of Member) (stronger, size int) {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	for _, member := range fleet.members {
+		if compareMembers(member, of) < 0 {
+			stronger++
+		}
+	}
+	return stronger, len(fleet.members)
+}
+
 // allMembers returns all members, sorted by falling capacity.
 func (fleet *fleet) allMembers() []Member { return fleet.others("") }
 
--- a/daemon/scheduler/watch.go
+++ b/daemon/scheduler/watch.go
@@ -14,9 +14,10 @@
 )
 
 const (
+	// heartbeatInterval is the minimum time between two heartbeats of a host, see heartbeatIntervalFor.
 	heartbeatInterval = 150 * time.Millisecond
 	heartbeatTimeout  = 150 * time.Millisecond
-	// suspicionTimeout is how long the decider may fail to answer before a host considers a campaign.
+	// suspicionTimeout is how long the decider may fail to answer before one of the strongest hosts considers a campaign.
 	suspicionTimeout = 320 * time.Millisecond
 	surveyTimeout    = 120 * time.Millisecond
 	// campaignRankDelay delays a campaign for each peer that is better placed to decide.
@@ -106,17 +107,31 @@
 		if contact == deciderAnswered {
 			lastContactAt = time.Now()
 			if !host.deciderLostStore() || host.currentTenure() != nil {
-				host.pause(changed, heartbeatInterval)
+				host.pause(changed, host.heartbeatInterval())
 				continue
 			}
 		}
-		if contact != deciderUnresponsive || time.Since(lastContactAt) >= suspicionTimeout {
+		if contact != deciderUnresponsive || time.Since(lastContactAt) >= host.suspicionTimeout() {
 			host.considerCampaign(election, changed)
 		}
 		host.pause(changed, heartbeatInterval/3)
 	}
 }
 
+// heartbeatInterval returns the time between two heartbeats of this host. While it decides, it checks its own state as often
+// as the strongest hosts send heartbeats.
+func (host *Host) heartbeatInterval() time.Duration {
+	if host.currentTenure() != nil {
+		return heartbeatInterval
+	}
+	return heartbeatIntervalFor(host.fleet.rank(host.member()))
+}
+
+// suspicionTimeout returns suspicionTimeout for a host whose heartbeats may be rarer than those of the strongest hosts.
+func (host *Host) suspicionTimeout() time.Duration {
+	return suspicionTimeout + host.heartbeatInterval() - heartbeatInterval
+}
+
 // deciderContact is the result of a heartbeat to the decider.
 type deciderContact int
 
@@ -209,12 +224,12 @@
 	return max(0, host.sinceStoreAnswer()-tailWait)
 }
 
-// reachesDecider reports whether this host is the decider, or the decider answered it within suspicionTimeout.
+// reachesDecider reports whether this host is the decider, or the decider answered it within its suspicionTimeout.
 func (host *Host) reachesDecider() bool {
 	if host.currentTenure() != nil {
 		return true
 	}
-	return host.uptime()-time.Duration(host.deciderStatus.answeredAt.Load()) < suspicionTimeout
+	return host.uptime()-time.Duration(host.deciderStatus.answeredAt.Load()) < host.suspicionTimeout()
 }
 
 // surveyResult summarizes what the peers answered about the decider.
