linker: a connection that answers is not closed for late calls

Callers saw: while the decider was busy, calls of hosts and orders failed together ("connection is closed"). Cause: four calls that timed out without an answer in between closed the connection. Among hundreds of calls at once on a busy host that is one moment of lateness, and each further call on the connection failed with it. A connection is closed only after 0.5 s without an answer as well. TestManyLateCalls failed before.

--- a/daemon/linker/linker_test.go
+++ b/daemon/linker/linker_test.go
@@ -88,3 +88,29 @@
 		t.Error(err)
 	}
 }
+
+// TestManyLateCalls guards against a connection that is closed under all its calls: on a busy host, four calls at once that
+// were late made the pool reopen the connection, which failed every other call on it.
+func TestManyLateCalls(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		silent  time.Duration // since the latest answer
+		dropped bool
+	}{
+		{"answeredLately", 0, false},
+		{"silent", 2 * silenceTimeout, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			pool := NewPool(dialer.TCP(), "a", &recorder.Clock{})
+			defer pool.Close()
+			peer := pool.peer("x")
+			pool.started = pool.started.Add(-test.silent)
+			for range 2 * maxUnanswered {
+				pool.recordTimeout(peer, "x")
+			}
+			if dropped := pool.peer("x") != peer; dropped != test.dropped {
+				t.Errorf("dropped %t, want %t", dropped, test.dropped)
+			}
+		})
+	}
+}
--- a/daemon/linker/pool.go
+++ b/daemon/linker/pool.go
@@ -61,6 +61,7 @@
 	network dialer.Network
 	host    string
 	clock   *recorder.Clock
+	started time.Time
 
 	mu     sync.Mutex
 	conns  map[string]*peerConn // by address
@@ -75,6 +76,7 @@
 	conn       *jsonrpc2.Conn
 	closed     bool         // dropped from the pool, and opens no connection any more
 	unanswered atomic.Int32 // calls that timed out since the last answer
+	answeredAt atomic.Int64 // when the latest answer arrived or the connection was opened, as the time since Pool.started
 }
 
 func newPeerConn() *peerConn {
@@ -87,11 +89,14 @@
 	connectTimeout = 300 * time.Millisecond
 	writeTimeout   = time.Second
 	maxUnanswered  = 4 // calls that time out in a row before the connection is reopened
+	// silenceTimeout is the minimum time without an answer before the connection is reopened: many calls may time out at
+	// once while a peer or this process is busy.
+	silenceTimeout = 500 * time.Millisecond
 )
 
 // NewPool returns a pool whose calls carry the name of the given host and the stamps of its clock.
 func NewPool(network dialer.Network, host string, clock *recorder.Clock) *Pool {
-	return &Pool{network: network, host: host, clock: clock, conns: map[string]*peerConn{}}
+	return &Pool{network: network, host: host, clock: clock, started: time.Now(), conns: map[string]*peerConn{}}
 }
 
 // Bytes returns the number of bytes read and written on the pool's connections.
@@ -115,12 +120,13 @@
 	}
 	var answer Envelope
 	if err := conn.Call(ctx, method, request, &answer); err != nil {
-		if errors.Is(err, context.DeadlineExceeded) && peer.unanswered.Add(1) >= maxUnanswered {
-			pool.Drop(address)
+		if errors.Is(err, context.DeadlineExceeded) {
+			pool.recordTimeout(peer, address)
 		}
 		return fmt.Errorf("call %s at %s: %w", method, address, err)
 	}
 	peer.unanswered.Store(0)
+	peer.answeredAt.Store(int64(time.Since(pool.started)))
 	pool.clock.Observe(answer.Stamp)
 	if result == nil {
 		return nil
@@ -131,6 +137,14 @@
 	return nil
 }
 
+// recordTimeout counts a call that timed out, and drops the connection if it is likely to be broken.
+func (pool *Pool) recordTimeout(peer *peerConn, address string) {
+	silence := time.Since(pool.started) - time.Duration(peer.answeredAt.Load())
+	if peer.unanswered.Add(1) >= maxUnanswered && silence >= silenceTimeout {
+		pool.Drop(address)
+	}
+}
+
 func newEnvelope(host string, clock *recorder.Clock, body any) (Envelope, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -173,6 +187,7 @@
 	}
 	stream := jsonrpc2.NewBufferedStream(pool.bytes.Wrap(raw), jsonrpc2.VarintObjectCodec{})
 	peer.conn = jsonrpc2.NewConn(context.Background(), stream, rejectingHandler{}, discardLogs)
+	peer.answeredAt.Store(int64(time.Since(pool.started)))
 	return peer.conn, nil
 }
 
