scheduler: lag is measured apart from planning

The lag decides how long to wait for answers, which do not wait for a pass, and when to hand over to a host that would plan as long. It is measured by a goroutine of its own now.

--- a/daemon/scheduler/lag.go
+++ b/daemon/scheduler/lag.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// lag is the average delay of the decider's planning ticks. A high lag indicates a slowed or overloaded machine.
+// lag is the average delay of the decider's timers. A high lag indicates a slowed or overloaded machine.
 type lag struct{ average }
 
 const (
@@ -29,6 +29,23 @@
 // current returns the average delay.
 func (lag *lag) current() time.Duration { return time.Duration(lag.value.Load()) }
 
+// measureLag measures the lag until the tenure ends. It does so apart from planning: a long pass delays what waits for the
+// planner's lock, but not the answers that arrive.
+func (tenure *tenure) measureLag() {
+	tick := time.NewTicker(planInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case due := <-tick.C:
+			late := time.Since(due)
+			tenure.tickLag.record(late)
+			raise(&tenure.meter.longestWait, int64(late))
+		case <-tenure.ctx.Done():
+			return
+		}
+	}
+}
+
 // transferIfOverloaded asks a peer with at least the same capacity to become the decider if this host is overloaded.
 // The lag at the beginning of a tenure is ignored, since it then polls every worker.
 func (host *Host) transferIfOverloaded(tenure *tenure, election Election) {
--- a/daemon/scheduler/load_meter.go
+++ b/daemon/scheduler/load_meter.go
@@ -23,7 +23,7 @@
 	queries     atomic.Int64
 	batches     atomic.Int64
 	longestPlan atomic.Int64 // nanoseconds
-	longestWait atomic.Int64 // longest delay of a planning tick, in nanoseconds
+	longestWait atomic.Int64 // longest delay of a timer, in nanoseconds
 
 	lockTime       atomic.Int64 // part of planTime that is spent waiting for the planner's lock, in nanoseconds
 	encodeTime     atomic.Int64 // part of planTime that is spent encoding records, in nanoseconds
--- a/daemon/scheduler/metrics.go
+++ b/daemon/scheduler/metrics.go
@@ -76,7 +76,7 @@
 		runs:           newGauge("ebonyshunt_runs", "Runs that exist or may exist, on the decider."),
 		unknownWorkers: newGauge("ebonyshunt_unknown_workers", "Workers whose runs are not known, on the decider."),
 		usedShare:      newGauge("ebonyshunt_used_share", "Share of the fleet's capacity that runs use, on the decider."),
-		lag:            newGauge("ebonyshunt_planning_lag_seconds", "Average delay of planning ticks, on the decider."),
+		lag:            newGauge("ebonyshunt_planning_lag_seconds", "Average delay of timers, on the decider."),
 		drainedRuns: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "ebonyshunt_drained_zone_runs", Help: "Runs that exist or may exist in each drained zone, on the decider.",
 		}, []string{"zone"}),
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -131,16 +131,14 @@
 	tenure.wait.Go(tenure.followWorkers)
 	tenure.wait.Go(tenure.probePreviousDecider)
 	tenure.wait.Go(tenure.logLoad)
+	tenure.wait.Go(tenure.measureLag)
 	tick := time.NewTicker(planInterval)
 	defer tick.Stop()
 	tenure.batchTimer = time.NewTimer(planInterval)
 	defer tenure.batchTimer.Stop()
 	for {
 		select {
-		case due := <-tick.C:
-			late := time.Since(due)
-			tenure.tickLag.record(late)
-			raise(&tenure.meter.longestWait, int64(late))
+		case <-tick.C:
 		case <-tenure.planRequested:
 		case <-tenure.batchTimer.C:
 		case <-tenure.ctx.Done():
