scheduler: calls that are late together are one failure of a delegate

Cause: each late message to a delegate doubled its rest, up to 8 s, also several in the same moment; the time for messages did not grow with the decider's own lateness; and a result that had arrived when its call's time was over was thrown away in half of the cases. TestDelegateRest (8 s in place of 1 s) and TestReadyDelegateResult fail without it.

--- a/daemon/scheduler/delegator.go
+++ b/daemon/scheduler/delegator.go
@@ -136,9 +136,19 @@
 	case result := <-results:
 		return result
 	case <-ctx.Done():
-		delegator.mu.Lock()
-		delete(delegate.pending, call.ID)
-		delegator.mu.Unlock()
+		return delegator.abandon(delegate, call.ID, results)
+	}
+}
+
+// abandon ends a call whose time is over. It returns the result if that has arrived in the meantime.
+func (delegator *delegator) abandon(delegate *delegate, id int64, results chan DelegatedResult) DelegatedResult {
+	delegator.mu.Lock()
+	delete(delegate.pending, id)
+	delegator.mu.Unlock()
+	select {
+	case result := <-results:
+		return result
+	default:
 		return DelegatedResult{delegateErr: errDelegateLost}
 	}
 }
@@ -157,7 +167,7 @@
 			call.Order.Payload = ""
 		}
 	}
-	ctx, cancel := context.WithTimeout(tenure.ctx, delegateTimeout)
+	ctx, cancel := context.WithTimeout(tenure.ctx, delegateTimeout+tenure.lagAllowance())
 	defer cancel()
 	err := tenure.host.hedgedCaller.call(ctx, delegate.member.Address, methodDelegate, calls, nil, 0)
 	if err == nil {
@@ -173,7 +183,9 @@
 // fail ends calls without a result and lets a delegate rest.
 func (delegator *delegator) fail(delegate *delegate, calls []DelegatedCall, lost, reason error) {
 	delegator.mu.Lock()
-	delegate.backoff.extend(time.Now())
+	if now := time.Now(); !now.Before(delegate.backoff.until) { // calls that fail together are one failure
+		delegate.backoff.extend(now)
+	}
 	until := delegate.backoff.length
 	delegator.refreshedAt = time.Time{}
 	for _, call := range calls {
@@ -233,7 +245,7 @@
 // collectOnce makes one call for results, at least one of which has to have a minimum age. It reports whether calls are
 // pending.
 func (delegator *delegator) collectOnce(ctx context.Context, pool *linker.Pool, delegate *delegate, minAge time.Duration) (pending bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, collectWait+delegateTimeout)
+	ctx, cancel := context.WithTimeout(ctx, collectWait+delegateTimeout+delegator.tenure.lagAllowance())
 	defer cancel()
 	delegator.mu.Lock()
 	acked := slices.Clone(delegate.unacked)
--- a/daemon/scheduler/poller.go
+++ b/daemon/scheduler/poller.go
@@ -249,14 +249,20 @@
 // late itself, it waits longer: an answer that arrived and was not read yet is not lost, and a worker that is polled
 // again for it would only add to the load.
 func (tenure *tenure) answerTimeout(timeout time.Duration) time.Duration {
-	lag := tenure.tickLag.current()
-	if lag >= overloadLag {
-		return timeout + min(lagTimeoutFactor*lag, maxLagTimeout)
-	}
-	if tenure.answerLossRate.isHigh() {
+	allowance := tenure.lagAllowance()
+	if allowance == 0 && tenure.answerLossRate.isHigh() {
 		return min(timeout, lossyAnswerTimeout)
 	}
-	return timeout
+	return timeout + allowance
+}
+
+// lagAllowance returns the time to add to a timeout because this process is late itself, 0 while it is not.
+func (tenure *tenure) lagAllowance() time.Duration {
+	lag := tenure.tickLag.current()
+	if lag < overloadLag {
+		return 0
+	}
+	return min(lagTimeoutFactor*lag, maxLagTimeout)
 }
 
 // applyEffects carries out the effects that need no stored record.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -167,6 +167,13 @@
 try 'fleet: steps that wait for the policy' library/planner/preempt.go 'if queue.Policy == nil || !pass.hasRoom(step, pool) {' 'if true {' ./library/planner 'TestPolicy'
 try 'fleet: late answers of the store are not lost ones' daemon/scheduler/journal.go 'if lost := attempts.lost();' 'if lost := attempts.lost() || true;' ./tests 'TestFleetLateStoreAnswers'
 try 'fleet: appends that overtake each other go one at a time' daemon/scheduler/journal.go 'journal.lossRate.isHigh() || journal.overtaking():' 'journal.lossRate.isHigh():' ./tests 'TestFleetLateStoreAnswers'
+try 'fleet: polls while answers get lost are bounded' daemon/scheduler/rates.go 'max(lossyPollWait, time.Duration(workers)*time.Second/lossyPollsPerSecond)' 'lossyPollWait' ./daemon/scheduler 'TestLossyPolls'
+try 'fleet: heartbeats of large fleets are bounded' daemon/scheduler/rates.go 'if stronger < maxSurveyedPeers {' 'if stronger < maxSurveyedPeers || true {' ./daemon/scheduler 'TestHeartbeatRate'
+try 'fleet: calls that fail together are one failure of a delegate' daemon/scheduler/delegator.go '!now.Before(delegate.backoff.until) {' 'true {' ./daemon/scheduler 'TestDelegateRest'
+try 'fleet: results that have arrived are not lost' daemon/scheduler/delegator.go 'case result := <-results:
+		return result
+	default:' 'default:' ./daemon/scheduler 'TestReadyDelegateResult'
+try 'links: late calls do not close a connection that answers' daemon/linker/pool.go '&& silence >= silenceTimeout' '&& silence >= 0' ./daemon/linker 'TestManyLateCalls'
 try 'fleet: late calls are repeated' daemon/scheduler/hedged_calls.go 'if hedgedCaller.budget.Retry(method) {' 'if hedgedCaller.budget.Retry(method) && false {' ./tests 'TestFleetLossyLinks'
 try 'zones: a stale read changes nothing' library/drainer/register.go 'if read.End < register.asOf {' 'if false {' ./library/drainer 'TestRegister'
 try 'zones: an earlier peer changes nothing' library/drainer/register.go 'if state.AsOf <= register.asOf {' 'if false {' ./library/drainer 'TestRegister'
