scheduler: only direct attempts tell whether the store loses answers

Cause: an attempt through a peer that is cut off from the store, or that the store turns away, gets no answer, and counted as an answer that the store lost. Then every append goes through that peer too, and the next unanswered one keeps the state up. TestFleetLateStoreAnswers/peersCutFromStore failed before (1 line).

--- a/daemon/scheduler/attempts.go
+++ b/daemon/scheduler/attempts.go
@@ -19,9 +19,18 @@
 	// rejectedEarly is set when the store rejects an attempt because the preceding append is not stored yet. The attempt
 	// then has to be repeated.
 	rejectedEarly bool
-	// unknown is the number of attempts that ended without an answer, for example since their connection broke.
-	unknown int
-	results chan error
+	// directInFlight is the number of attempts in flight that went directly to the store. Only these show that the store's
+	// answers get lost: a peer that does not answer may itself be cut off.
+	directInFlight int
+	// directLost is the number of direct attempts that ended without an answer, for example since their connection broke.
+	directLost int
+	results    chan attemptResult
+}
+
+// attemptResult is the result of one attempt.
+type attemptResult struct {
+	relayed bool // whether it went through a peer
+	err     error
 }
 
 // lossGrace is how long the other attempts at a stored append may take to be answered before they count as lost: an answer
@@ -37,51 +46,60 @@
 	attempts.started++
 	attempts.inFlight++
 	attempts.rejectedEarly = false
+	peer, relayed := attempts.journal.route.peerFor(number)
+	if !relayed {
+		attempts.directInFlight++
+	}
 	go func() {
-		attempts.results <- attempts.journal.attemptAppend(attempts.ctx, number, attempts.sequence, attempts.entries)
+		err := attempts.journal.attemptAppend(attempts.ctx, peer, relayed, attempts.sequence, attempts.entries)
+		attempts.results <- attemptResult{relayed, err}
 	}()
 }
 
-// handleResult processes the result of an attempt, and reports whether the append has ended.
-func (attempts *attempts) handleResult(err error, inOrder bool) (ended bool) {
+// record counts a result.
+func (attempts *attempts) record(result attemptResult) {
 	attempts.inFlight--
+	if result.relayed {
+		return
+	}
+	attempts.directInFlight--
+	if errors.Is(result.err, translator.ErrOutcomeUnknown) && attempts.ctx.Err() == nil {
+		attempts.directLost++
+	}
+}
+
+// handleResult processes the result of an attempt, and reports whether the append has ended.
+func (attempts *attempts) handleResult(result attemptResult, inOrder bool) (ended bool) {
+	attempts.record(result)
 	var outOfTurn *translator.SequenceError
 	switch {
-	case err == nil, errors.Is(err, translator.ErrFenced):
+	case result.err == nil, errors.Is(result.err, translator.ErrFenced):
 		return true
-	case errors.As(err, &outOfTurn):
+	case errors.As(result.err, &outOfTurn):
 		attempts.rejectedEarly = true
 		if inOrder {
 			attempts.start()
 		}
-	default:
-		if errors.Is(err, translator.ErrOutcomeUnknown) {
-			attempts.unknown++
-		}
-		if attempts.started < routeCount {
-			attempts.start()
-		}
+	case attempts.started < routeCount:
+		attempts.start()
 	}
 	return attempts.inFlight == 0 && !attempts.rejectedEarly
 }
 
-// lost waits for the answers to the attempts in flight, at most for lossGrace, and reports whether an attempt got no
-// answer.
-func (attempts *attempts) lost() bool {
+// answerLost waits for the answers to the direct attempts in flight, at most for lossGrace, and reports whether one of them
+// got no answer.
+func (attempts *attempts) answerLost() bool {
 	timer := time.NewTimer(lossGrace)
 	defer timer.Stop()
-	for attempts.unknown == 0 && attempts.inFlight > 0 {
+	for attempts.directLost == 0 && attempts.directInFlight > 0 {
 		select {
-		case err := <-attempts.results:
-			attempts.inFlight--
-			if errors.Is(err, translator.ErrOutcomeUnknown) {
-				return attempts.ctx.Err() == nil
-			}
+		case result := <-attempts.results:
+			attempts.record(result)
 		case <-timer.C:
 			return true
 		case <-attempts.ctx.Done():
 			return false
 		}
 	}
-	return attempts.unknown > 0
+	return attempts.directLost > 0
 }
--- a/daemon/scheduler/journal.go
+++ b/daemon/scheduler/journal.go
@@ -30,7 +30,7 @@
 	overtakenAt  atomic.Int64 // uptime in nanoseconds when the store last rejected an append since a later one had overtaken its predecessor
 	slow         atomic.Bool
 	answerTime   average      // average time until an answer, in nanoseconds
-	lossRate     lossRate     // appends of which an attempt got no answer
+	lossRate     lossRate     // appends of which a direct attempt got no answer
 	failingSince atomic.Int64 // uptime in nanoseconds since which appends fail, 0 while they succeed
 }
 
@@ -241,7 +241,7 @@
 	return min(max(hedgeDelayFactor*time.Duration(journal.answerTime.value.Load()), minHedgeDelay), maxHedgeDelay)
 }
 
-// recordLoss records whether an attempt at an append got no answer.
+// recordLoss records whether a direct attempt at an append got no answer.
 func (journal *journal) recordLoss(lost bool) {
 	if journal.lossRate.record(lost, journal.tenure.host.uptime()) {
 		journal.tenure.host.log.Warn("losses of the store's answers", "many", journal.lossRate.isHigh(), "perMillion", journal.lossRate.value.Load())
@@ -264,20 +264,20 @@
 // further attempts are made.
 func (journal *journal) append(sequence int64, entries []translator.Entry) error {
 	ctx, cancel := context.WithTimeout(journal.tenure.ctx, appendTimeout)
-	attempts := &attempts{journal: journal, ctx: ctx, sequence: sequence, entries: entries, results: make(chan error, maxAttemptsInFlight)}
+	attempts := &attempts{journal: journal, ctx: ctx, sequence: sequence, entries: entries, results: make(chan attemptResult, maxAttemptsInFlight)}
 	err := journal.attemptUntilStored(attempts)
 	if err != nil {
 		cancel()
 		return err
 	}
-	if attempts.inFlight == 0 {
+	if attempts.directInFlight == 0 {
 		cancel()
-		journal.recordLoss(attempts.unknown > 0)
+		journal.recordLoss(attempts.directLost > 0)
 		return nil
 	}
 	journal.tenure.wait.Go(func() {
 		defer cancel()
-		if lost := attempts.lost(); journal.tenure.ctx.Err() == nil {
+		if lost := attempts.answerLost(); journal.tenure.ctx.Err() == nil {
 			journal.recordLoss(lost)
 		}
 	})
@@ -296,9 +296,9 @@
 	inOrder, advanced := journal.inOrder(attempts.sequence)
 	for {
 		select {
-		case err := <-attempts.results:
-			if attempts.handleResult(err, inOrder) {
-				return err
+		case result := <-attempts.results:
+			if attempts.handleResult(result, inOrder) {
+				return result.err
 			}
 		case <-advanced:
 			wasInOrder := inOrder
@@ -330,13 +330,12 @@
 	return journal.storedThrough >= sequence-1, journal.advanced
 }
 
-// attemptAppend makes one attempt at an append, directly or through a peer.
-func (journal *journal) attemptAppend(ctx context.Context, attempt int, sequence int64, entries []translator.Entry) error {
+// attemptAppend makes one attempt at an append, through a peer if relayed is set, or else directly.
+func (journal *journal) attemptAppend(ctx context.Context, peer Member, relayed bool, sequence int64, entries []translator.Entry) error {
 	tenure := journal.tenure
 	sentAt := tenure.host.uptime()
 	tenure.meter.appendAttempts.Add(1)
 	tenure.meter.appendedBytes.Add(int64(sizeOf(entries)))
-	peer, relayed := journal.route.peerFor(attempt)
 	var err error
 	if relayed {
 		err = journal.appendThroughPeer(ctx, peer, sequence, entries)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -165,7 +165,7 @@
 try 'stragglers: older answers to readings' library/planner/stragglers.go 'worker != nil && worker.AnsweredAt.After(listing.SentAt)' 'worker == nil' ./library/planner 'TestReadings'
 try 'stragglers: whole hosts move late runs' library/planner/stragglers.go 'return hedger.Decide(*run).Kind != hedger.Keep' 'return false' ./tests 'TestFleetStragglers'
 try 'fleet: steps that wait for the policy' library/planner/preempt.go 'if queue.Policy == nil || !pass.hasRoom(step, pool) {' 'if true {' ./library/planner 'TestPolicy'
-try 'fleet: late answers of the store are not lost ones' daemon/scheduler/journal.go 'if lost := attempts.lost();' 'if lost := attempts.lost() || true;' ./tests 'TestFleetLateStoreAnswers'
+try 'fleet: late answers of the store are not lost ones' daemon/scheduler/journal.go 'if lost := attempts.answerLost();' 'if lost := attempts.answerLost() || true;' ./tests 'TestFleetLateStoreAnswers'
 try 'fleet: appends that overtake each other go one at a time' daemon/scheduler/journal.go 'journal.lossRate.isHigh() || journal.overtaking():' 'journal.lossRate.isHigh():' ./tests 'TestFleetLateStoreAnswers'
 try 'fleet: polls while answers get lost are bounded' daemon/scheduler/rates.go 'max(lossyPollWait, time.Duration(workers)*time.Second/lossyPollsPerSecond)' 'lossyPollWait' ./daemon/scheduler 'TestLossyPolls'
 try 'fleet: heartbeats of large fleets are bounded' daemon/scheduler/rates.go 'if stronger < maxSurveyedPeers {' 'if stronger < maxSurveyedPeers || true {' ./daemon/scheduler 'TestHeartbeatRate'
--- a/tests/fleet_busy_test.go
+++ b/tests/fleet_busy_test.go
@@ -1,6 +1,7 @@
 package tests
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -25,6 +26,19 @@
 			fleet.wantNoLosses()
 		})
 	})
+	t.Run("peersCutFromStore", func(t *testing.T) {
+		runFleetTest(t, 4, func(fleet *fleet) {
+			decider := fleet.decidingHost()
+			others := slices.DeleteFunc(slices.Clone(fleet.hostNames), func(name string) bool { return name == decider })
+			heal := fleet.fabric.Cut(others, []string{"store"})
+			defer heal()
+			fleet.store.SetFaults(emulator.StoreFaults{Delay: 10 * time.Millisecond, Spread: 160 * time.Millisecond})
+			for number := range 20 {
+				fleet.submitJob(decider, number)
+			}
+			fleet.wantNoLosses()
+		})
+	})
 }
 
 // wantNoLosses fails the test if the decider has taken answers of the store for lost.
