--- a/daemon/scheduler/relay.go
+++ b/daemon/scheduler/relay.go
@@ -137,6 +137,16 @@
 	}
 }
 
+// recordFailed records that a peer did not store an append, so that the next one goes through another peer.
+func (route *route) recordFailed(peer Member) {
+	peers := route.host.fleet.others(route.host.settings.Host)
+	route.mu.Lock()
+	defer route.mu.Unlock()
+	if len(peers) > 0 && peers[route.peerIndex%len(peers)].Name == peer.Name {
+		route.peerIndex = (route.peerIndex + 1) % len(peers)
+	}
+}
+
 // recordDirect records that the store answered a direct attempt.
 func (route *route) recordDirect() {
 	route.mu.Lock()
@@ -165,6 +175,9 @@
 	}
 	var answer RelayAnswer
 	if err := journal.tenure.host.peerPool.Call(ctx, peer.Address, methodRelay, batch, &answer); err != nil {
+		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			journal.route.recordFailed(peer)
+		}
 		return fmt.Errorf("append through %s: %w: %w", peer.Name, translator.ErrOutcomeUnknown, err)
 	}
 	switch answer.Outcome {
@@ -176,8 +189,10 @@
 	case relayFenced:
 		return fmt.Errorf("append through %s: %s: %w", peer.Name, answer.Reason, translator.ErrFenced)
 	case relayRefused:
+		journal.route.recordFailed(peer)
 		return fmt.Errorf("append through %s: %s: %w", peer.Name, answer.Reason, translator.ErrRefused)
 	case relayUnknown:
+		journal.route.recordFailed(peer)
 	}
 	return fmt.Errorf("append through %s: %s: %w", peer.Name, answer.Reason, translator.ErrOutcomeUnknown)
 }
