scheduler: messages to delegates are at least 20 ms apart

The decider of the large fleet sent 430 messages a second to its five delegates (counted in a trial), up to 200 to each; each costs it the coding of three layers and several wake-ups, whatever it carries. The first call to a delegate that had none lately waits 5 ms as before. TestOutboxDelay: 200 messages for 400 calls in a second before, at most 51 now.

--- a/daemon/scheduler/delegator.go
+++ b/daemon/scheduler/delegator.go
@@ -34,6 +34,7 @@
 type delegate struct {
 	member     Member
 	outbox     []DelegatedCall
+	sentAt     time.Time                      // when the latest message left the outbox
 	pending    map[int64]chan DelegatedResult // calls without a result
 	unacked    []int64                        // IDs of received results whose acknowledgment has not reached the delegate yet
 	collecting bool
@@ -48,6 +49,9 @@
 	delegateRefreshInterval = 250 * time.Millisecond
 	// outboxDelay is the wait before calls are sent to a delegate, so that one message carries several.
 	outboxDelay = 5 * time.Millisecond
+	// outboxInterval is the minimum time between two messages to a delegate: under load, the number of messages costs the
+	// decider more than their size.
+	outboxInterval = 20 * time.Millisecond
 	// delegateTimeout bounds the time until a delegate confirms calls.
 	delegateTimeout = 300 * time.Millisecond
 	// collectWait is how long a delegate without results delays its answer.
@@ -123,11 +127,12 @@
 	delegate.pending[call.ID] = results
 	delegate.outbox = append(delegate.outbox, call)
 	first := len(delegate.outbox) == 1
+	delay := outboxDelayAt(time.Now(), delegate.sentAt)
 	collect := !delegate.collecting
 	delegate.collecting = true
 	delegator.mu.Unlock()
 	if first {
-		delegator.tenure.wait.Go(func() { delegator.sendOutbox(delegate) })
+		delegator.tenure.wait.Go(func() { delegator.sendOutbox(delegate, delay) })
 	}
 	if collect {
 		delegator.tenure.wait.Go(func() { delegator.collect(delegate) })
@@ -153,11 +158,17 @@
 	}
 }
 
-// sendOutbox sends the calls that wait for a delegate.
-func (delegator *delegator) sendOutbox(delegate *delegate) {
+// outboxDelayAt returns how long calls wait in an outbox that was empty, given when the latest message left it.
+func outboxDelayAt(now, sentAt time.Time) time.Duration {
+	return max(outboxDelay, outboxInterval-now.Sub(sentAt))
+}
+
+// sendOutbox sends the calls that wait for a delegate, after a delay.
+func (delegator *delegator) sendOutbox(delegate *delegate, delay time.Duration) {
 	tenure := delegator.tenure
-	sleep(tenure.ctx, outboxDelay)
+	sleep(tenure.ctx, delay)
 	delegator.mu.Lock()
+	delegate.sentAt = time.Now()
 	calls := DelegatedCalls{Session: delegator.session, Calls: delegate.outbox, Payloads: map[string]string{}}
 	delegate.outbox = nil
 	delegator.mu.Unlock()
--- a/daemon/scheduler/delegator_test.go
+++ b/daemon/scheduler/delegator_test.go
@@ -50,3 +50,29 @@
 		t.Errorf("got error %v for a call without a result, want %v", result.delegateErr, errDelegateLost)
 	}
 }
+
+// TestOutboxDelay guards against a message for each call: under load the messages to delegates cost the decider more than the
+// calls that they carry. A call to a delegate that had none lately is not delayed by it.
+func TestOutboxDelay(t *testing.T) {
+	const load = 400 // calls a second
+	now := time.Now()
+	sentAt, messages := now.Add(-time.Minute), 0
+	if delay := outboxDelayAt(now, sentAt); delay != outboxDelay {
+		t.Errorf("the first call waits %v, want %v", delay, outboxDelay)
+	}
+	var leaves time.Time // when the message that is being filled leaves
+	for call := range load {
+		at := now.Add(time.Duration(call) * time.Second / load)
+		if at.Before(leaves) {
+			continue
+		}
+		if messages > 0 {
+			sentAt = leaves
+		}
+		leaves = at.Add(outboxDelayAt(at, sentAt))
+		messages++
+	}
+	if bound := int(time.Second/outboxInterval) + 1; messages > bound {
+		t.Errorf("%d messages for %d calls in a second, want at most %d", messages, load, bound)
+	}
+}
