scheduler: registrations that change nothing cost no work on the worker table

1,100 workers register again each 1.5 s, and only their sequence number changes. Now only entries that differ count (TestRegistrations), and they are decoded before the planner's lock is taken.

--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -265,27 +265,15 @@
 	}
 }
 
-// followWorkers keeps the planner's worker table up to date with the platform's list of workers.
+// followWorkers keeps the planner's worker table up to date with the platform's list of workers. Workers register again at
+// short intervals, so that most entries change nothing.
 func (tenure *tenure) followWorkers() {
 	tenure.host.followTopic(tenure.ctx, translator.Workers, workerListInterval, func(change topicChange) {
+		decoded := tenure.decodeWorkers(change.entries)
 		tenure.mu.Lock()
 		defer tenure.mu.Unlock()
-		if change.reset {
-			clear(tenure.workerInfos)
-		}
-		for _, entry := range change.entries {
-			if entry.Key == "" {
-				continue
-			}
-			info, err := translator.DecodeWorker(entry.Key, entry.Value)
-			if err != nil {
-				if len(entry.Value) > 0 {
-					tenure.host.log.Warn("cannot decode worker entry, removing the worker", "worker", entry.Key, "error", err)
-				}
-				delete(tenure.workerInfos, entry.Key)
-				continue
-			}
-			tenure.workerInfos[entry.Key] = info
+		if changed := tenure.recordRegistrations(decoded, change.reset); !changed {
+			return
 		}
 		infos := make([]planner.WorkerInfo, 0, len(tenure.workerInfos))
 		for _, info := range tenure.workerInfos {
@@ -297,6 +285,52 @@
 	})
 }
 
+// registration is an entry of the platform's list of workers.
+type registration struct {
+	id   string
+	info *planner.WorkerInfo // nil if the worker is gone or its entry cannot be decoded
+}
+
+func (tenure *tenure) decodeWorkers(entries []translator.Entry) []registration {
+	registrations := make([]registration, 0, len(entries))
+	for _, entry := range entries {
+		if entry.Key == "" {
+			continue
+		}
+		info, err := translator.DecodeWorker(entry.Key, entry.Value)
+		if err == nil {
+			registrations = append(registrations, registration{entry.Key, &info})
+			continue
+		}
+		if len(entry.Value) > 0 {
+			tenure.host.log.Warn("cannot decode worker entry, removing the worker", "worker", entry.Key, "error", err)
+		}
+		registrations = append(registrations, registration{id: entry.Key})
+	}
+	return registrations
+}
+
+// recordRegistrations updates the known workers, from nothing if reset is set, and reports whether that changed any. The
+// caller holds tenure.mu.
+func (tenure *tenure) recordRegistrations(registrations []registration, reset bool) (changed bool) {
+	if reset {
+		clear(tenure.workerInfos)
+		changed = true
+	}
+	for _, registration := range registrations {
+		known, found := tenure.workerInfos[registration.id]
+		switch {
+		case registration.info == nil:
+			changed = changed || found
+			delete(tenure.workerInfos, registration.id)
+		case !found || !known.Equal(*registration.info):
+			changed = true
+			tenure.workerInfos[registration.id] = *registration.info
+		}
+	}
+	return changed
+}
+
 const (
 	explainInterval = time.Second
 	// minExplainedWait is how long a step waits for capacity before that is logged.
--- a/library/planner/worker.go
+++ b/library/planner/worker.go
@@ -22,6 +22,14 @@
 	Incarnation int64         // start of its incarnation in Unix milliseconds, 0 if unknown
 }
 
+// Equal reports whether two registrations say the same.
+func (workerInfo WorkerInfo) Equal(other WorkerInfo) bool {
+	return workerInfo.ID == other.ID && workerInfo.Machine == other.Machine && workerInfo.Service == other.Service &&
+		workerInfo.Address == other.Address && workerInfo.Zone == other.Zone && slices.Equal(workerInfo.Labels, other.Labels) &&
+		workerInfo.Capacity == other.Capacity && workerInfo.Draining == other.Draining && workerInfo.LeavesIn == other.LeavesIn &&
+		workerInfo.ColdLeft == other.ColdLeft && workerInfo.Incarnation == other.Incarnation
+}
+
 // Worker is a row of the worker table.
 type Worker struct {
 	WorkerInfo
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -177,6 +177,7 @@
 try 'fleet: messages to delegates carry several calls' daemon/scheduler/delegator.go 'max(outboxDelay, outboxInterval-now.Sub(sentAt))' 'outboxDelay + 0*now.Sub(sentAt)' ./daemon/scheduler 'TestOutboxDelay'
 try 'fleet: appends move on from an unusable peer' daemon/scheduler/relay.go 'route.peerIndex = (route.peerIndex + 1) % len(peers)' '_ = peers' ./daemon/scheduler 'TestRelayPeer'
 try 'fleet: only direct attempts tell of lost answers' daemon/scheduler/attempts.go 'if !relayed {' 'if true {' ./tests 'TestFleetLateStoreAnswers'
+try 'fleet: registrations that change nothing' daemon/scheduler/tenure.go 'case !found || !known.Equal(*registration.info):' 'default:' ./daemon/scheduler 'TestRegistrations'
 try 'fleet: late calls are repeated' daemon/scheduler/hedged_calls.go 'if hedgedCaller.budget.Retry(method) {' 'if hedgedCaller.budget.Retry(method) && false {' ./tests 'TestFleetLossyLinks'
 try 'zones: a stale read changes nothing' library/drainer/register.go 'if read.End < register.asOf {' 'if false {' ./library/drainer 'TestRegister'
 try 'zones: an earlier peer changes nothing' library/drainer/register.go 'if state.AsOf <= register.asOf {' 'if false {' ./library/drainer 'TestRegister'
