scheduler: polls of workers whose runs are unknown go through delegates too

Callers saw: slow seconds after each takeover and while workers lose answers. Cause: the decider of 1,100 workers polls each of them directly after a takeover, and each one that left an order unanswered, over a new connection, though a host of the worker's zone has one. TestFleetDelegatesCarryFences, in which the decider reaches no worker itself, failed before.

--- a/daemon/scheduler/poller.go
+++ b/daemon/scheduler/poller.go
@@ -202,11 +202,11 @@
 		sleep(ctx, maxRetryDelay)
 		return nil
 	}
-	var delegate *delegate
 	slack := immediatePollTimeout
 	if wait > 0 {
-		delegate, slack = tenure.delegator.pick(worker, zone, workerCount), pollTimeoutSlack
+		slack = pollTimeoutSlack
 	}
+	delegate := tenure.delegator.pick(worker, zone, workerCount)
 	listing, err := tenure.delegator.poll(ctx, delegate, poll, wait, wait+tenure.answerTimeout(slack))
 	tenure.host.metrics.polls.Inc()
 	tenure.meter.polls.Add(1)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -108,7 +108,12 @@
 try 'fleet: renewals end after the journal is fenced' daemon/scheduler/quorum.go 'if fencedAt.After(quorumSince) {' 'if false {' ./daemon/scheduler 'TestFormerRenewalsEnd'
 try 'fleet: start orders through delegates' daemon/scheduler/poller.go 'delegate := tenure.delegator.pick(order.Worker, zone, workerCount)' '_, _ = zone, workerCount
 		delegate := (*delegate)(nil)' ./tests 'TestFleetDelegatesCarryCalls'
-try 'fleet: polls through delegates' daemon/scheduler/poller.go 'delegate, slack = tenure.delegator.pick(worker, zone, workerCount), pollTimeoutSlack' '_, _, slack = zone, workerCount, pollTimeoutSlack' ./tests 'TestFleetDelegatesCarryCalls'
+try 'fleet: polls through delegates' daemon/scheduler/poller.go 'delegate := tenure.delegator.pick(worker, zone, workerCount)' '_, _ = zone, workerCount
+	delegate := (*delegate)(nil)' ./tests 'TestFleetDelegatesCarryCalls'
+try 'fleet: immediate polls through delegates' daemon/scheduler/poller.go 'delegate := tenure.delegator.pick(worker, zone, workerCount)' 'delegate := tenure.delegator.pick(worker, zone, workerCount)
+	if wait == 0 {
+		delegate = nil
+	}' ./tests 'TestFleetDelegatesCarryFences'
 try 'fleet: no order with an expired ticket' library/planner/runs.go '(queue.Policy == nil || step.policy.hasTicket(worker, planner.now))' 'true' ./library/planner 'TestPolicy'
 try 'fleet: more time for a task after each hang' library/planner/plan.go 'duration *= 2' '_ = duration' ./library/planner 'TestSlowTask'
 try 'fleet: preemption only where the policy allows' library/planner/preempt.go 'step.policy.allowedBefore(worker)) &&' '!step.policy.denied[worker.ID]) &&' ./library/planner 'TestPolicy'
--- a/tests/fleet_busy_test.go
+++ b/tests/fleet_busy_test.go
@@ -71,3 +71,22 @@
 		<-done
 	}
 }
+
+// TestFleetDelegatesCarryFences guards against a takeover and lost answers that cost the decider a connection to each worker: it
+// asked workers directly whose runs it did not know, while other hosts had connections to them. Here the decider reaches no
+// worker itself, and every second order loses its answer.
+func TestFleetDelegatesCarryFences(t *testing.T) {
+	runFleet(t, 6, 1, func(fleet *fleet) {
+		var workers []string
+		for _, worker := range fleet.workers {
+			workers = append(workers, worker.ID)
+			worker.SetFaults(emulator.WorkerFaults{LoseEvery: 2})
+		}
+		heal := fleet.fabric.Cut([]string{fleet.decidingHost()}, workers)
+		defer heal()
+		for number := range 5 {
+			fleet.submitJob(fleet.hostNames[number], number)
+		}
+		fleet.awaitJobs(fleet.hostNames[0], 5*time.Second)
+	})
+}
