--- a/daemon/scheduler/fleet.go
+++ b/daemon/scheduler/fleet.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -68,7 +69,8 @@
 type fleet struct {
 	mu       sync.Mutex
 	members  map[string]Member
-	loaded   bool // whether the members were read from the store since the start
+	sorted   []Member // the members by falling capacity, replaced as a whole when one of them changes
+	loaded   bool     // whether the members were read from the store since the start
 	election Election
 	changed  chan struct{} // closed and replaced when the election changes
 }
@@ -88,11 +90,7 @@
 func (fleet *fleet) rank(of Member) (stronger, size int) {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
-	for _, member := range fleet.members {
-		if compareMembers(member, of) < 0 {
-			stronger++
-		}
-	}
+	stronger, _ = slices.BinarySearchFunc(fleet.sorted, of, compareMembers)
 	return stronger, len(fleet.members)
 }
 
@@ -137,7 +135,11 @@
 func (fleet *fleet) register(member Member) {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
+	if known, found := fleet.members[member.Name]; found && known == member {
+		return
+	}
 	fleet.members[member.Name] = member
+	fleet.sorted = slices.SortedFunc(maps.Values(fleet.members), compareMembers)
 }
 
 // member returns the member with a name, and false if there is none.
@@ -152,14 +154,7 @@
 func (fleet *fleet) others(name string) []Member {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
-	var members []Member
-	for _, member := range fleet.members {
-		if member.Name != name {
-			members = append(members, member)
-		}
-	}
-	slices.SortFunc(members, compareMembers)
-	return members
+	return slices.DeleteFunc(slices.Clone(fleet.sorted), func(member Member) bool { return member.Name == name })
 }
 
 func compareMembers(a, b Member) int {
