--- /dev/null
+++ b/daemon/linker/codec_test.go
@@ -0,0 +1,65 @@
+package linker
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"io"
+	"reflect"
+	"testing"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// TestCodec checks against the codec of the library, which hosts of earlier releases use: each reads what the other writes.
+func TestCodec(t *testing.T) {
+	params := json.RawMessage(`{"body":{"a":[1,2]},"version":1}`) // sorted, as the library writes it
+	request := &jsonrpc2.Request{Method: "x", ID: jsonrpc2.ID{Num: 7}, Params: &params}
+	for name, codecs := range map[string][2]jsonrpc2.ObjectCodec{
+		"own":         {codec{}, codec{}},
+		"fromLibrary": {jsonrpc2.VarintObjectCodec{}, codec{}},
+		"toLibrary":   {codec{}, jsonrpc2.VarintObjectCodec{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var stream bytes.Buffer
+			for range 2 {
+				if err := codecs[0].WriteObject(&stream, request); err != nil {
+					t.Fatal(err)
+				}
+			}
+			reader := bufio.NewReader(&stream)
+			for range 2 {
+				var got jsonrpc2.Request
+				if err := codecs[1].ReadObject(reader, &got); err != nil {
+					t.Fatal(err)
+				}
+				if got.Method != request.Method || got.ID != request.ID || !reflect.DeepEqual(got.Params, request.Params) {
+					t.Errorf("read %+v, want %+v", got, request)
+				}
+			}
+		})
+	}
+}
+
+// TestBrokenMessages checks that a stream that ends, or is no stream of messages, is told apart from a whole one.
+func TestBrokenMessages(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		stream []byte
+		ended  bool // whether it ends between two messages
+	}{
+		{"end", nil, true},
+		{"truncated", append(binary.AppendUvarint(nil, 10), `{"a":`...), false},
+		{"huge", binary.AppendUvarint(nil, maxMessageBytes+1), false},
+		{"notJSON", append(binary.AppendUvarint(nil, 1), '{'), false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			err := codec{}.ReadObject(bufio.NewReader(bytes.NewReader(test.stream)), &jsonrpc2.Request{})
+			if err == nil || errors.Is(err, io.EOF) != test.ended {
+				t.Errorf("error %v, want io.EOF %t", err, test.ended)
+			}
+		})
+	}
+}
--- a/daemon/linker/pool.go
+++ b/daemon/linker/pool.go
@@ -185,7 +185,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial: %w", err)
 	}
-	stream := jsonrpc2.NewBufferedStream(pool.bytes.Wrap(raw), jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(pool.bytes.Wrap(raw), codec{})
 	peer.conn = jsonrpc2.NewConn(context.Background(), stream, rejectingHandler{}, discardLogs)
 	peer.answeredAt.Store(int64(time.Since(pool.started)))
 	return peer.conn, nil
--- a/daemon/linker/server.go
+++ b/daemon/linker/server.go
@@ -60,7 +60,7 @@
 			retrier.Sleep(ctx, acceptRetryDelay)
 			continue
 		}
-		stream := jsonrpc2.NewBufferedStream(server.bytes.Wrap(raw), jsonrpc2.VarintObjectCodec{})
+		stream := jsonrpc2.NewBufferedStream(server.bytes.Wrap(raw), codec{})
 		conn := jsonrpc2.NewConn(ctx, stream, server, discardLogs)
 		if !server.addConn(conn) {
 			_ = conn.Close()
