scheduler: own lateness is added to the times after which answers count as late or lost

Callers saw: on a slow machine the decider of the large fleet stays at a third of what it carries before and after, for tens of seconds. Cause: whether the process is late was told by the average delay of its timers, 20 to 45 ms, while answers pass several goroutines each of which may wait 100 to 300 ms for the processor. So appends were repeated each 150 ms, 4 to 8 times a batch of 0.3 MB, and polls counted as lost. The highest delay of the last second counts now, and is added to hedge delays, to the grace of a missing append and to the short timeouts of lossy times. TestLagAllowance failed before (0 s allowed after a delay of 150 ms).

--- a/daemon/scheduler/attempts.go
+++ b/daemon/scheduler/attempts.go
@@ -86,10 +86,11 @@
 	return attempts.inFlight == 0 && !attempts.rejectedEarly
 }
 
-// answerLost waits for the answers to the direct attempts in flight, at most for lossGrace, and reports whether one of them
+// answerLost waits for the answers to the direct attempts in flight, for lossGrace or longer while this process is
+// late, and reports whether one of them
 // got no answer.
 func (attempts *attempts) answerLost() bool {
-	timer := time.NewTimer(lossGrace)
+	timer := time.NewTimer(lossGrace + attempts.journal.tenure.lagAllowance())
 	defer timer.Stop()
 	for attempts.directLost == 0 && attempts.directInFlight > 0 {
 		select {
--- a/daemon/scheduler/journal.go
+++ b/daemon/scheduler/journal.go
@@ -236,9 +236,11 @@
 	}
 }
 
-// hedgeDelay returns the time without an answer after which a further attempt at an append is made.
+// hedgeDelay returns the time without an answer after which a further attempt at an append is made. While this process is
+// late itself, that is longer: an answer that was not read yet is not late, and further attempts would only add to the load.
 func (journal *journal) hedgeDelay() time.Duration {
-	return min(max(hedgeDelayFactor*time.Duration(journal.answerTime.value.Load()), minHedgeDelay), maxHedgeDelay)
+	usual := hedgeDelayFactor * time.Duration(journal.answerTime.value.Load())
+	return min(max(usual, minHedgeDelay), maxHedgeDelay) + journal.tenure.lagAllowance()
 }
 
 // recordLoss records whether a direct attempt at an append got no answer.
@@ -313,7 +315,7 @@
 					journal.failingSince.CompareAndSwap(0, int64(journal.tenure.host.uptime()))
 				}
 				attempts.start()
-				delay = min(delay+delay/hedgeGrowthDivisor, maxHedgeGrowth*journal.hedgeDelay(), maxHedgeDelay)
+				delay = min(delay+delay/hedgeGrowthDivisor, maxHedgeGrowth*journal.hedgeDelay(), maxHedgeDelay+journal.tenure.lagAllowance())
 			}
 			hedgeTimer.Reset(delay)
 		case <-attempts.ctx.Done():
--- a/daemon/scheduler/lag.go
+++ b/daemon/scheduler/lag.go
@@ -2,15 +2,21 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 )
 
 // lag is the average delay of the decider's timers. A high lag indicates a slowed or overloaded machine.
-type lag struct{ average }
+type lag struct {
+	average
+	peak atomic.Int64 // highest delay of late, which wears off within a second, in nanoseconds
+}
 
 const (
 	// lagAverageDivisor is the inverse of the weight of the latest delay in the average.
 	lagAverageDivisor = 4
+	// lagPeakDivisor is the inverse of the part by which the peak wears off with each delay.
+	lagPeakDivisor = 8
 	// overloadLag is the average delay from which on a host is overloaded.
 	overloadLag = 25 * time.Millisecond
 	// overloadTransferDelay is the minimum age of a tenure before a transfer due to overload. In this time, a large
@@ -21,10 +27,17 @@
 	overloadTransferInterval = 15 * time.Second
 )
 
-func newLag() lag { return lag{average{divisor: lagAverageDivisor}} }
+func newLag() *lag { return &lag{average: average{divisor: lagAverageDivisor}} }
+
+// record adds the delay of one timer tick.
+func (lag *lag) record(late time.Duration) {
+	lag.add(int64(late))
+	peak := lag.peak.Load()
+	lag.peak.Store(max(int64(late), peak-peak/lagPeakDivisor))
+}
 
-// record adds the delay of one timer tick to the average.
-func (lag *lag) record(late time.Duration) { lag.add(int64(late)) }
+// recent returns the highest delay of late.
+func (lag *lag) recent() time.Duration { return time.Duration(lag.peak.Load()) }
 
 // current returns the average delay.
 func (lag *lag) current() time.Duration { return time.Duration(lag.value.Load()) }
--- a/daemon/scheduler/lag_test.go
+++ b/daemon/scheduler/lag_test.go
@@ -29,3 +29,29 @@
 		})
 	}
 }
+
+// TestLagAllowance guards against a decider that takes its own lateness for lost answers: the average delay of its timers was low while
+// one answer in a hundred was read 100 to 300 ms late, and each of these counted as lost and was asked for again.
+func TestLagAllowance(t *testing.T) {
+	tenure := &tenure{tickLag: newLag()}
+	wantAllowance := func(least, most time.Duration) {
+		t.Helper()
+		if got := tenure.lagAllowance(); got < least || got > most {
+			t.Errorf("%v are added to timeouts, want %v to %v", got, least, most)
+		}
+	}
+	tick := func(count int, late time.Duration) {
+		for range count {
+			tenure.tickLag.record(late)
+		}
+	}
+	tick(20, time.Millisecond)
+	wantAllowance(0, 0)
+	tick(1, 150*time.Millisecond)
+	tick(4, time.Millisecond)
+	wantAllowance(150*time.Millisecond, maxLagTimeout)
+	tick(20, time.Millisecond)
+	wantAllowance(0, 0)
+	tick(1, 10*time.Second)
+	wantAllowance(maxLagTimeout, maxLagTimeout)
+}
--- a/daemon/scheduler/poller.go
+++ b/daemon/scheduler/poller.go
@@ -249,16 +249,15 @@
 // late itself, it waits longer: an answer that arrived and was not read yet is not lost, and a worker that is polled
 // again for it would only add to the load.
 func (tenure *tenure) answerTimeout(timeout time.Duration) time.Duration {
-	allowance := tenure.lagAllowance()
-	if allowance == 0 && tenure.answerLossRate.isHigh() {
-		return min(timeout, lossyAnswerTimeout)
+	if tenure.answerLossRate.isHigh() {
+		timeout = min(timeout, lossyAnswerTimeout)
 	}
-	return timeout + allowance
+	return timeout + tenure.lagAllowance()
 }
 
 // lagAllowance returns the time to add to a timeout because this process is late itself, 0 while it is not.
 func (tenure *tenure) lagAllowance() time.Duration {
-	lag := tenure.tickLag.current()
+	lag := tenure.tickLag.recent()
 	if lag < overloadLag {
 		return 0
 	}
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -33,7 +33,7 @@
 	immediatePolls   chan struct{} // limits the polls without a wait that are in flight
 	confirming       chan struct{} // holds an element while a refusal reads from the store whether this host still decides
 	answerLossRate   lossRate      // answers of workers that were lost
-	tickLag          lag
+	tickLag          *lag
 	meter            loadMeter
 	passes           passPacer // used by the goroutine of run only
 
