scheduler: a decider with too much to do keeps deciding

Callers saw: on a busy fleet another host decided every 15 s or so, and after each change the backlog grew faster: the next decider has as much to do, polls all 1,100 workers, and has no tickets of the policy for any step that waits. Cause: a late decider hands over to a host as strong, which helps if its processor was slowed, and not if it has too much to do; the delay of timers is the same for both.

--- a/daemon/scheduler/calls.go
+++ b/daemon/scheduler/calls.go
@@ -71,7 +71,7 @@
 	if host.shuttingDown.Load() {
 		return Election{}, Error.New("host %s is shutting down", host.settings.Host)
 	}
-	host.overloadTransferAt.Store(int64(host.uptime()))
+	host.slowTransferAt.Store(int64(host.uptime()))
 	if err := host.campaign(ctx, after); err != nil {
 		return Election{}, err
 	}
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -60,9 +60,9 @@
 	sessions        *sessions
 	// strongerTransferAt is the uptime when this host last asked a stronger host to take over.
 	strongerTransferAt time.Duration
-	// overloadTransferAt is the uptime in nanoseconds when this host last asked a peer to take over due to overload, or
+	// slowTransferAt is the uptime in nanoseconds when this host last asked a peer to take over since it is slowed, or
 	// was asked to take over itself.
-	overloadTransferAt atomic.Int64
+	slowTransferAt atomic.Int64
 	// relayTransferAt is the uptime when this host last asked a peer to take over because it could not reach the store.
 	relayTransferAt time.Duration
 	campaignBackoff time.Duration // wait after the next failed campaign
@@ -99,7 +99,7 @@
 	host.metrics = newMetrics(host)
 	host.catalogFetcher = newCatalogFetcher(host)
 	host.hedgedCaller = newHedgedCaller(host)
-	host.overloadTransferAt.Store(-int64(overloadTransferInterval))
+	host.slowTransferAt.Store(-int64(slowTransferInterval))
 	host.ctx, host.cancel = context.WithCancel(context.Background())
 	if err := host.listen(); err != nil {
 		host.Close()
--- a/daemon/scheduler/lag.go
+++ b/daemon/scheduler/lag.go
@@ -19,12 +19,12 @@
 	lagPeakDivisor = 8
 	// overloadLag is the average delay from which on a host is overloaded.
 	overloadLag = 25 * time.Millisecond
-	// overloadTransferDelay is the minimum age of a tenure before a transfer due to overload. In this time, a large
+	// slowTransferDelay is the minimum age of a tenure before a transfer from a slowed host. In this time, a large
 	// fleet's workers are all polled.
-	overloadTransferDelay = 10 * time.Second
-	// overloadTransferInterval is the minimum time between two transfers due to overload of which one host is the source
+	slowTransferDelay = 10 * time.Second
+	// slowTransferInterval is the minimum time between two transfers from slowed hosts of which one host is the source
 	// or the target.
-	overloadTransferInterval = 15 * time.Second
+	slowTransferInterval = 15 * time.Second
 )
 
 func newLag() *lag { return &lag{average: average{divisor: lagAverageDivisor}} }
@@ -53,25 +53,30 @@
 			late := time.Since(due)
 			tenure.tickLag.record(late)
 			raise(&tenure.meter.longestWait, int64(late))
+			tenure.speed.record(probe())
 		case <-tenure.ctx.Done():
 			return
 		}
 	}
 }
 
-// transferIfOverloaded asks a peer with at least the same capacity to become the decider if this host is overloaded.
-// The lag at the beginning of a tenure is ignored, since it then polls every worker.
-func (host *Host) transferIfOverloaded(tenure *tenure, election Election) {
+// transferIfSlowed asks a peer with at least the same capacity to become the decider if this host is late since its processor
+// is slowed. If it is late since it has too much to do, a peer would be as late. The lag at the beginning of a tenure is ignored,
+// since it then polls every worker.
+func (host *Host) transferIfSlowed(tenure *tenure, election Election) {
 	average := tenure.tickLag.current()
 	now := host.uptime()
-	if average < overloadLag || now-tenure.beganAt < overloadTransferDelay || now-time.Duration(host.overloadTransferAt.Load()) < overloadTransferInterval {
+	if average < overloadLag || !tenure.speed.isSlowed() {
+		return
+	}
+	if now-tenure.beganAt < slowTransferDelay || now-time.Duration(host.slowTransferAt.Load()) < slowTransferInterval {
 		return
 	}
 	for _, member := range host.fleet.others(host.settings.Host) {
 		if member.ProcessorShare < host.settings.ProcessorShare || !tenure.quorum.includes(member.Name) {
 			continue
 		}
-		host.overloadTransferAt.Store(int64(now))
+		host.slowTransferAt.Store(int64(now))
 		ctx, cancel := context.WithTimeout(host.ctx, campaignTimeout)
 		defer cancel()
 		err := host.requestCampaign(ctx, member, election)
--- /dev/null
+++ b/daemon/scheduler/speed.go
@@ -0,0 +1,62 @@
+package scheduler
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// speed tells a slowed processor from one that has too much to do, by the time of a short computation that is always the same. The
+// least of several times counts, since any of them may include waiting for the processor.
+type speed struct {
+	samples int
+	least   time.Duration // of the samples of the current window
+	usual   time.Duration // least time of any window so far, 0 before the first
+	latest  atomic.Int64  // least time of the latest window, in nanoseconds
+	slowed  atomic.Bool
+}
+
+const (
+	// speedWindow is the number of samples of which the least one counts.
+	speedWindow = 20
+	// slowedFactor is the multiple of the usual time from which on the processor counts as slowed. Other programs on the same
+	// machine cost less.
+	slowedFactor = 2.5
+	// probeSteps is the length of the computation, some 10 us.
+	probeSteps = 10_000
+)
+
+// probeResult keeps the compiler from dropping the computation.
+var probeResult atomic.Uint64
+
+// probe runs the computation and returns how long it took.
+func probe() time.Duration {
+	began := time.Now()
+	state := uint64(began.Nanosecond()) | 1
+	for range probeSteps {
+		state ^= state << 13
+		state ^= state >> 7
+		state ^= state << 17
+	}
+	probeResult.Store(state)
+	return time.Since(began)
+}
+
+// record adds the time of one computation.
+func (speed *speed) record(took time.Duration) {
+	if speed.samples == 0 || took < speed.least {
+		speed.least = took
+	}
+	speed.samples++
+	if speed.samples < speedWindow {
+		return
+	}
+	speed.samples = 0
+	speed.latest.Store(int64(speed.least))
+	if speed.usual == 0 || speed.least < speed.usual {
+		speed.usual = speed.least
+	}
+	speed.slowed.Store(float64(speed.least) > slowedFactor*float64(speed.usual))
+}
+
+// isSlowed reports whether the processor was slowed in the latest window.
+func (speed *speed) isSlowed() bool { return speed.slowed.Load() }
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -34,6 +34,7 @@
 	confirming       chan struct{} // holds an element while a refusal reads from the store whether this host still decides
 	answerLossRate   lossRate      // answers of workers that were lost
 	tickLag          *lag
+	speed            speed
 	meter            loadMeter
 	passes           passPacer // used by the goroutine of run only
 
--- a/daemon/scheduler/watch.go
+++ b/daemon/scheduler/watch.go
@@ -93,7 +93,7 @@
 		case tenure != nil:
 			host.transferToStronger(tenure)
 			host.transferToRelay(tenure, election)
-			host.transferIfOverloaded(tenure, election)
+			host.transferIfSlowed(tenure, election)
 			if tenure.mayBeSuperseded() {
 				host.surveyPeers(election) // the answer of a peer may name a later decider
 			}
