planner: starts in flight are bounded

Callers saw: once the decider of the large fleet is at its limit, urgent jobs start 2.5 s after they were handed in, and half of them fail, while a third of the workers is in use. Cause: a pass places everything that has room, thousands of tasks, and each start becomes a goroutine, a message and an answer. What is planned cannot be overtaken: urgent starts wait behind all batch starts planned before (priority inversion), until tickets (2 s) and timeouts run out and the work is done again; with hundreds of goroutines ready, each step of an append waits 0.1 s.

--- a/daemon/scheduler/poller.go
+++ b/daemon/scheduler/poller.go
@@ -61,6 +61,8 @@
 	minRetryDelay      = 60 * time.Millisecond
 	maxRetryDelay      = 500 * time.Millisecond
 	maxStartsPerWorker = 2
+	// maxStartsInFlight limits the starts over all workers from the pass that plans them to their outcome.
+	maxStartsInFlight = 500
 	// maxImmediatePolls limits the polls without a wait that are in flight, over all workers.
 	maxImmediatePolls = 128
 	// idlePollsPerSecond is the rate of polls over all workers without runs.
@@ -325,6 +327,7 @@
 // sendStart sends a start order whose record is stored.
 func (tenure *tenure) sendStart(start planner.Start) {
 	tenure.wait.Go(func() {
+		defer tenure.startsInFlight.Add(-1)
 		poller := tenure.pollerOf(start)
 		if poller != nil {
 			select {
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -36,7 +36,8 @@
 	tickLag          *lag
 	speed            speed
 	meter            loadMeter
-	passes           passPacer // used by the goroutine of run only
+	passes           passPacer    // used by the goroutine of run only
+	startsInFlight   atomic.Int64 // starts that were planned and have no outcome yet
 
 	mu          sync.Mutex
 	planner     *planner.Planner // nil until it is restored from the journal
@@ -241,6 +242,7 @@
 		tenure.planner.EndFormerRenewals(formerRenewalsEnd(quorumSince, tenure.fencedAt))
 	}
 	tenure.planner.SetSlots(slots)
+	tenure.planner.SetStartLimit(planner.StartLimit{Available: maxStartsInFlight - int(tenure.startsInFlight.Load()), Max: maxStartsInFlight})
 	passedFrom := time.Now()
 	tenure.planner.Plan(now)
 	tenure.passes.record(now, time.Since(passedFrom))
@@ -260,6 +262,7 @@
 		tenure.host.log.Error("cannot encode batch", "error", err)
 		return
 	}
+	tenure.startsInFlight.Add(int64(len(batch.Starts)))
 	tenure.mu.Unlock()
 	tenure.logBlocked(blockedSteps, now)
 	tenure.logCrashes(batch.Crashes)
--- a/library/planner/copies.go
+++ b/library/planner/copies.go
@@ -64,10 +64,10 @@
 // startCopy starts a second run of a task if the team's cap and the workers have room for it.
 func (pass *pass) startCopy(step *step, index int, queue Queue) {
 	task := &step.tasks[index]
-	if !pass.planner.withinCap(step.job.Team, step.Step, 1) {
+	if pass.starts.Available <= 0 || !pass.planner.withinCap(step.job.Team, step.Step, 1) {
 		return
 	}
 	if worker := pass.chooseWorker(step, queue, task); worker != nil {
-		pass.planner.startRun(step, index, task.lastRunNumber+1, worker, pass.now)
+		pass.startRun(step, index, task.lastRunNumber+1, worker)
 	}
 }
--- a/library/planner/place.go
+++ b/library/planner/place.go
@@ -16,6 +16,7 @@
 	reserved map[string]bool
 
 	number int64
+	starts StartLimit // of which the runs that the pass places are subtracted
 	shares shares
 	// limitShares reports whether the current round limits each team to its share.
 	limitShares bool
@@ -65,7 +66,7 @@
 
 // place starts the waiting tasks of a step as far as there is room.
 func (pass *pass) place(step *step) {
-	if len(step.waiting) == 0 || step.blockedPass == pass.number || !pass.withinShare(step) {
+	if len(step.waiting) == 0 || step.blockedPass == pass.number || !pass.starts.allow(step) || !pass.withinShare(step) {
 		return
 	}
 	queue, found := pass.planner.catalog.Queue(step.job.Queue)
@@ -99,7 +100,7 @@
 			return
 		}
 		task := &step.tasks[index]
-		if !pass.planner.withinCap(step.job.Team, step.Step, 1) || !pass.withinShare(step) {
+		if !pass.starts.allow(step) || !pass.planner.withinCap(step.job.Team, step.Step, 1) || !pass.withinShare(step) {
 			return
 		}
 		var worker *Worker
@@ -118,7 +119,7 @@
 		}
 		firstOfOccurrence := step.occurrence.zone == ""
 		step.waiting = step.waiting[1:]
-		pass.planner.startRun(step, index, task.lastRunNumber+1, worker, pass.now)
+		pass.startRun(step, index, task.lastRunNumber+1, worker)
 		if !usesChooser || firstOfOccurrence {
 			chooser = nil // the costs of other workers have changed
 		} else {
@@ -142,6 +143,12 @@
 // withinLimit reports whether usage stays within a limit, where 0 means no limit.
 func withinLimit(used, limit int64) bool { return limit == 0 || used <= limit }
 
+// startRun starts a run of a task, and counts it against the limit on starts.
+func (pass *pass) startRun(step *step, index, number int, worker *Worker) {
+	pass.starts.Available--
+	pass.planner.startRun(step, index, number, worker, pass.now)
+}
+
 // startRun adds a run of a task. Its order is sent once the run is stored.
 func (planner *Planner) startRun(step *step, index, number int, worker *Worker, now time.Time) {
 	key := TaskKey{Job: step.key.Job, Occurrence: step.key.Occurrence, Step: step.key.Step, Index: index}
--- a/library/planner/place_gang.go
+++ b/library/planner/place_gang.go
@@ -31,7 +31,7 @@
 	step.blockedSince = time.Time{}
 	for index, worker := range workers {
 		step.tasks[index].checkpoint = checkpoint
-		pass.planner.startRun(step, index, step.gangNumber, worker, pass.now)
+		pass.startRun(step, index, step.gangNumber, worker)
 	}
 }
 
--- a/library/planner/plan.go
+++ b/library/planner/plan.go
@@ -24,7 +24,7 @@
 	planner.passCount++
 	pass := &pass{
 		number: planner.passCount, planner: planner, now: now, reserved: map[string]bool{},
-		queriedSize: map[string]sizer.Size{}, pools: map[string]*pool{},
+		queriedSize: map[string]sizer.Size{}, pools: map[string]*pool{}, starts: planner.startLimit,
 	}
 	pass.leaveDrainedZones()
 	all := planner.rankedSteps(now)
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -56,9 +56,10 @@
 	admission    admission
 	// learned is nil without Settings.LearnRunTimes.
 	learned     *learnedRunTimes
-	slots       Slots // how many policy queries may be open
-	openQueries Slots // how many policy queries are open
-	lastQuery   int64 // ID of the last policy query
+	startLimit  StartLimit // how many starts the next pass may make
+	slots       Slots      // how many policy queries may be open
+	openQueries Slots      // how many policy queries are open
+	lastQuery   int64      // ID of the last policy query
 
 	dirty           map[string]bool // IDs of the jobs whose progress has to be stored
 	newJobs         map[string]bool // IDs of the submitted jobs that no batch contains yet
@@ -129,6 +130,7 @@
 		changedExpiries:      map[string]bool{},
 		hedging:              newHedging(settings),
 		admission:            newAdmission(),
+		startLimit:           unlimitedStarts,
 	}
 }
 
--- a/library/planner/quarantine.go
+++ b/library/planner/quarantine.go
@@ -72,7 +72,7 @@
 		if step.held(index) {
 			continue
 		}
-		if !pass.planner.withinCap(step.job.Team, step.Step, 1) || !pass.withinShare(step) {
+		if !pass.starts.allow(step) || !pass.planner.withinCap(step.job.Team, step.Step, 1) || !pass.withinShare(step) {
 			return
 		}
 		worker := pass.chooseForSuspect(step, queue, index)
@@ -81,7 +81,7 @@
 			continue
 		}
 		step.waiting = slices.DeleteFunc(step.waiting, func(waiting int) bool { return waiting == index })
-		pass.planner.startRun(step, index, step.tasks[index].lastRunNumber+1, worker, pass.now)
+		pass.startRun(step, index, step.tasks[index].lastRunNumber+1, worker)
 	}
 	if !missing {
 		step.blockedSince = time.Time{}
--- /dev/null
+++ b/library/planner/start_limit_test.go
@@ -0,0 +1,152 @@
+package planner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ebonyshunt.org/library/planner"
+	"ebonyshunt.org/library/sizer"
+)
+
+const (
+	overloadTick     = 25 * time.Millisecond
+	carriedPerTick   = 20 // starts that the host of the overload's planner carries out in a tick
+	overloadTaskTime = time.Second
+	overloadInFlight = 400 // starts in flight at most, with a limit
+)
+
+// overload plays a planner whose host carries out a limited number of starts, in the order in which they were planned. The workers
+// have room for several times as many.
+type overload struct {
+	*fleet
+	limited bool
+	tick    int
+	queue   []planner.Start // planned and not carried out yet
+	carried int             // starts of all queues
+	due     map[int][]planner.TaskKey
+	urgent  map[string]time.Time // submitted urgent jobs that have not started
+	longest time.Duration        // wait of an urgent job until its start
+}
+
+func newOverload(t *testing.T, limited bool) *overload {
+	return &overload{
+		fleet: newFleet(t, testStart, 150), limited: limited, due: map[int][]planner.TaskKey{}, urgent: map[string]time.Time{},
+	}
+}
+
+// offer submits batch jobs worth a multiple of what the host can carry for a time, and a small urgent job each 250 ms. It returns the
+// rate of carried starts as a multiple of what the host can carry.
+func (overload *overload) offer(multiple float64, length time.Duration) float64 {
+	const tasks = 10
+	ticks := int(length / overloadTick)
+	before, owed := overload.carried, 0.0
+	for range ticks {
+		for owed += multiple * carriedPerTick / tasks; owed >= 1; owed-- {
+			overload.submitTo("batch", fmt.Sprintf("b-%d-%f", overload.tick, owed), planner.Step{Count: tasks, Size: sizer.Size{MilliCores: 1000}, EstimateMS: 1000})
+		}
+		if overload.tick%10 == 0 {
+			id := fmt.Sprintf("u-%d", overload.tick)
+			overload.urgent[id] = overload.now
+			overload.submit(id, planner.Step{Count: 1, Size: sizer.Size{MilliCores: 1000}, EstimateMS: 1000})
+		}
+		overload.playTick()
+	}
+	return float64(overload.carried-before) / float64(ticks*carriedPerTick)
+}
+
+func (overload *overload) playTick() {
+	overload.tick++
+	overload.now = overload.now.Add(overloadTick)
+	for _, key := range overload.due[overload.tick] {
+		overload.markEnded(key, planner.EndedDone)
+	}
+	delete(overload.due, overload.tick)
+	if overload.tick%8 == 0 {
+		overload.sendPolls()
+	}
+	if overload.limited {
+		overload.planner.SetStartLimit(planner.StartLimit{Available: overloadInFlight - len(overload.queue), Max: overloadInFlight})
+	}
+	overload.planner.Plan(overload.time())
+	batch := overload.take()
+	overload.queue = append(overload.queue, batch.Starts...)
+	batch.Starts = nil
+	overload.carryOut(batch)
+	for range min(carriedPerTick, len(overload.queue)) {
+		start := overload.queue[0]
+		overload.queue = overload.queue[1:]
+		overload.sendOrder(start)
+		overload.carried++
+		overload.due[overload.tick+int(overloadTaskTime/overloadTick)] = append(overload.due[overload.tick+int(overloadTaskTime/overloadTick)], start.Key)
+		if at, waiting := overload.urgent[start.Key.Job]; waiting {
+			overload.longest = max(overload.longest, overload.now.Sub(at))
+			delete(overload.urgent, start.Key.Job)
+		}
+	}
+}
+
+// TestOverload guards against priority inversion in a decider that has more to do than it can carry: starts of batch work that were planned
+// and not carried out cannot be overtaken, so that urgent work waited behind all of them.
+func TestOverload(t *testing.T) {
+	const (
+		maxUrgentWait = 1400 * time.Millisecond // the target for urgent work
+		minCarried    = 0.8                     // of what the host can carry
+	)
+	overload := newOverload(t, true)
+	for _, multiple := range []float64{0.5, 1, 2, 4} {
+		carried := overload.offer(multiple, 4*time.Second)
+		t.Logf("%.1f times what the host can carry: %.2f carried, urgent jobs wait up to %v", multiple, carried, overload.longest)
+		if want := minCarried * min(multiple, 1); carried < want {
+			t.Errorf("at %.1f times what the host can carry, %.2f is carried, want %.2f", multiple, carried, want)
+		}
+		if overload.longest > maxUrgentWait {
+			t.Errorf("at %.1f times what the host can carry, urgent jobs wait up to %v, want %v", multiple, overload.longest, maxUrgentWait)
+		}
+		overload.longest = 0
+	}
+	if waiting := len(overload.urgent); waiting > 3 {
+		t.Errorf("%d urgent jobs have not started", waiting)
+	}
+}
+
+// TestStartLimit checks that a pass keeps to the limit, in the order of ranks, and that a gang larger than the limit still starts.
+func TestStartLimit(t *testing.T) {
+	step := planner.Step{Count: 10, Size: sizer.Size{MilliCores: 1000}, EstimateMS: 1000}
+	t.Run("urgentFirst", func(t *testing.T) {
+		fleet := newFleet(t, testStart, 5)
+		fleet.submitTo("batch", "b", step)
+		fleet.submit("u", step)
+		fleet.planner.SetStartLimit(planner.StartLimit{Available: 12, Max: 12})
+		fleet.planner.Plan(fleet.time())
+		starts := map[string]int{}
+		for _, start := range fleet.take().Starts {
+			starts[start.Key.Job]++
+		}
+		if starts["u"] != 10 || starts["b"] != 2 {
+			t.Errorf("started %v, want all 10 of the urgent job and 2 of the other", starts)
+		}
+	})
+	t.Run("gangAboveLimit", func(t *testing.T) {
+		fleet := newFleet(t, testStart, 5)
+		gang := step
+		gang.Gang = true
+		fleet.submit("g", gang)
+		for _, limit := range []struct{ available, want int }{{3, 0}, {4, 10}} {
+			fleet.planner.SetStartLimit(planner.StartLimit{Available: limit.available, Max: 4})
+			fleet.planner.Plan(fleet.time())
+			if got := len(fleet.take().Starts); got != limit.want {
+				t.Errorf("%d of 4 starts available: %d tasks of the gang start, want %d", limit.available, got, limit.want)
+			}
+		}
+	})
+	t.Run("noneAvailable", func(t *testing.T) {
+		fleet := newFleet(t, testStart, 5)
+		fleet.submit("u", step)
+		fleet.planner.SetStartLimit(planner.StartLimit{Available: -1, Max: 4})
+		fleet.planner.Plan(fleet.time())
+		if got := len(fleet.take().Starts); got != 0 {
+			t.Errorf("%d tasks start, want none", got)
+		}
+	})
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -186,6 +186,7 @@
 try 'fleet: placement passes are spaced' daemon/scheduler/pass_pacer.go 'min(passShareDivisor*passPacer.took, batchInterval)' '0' ./daemon/scheduler 'TestPassPacer'
 try 'fleet: own lateness is added to timeouts' daemon/scheduler/poller.go 'lag := tenure.tickLag.recent()' 'lag := tenure.tickLag.current()' ./daemon/scheduler 'TestLagAllowance'
 try 'fleet: waiting for the processor is no slow processor' daemon/scheduler/speed.go 'speed.samples == 0 || took < speed.least' 'speed.samples == 0 || took > speed.least' ./daemon/scheduler 'TestSpeed'
+try 'fleet: starts in flight are bounded' library/planner/start_limit.go 'return startLimit.Available >= needed' 'return needed > 0' ./library/planner 'TestOverload$|TestStartLimit'
 try 'fleet: late calls are repeated' daemon/scheduler/hedged_calls.go 'if hedgedCaller.budget.Retry(method) {' 'if hedgedCaller.budget.Retry(method) && false {' ./tests 'TestFleetLossyLinks'
 try 'zones: a stale read changes nothing' library/drainer/register.go 'if read.End < register.asOf {' 'if false {' ./library/drainer 'TestRegister'
 try 'zones: an earlier peer changes nothing' library/drainer/register.go 'if state.AsOf <= register.asOf {' 'if false {' ./library/drainer 'TestRegister'
