--- /dev/null
+++ b/daemon/scheduler/heartbeat.go
@@ -0,0 +1,80 @@
+package scheduler
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"ebonyshunt.org/library/drainer"
+)
+
+// Heartbeat is sent to the decider, and to peers that are asked about the decider.
+type Heartbeat struct {
+	Host           string `json:"host"`
+	Term           int64  `json:"term"`
+	CatalogVersion int64  `json:"catalogVersion"` // version of the sender's configuration
+	KnownHosts     int    `json:"known"`          // number of hosts known to the sender
+	// HighestVersion is highestVersion: hosts of earlier releases answer with their whole configuration if its version is
+	// higher than this.
+	HighestVersion int64 `json:"version"`
+	// Drains is the sender's state of drained zones, nil if none was ever drained.
+	Drains *drainer.State `json:"drains,omitempty"`
+}
+
+// highestVersion is the highest version that a configuration may have.
+const highestVersion = math.MaxInt64
+
+// HeartbeatAnswer is the answer to a Heartbeat.
+type HeartbeatAnswer struct {
+	Election       Election      `json:"election,omitzero"`
+	BootID         string        `json:"boot"`
+	Deciding       bool          `json:"deciding"`          // whether the answering host is the decider
+	ReachesDecider bool          `json:"reaches"`           // whether the answering host reaches the decider
+	StoreOutage    time.Duration `json:"storeSilent"`       // duration of the answering host's store outage, 0 for none
+	CatalogVersion int64         `json:"version"`           // version of the answering host's configuration
+	Members        []Member      `json:"members,omitempty"` // set if more hosts are known to the answering host than to the sender
+	// Drains is the answering host's state of drained zones, nil if neither host knows of any that was ever drained.
+	Drains *drainer.State `json:"drains,omitempty"`
+}
+
+// sendHeartbeat sends a heartbeat to the peer at an address, and applies what its answer says of the fleet.
+func (host *Host) sendHeartbeat(ctx context.Context, address string) (HeartbeatAnswer, error) {
+	election, _ := host.fleet.currentElection()
+	var answer HeartbeatAnswer
+	heartbeat := Heartbeat{
+		Host: host.settings.Host, Term: election.Term, CatalogVersion: host.catalogVersion(), KnownHosts: host.fleet.size(),
+		HighestVersion: highestVersion, Drains: host.reportedDrains(false),
+	}
+	if err := host.peerPool.Call(ctx, address, methodHeartbeat, heartbeat, &answer); err != nil {
+		return answer, err
+	}
+	host.catalogFetcher.report(answer.CatalogVersion, address)
+	for _, member := range answer.Members {
+		host.fleet.register(member)
+	}
+	host.learnDrains(answer.Drains)
+	if answer.Election.Term > 0 {
+		host.applyElection(answer.Election, "peer")
+	}
+	return answer, nil
+}
+
+// answerHeartbeat answers a peer's heartbeat. A heartbeat for the term of this host's tenure counts towards its quorum.
+func (host *Host) answerHeartbeat(heartbeat Heartbeat) HeartbeatAnswer {
+	election, _ := host.fleet.currentElection()
+	answer := HeartbeatAnswer{
+		Election: election, BootID: host.bootID, Deciding: host.currentTenure() != nil, ReachesDecider: host.reachesDecider(),
+		StoreOutage: host.storeOutage(), CatalogVersion: host.catalogVersion(), Drains: host.reportedDrains(heartbeat.Drains != nil),
+	}
+	host.learnDrains(heartbeat.Drains)
+	if sender, known := host.fleet.member(heartbeat.Host); known {
+		host.catalogFetcher.report(heartbeat.CatalogVersion, sender.Address)
+	}
+	if host.fleet.size() > heartbeat.KnownHosts {
+		answer.Members = host.fleet.allMembers()
+	}
+	if tenure := host.currentTenure(); tenure != nil && heartbeat.Term == tenure.term {
+		tenure.quorum.recordHeartbeat(heartbeat.Host)
+	}
+	return answer
+}
