scheduler: heartbeats and traffic are told

The logs did not tell a decider that is slow from one that is gone, nor a full link from a full processor. A campaign now says how long the decider has been silent, when it last answered late and how long that took; a heartbeat is waited for beyond its timeout for that, and counts as timed out for its connection as before. The decider's load line has the bytes by peers, store and workers, and how long its answers take on the way to its hosts, which these tell with their heartbeats. Nothing decides by any of this yet.

--- a/daemon/linker/pool.go
+++ b/daemon/linker/pool.go
@@ -137,6 +137,10 @@
 	return nil
 }
 
+// RecordLate counts a call to the peer at an address whose answer is late as one that timed out, while the caller goes on waiting
+// for it.
+func (pool *Pool) RecordLate(address string) { pool.recordTimeout(pool.peer(address), address) }
+
 // recordTimeout counts a call that timed out, and drops the connection if it is likely to be broken.
 func (pool *Pool) recordTimeout(peer *peerConn, address string) {
 	silence := time.Since(pool.started) - time.Duration(peer.answeredAt.Load())
--- a/daemon/scheduler/catalog_fetcher.go
+++ b/daemon/scheduler/catalog_fetcher.go
@@ -66,7 +66,7 @@
 
 func newCatalogFetcher(host *Host) *catalogFetcher {
 	fetcher := &catalogFetcher{
-		host: host, pool: linker.NewPool(host.network, host.settings.Host, host.clock), reported: make(chan struct{}, 1),
+		host: host, pool: linker.NewPool(host.peerNetwork, host.settings.Host, host.clock), reported: make(chan struct{}, 1),
 	}
 	fetcher.lastSentAt.Store(-int64(catalogServeInterval))
 	return fetcher
--- /dev/null
+++ b/daemon/scheduler/decider_status.go
@@ -0,0 +1,120 @@
+package scheduler
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"ebonyshunt.org/daemon/linker"
+)
+
+const (
+	// heartbeatTimeout is the time after which the answer to a heartbeat is late.
+	heartbeatTimeout = 150 * time.Millisecond
+	// lateAnswerTimeout is how long a late answer to a heartbeat is waited for, beside the heartbeats that follow.
+	lateAnswerTimeout = 2 * time.Second
+)
+
+// neverAnswered is the uptime that is stored before a decider has answered.
+const neverAnswered = -int64(time.Hour)
+
+// deciderStatus is the state of the decider according to its answers to heartbeats.
+type deciderStatus struct {
+	answeredAt   atomic.Int64 // uptime when the decider last answered in time, in nanoseconds
+	lateAnswerAt atomic.Int64 // uptime when the decider last answered late, in nanoseconds
+	tookNS       atomic.Int64 // time until the latest answer, in nanoseconds
+	unanswered   atomic.Int64 // heartbeats whose answer is still waited for
+	storeOutage  atomic.Int64 // duration of the decider's store outage, in nanoseconds
+}
+
+// reset records that no decider has answered yet.
+func (deciderStatus *deciderStatus) reset() {
+	deciderStatus.answeredAt.Store(neverAnswered)
+	deciderStatus.lateAnswerAt.Store(neverAnswered)
+}
+
+// recordAnswer records an answer that arrived at an uptime and took the given time.
+func (deciderStatus *deciderStatus) recordAnswer(uptime, took time.Duration) {
+	deciderStatus.tookNS.Store(int64(took))
+	if took < heartbeatTimeout {
+		deciderStatus.answeredAt.Store(int64(uptime))
+		return
+	}
+	deciderStatus.lateAnswerAt.Store(int64(uptime))
+}
+
+// answerTime returns how long the latest answer took.
+func (deciderStatus *deciderStatus) answerTime() time.Duration {
+	return time.Duration(deciderStatus.tookNS.Load())
+}
+
+// deciderSilence returns the time since the decider last answered.
+func (host *Host) deciderSilence() time.Duration {
+	return host.uptime() - time.Duration(host.deciderStatus.answeredAt.Load())
+}
+
+// sinceLateAnswer returns the time since the decider last answered late.
+func (host *Host) sinceLateAnswer() time.Duration {
+	return host.uptime() - time.Duration(host.deciderStatus.lateAnswerAt.Load())
+}
+
+// deciderLostStore reports whether the decider's store outage has lasted for maxStoreOutage.
+func (host *Host) deciderLostStore() bool {
+	return time.Duration(host.deciderStatus.storeOutage.Load()) >= maxStoreOutage
+}
+
+// deciderContact is the result of a heartbeat to the decider.
+type deciderContact int
+
+const (
+	deciderUnresponsive deciderContact = iota
+	deciderAnswered
+	deciderAbsent // the process that was elected no longer runs, or none was elected
+)
+
+// contactDecider sends a heartbeat to the decider and waits for its answer, at most for heartbeatTimeout. A later answer is
+// recorded when it arrives.
+func (host *Host) contactDecider(election Election) deciderContact {
+	contacts := make(chan deciderContact, 1)
+	host.deciderStatus.unanswered.Add(1)
+	host.wait.Go(func() {
+		defer host.deciderStatus.unanswered.Add(-1)
+		contacts <- host.awaitDecider(election)
+	})
+	timer := time.NewTimer(heartbeatTimeout)
+	defer timer.Stop()
+	select {
+	case contact := <-contacts:
+		return contact
+	case <-timer.C:
+		host.peerPool.RecordLate(election.Address)
+		return deciderUnresponsive
+	}
+}
+
+// awaitDecider sends a heartbeat to the decider and waits for its answer, at most for lateAnswerTimeout.
+func (host *Host) awaitDecider(election Election) deciderContact {
+	ctx, cancel := context.WithTimeout(host.ctx, lateAnswerTimeout)
+	defer cancel()
+	sentAt := time.Now()
+	answer, err := host.sendHeartbeat(ctx, election.Address)
+	if err != nil {
+		host.log.Debug("decider does not answer", "decider", election.Host, "error", err)
+		if linker.ErrUnsent.Has(err) && ctx.Err() == nil {
+			return deciderAbsent // no process listens at its address
+		}
+		return deciderUnresponsive
+	}
+	if current, _ := host.fleet.currentElection(); current.Term != election.Term {
+		return deciderUnresponsive // it was replaced meanwhile
+	}
+	host.deciderStatus.storeOutage.Store(int64(answer.StoreOutage))
+	if !answer.Deciding {
+		if answer.BootID != election.BootID {
+			return deciderAbsent // another process answers at its address
+		}
+		return deciderUnresponsive
+	}
+	host.deciderStatus.recordAnswer(host.uptime(), time.Since(sentAt))
+	return deciderAnswered
+}
--- a/daemon/scheduler/heartbeat.go
+++ b/daemon/scheduler/heartbeat.go
@@ -17,6 +17,9 @@
 	// HighestVersion is highestVersion: hosts of earlier releases answer with their whole configuration if its version is
 	// higher than this.
 	HighestVersion int64 `json:"version"`
+	// AnswerTime is how long the decider's latest answer to the sender took, 0 if it has not answered yet or the heartbeat goes to
+	// another host.
+	AnswerTime time.Duration `json:"answerTime,omitempty"`
 	// Drains is the sender's state of drained zones, nil if none was ever drained.
 	Drains *drainer.State `json:"drains,omitempty"`
 }
@@ -45,6 +48,9 @@
 		Host: host.settings.Host, Term: election.Term, CatalogVersion: host.catalogVersion(), KnownHosts: host.fleet.size(),
 		HighestVersion: highestVersion, Drains: host.reportedDrains(false),
 	}
+	if address == election.Address {
+		heartbeat.AnswerTime = host.deciderStatus.answerTime()
+	}
 	if err := host.peerPool.Call(ctx, address, methodHeartbeat, heartbeat, &answer); err != nil {
 		return answer, err
 	}
@@ -74,7 +80,7 @@
 		answer.Members = host.fleet.allMembers()
 	}
 	if tenure := host.currentTenure(); tenure != nil && heartbeat.Term == tenure.term {
-		tenure.quorum.recordHeartbeat(heartbeat.Host)
+		tenure.quorum.recordHeartbeat(heartbeat)
 	}
 	return answer
 }
--- a/daemon/scheduler/hedged_calls.go
+++ b/daemon/scheduler/hedged_calls.go
@@ -42,7 +42,7 @@
 
 func newHedgedCaller(host *Host) *hedgedCaller {
 	return &hedgedCaller{
-		host: host, pool: linker.NewPool(host.network, host.settings.Host, host.clock),
+		host: host, pool: linker.NewPool(host.peerNetwork, host.settings.Host, host.clock),
 		budget: retrier.NewBudget(callHedgeRatio, callHedgeBurst), answerTimes: map[string]*average{},
 		stalls: map[string]time.Time{},
 	}
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -33,7 +33,8 @@
 // Host is the scheduler process of one entry host.
 type Host struct {
 	settings loader.Scheduling
-	network  dialer.Network
+	network  dialer.Network // for callers, operators and the load balancer
+	traffic  traffic
 	log      *slog.Logger
 	bootID   string
 	started  time.Time
@@ -42,6 +43,7 @@
 
 	store           *translator.Store
 	workers         *translator.WorkerClient
+	peerNetwork     dialer.Network
 	peerPool        *linker.Pool
 	peerServer      *linker.Server
 	httpServer      *http.Server
@@ -91,11 +93,12 @@
 	clock := &recorder.Clock{}
 	host := &Host{
 		settings: settings, network: network, log: log, bootID: uuid.NewString(), started: time.Now(), campaignBackoff: minCampaignBackoff, clock: clock,
-		store:    translator.NewStore(newHTTPClient(network, maxStoreConns), settings.StoreAddress),
-		workers:  translator.NewWorkerClient(newWorkerClient(network, int(settings.MaxOpenFiles))),
-		peerPool: linker.NewPool(network, settings.Host, clock),
-		fleet:    newFleet(), sessions: newSessions(),
+		fleet: newFleet(), sessions: newSessions(),
 	}
+	host.peerNetwork = network.Metered(&host.traffic.peers)
+	host.peerPool = linker.NewPool(host.peerNetwork, settings.Host, clock)
+	host.store = translator.NewStore(newHTTPClient(network.Metered(&host.traffic.store), maxStoreConns), settings.StoreAddress)
+	host.workers = translator.NewWorkerClient(newWorkerClient(network.Metered(&host.traffic.workers), int(settings.MaxOpenFiles)))
 	host.metrics = newMetrics(host)
 	host.catalogFetcher = newCatalogFetcher(host)
 	host.hedgedCaller = newHedgedCaller(host)
@@ -145,7 +148,7 @@
 }
 
 func (host *Host) listen() error {
-	peers, err := host.network.Listen(host.settings.PeerAddress)
+	peers, err := host.peerNetwork.Listen(host.settings.PeerAddress)
 	if err != nil {
 		return fmt.Errorf("listen on peerAddress %s: %w", host.settings.PeerAddress, err)
 	}
--- a/daemon/scheduler/load_meter.go
+++ b/daemon/scheduler/load_meter.go
@@ -57,6 +57,8 @@
 	defer ticker.Stop()
 	var drains drainWatch
 	runtimeMeter := newRuntimeMeter()
+	trafficMeter := trafficMeter{traffic: &tenure.host.traffic}
+	trafficMeter.read()
 	for {
 		select {
 		case <-ticker.C:
@@ -71,6 +73,7 @@
 		tenure.reportDrains(&drains, drainedRuns, time.Now())
 		meter := &tenure.meter
 		processor := runtimeMeter.read()
+		bytes := trafficMeter.read()
 		tenure.host.log.Info("load", "term", tenure.term, "plans", meter.plans.Swap(0), "planning", milliseconds(&meter.planTime),
 			"longestPlan", milliseconds(&meter.longestPlan), "latestTick", milliseconds(&meter.longestWait),
 			"polls", meter.polls.Swap(0), "lostPolls", meter.lostPolls.Swap(0), "starts", meter.starts.Swap(0), "lostStarts", meter.lostStarts.Swap(0),
@@ -82,7 +85,9 @@
 			"queriedWorkers", load.QueriedWorkers, "requeriedWorkers", load.RequeriedWorkers, "examinedSteps", load.ExaminedSteps,
 			"wakeups", processor.wakeups, "medianWait", inMilliseconds(processor.medianWait), "highWait", inMilliseconds(processor.highWait),
 			"garbageCollection", inMilliseconds(processor.gcTime), "startsInFlight", tenure.startsInFlight.Load(), "probe", time.Duration(tenure.speed.latest.Load()).String(),
-			"slowed", tenure.speed.isSlowed())
+			"slowed", tenure.speed.isSlowed(), "answerTime", inMilliseconds(tenure.quorum.answerTime()),
+			"peersSent", bytes.peersSent, "peersReceived", bytes.peersReceived, "storeSent", bytes.storeSent, "storeReceived", bytes.storeReceived,
+			"workersSent", bytes.workersSent, "workersReceived", bytes.workersReceived)
 	}
 }
 
--- a/daemon/scheduler/quorum.go
+++ b/daemon/scheduler/quorum.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,23 +22,47 @@
 // quorum tracks which hosts have sent heartbeats for the term of a tenure.
 type quorum struct {
 	mu          sync.Mutex
-	heartbeats  map[string]time.Time // time of the last heartbeat, by host
-	firstHeldAt time.Time            // when the quorum was first held, zero before
+	heartbeats  map[string]receivedHeartbeat // the last one, by host
+	firstHeldAt time.Time                    // when the quorum was first held, zero before
 }
 
-func newQuorum() *quorum { return &quorum{heartbeats: map[string]time.Time{}} }
+// receivedHeartbeat is the last heartbeat of a host.
+type receivedHeartbeat struct {
+	at         time.Time
+	answerTime time.Duration // Heartbeat.AnswerTime
+}
+
+func newQuorum() *quorum { return &quorum{heartbeats: map[string]receivedHeartbeat{}} }
 
-func (quorum *quorum) recordHeartbeat(host string) {
+func (quorum *quorum) recordHeartbeat(heartbeat Heartbeat) {
 	quorum.mu.Lock()
 	defer quorum.mu.Unlock()
-	quorum.heartbeats[host] = time.Now()
+	quorum.heartbeats[heartbeat.Host] = receivedHeartbeat{at: time.Now(), answerTime: heartbeat.AnswerTime}
+}
+
+// answerTime returns how long this host's answers to heartbeats take on the way to a host in the middle of the quorum, 0 if
+// none has told. What delays the answers to most hosts delays all messages of this host.
+func (quorum *quorum) answerTime() time.Duration {
+	quorum.mu.Lock()
+	defer quorum.mu.Unlock()
+	var times []time.Duration
+	for _, received := range quorum.heartbeats {
+		if received.answerTime > 0 && time.Since(received.at) <= heartbeatValidity {
+			times = append(times, received.answerTime)
+		}
+	}
+	if len(times) == 0 {
+		return 0
+	}
+	slices.Sort(times)
+	return times[len(times)/2]
 }
 
 // includes reports whether a host sent a heartbeat within heartbeatValidity.
 func (quorum *quorum) includes(host string) bool {
 	quorum.mu.Lock()
 	defer quorum.mu.Unlock()
-	return time.Since(quorum.heartbeats[host]) <= heartbeatValidity
+	return time.Since(quorum.heartbeats[host].at) <= heartbeatValidity
 }
 
 // isHeld reports whether more than half of the given number of hosts belong to the quorum, this host included,
@@ -47,8 +72,8 @@
 	defer quorum.mu.Unlock()
 	now := time.Now()
 	count := 1
-	for _, at := range quorum.heartbeats {
-		if now.Sub(at) <= heartbeatValidity {
+	for _, received := range quorum.heartbeats {
+		if now.Sub(received.at) <= heartbeatValidity {
 			count++
 		}
 	}
--- a/daemon/scheduler/watch.go
+++ b/daemon/scheduler/watch.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"ebonyshunt.org/daemon/linker"
@@ -14,7 +13,6 @@
 const (
 	// heartbeatInterval is the minimum time between two heartbeats of a host, see heartbeatIntervalFor.
 	heartbeatInterval = 150 * time.Millisecond
-	heartbeatTimeout  = 150 * time.Millisecond
 	// suspicionTimeout is how long the decider may fail to answer before one of the strongest hosts considers a campaign.
 	suspicionTimeout = 320 * time.Millisecond
 	surveyTimeout    = 120 * time.Millisecond
@@ -41,18 +39,9 @@
 	strongerTransferInterval = 2 * time.Second
 )
 
-// neverAnswered is the uptime that is stored before a decider has answered.
-const neverAnswered = -int64(time.Hour)
-
-// deciderStatus is the state of the decider according to its answers to heartbeats.
-type deciderStatus struct {
-	answeredAt  atomic.Int64 // uptime when the decider last answered, in nanoseconds
-	storeOutage atomic.Int64 // duration of the decider's store outage, in nanoseconds
-}
-
 // watchDecider sends heartbeats to the decider, and considers a campaign when it does not answer.
 func (host *Host) watchDecider() {
-	host.deciderStatus.answeredAt.Store(neverAnswered)
+	host.deciderStatus.reset()
 	lastContactAt := time.Now()
 	for host.ctx.Err() == nil {
 		election, changed := host.fleet.currentElection()
@@ -66,7 +55,7 @@
 			if tenure.mayBeSuperseded() {
 				host.surveyPeers(election) // the answer of a peer may name a later decider
 			}
-			host.deciderStatus.answeredAt.Store(int64(host.uptime()))
+			host.deciderStatus.recordAnswer(host.uptime(), 0)
 			contact = deciderAnswered
 		case election.BootID == host.bootID:
 			host.surveyPeers(election) // this host has resigned, and the answer of a peer may name the next decider
@@ -101,48 +90,11 @@
 	return suspicionTimeout + host.heartbeatInterval() - heartbeatInterval
 }
 
-// deciderContact is the result of a heartbeat to the decider.
-type deciderContact int
-
-const (
-	deciderUnresponsive deciderContact = iota
-	deciderAnswered
-	deciderAbsent // the process that was elected no longer runs, or none was elected
-)
-
-// deciderLostStore reports whether the decider's store outage has lasted for maxStoreOutage.
-func (host *Host) deciderLostStore() bool {
-	return time.Duration(host.deciderStatus.storeOutage.Load()) >= maxStoreOutage
-}
-
 // pause waits until the given time has passed, changed is closed or the host is closed.
 func (host *Host) pause(changed <-chan struct{}, wait time.Duration) {
 	pause(host.ctx, changed, wait)
 }
 
-// contactDecider sends a heartbeat to the decider.
-func (host *Host) contactDecider(election Election) deciderContact {
-	ctx, cancel := context.WithTimeout(host.ctx, heartbeatTimeout)
-	defer cancel()
-	answer, err := host.sendHeartbeat(ctx, election.Address)
-	if err != nil {
-		host.log.Debug("decider does not answer", "decider", election.Host, "error", err)
-		if linker.ErrUnsent.Has(err) && ctx.Err() == nil {
-			return deciderAbsent // no process listens at its address
-		}
-		return deciderUnresponsive
-	}
-	host.deciderStatus.storeOutage.Store(int64(answer.StoreOutage))
-	if !answer.Deciding {
-		if answer.BootID != election.BootID {
-			return deciderAbsent // another process answers at its address
-		}
-		return deciderUnresponsive
-	}
-	host.deciderStatus.answeredAt.Store(int64(host.uptime()))
-	return deciderAnswered
-}
-
 // storeOutage returns the duration of this host's store outage, 0 for none: the time for which appends have failed on
 // a decider, or a long poll has been overdue on any other host.
 func (host *Host) storeOutage() time.Duration {
@@ -157,7 +109,7 @@
 	if host.currentTenure() != nil {
 		return true
 	}
-	return host.uptime()-time.Duration(host.deciderStatus.answeredAt.Load()) < host.suspicionTimeout()
+	return host.deciderSilence() < host.suspicionTimeout()
 }
 
 // surveyResult summarizes what the peers answered about the decider.
@@ -191,7 +143,9 @@
 	if delay > resurveyDelay && host.surveyPeers(election).reachesDecider || host.isSuperseded(election) {
 		return
 	}
-	host.log.Info("campaign", "after", election.Term, "asked", result.asked, "answered", result.answered, "gone", result.notListening, "delay", delay.String())
+	host.log.Info("campaign", "after", election.Term, "asked", result.asked, "answered", result.answered, "gone", result.notListening, "delay", delay.String(),
+		"silence", host.deciderSilence().String(), "lateAnswer", host.sinceLateAnswer().String(), "answerTime", host.deciderStatus.answerTime().String(),
+		"unanswered", host.deciderStatus.unanswered.Load())
 	ctx, cancel := context.WithTimeout(host.ctx, campaignTimeout)
 	defer cancel()
 	if err := host.campaign(ctx, election); err != nil {
