standin: delays of hosts, workers that leave, receiving links that wait for nothing

Fabric.SetDelay makes all messages of a host late. Worker.Drain and Leave announce an end and carry it out. Store.Writes and Fabric.BusierDirection count what tests check.

Data that waits on its sender's link held up, on the link of its receiver, what others sent to that receiver and what reaches it earlier: a full link of one host made all hosts late. Data now passes the receiving link in the gaps that are left from the time on at which it reaches the link.

--- a/standin/connector/conn.go
+++ b/standin/connector/conn.go
@@ -150,6 +150,7 @@
 	}
 	conn.peer.inboxBytes += len(data)
 	fabric.traffic[conn.host] += int64(len(data))
+	fabric.sent[conn.host] += int64(len(data))
 	fabric.traffic[conn.peer.host] += int64(len(data))
 	conn.peer.changed.Broadcast()
 	return len(data), nil
--- a/standin/connector/fabric.go
+++ b/standin/connector/fabric.go
@@ -24,9 +24,11 @@
 	conns        map[*conn]bool
 	opened       int64 // connections opened so far
 	traffic      map[string]int64
-	bandwidths   map[string]int64            // of the hosts' links, in bytes per second and direction
-	linkFreeAt   map[linkDirection]time.Time // when the data that was sent so far has passed a link
-	pathsChanged chan struct{}               // closed and replaced when a path or listener changes
+	sent         map[string]int64
+	bandwidths   map[string]int64         // of the hosts' links, in bytes per second and direction
+	linkBusy     map[linkDirection][]span // when each link passes the data that was sent so far, in order of time
+	delays       map[string]time.Duration // added to the latency of what the hosts send and receive
+	pathsChanged chan struct{}            // closed and replaced when a path or listener changes
 }
 
 // notifyChange wakes all pending dials, reads, writes and accepts after a path or listener changed.
@@ -51,8 +53,10 @@
 		paused:       map[string]bool{},
 		conns:        map[*conn]bool{},
 		traffic:      map[string]int64{},
+		sent:         map[string]int64{},
 		bandwidths:   map[string]int64{},
-		linkFreeAt:   map[linkDirection]time.Time{},
+		linkBusy:     map[linkDirection][]span{},
+		delays:       map[string]time.Duration{},
 		pathsChanged: make(chan struct{}),
 	}
 }
@@ -74,6 +78,13 @@
 	return fabric.traffic[host]
 }
 
+// BusierDirection returns the number of bytes that a host has sent or received so far, whichever is more.
+func (fabric *Fabric) BusierDirection(host string) int64 {
+	fabric.mu.Lock()
+	defer fabric.mu.Unlock()
+	return max(fabric.sent[host], fabric.traffic[host]-fabric.sent[host])
+}
+
 // linkDirection is one direction of a host's link.
 type linkDirection struct {
 	host    string
@@ -87,24 +98,60 @@
 	fabric.bandwidths[host] = bytesPerSecond
 }
 
+// SetDelay adds a delay to the latency of all data that a host sends or receives from now on. Data stays in order.
+func (fabric *Fabric) SetDelay(host string, delay time.Duration) {
+	fabric.mu.Lock()
+	defer fabric.mu.Unlock()
+	fabric.delays[host] = delay
+}
+
 // arrivalTime returns when data that is sent now arrives. The caller holds the lock.
 func (fabric *Fabric) arrivalTime(from, to string, bytes int) time.Time {
 	sentAt := fabric.passLink(linkDirection{host: from}, time.Now(), bytes)
-	return fabric.passLink(linkDirection{host: to, inbound: true}, sentAt.Add(fabric.Latency), bytes)
+	latency := fabric.Latency + fabric.delays[from] + fabric.delays[to]
+	return fabric.passLink(linkDirection{host: to, inbound: true}, sentAt.Add(latency), bytes)
 }
 
-// passLink returns when data that reaches a link at a time has passed it, behind the data that was sent before.
+// span is a time in which a link passes data.
+type span struct{ from, to time.Time }
+
+// passLink returns when data that reaches a link at a time has passed it. The data uses the times from then on in which the
+// link does not pass data that was sent before: what waits long on its sender's link must not hold up, on the link of its
+// receiver, what reaches that link earlier.
 func (fabric *Fabric) passLink(direction linkDirection, at time.Time, bytes int) time.Time {
 	bandwidth := fabric.bandwidths[direction.host]
 	if bandwidth <= 0 {
 		return at
 	}
-	if freeAt := fabric.linkFreeAt[direction]; freeAt.After(at) {
-		at = freeAt
+	remaining := time.Duration(bytes) * time.Second / time.Duration(bandwidth)
+	var busy []span
+	for _, taken := range fabric.linkBusy[direction] {
+		if taken.to.Before(time.Now()) {
+			continue
+		}
+		if free := min(taken.from.Sub(at), remaining); free > 0 {
+			busy = appendSpan(busy, span{from: at, to: at.Add(free)})
+			at, remaining = at.Add(free), remaining-free
+		}
+		busy = appendSpan(busy, taken)
+		if remaining > 0 && taken.to.After(at) {
+			at = taken.to
+		}
+	}
+	if remaining > 0 {
+		busy = appendSpan(busy, span{from: at, to: at.Add(remaining)})
+	}
+	fabric.linkBusy[direction] = busy
+	return at.Add(remaining)
+}
+
+// appendSpan appends a span to spans in order of time, and joins it with the last one if they touch.
+func appendSpan(spans []span, next span) []span {
+	if last := len(spans) - 1; last >= 0 && !next.from.After(spans[last].to) {
+		spans[last].to = next.to
+		return spans
 	}
-	passedAt := at.Add(time.Duration(bytes) * time.Second / time.Duration(bandwidth))
-	fabric.linkFreeAt[direction] = passedAt
-	return passedAt
+	return append(spans, next)
 }
 
 // StallOldest simulates a lost packet on the oldest connection between two hosts: what is sent on it meanwhile, in either
--- a/standin/emulator/store.go
+++ b/standin/emulator/store.go
@@ -107,6 +107,19 @@
 	return nil, false
 }
 
+// Writes returns how many records of a key were appended so far.
+func (store *Store) Writes(name, key string) int {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	count := 0
+	for _, record := range store.topic(name).records {
+		if record.key == key {
+			count++
+		}
+	}
+	return count
+}
+
 func (store *Store) topic(name string) *topic {
 	found := store.topics[name]
 	if found == nil {
--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -31,6 +31,8 @@
 
 	mu              sync.Mutex
 	downUntil       time.Time // when the worker is back after a crash
+	left            bool
+	leavesAt        time.Time // when the worker may leave at the earliest, zero while it does not drain
 	faults          WorkerFaults
 	calls           int                   // orders and polls received
 	born            time.Time             // start of the worker's process
@@ -120,13 +122,32 @@
 	time.AfterFunc(worker.CrashDowntime, worker.Restart)
 }
 
-// Down reports whether the worker has crashed and is not back yet. It then answers no calls.
+// Drain announces that the worker will leave, at the earliest after the given time: its entries are in the state "draining"
+// from now on.
+func (worker *Worker) Drain(remaining time.Duration) {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	worker.leavesAt = time.Now().Add(remaining)
+}
+
+// Leave ends the worker's process and all its runs for good.
+func (worker *Worker) Leave() {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	worker.restart()
+	worker.left = true
+}
+
+// Down reports whether the worker has left, or has crashed and is not back yet. It then answers no calls.
 func (worker *Worker) Down() bool {
 	worker.mu.Lock()
 	defer worker.mu.Unlock()
-	return time.Now().Before(worker.downUntil)
+	return worker.isDown()
 }
 
+// isDown is Down for callers that hold the lock.
+func (worker *Worker) isDown() bool { return worker.left || time.Now().Before(worker.downUntil) }
+
 // restart is Restart for callers that hold the lock.
 func (worker *Worker) restart() {
 	for task, run := range worker.running {
@@ -148,14 +169,19 @@
 	return slices.Clone(worker.history)
 }
 
-// Entry returns the record that announces the worker in the store, with its address and state.
+// Entry returns the record that announces the worker in the store, with its address and state. The state of a worker that
+// drains is "draining".
 func (worker *Worker) Entry(address, state string) []byte {
 	worker.mu.Lock()
 	defer worker.mu.Unlock()
-	return encodeJSON(map[string]any{
+	entry := map[string]any{
 		"service": worker.Service, "address": address, "zone": worker.Zone, "state": state, "slots": 8, "seq": 1,
 		"capacity": worker.Capacity, "labels": []string{"a", worker.Rack}, "born": worker.born.UnixMilli(), "machine": "m-" + worker.ID,
-	})
+	}
+	if !worker.leavesAt.IsZero() {
+		entry["state"], entry["remainingMs"] = "draining", max(0, time.Until(worker.leavesAt).Milliseconds())
+	}
+	return encodeJSON(entry)
 }
 
 // Handler serves the protocol of the platform's workers.
@@ -225,7 +251,7 @@
 	worker.mu.Lock()
 	worker.calls++
 	faults, count := worker.faults, worker.calls
-	down := time.Now().Before(worker.downUntil)
+	down := worker.isDown()
 	worker.mu.Unlock()
 	if down {
 		panic(http.ErrAbortHandler)
