--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -37,6 +37,7 @@
 	pathPrefix     string
 	acceptedJobs   []string // IDs of the accepted jobs
 	stopWorkers    chan struct{}
+	silenced       []string // hosts that are cut off from everything, see silenceDecider
 	logged         *messageCounter
 	shares         map[string]float64 // loader.Scheduling.ProcessorShare of the hosts, 1 if not set
 	delegateFrom   int64              // loader.Scheduling.DelegateFrom of the hosts
@@ -115,7 +116,7 @@
 
 func (fleet *fleet) addWorker(number int) {
 	worker := emulator.NewWorker(fmt.Sprintf("w-%d", number), "survey", string(rune('a'+number%3)), emulator.Amount{CPU: 16000, MemMB: 32000})
-	address := fmt.Sprintf("10.8.0.%d:80", number+1)
+	address := workerAddress(number)
 	fleet.workers = append(fleet.workers, worker)
 	fleet.serve(worker.ID, address, worker.Handler())
 	go func() {
@@ -134,6 +135,8 @@
 	}()
 }
 
+func workerAddress(number int) string { return fmt.Sprintf("10.8.0.%d:80", number+1) }
+
 // publishConfiguration stores the next version of the operators' configuration.
 func (fleet *fleet) publishConfiguration() {
 	data, err := json.Marshal(fleet.nextConfiguration())
@@ -225,9 +228,10 @@
 	delete(fleet.hosts, name)
 }
 
+// decidingHost returns the host that decides, or nothing if none does. Hosts that are silenced do not count.
 func (fleet *fleet) decidingHost() string {
 	for _, name := range fleet.hostNames {
-		if host := fleet.hosts[name]; host != nil && host.Deciding() {
+		if host := fleet.hosts[name]; host != nil && host.Deciding() && !slices.Contains(fleet.silenced, name) {
 			return name
 		}
 	}
@@ -319,6 +323,9 @@
 // stopAndCheck stops all hosts and servers and checks the runs of the workers.
 func (fleet *fleet) stopAndCheck() {
 	close(fleet.stopWorkers)
+	for _, name := range fleet.silenced {
+		fleet.fabric.Kill(name)
+	}
 	for _, name := range fleet.hostNames {
 		if host := fleet.hosts[name]; host != nil {
 			host.Close()
