linker: a replaced connection stays open for the answers to its calls

Four late calls and half a second without an answer closed a connection under all calls on it. On a link that is full, these were answered a moment later; each failed call was repeated by its caller, over the same link and a new connection. A connection that may be broken is now replaced for the next calls, and closed 2 s later.

TestReplacedConnection failed before: the call that was under way ended with a closed connection.

--- a/daemon/linker/linker_test.go
+++ b/daemon/linker/linker_test.go
@@ -114,3 +114,42 @@
 		})
 	}
 }
+
+// TestReplacedConnection guards against calls that fail since the connection to a slow peer was replaced: their answers were on the way,
+// and each call that failed was repeated over the same link.
+func TestReplacedConnection(t *testing.T) {
+	listener := listen(t)
+	arrived, proceed := make(chan struct{}), make(chan struct{})
+	server := Serve(listener, "b", &recorder.Clock{}, slog.New(slog.DiscardHandler), func(_ context.Context, _, method string, _ json.RawMessage) (any, error) {
+		if method == "slow" {
+			close(arrived)
+			<-proceed
+		}
+		return struct{}{}, nil
+	})
+	t.Cleanup(server.Close)
+	address := listener.Addr().String()
+	pool := NewPool(dialer.TCP(), "a", &recorder.Clock{})
+	defer pool.Close()
+	if err := pool.Call(t.Context(), address, "x", struct{}{}, nil); err != nil {
+		t.Fatal(err)
+	}
+	answers := make(chan error, 1)
+	peer := pool.peer(address)
+	go func() { answers <- pool.Call(t.Context(), address, "slow", struct{}{}, nil) }()
+	<-arrived
+	pool.started = pool.started.Add(-2 * silenceTimeout)
+	for range maxUnanswered {
+		pool.RecordLate(address)
+	}
+	if pool.peer(address) == peer {
+		t.Error("the connection was not replaced")
+	}
+	if err := pool.Call(t.Context(), address, "x", struct{}{}, nil); err != nil {
+		t.Errorf("call on the new connection: %v", err)
+	}
+	close(proceed)
+	if err := <-answers; err != nil {
+		t.Errorf("call on the replaced connection: %v", err)
+	}
+}
--- a/daemon/linker/pool.go
+++ b/daemon/linker/pool.go
@@ -11,7 +11,9 @@
 	"fmt"
 	"io"
 	"log"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,10 +65,12 @@
 	clock   *recorder.Clock
 	started time.Time
 
-	mu     sync.Mutex
-	conns  map[string]*peerConn // by address
-	closed bool
-	bytes  ByteCounter
+	mu    sync.Mutex
+	conns map[string]*peerConn // by address
+	// retired holds the connections that were replaced and whose calls may still be answered, with the timers that close them.
+	retired map[*peerConn]*time.Timer
+	closed  bool
+	bytes   ByteCounter
 }
 
 // peerConn is the connection to one address. The channel lock is a mutex that guards conn: it holds a token
@@ -92,11 +96,13 @@
 	// silenceTimeout is the minimum time without an answer before the connection is reopened: many calls may time out at
 	// once while a peer or this process is busy.
 	silenceTimeout = 500 * time.Millisecond
+	// retirementTime is how long a connection that was replaced stays open for the answers to its calls.
+	retirementTime = 2 * time.Second
 )
 
 // NewPool returns a pool whose calls carry the name of the given host and the stamps of its clock.
 func NewPool(network dialer.Network, host string, clock *recorder.Clock) *Pool {
-	return &Pool{network: network, host: host, clock: clock, started: time.Now(), conns: map[string]*peerConn{}}
+	return &Pool{network: network, host: host, clock: clock, started: time.Now(), conns: map[string]*peerConn{}, retired: map[*peerConn]*time.Timer{}}
 }
 
 // Bytes returns the number of bytes read and written on the pool's connections.
@@ -141,14 +147,31 @@
 // for it.
 func (pool *Pool) RecordLate(address string) { pool.recordTimeout(pool.peer(address), address) }
 
-// recordTimeout counts a call that timed out, and drops the connection if it is likely to be broken.
+// recordTimeout counts a call that timed out, and replaces the connection if it is likely to be broken.
 func (pool *Pool) recordTimeout(peer *peerConn, address string) {
 	silence := time.Since(pool.started) - time.Duration(peer.answeredAt.Load())
 	if peer.unanswered.Add(1) >= maxUnanswered && silence >= silenceTimeout {
-		pool.Drop(address)
+		pool.retire(peer, address)
 	}
 }
 
+// retire makes the next call to an address open a new connection. The former one is closed after retirementTime: if the peer is
+// only slow, the calls on it are still answered, and need not be repeated.
+func (pool *Pool) retire(peer *peerConn, address string) {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	if pool.conns[address] != peer {
+		return
+	}
+	delete(pool.conns, address)
+	pool.retired[peer] = time.AfterFunc(retirementTime, func() {
+		pool.mu.Lock()
+		delete(pool.retired, peer)
+		pool.mu.Unlock()
+		peer.close()
+	})
+}
+
 func newEnvelope(host string, clock *recorder.Clock, body any) (Envelope, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -233,7 +256,11 @@
 // Close closes all connections and waits until they have ended. Later calls open no connection.
 func (pool *Pool) Close() {
 	pool.mu.Lock()
-	conns := pool.conns
+	conns := slices.Collect(maps.Values(pool.conns))
+	for peer, timer := range pool.retired {
+		timer.Stop()
+		conns = append(conns, peer)
+	}
 	pool.conns, pool.closed = map[string]*peerConn{}, true
 	pool.mu.Unlock()
 	for _, peer := range conns {
