scheduler: a decider that answers late is not replaced

Callers saw requests without an answer for seconds, and lasting tasks that stayed down for 14 s, at times without any fault. Hosts threw away answers to heartbeats after 150 ms and campaigned 320 ms after the last one in time. And a new decider had no time of its own: a host went on counting from the last answer of the former one.

Now an answer counts when it arrives. A decider is suspected when none has arrived for 320 ms, and that time begins anew with its election. A host that waits for long before it campaigns goes on asking, and does not campaign once it is answered.

--- a/daemon/scheduler/decider_status.go
+++ b/daemon/scheduler/decider_status.go
@@ -20,8 +20,9 @@
 
 // deciderStatus is the state of the decider according to its answers to heartbeats.
 type deciderStatus struct {
-	answeredAt   atomic.Int64 // uptime when the decider last answered in time, in nanoseconds
+	answeredAt   atomic.Int64 // uptime when the decider last answered, in time or late, in nanoseconds
 	lateAnswerAt atomic.Int64 // uptime when the decider last answered late, in nanoseconds
+	electedAt    atomic.Int64 // uptime when this host learned of the election, in nanoseconds
 	tookNS       atomic.Int64 // time until the latest answer, in nanoseconds
 	unanswered   atomic.Int64 // heartbeats whose answer is still waited for
 	storeOutage  atomic.Int64 // duration of the decider's store outage, in nanoseconds
@@ -31,16 +32,22 @@
 func (deciderStatus *deciderStatus) reset() {
 	deciderStatus.answeredAt.Store(neverAnswered)
 	deciderStatus.lateAnswerAt.Store(neverAnswered)
+	deciderStatus.electedAt.Store(neverAnswered)
 }
 
 // recordAnswer records an answer that arrived at an uptime and took the given time.
 func (deciderStatus *deciderStatus) recordAnswer(uptime, took time.Duration) {
 	deciderStatus.tookNS.Store(int64(took))
-	if took < heartbeatTimeout {
-		deciderStatus.answeredAt.Store(int64(uptime))
-		return
+	deciderStatus.answeredAt.Store(int64(uptime))
+	if took >= heartbeatTimeout {
+		deciderStatus.lateAnswerAt.Store(int64(uptime))
 	}
-	deciderStatus.lateAnswerAt.Store(int64(uptime))
+}
+
+// recordElection records that this host learned of an election at an uptime.
+func (deciderStatus *deciderStatus) recordElection(uptime time.Duration) {
+	deciderStatus.storeOutage.Store(0) // it was that of the former decider
+	deciderStatus.electedAt.Store(int64(uptime))
 }
 
 // answerTime returns how long the latest answer took.
@@ -53,6 +60,18 @@
 	return host.uptime() - time.Duration(host.deciderStatus.answeredAt.Load())
 }
 
+// suspectsDecider reports whether the decider may have failed: no answer of it has arrived for suspicionTimeout. A late answer
+// shows as well as one in time that it works; a decider that is slow because of its load is not replaced, since its successor
+// would have the same load and the takeover in addition. A new decider gets the same time from its election on.
+func (host *Host) suspectsDecider() bool {
+	return min(host.deciderSilence(), host.sinceElection()) >= host.suspicionTimeout()
+}
+
+// sinceElection returns the time since this host learned of the latest election.
+func (host *Host) sinceElection() time.Duration {
+	return host.uptime() - time.Duration(host.deciderStatus.electedAt.Load())
+}
+
 // sinceLateAnswer returns the time since the decider last answered late.
 func (host *Host) sinceLateAnswer() time.Duration {
 	return host.uptime() - time.Duration(host.deciderStatus.lateAnswerAt.Load())
--- a/daemon/scheduler/fleet.go
+++ b/daemon/scheduler/fleet.go
@@ -232,7 +232,7 @@
 	if !isNew {
 		return
 	}
-	host.deciderStatus.storeOutage.Store(0) // it was that of the former decider
+	host.deciderStatus.recordElection(host.uptime())
 	host.log.Info("decider", "term", election.Term, "decider", election.Host, "source", source)
 	host.mu.Lock()
 	endedTenure := host.tenure
--- a/daemon/scheduler/watch.go
+++ b/daemon/scheduler/watch.go
@@ -42,7 +42,6 @@
 // watchDecider sends heartbeats to the decider, and considers a campaign when it does not answer.
 func (host *Host) watchDecider() {
 	host.deciderStatus.reset()
-	lastContactAt := time.Now()
 	for host.ctx.Err() == nil {
 		election, changed := host.fleet.currentElection()
 		contact := deciderAbsent
@@ -62,15 +61,12 @@
 		case election.Term > 0:
 			contact = host.contactDecider(election)
 		}
-		if contact == deciderAnswered {
-			lastContactAt = time.Now()
-			if !host.deciderLostStore() || host.currentTenure() != nil {
-				host.pause(changed, host.heartbeatInterval())
-				continue
-			}
+		if contact == deciderAnswered && (!host.deciderLostStore() || host.currentTenure() != nil) {
+			host.pause(changed, host.heartbeatInterval())
+			continue
 		}
-		if contact != deciderUnresponsive || time.Since(lastContactAt) >= host.suspicionTimeout() {
-			host.considerCampaign(election, changed)
+		if contact != deciderUnresponsive || host.suspectsDecider() {
+			host.considerCampaign(contact, election, changed)
 		}
 		host.pause(changed, heartbeatInterval/3)
 	}
@@ -122,9 +118,9 @@
 	maxShare       float64 // largest capacity of the peers that could replace the decider: they answered and reach the store
 }
 
-// considerCampaign campaigns, unless a peer still reaches the decider. Better placed hosts campaign first. A host
+// considerCampaign campaigns after a contact with the decider, unless a peer still reaches the decider. Better placed hosts campaign first. A host
 // that reaches no peer waits longest, since it may itself be partitioned or overloaded.
-func (host *Host) considerCampaign(election Election, changed <-chan struct{}) {
+func (host *Host) considerCampaign(contact deciderContact, election Election, changed <-chan struct{}) {
 	if host.shuttingDown.Load() || !host.fleet.isLoaded() || host.storeOutage() >= maxStoreOutage {
 		return
 	}
@@ -139,7 +135,10 @@
 	case 2*(result.answered+result.notListening+1) < result.asked+1:
 		delay += minorityDelay
 	}
-	host.pause(changed, delay)
+	host.awaitCampaign(contact, election, changed, delay)
+	if contact == deciderUnresponsive && !host.suspectsDecider() {
+		return // it has answered meanwhile
+	}
 	if delay > resurveyDelay && host.surveyPeers(election).reachesDecider || host.isSuperseded(election) {
 		return
 	}
@@ -157,6 +156,20 @@
 	host.campaignBackoff = minCampaignBackoff
 }
 
+// awaitCampaign waits for the delay of a campaign, or until a later election is known. During a long delay it goes on asking a decider
+// that does not answer, which may only be slow, and returns when it answers.
+func (host *Host) awaitCampaign(contact deciderContact, election Election, changed <-chan struct{}, delay time.Duration) {
+	until := time.Now().Add(delay)
+	for contact == deciderUnresponsive && time.Until(until) > resurveyDelay && host.ctx.Err() == nil {
+		host.contactDecider(election)
+		if host.isSuperseded(election) || !host.suspectsDecider() {
+			return
+		}
+		host.pause(changed, heartbeatInterval/3)
+	}
+	host.pause(changed, time.Until(until))
+}
+
 // isSuperseded reports whether a later election is known.
 func (host *Host) isSuperseded(election Election) bool {
 	current, _ := host.fleet.currentElection()
