scheduler: a takeover gets a second, and takeovers in a row get more time

Over a link that is nearly full that takes 0.6 s and more, in which it answers nobody, so that the next host campaigned 0.3 s after its election, and so on: each takeover made the next one slower (metastable failure). For 3 s from its election a decider is now suspected after 1 s without an answer, and that time doubles, up to eight times, with each decider that was suspected and replaced within 10 s. A decider whose process has ended is replaced at once, as before.

--- a/daemon/scheduler/decider_status.go
+++ b/daemon/scheduler/decider_status.go
@@ -13,6 +13,11 @@
 	heartbeatTimeout = 150 * time.Millisecond
 	// lateAnswerTimeout is how long a late answer to a heartbeat is waited for, beside the heartbeats that follow.
 	lateAnswerTimeout = 2 * time.Second
+	// shortTerm is the time within which a takeover is over on a host that can carry the load: it has read the journal and polled
+	// all workers.
+	shortTerm = 10 * time.Second
+	// maxSuspicions bounds the factor of deciderStatus.backoff.
+	maxSuspicions = 3
 )
 
 // neverAnswered is the uptime that is stored before a decider has answered.
@@ -23,6 +28,7 @@
 	answeredAt   atomic.Int64 // uptime when the decider last answered, in time or late, in nanoseconds
 	lateAnswerAt atomic.Int64 // uptime when the decider last answered late, in nanoseconds
 	electedAt    atomic.Int64 // uptime when this host learned of the election, in nanoseconds
+	suspicions   atomic.Int64 // successive deciders that were suspected and replaced within shortTerm of their election
 	tookNS       atomic.Int64 // time until the latest answer, in nanoseconds
 	unanswered   atomic.Int64 // heartbeats whose answer is still waited for
 	storeOutage  atomic.Int64 // duration of the decider's store outage, in nanoseconds
@@ -44,10 +50,23 @@
 	}
 }
 
-// recordElection records that this host learned of an election at an uptime.
-func (deciderStatus *deciderStatus) recordElection(uptime time.Duration) {
+// recordElection records that this host learned of an election at an uptime, and whether it suspected the former decider.
+func (deciderStatus *deciderStatus) recordElection(uptime time.Duration, suspected bool) {
 	deciderStatus.storeOutage.Store(0) // it was that of the former decider
-	deciderStatus.electedAt.Store(int64(uptime))
+	term := uptime - time.Duration(deciderStatus.electedAt.Swap(int64(uptime)))
+	switch {
+	case term >= shortTerm:
+		deciderStatus.suspicions.Store(0)
+	case suspected:
+		deciderStatus.suspicions.Add(1)
+	}
+}
+
+// backoff returns the factor by which the time without an answer grows after which the decider is suspected. It doubles with each
+// decider that was replaced within shortTerm of its election: if deciders are slow because of their load, each takeover makes the next
+// one slower.
+func (deciderStatus *deciderStatus) backoff() time.Duration {
+	return 1 << min(deciderStatus.suspicions.Load(), maxSuspicions)
 }
 
 // answerTime returns how long the latest answer took.
--- a/daemon/scheduler/fleet.go
+++ b/daemon/scheduler/fleet.go
@@ -232,7 +232,7 @@
 	if !isNew {
 		return
 	}
-	host.deciderStatus.recordElection(host.uptime())
+	host.deciderStatus.recordElection(host.uptime(), previous.Term > 0 && host.suspectsDecider())
 	host.log.Info("decider", "term", election.Term, "decider", election.Host, "source", source)
 	host.mu.Lock()
 	endedTenure := host.tenure
--- a/daemon/scheduler/watch.go
+++ b/daemon/scheduler/watch.go
@@ -15,7 +15,11 @@
 	heartbeatInterval = 150 * time.Millisecond
 	// suspicionTimeout is how long the decider may fail to answer before one of the strongest hosts considers a campaign.
 	suspicionTimeout = 320 * time.Millisecond
-	surveyTimeout    = 120 * time.Millisecond
+	// takeoverSuspicionTimeout is the same for a decider that was elected within takeoverTime: it reads the journal and polls all
+	// workers, which may fill its link.
+	takeoverSuspicionTimeout = time.Second
+	takeoverTime             = 3 * time.Second
+	surveyTimeout            = 120 * time.Millisecond
 	// campaignRankDelay delays a campaign for each peer that is better placed to decide.
 	campaignRankDelay = 60 * time.Millisecond
 	// maxStoreOutage is the store outage from which on a host should not be the decider.
@@ -81,9 +85,14 @@
 	return heartbeatIntervalFor(host.fleet.rank(host.member()))
 }
 
-// suspicionTimeout returns suspicionTimeout for a host whose heartbeats may be rarer than those of the strongest hosts.
+// suspicionTimeout returns suspicionTimeout for a host whose heartbeats may be rarer than those of the strongest hosts, during a takeover
+// and after takeovers that follow each other.
 func (host *Host) suspicionTimeout() time.Duration {
-	return suspicionTimeout + host.heartbeatInterval() - heartbeatInterval
+	timeout := suspicionTimeout * host.deciderStatus.backoff()
+	if host.sinceElection() < takeoverTime {
+		timeout = max(timeout, takeoverSuspicionTimeout)
+	}
+	return timeout + host.heartbeatInterval() - heartbeatInterval
 }
 
 // pause waits until the given time has passed, changed is closed or the host is closed.
