scheduler: the delay of the own link is added to timeouts

The decider waits longer for answers while its timers are late, since an answer that it has not read is not lost. Its link can be just as late: while it is full, everything waits in one queue. Polls, starts and appends then counted as lost after 250 ms; with many losses, after 100 ms; and were repeated over the same link.

Hosts tell with each heartbeat how long the decider's last answer took. The time in the middle of the quorum is the decider's own delay: a single slow host does not change it. Twice its latest peak is added to the decider's timeouts, up to 2 s as before. A host waits for its call to the decider longer by twice what the answers to its heartbeats take.

TestLinkAllowance.

--- a/daemon/scheduler/gateway.go
+++ b/daemon/scheduler/gateway.go
@@ -26,8 +26,10 @@
 	// answerMargin is subtracted from a caller's deadline, to leave time to return the answer.
 	answerMargin      = 150 * time.Millisecond
 	deciderRetryDelay = 40 * time.Millisecond
-	// deciderCallTimeout bounds one attempt to call the decider.
+	// deciderCallTimeout bounds one attempt to call the decider, beside deciderDelayFactor times what its answers to heartbeats take: it
+	// calls the store over the same link before it answers.
 	deciderCallTimeout = 800 * time.Millisecond
+	deciderDelayFactor = 2
 	// maxCallTime bounds a call with all its attempts, including an election in between.
 	maxCallTime = 1800 * time.Millisecond
 	// callerRetryDelay is sent to callers along with a refusal or an uncertain outcome.
@@ -117,7 +119,7 @@
 	if election.Term == 0 || election.BootID == gateway.host.bootID {
 		return planner.Reply{}, linker.ErrUnsent.Wrap(errNoDecider)
 	}
-	ctx, cancel := context.WithTimeout(ctx, deciderCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, deciderCallTimeout+deciderDelayFactor*gateway.host.deciderStatus.answerTime())
 	defer cancel()
 	var reply planner.Reply
 	err := gateway.host.hedgedCaller.call(ctx, election.Address, method, call, &reply, 0)
--- a/daemon/scheduler/lag.go
+++ b/daemon/scheduler/lag.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// lag is the average delay of the decider's timers. A high lag indicates a slowed or overloaded machine.
+// lag is the average of delays: of the decider's timers, where a high lag indicates a slowed or overloaded machine, or of its
+// answers to heartbeats, where it indicates a full link as well.
 type lag struct {
 	average
 	peak atomic.Int64 // highest delay of late, which wears off within a second, in nanoseconds
@@ -29,7 +30,7 @@
 
 func newLag() *lag { return &lag{average: average{divisor: lagAverageDivisor}} }
 
-// record adds the delay of one timer tick.
+// record adds one delay.
 func (lag *lag) record(late time.Duration) {
 	lag.add(int64(late))
 	peak := lag.peak.Load()
@@ -54,6 +55,7 @@
 			tenure.tickLag.record(late)
 			raise(&tenure.meter.longestWait, int64(late))
 			tenure.speed.record(probe())
+			tenure.answerLag.record(tenure.quorum.answerTime())
 		case <-tenure.ctx.Done():
 			return
 		}
--- a/daemon/scheduler/lag_test.go
+++ b/daemon/scheduler/lag_test.go
@@ -33,7 +33,7 @@
 // TestLagAllowance guards against a decider that takes its own lateness for lost answers: the average delay of its timers was low while
 // one answer in a hundred was read 100 to 300 ms late, and each of these counted as lost and was asked for again.
 func TestLagAllowance(t *testing.T) {
-	tenure := &tenure{tickLag: newLag()}
+	tenure := &tenure{tickLag: newLag(), answerLag: newLag()}
 	wantAllowance := func(least, most time.Duration) {
 		t.Helper()
 		if got := tenure.lagAllowance(); got < least || got > most {
@@ -55,3 +55,33 @@
 	tick(1, 10*time.Second)
 	wantAllowance(maxLagTimeout, maxLagTimeout)
 }
+
+// TestLinkAllowance guards against a decider that takes the delay of its own full link for lost answers: its timers were in time, while
+// all that it sent and received waited 0.3 s.
+func TestLinkAllowance(t *testing.T) {
+	const ticks = 20 // a second
+	for _, test := range []struct {
+		name        string
+		times       []time.Duration // of the answers to heartbeats, as hosts tell them
+		least, most time.Duration   // that are added
+	}{
+		{"calm", []time.Duration{time.Millisecond, 2 * time.Millisecond, 4 * time.Millisecond}, 0, 0},
+		{"fullLink", []time.Duration{200 * time.Millisecond, 300 * time.Millisecond, 400 * time.Millisecond}, 300 * time.Millisecond, maxLagTimeout},
+		{"oneSlowHost", []time.Duration{2 * time.Millisecond, 2 * time.Millisecond, time.Second}, 0, 0},
+		{"notToldYet", []time.Duration{0, 0, 0}, 0, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			tenure := &tenure{tickLag: newLag(), answerLag: newLag(), quorum: newQuorum()}
+			for index, took := range test.times {
+				tenure.quorum.recordHeartbeat(Heartbeat{Host: string(rune('a' + index)), AnswerTime: took})
+			}
+			for range ticks {
+				tenure.tickLag.record(time.Millisecond)
+				tenure.answerLag.record(tenure.quorum.answerTime())
+			}
+			if got := tenure.lagAllowance(); got < test.least || got > test.most {
+				t.Errorf("%v are added to timeouts, want %v to %v", got, test.least, test.most)
+			}
+		})
+	}
+}
--- a/daemon/scheduler/poller.go
+++ b/daemon/scheduler/poller.go
@@ -51,9 +51,11 @@
 	// answerLossThreshold is the number of lost answers per million above which the loss rate is high.
 	answerLossThreshold = 30_000
 	startTimeout        = 250 * time.Millisecond
-	// lagTimeoutFactor is the multiple of the planning lag that is added to the time to wait for an answer.
+	// lagTimeoutFactor is the multiple of the lag of timers that is added to the time to wait for an answer.
 	lagTimeoutFactor = 4
-	// maxLagTimeout bounds the time that is added for the planning lag.
+	// answerLagTimeoutFactor is the same for the lag of answers to heartbeats, which already contains both ways.
+	answerLagTimeoutFactor = 2
+	// maxLagTimeout bounds the time that is added.
 	maxLagTimeout = 2 * time.Second
 	stopTimeout   = 500 * time.Millisecond
 	// ackTimeout is how long a poll waits for listed ends to be stored.
@@ -257,13 +259,16 @@
 	return timeout + tenure.lagAllowance()
 }
 
-// lagAllowance returns the time to add to a timeout because this process is late itself, 0 while it is not.
+// lagAllowance returns the time to add to a timeout because this process or its link is late itself, 0 while they are not.
 func (tenure *tenure) lagAllowance() time.Duration {
-	lag := tenure.tickLag.recent()
-	if lag < overloadLag {
-		return 0
+	allowance := time.Duration(0)
+	if lag := tenure.tickLag.recent(); lag >= overloadLag {
+		allowance = lagTimeoutFactor * lag
+	}
+	if lag := tenure.answerLag.recent(); lag >= overloadLag {
+		allowance = max(allowance, answerLagTimeoutFactor*lag)
 	}
-	return min(lagTimeoutFactor*lag, maxLagTimeout)
+	return min(allowance, maxLagTimeout)
 }
 
 // applyEffects carries out the effects that need no stored record.
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -33,7 +33,8 @@
 	immediatePolls   chan struct{} // limits the polls without a wait that are in flight
 	confirming       chan struct{} // holds an element while a refusal reads from the store whether this host still decides
 	answerLossRate   lossRate      // answers of workers that were lost
-	tickLag          *lag
+	tickLag          *lag          // of timers
+	answerLag        *lag          // of answers to heartbeats, on the way to a host in the middle of the quorum
 	speed            speed
 	meter            loadMeter
 	passes           passPacer    // used by the goroutine of run only
@@ -72,6 +73,7 @@
 		host: host, term: term, previousElection: previousElection, beganAt: host.uptime(), ctx: ctx, cancel: cancel,
 		planRequested: make(chan struct{}, 1), immediatePolls: make(chan struct{}, maxImmediatePolls), confirming: make(chan struct{}, 1),
 		tickLag:        newLag(),
+		answerLag:      newLag(),
 		answerLossRate: lossRate{average: average{divisor: answerLossDivisor}, threshold: answerLossThreshold},
 		stored:         make(chan struct{}), ready: make(chan struct{}),
 		workerInfos: map[string]planner.WorkerInfo{}, pollers: map[string]*poller{},
