scheduler: starts in flight are bounded by how long they take

A decider planned up to 500 starts at once, whatever it carries. On a host that carries 100 a second, each waited 2 to 5 s for its record to be stored and its order to be sent: longer than permissions of the policy are valid, longer than the objective of urgent jobs, and nothing that was more urgent could overtake. The batches grew to 100 kB and the answers to heartbeats waited behind them.

The bound is now a window: it shrinks in the ratio of 0.5 s to the time that a start took, while the decider's timers or answers are late themselves, and grows again while starts are in time, from 32 to 500. A slow store or worker does not shrink it. library/throttler holds the rule, without I/O; the load line has the bound.

--- a/daemon/scheduler/journal.go
+++ b/daemon/scheduler/journal.go
@@ -164,7 +164,7 @@
 	took := time.Since(startedAt)
 	tenure.meter.appendTime.Add(int64(took))
 	tenure.host.metrics.appends.Observe(took.Seconds())
-	tenure.completeBatch(batch)
+	tenure.completeBatch(batch, startedAt)
 	tenure.requestPlan()
 }
 
--- a/daemon/scheduler/load_meter.go
+++ b/daemon/scheduler/load_meter.go
@@ -66,6 +66,7 @@
 			return
 		}
 		tenure.mu.Lock()
+		startLimit := tenure.startWindow.Limit()
 		load, drainedRuns, shares := tenure.planner.Load(), tenure.planner.DrainedRuns(), tenure.planner.Shares(maxReportedShares)
 		tenure.mu.Unlock()
 		tenure.host.metrics.observeLoad(load, tenure.tickLag.current())
@@ -84,7 +85,7 @@
 			"outOfTurn", meter.outOfTurn.Swap(0), "storeLossy", tenure.journal.lossRate.isHigh(), "workersLossy", tenure.answerLossRate.isHigh(),
 			"queriedWorkers", load.QueriedWorkers, "requeriedWorkers", load.RequeriedWorkers, "examinedSteps", load.ExaminedSteps,
 			"wakeups", processor.wakeups, "medianWait", inMilliseconds(processor.medianWait), "highWait", inMilliseconds(processor.highWait),
-			"garbageCollection", inMilliseconds(processor.gcTime), "startsInFlight", tenure.startsInFlight.Load(), "probe", time.Duration(tenure.speed.latest.Load()).String(),
+			"garbageCollection", inMilliseconds(processor.gcTime), "startsInFlight", tenure.startsInFlight.Load(), "startLimit", startLimit, "probe", time.Duration(tenure.speed.latest.Load()).String(),
 			"slowed", tenure.speed.isSlowed(), "answerTime", inMilliseconds(tenure.quorum.answerTime()),
 			"peersSent", bytes.peersSent, "peersReceived", bytes.peersReceived, "storeSent", bytes.storeSent, "storeReceived", bytes.storeReceived,
 			"workersSent", bytes.workersSent, "workersReceived", bytes.workersReceived)
--- a/daemon/scheduler/poller.go
+++ b/daemon/scheduler/poller.go
@@ -63,8 +63,13 @@
 	minRetryDelay      = 60 * time.Millisecond
 	maxRetryDelay      = 500 * time.Millisecond
 	maxStartsPerWorker = 2
-	// maxStartsInFlight limits the starts over all workers from the pass that plans them to their outcome.
+	// minStartsInFlight and maxStartsInFlight limit the bound on the starts over all workers from the pass that plans them to their
+	// outcome.
+	minStartsInFlight = 32
 	maxStartsInFlight = 500
+	// startTarget is the time from the pass to the outcome above which that bound shrinks while this process or its link is late: the
+	// permissions of the policy are valid for a few times as long, and urgent callers wait for less.
+	startTarget = 500 * time.Millisecond
 	// maxImmediatePolls limits the polls without a wait that are in flight, over all workers.
 	maxImmediatePolls = 128
 	// idlePollsPerSecond is the rate of polls over all workers without runs.
@@ -329,8 +334,8 @@
 	return tenure.pollers[poller.worker] != poller
 }
 
-// sendStart sends a start order whose record is stored.
-func (tenure *tenure) sendStart(start planner.Start) {
+// sendStart sends a start order whose record is stored, and whose batch was taken at a time.
+func (tenure *tenure) sendStart(start planner.Start, takenAt time.Time) {
 	tenure.wait.Go(func() {
 		defer tenure.startsInFlight.Add(-1)
 		poller := tenure.pollerOf(start)
@@ -357,9 +362,18 @@
 		delegate := tenure.delegator.pick(order.Worker, zone, workerCount)
 		outcome, clockMS, err := tenure.delegator.start(tenure.ctx, delegate, order, tenure.answerTimeout(startTimeout))
 		tenure.recordOutcome(order, outcome, clockMS, err)
+		tenure.recordStartTime(time.Since(takenAt))
 	})
 }
 
+// recordStartTime adjusts the bound on starts in flight after a start that took the given time from its pass to its outcome.
+func (tenure *tenure) recordStartTime(took time.Duration) {
+	congested := tenure.lagAllowance() > 0
+	tenure.mu.Lock()
+	defer tenure.mu.Unlock()
+	tenure.startWindow.Record(took, congested, time.Now())
+}
+
 // pollerOf returns the poller of the worker that a start order is for, or nil.
 func (tenure *tenure) pollerOf(start planner.Start) *poller {
 	tenure.mu.Lock()
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"ebonyshunt.org/library/planner"
+	"ebonyshunt.org/library/throttler"
 	"ebonyshunt.org/platform/translator"
 )
 
@@ -37,8 +38,9 @@
 	answerLag        *lag          // of answers to heartbeats, on the way to a host in the middle of the quorum
 	speed            speed
 	meter            loadMeter
-	passes           passPacer    // used by the goroutine of run only
-	startsInFlight   atomic.Int64 // starts that were planned and have no outcome yet
+	passes           passPacer        // used by the goroutine of run only
+	startsInFlight   atomic.Int64     // starts that were planned and have no outcome yet
+	startWindow      throttler.Window // bounds startsInFlight, guarded by mu
 
 	mu          sync.Mutex
 	planner     *planner.Planner // nil until it is restored from the journal
@@ -74,6 +76,7 @@
 		planRequested: make(chan struct{}, 1), immediatePolls: make(chan struct{}, maxImmediatePolls), confirming: make(chan struct{}, 1),
 		tickLag:        newLag(),
 		answerLag:      newLag(),
+		startWindow:    throttler.Window{Min: minStartsInFlight, Max: maxStartsInFlight, Target: startTarget},
 		answerLossRate: lossRate{average: average{divisor: answerLossDivisor}, threshold: answerLossThreshold},
 		stored:         make(chan struct{}), ready: make(chan struct{}),
 		workerInfos: map[string]planner.WorkerInfo{}, pollers: map[string]*poller{},
@@ -244,7 +247,8 @@
 		tenure.planner.EndFormerRenewals(formerRenewalsEnd(quorumSince, tenure.fencedAt))
 	}
 	tenure.planner.SetSlots(slots)
-	tenure.planner.SetStartLimit(planner.StartLimit{Available: maxStartsInFlight - int(tenure.startsInFlight.Load()), Max: maxStartsInFlight})
+	limit := tenure.startWindow.Limit()
+	tenure.planner.SetStartLimit(planner.StartLimit{Available: limit - int(tenure.startsInFlight.Load()), Max: limit})
 	passedFrom := time.Now()
 	tenure.planner.Plan(now)
 	tenure.passes.record(now, time.Since(passedFrom))
@@ -280,8 +284,8 @@
 	tenure.journal.save(batch)
 }
 
-// completeBatch marks a batch as stored, notifies the calls that wait for it and sends its start orders.
-func (tenure *tenure) completeBatch(batch planner.Batch) {
+// completeBatch marks a batch that was taken at a time as stored, notifies the calls that wait for it and sends its start orders.
+func (tenure *tenure) completeBatch(batch planner.Batch, takenAt time.Time) {
 	tenure.mu.Lock()
 	tenure.planner.MarkStored(batch)
 	close(tenure.stored)
@@ -297,7 +301,7 @@
 	tenure.waiters = remaining
 	tenure.mu.Unlock()
 	for _, start := range batch.Starts {
-		tenure.sendStart(start)
+		tenure.sendStart(start, takenAt)
 	}
 }
 
