scheduler: a processor that was fast for a moment does not count as slowed after it

The decider compared a short computation with its least time of any second so far. One second in which it ran at 46 us instead of 117 us made every later one count as slowed, so that a decider whose timers were late, since it had too much to do, handed over to a host that had as much to do. The usual time is now a moving average.

TestSpeed/oneFastWindow failed before.

--- a/daemon/scheduler/speed.go
+++ b/daemon/scheduler/speed.go
@@ -10,7 +10,7 @@
 type speed struct {
 	samples int
 	least   time.Duration // of the samples of the current window
-	usual   time.Duration // least time of any window so far, 0 before the first
+	usual   time.Duration // moving average of the least times, 0 before the first window
 	latest  atomic.Int64  // least time of the latest window, in nanoseconds
 	slowed  atomic.Bool
 }
@@ -21,6 +21,9 @@
 	// slowedFactor is the multiple of the usual time from which on the processor counts as slowed. Other programs on the same
 	// machine cost less.
 	slowedFactor = 2.5
+	// speedAverageDivisor is the inverse of the weight of the latest window in the usual time: a processor that is fast for a moment
+	// does not count as slowed after it.
+	speedAverageDivisor = 8
 	// probeSteps is the length of the computation, some 10 us.
 	probeSteps = 10_000
 )
@@ -52,10 +55,11 @@
 	}
 	speed.samples = 0
 	speed.latest.Store(int64(speed.least))
-	if speed.usual == 0 || speed.least < speed.usual {
+	if speed.usual == 0 {
 		speed.usual = speed.least
 	}
 	speed.slowed.Store(float64(speed.least) > slowedFactor*float64(speed.usual))
+	speed.usual += (speed.least - speed.usual) / speedAverageDivisor
 }
 
 // isSlowed reports whether the processor was slowed in the latest window.
--- a/daemon/scheduler/speed_test.go
+++ b/daemon/scheduler/speed_test.go
@@ -39,6 +39,21 @@
 			}
 		})
 	}
+	t.Run("oneFastWindow", func(t *testing.T) {
+		var speed speed
+		for window := range 10 {
+			took := usual
+			if window == 4 {
+				took = usual / 3
+			}
+			for range speedWindow {
+				speed.record(took)
+			}
+			if speed.isSlowed() {
+				t.Fatalf("slowed in window %d at its usual speed", window)
+			}
+		}
+	})
 	t.Run("pausedClock", func(t *testing.T) {
 		var speed speed
 		for range 3 * speedWindow {
