soaker: the platform's wire moves to the stand-ins

standin/emulator has the topics, the operator's documents, the outcomes of runs and the form of task names, and rewrites values for a reader (HandlerWith takes the place of the soak's storeView, which decoded the store's pages itself). standin/caller has the clients' calls. Both stay independent of platform/translator, so that an error in it shows; only the topic that hosts alone write comes from there.

--- a/standin/emulator/store.go
+++ b/standin/emulator/store.go
@@ -148,14 +148,31 @@
 }
 
 // Handler serves the protocol of the platform's log service.
-func (store *Store) Handler() http.Handler {
+func (store *Store) Handler() http.Handler { return store.HandlerWith(nil) }
+
+// HandlerWith is Handler for a reader that gets each value as rewrite changes it in place, or unchanged if rewrite is nil.
+// What the store keeps does not change.
+func (store *Store) HandlerWith(rewrite func(value []byte)) http.Handler {
 	router := chi.NewRouter()
 	router.Post("/-/log-append", store.serveAppend)
-	router.Get("/-/log-read", store.serveRead)
-	router.Get("/-/log-newest", store.serveNewest)
+	router.Get("/-/log-read", func(w http.ResponseWriter, r *http.Request) { store.serveRead(w, r, rewrite) })
+	router.Get("/-/log-newest", func(w http.ResponseWriter, r *http.Request) { store.serveNewest(w, r, rewrite) })
 	return router
 }
 
+// rewriteRecords returns copies of records with their values rewritten, or the records themselves if rewrite is nil.
+func rewriteRecords(records []record, rewrite func(value []byte)) []record {
+	if rewrite == nil {
+		return records
+	}
+	rewritten := make([]record, len(records))
+	for index, original := range records {
+		rewritten[index] = record{original.key, slices.Clone(original.value)}
+		rewrite(rewritten[index].value)
+	}
+	return rewritten
+}
+
 // applyFaults applies the faults that affect every request, and reports whether the request is to be served.
 func (store *Store) applyFaults(w http.ResponseWriter, r *http.Request) (StoreFaults, bool) {
 	store.mu.Lock()
@@ -296,7 +313,7 @@
 
 // serveRead returns the records from an offset on. If there are none, it waits for them up to the parameter waitMs.
 // Offsets before the first get status 410.
-func (store *Store) serveRead(w http.ResponseWriter, r *http.Request) {
+func (store *Store) serveRead(w http.ResponseWriter, r *http.Request, rewrite func(value []byte)) {
 	if _, proceed := store.applyFaults(w, r); !proceed {
 		return
 	}
@@ -317,7 +334,7 @@
 			return
 		}
 		if len(records) > 0 {
-			_, _ = w.Write(encodeRecords(end, first, records))
+			_, _ = w.Write(encodeRecords(end, first, rewriteRecords(records, rewrite)))
 			return
 		}
 		select {
@@ -346,7 +363,7 @@
 }
 
 // serveNewest returns one page of the newest records, ordered by key, after the key in the parameter dependsOn.
-func (store *Store) serveNewest(w http.ResponseWriter, r *http.Request) {
+func (store *Store) serveNewest(w http.ResponseWriter, r *http.Request, rewrite func(value []byte)) {
 	if _, proceed := store.applyFaults(w, r); !proceed {
 		return
 	}
@@ -362,7 +379,7 @@
 	store.mu.Unlock()
 	items := []item{}
 	more := false
-	for _, record := range newest {
+	for _, record := range rewriteRecords(newest, rewrite) {
 		if record.key <= after && after != "" {
 			continue
 		}
--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -20,7 +20,7 @@
 	Rack     string
 	Capacity Amount
 
-	// Simulate returns how long a run takes and its outcome. If nil, each run takes RunTime and is "done".
+	// Simulate returns how long a run takes and its outcome. If nil, each run takes RunTime and is Done.
 	Simulate func(task string, run int) (time.Duration, string)
 	RunTime  time.Duration
 	// CrashDowntime is how long the worker is away after a run whose outcome is Crash.
@@ -106,7 +106,7 @@
 	worker.faults = faults
 }
 
-// Restart simulates a crash and restart: all runs end as "crashed", and all state but the history is discarded.
+// Restart simulates a crash and restart: all runs end as Crashed, and all state but the history is discarded.
 func (worker *Worker) Restart() {
 	worker.mu.Lock()
 	defer worker.mu.Unlock()
@@ -131,7 +131,7 @@
 func (worker *Worker) restart() {
 	for task, run := range worker.running {
 		run.timer.Stop()
-		worker.recordEnd(run, "crashed")
+		worker.recordEnd(run, Crashed)
 		delete(worker.running, task)
 	}
 	worker.born = time.Now()
@@ -271,12 +271,12 @@
 	if request.DeadlineMS <= worker.clockMS() {
 		return http.StatusConflict, "late"
 	}
-	duration, outcome := worker.RunTime, "done"
+	duration, outcome := worker.RunTime, Done
 	if worker.Simulate != nil {
 		duration, outcome = worker.Simulate(request.Task, request.Run)
 	}
 	if worker.faults.FailAll {
-		outcome = "failed"
+		outcome = Failed
 	}
 	worker.history = append(worker.history, RunRecord{Task: request.Task, Run: request.Run, At: time.Now()})
 	started := &activeRun{number: request.Run, historyIndex: len(worker.history) - 1, began: time.Now(), duration: duration}
@@ -298,7 +298,7 @@
 func (worker *Worker) stop(request callRequest) (int, string) {
 	worker.highestEndedRun[request.Task] = max(worker.highestEndedRun[request.Task], request.Run)
 	if run := worker.running[request.Task]; run != nil && run.number == request.Run {
-		worker.end(request.Task, "stopped")
+		worker.end(request.Task, Stopped)
 	}
 	return http.StatusOK, ""
 }
@@ -333,7 +333,7 @@
 		}
 	}
 	for _, task := range slices.Sorted(maps.Keys(worker.running)) {
-		worker.end(task, "lapsed")
+		worker.end(task, Lapsed)
 	}
 }
 
--- a/tests/auditor/runs.go
+++ b/tests/auditor/runs.go
@@ -23,7 +23,7 @@
 		slices.SortFunc(runs, func(a, b emulator.RunRecord) int { return a.At.Compare(b.At) })
 		for index, run := range runs[1:] {
 			previous := runs[index]
-			if previous.Outcome == "done" && previous.Acknowledged || previous.Ended.IsZero() || run.At.Before(previous.Ended) {
+			if previous.Outcome == emulator.Done && previous.Acknowledged || previous.Ended.IsZero() || run.At.Before(previous.Ended) {
 				violations = append(violations, fmt.Sprintf("%s: run %d began beside or after run %d (%s)", task, run.Run, previous.Run, previous.Outcome))
 			}
 		}
--- a/tests/soaker/checks_live.go
+++ b/tests/soaker/checks_live.go
@@ -1,9 +1,11 @@
 package soaker
 
 import (
-	"fmt"
 	"net/http"
 	"time"
+
+	"ebonyshunt.org/standin/caller"
+	"ebonyshunt.org/standin/emulator"
 )
 
 // isInTouch reports whether a host is in touch all through a span: whether no fault of its own and none of the store
@@ -14,33 +16,33 @@
 
 // checkComplete checks that a call got its answer, unless faults were under way. Planned stops and changes of the
 // configuration are no excuse.
-func (soak *soak) checkComplete(method, id string, host int, answer answer) {
-	took := answer.receivedAt.Sub(answer.sentAt)
-	if answer.status != 0 || answer.refused || answer.timedOut || took < lossSlack {
+func (soak *soak) checkComplete(method, id string, host int, answer caller.Answer) {
+	took := answer.ReceivedAt.Sub(answer.SentAt)
+	if answer.Status != 0 || answer.Refused || answer.TimedOut || took < lossSlack {
 		return
 	}
-	if soak.timeline.isCalm(answer.sentAt.Add(-contact), answer.receivedAt, isUnplanned) {
+	if soak.timeline.isCalm(answer.SentAt.Add(-contact), answer.ReceivedAt, isUnplanned) {
 		soak.report("LOST: %s %s at host %d ended without an answer after %v", method, id, host, took)
 	}
 }
 
 // checkState checks the answer to a query for the state of a job that was accepted.
-func (soak *soak) checkState(job *job, host int, answer answer) {
+func (soak *soak) checkState(job *job, host int, answer caller.Answer) {
 	seen := job.sightings()
 	switch {
-	case answer.status == http.StatusGone:
-		isDue := answer.sentAt.Sub(seen.acceptedAt) > visibleWithin
-		if isDue && seen.cancelSentAt.IsZero() && soak.isInTouch(host, answer.sentAt, answer.receivedAt) {
+	case answer.Status == http.StatusGone:
+		isDue := answer.SentAt.Sub(seen.acceptedAt) > visibleWithin
+		if isDue && seen.cancelSentAt.IsZero() && soak.isInTouch(host, answer.SentAt, answer.ReceivedAt) {
 			soak.report("LOST: host %d answers 410 for the accepted job %s", host, job.ID)
 		}
-	case answer.status != http.StatusOK:
-	case answer.state == "completed":
-		soak.checkCompleted(job, answer.receivedAt)
-	case answer.state == "failed":
+	case answer.Status != http.StatusOK:
+	case answer.State == caller.Completed:
+		soak.checkCompleted(job, answer.ReceivedAt)
+	case answer.State == caller.Failed:
 		if !soak.hasFailedTask(job) {
 			soak.report("LOST: job %s is shown as failed, and no task failed %d times", job.ID, maxAttempts)
 		}
-	case answer.state == "cancelled": //nolint:misspell // the platform's spelling
+	case answer.State == caller.Canceled:
 		if seen.cancelSentAt.IsZero() {
 			soak.report("LOST: job %s is shown as canceled, and nobody canceled it", job.ID)
 		}
@@ -61,15 +63,15 @@
 func (soak *soak) hasFailedTask(job *job) bool {
 	failedRuns := map[string]map[int]bool{}
 	for _, run := range soak.runsOf(job.ID) {
-		_, number := splitTask(run.Task)
+		_, number := emulator.SplitTask(run.Task)
 		name := run.Task
 		if job.Steps[number].Gang {
-			name = fmt.Sprint(number)
+			name = emulator.TrimIndex(run.Task)
 		}
 		if failedRuns[name] == nil {
 			failedRuns[name] = map[int]bool{}
 		}
-		if run.Outcome == "failed" {
+		if run.Outcome == emulator.Failed {
 			failedRuns[name][run.Run] = true
 		}
 	}
--- a/tests/soaker/checks_runs.go
+++ b/tests/soaker/checks_runs.go
@@ -3,9 +3,9 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 	"time"
 
+	"ebonyshunt.org/standin/caller"
 	"ebonyshunt.org/standin/emulator"
 	"ebonyshunt.org/tests/auditor"
 )
@@ -30,14 +30,14 @@
 
 // runsOf returns the runs of a job.
 func (soak *soak) runsOf(id string) []placedRun {
-	return slices.DeleteFunc(soak.allRuns(), func(run placedRun) bool { return !strings.HasPrefix(run.Task, id+".") })
+	return slices.DeleteFunc(soak.allRuns(), func(run placedRun) bool { return !emulator.IsTaskOf(run.Task, id) })
 }
 
 // countMissing returns how many tasks of a step had not ended as done at a time. One end stands for a whole gang.
-func countMissing(runs []placedRun, number int, step step, at time.Time) int {
+func countMissing(runs []placedRun, number int, step caller.Step, at time.Time) int {
 	done := map[string]bool{}
 	for _, run := range runs {
-		if _, ofStep := splitTask(run.Task); ofStep == number && run.Outcome == "done" && !run.Ended.After(at) {
+		if _, ofStep := emulator.SplitTask(run.Task); ofStep == number && run.Outcome == emulator.Done && !run.Ended.After(at) {
 			done[run.Task] = true
 		}
 	}
@@ -55,7 +55,7 @@
 	runs := soak.allRuns()
 	byJob := map[string][]placedRun{}
 	for _, run := range runs {
-		id, _ := splitTask(run.Task)
+		id := jobOf(run)
 		byJob[id] = append(byJob[id], run)
 	}
 	jobs := map[string]*job{}
@@ -113,7 +113,7 @@
 		soak.report("REFUSED: %s started, and all %d submissions were refused", runs[0].Task, seen.attempts)
 	}
 	for _, run := range runs {
-		_, number := splitTask(run.Task)
+		_, number := emulator.SplitTask(run.Task)
 		for _, dependency := range job.Steps[number].DependsOn {
 			if missing := countMissing(runs, dependency, job.Steps[dependency], run.At); missing > 0 {
 				soak.report("ORDER: %s run %d started, and %d tasks of step %d had not ended as done", run.Task, run.Run, missing, dependency)
@@ -176,12 +176,12 @@
 }
 
 func jobOf(run placedRun) string {
-	id, _ := splitTask(run.Task)
+	id, _ := emulator.SplitTask(run.Task)
 	return id
 }
 
 func cpuOf(job *job, run placedRun) int64 {
-	_, number := splitTask(run.Task)
+	_, number := emulator.SplitTask(run.Task)
 	return job.Steps[number].CPU
 }
 
--- a/tests/soaker/client.go
+++ b/tests/soaker/client.go
@@ -4,14 +4,16 @@
 	"math/rand/v2"
 	"net/http"
 	"time"
+
+	"ebonyshunt.org/standin/caller"
 )
 
 // client submits jobs one after the other and follows each until it has ended.
 type client struct {
 	soak    *soak
 	random  *rand.Rand
-	callers []*caller // by host
-	at      int       // index of the host that the client uses
+	callers []*caller.Caller // by host
+	at      int              // index of the host that the client uses
 }
 
 const (
@@ -28,7 +30,7 @@
 func newClient(soak *soak, number uint64) *client {
 	client := &client{soak: soak, random: rand.New(rand.NewPCG(soak.plan.Seed, number))}
 	for host := 1; host <= soak.plan.Hosts; host++ {
-		client.callers = append(client.callers, &caller{address: endpoint{httpGroup, host}.address(clientSource, soak.port)})
+		client.callers = append(client.callers, caller.New(endpoint{httpGroup, host}.address(clientSource, soak.port)))
 	}
 	client.at = client.random.IntN(len(client.callers))
 	return client
@@ -56,28 +58,28 @@
 func (client *client) submit(job *job) bool {
 	for range maxSubmissions {
 		answer := client.submitOnce(job)
-		if answer.status == http.StatusOK {
+		if answer.Status == http.StatusOK {
 			return true
 		}
-		if answer.status >= http.StatusBadRequest && answer.status < http.StatusInternalServerError && !answer.isRejected() {
-			client.soak.report("ANSWER: job %s was answered with status %d", job.ID, answer.status)
+		if answer.Status >= http.StatusBadRequest && answer.Status < http.StatusInternalServerError && !answer.IsRejected() {
+			client.soak.report("ANSWER: job %s was answered with status %d", job.ID, answer.Status)
 			return false
 		}
 		client.move()
-		time.Sleep(min(max(answer.retryAfter, retryInterval), maxRetryWait))
+		time.Sleep(min(max(answer.RetryAfter, retryInterval), maxRetryWait))
 	}
 	return false
 }
 
-func (client *client) submitOnce(job *job) answer {
+func (client *client) submitOnce(job *job) caller.Answer {
 	job.update(func(seen *sightings) { seen.attempts++ })
-	answer := client.call("POST", job, job.body())
+	answer := client.call(caller.Submit, job, job.submission().Encode())
 	job.update(func(seen *sightings) {
-		if answer.isRejected() || answer.refused {
+		if answer.IsRejected() || answer.Refused {
 			seen.rejected++
 		}
-		if answer.status == http.StatusOK && seen.acceptedAt.IsZero() {
-			seen.acceptedAt = answer.receivedAt
+		if answer.Status == http.StatusOK && seen.acceptedAt.IsZero() {
+			seen.acceptedAt = answer.ReceivedAt
 		}
 	})
 	return answer
@@ -113,14 +115,14 @@
 
 // look asks for the state of a job, checks the answer and reports whether the job has ended.
 func (client *client) look(job *job) bool {
-	answer := client.call("GET", job, "")
+	answer := client.call(caller.Query, job, "")
 	client.soak.checkState(job, client.at+1, answer)
-	if answer.status != http.StatusOK || answer.state == "queued" || answer.state == "running" {
+	if answer.Status != http.StatusOK || answer.State == caller.Queued || answer.State == caller.Running {
 		return false
 	}
 	job.update(func(seen *sightings) {
 		if seen.state == "" {
-			seen.state, seen.endedAt = answer.state, answer.receivedAt
+			seen.state, seen.endedAt = answer.State, answer.ReceivedAt
 		}
 	})
 	return true
@@ -133,25 +135,25 @@
 			seen.cancelSentAt = time.Now()
 		}
 	})
-	answer := client.call("DELETE", job, "")
-	if answer.status != http.StatusOK {
+	answer := client.call(caller.Cancel, job, "")
+	if answer.Status != http.StatusOK {
 		return false
 	}
 	job.update(func(seen *sightings) {
 		if seen.canceledAt.IsZero() {
-			seen.canceledAt = answer.receivedAt
+			seen.canceledAt = answer.ReceivedAt
 		}
 	})
 	return true
 }
 
 // call calls the host that the client uses. After a failure it moves to another host.
-func (client *client) call(method string, job *job, body string) answer {
+func (client *client) call(method string, job *job, body string) caller.Answer {
 	host := client.at + 1
-	answer := client.callers[client.at].call(method, durablePrefix+job.ID, job.Key, body)
+	answer := client.callers[client.at].Call(method, durablePrefix+job.ID, job.Key, body)
 	client.soak.logCall(method, job.ID, host, answer)
 	client.soak.checkComplete(method, job.ID, host, answer)
-	if answer.status == 0 {
+	if answer.Status == 0 {
 		client.move()
 	}
 	return answer
--- a/tests/soaker/injector.go
+++ b/tests/soaker/injector.go
@@ -4,6 +4,7 @@
 	"syscall"
 	"time"
 
+	"ebonyshunt.org/platform/translator"
 	"ebonyshunt.org/standin/emulator"
 )
 
@@ -46,7 +47,7 @@
 		time.Sleep(event.For)
 		soak.platform.drainZone(fault.Zone, -1)
 	case Compaction:
-		for _, topic := range []string{"keyed.op", "keyed.servers", "keyed.ebonyshunt-fleet"} {
+		for _, topic := range []string{emulator.OperatorTopic, emulator.WorkersTopic, string(translator.Fleet)} {
 			soak.platform.store.Compact(topic)
 		}
 	case Reconfiguration:
--- a/tests/soaker/jobs.go
+++ b/tests/soaker/jobs.go
@@ -1,14 +1,14 @@
 package soaker
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
+
+	"ebonyshunt.org/standin/caller"
 )
 
 // jobKind is the first digit of a job's ID.
@@ -22,22 +22,11 @@
 	standingJob                // tasks that run until the job is canceled
 )
 
-// step is a step of a job, in the form of the platform's protocol.
-type step struct {
-	Count       int   `json:"count"`
-	CPU         int64 `json:"cpu"`
-	MemMB       int64 `json:"memMb"`
-	EstimateMS  int64 `json:"estimateMs"`
-	DependsOn   []int `json:"dependsOn,omitempty"`
-	Gang        bool  `json:"gang,omitempty"`
-	LongRunning bool  `json:"longRunning,omitempty"`
-}
-
 // job is a job of a client and what the client has seen of it.
 type job struct {
 	ID    string
 	Key   string
-	Steps []step
+	Steps []caller.Step
 
 	mu   sync.Mutex
 	seen sightings
@@ -67,33 +56,29 @@
 	switch kind {
 	case chainJob:
 		for index := range 1 + random.IntN(4) {
-			next := step{Count: 1 + random.IntN(4), CPU: cpu, MemMB: 10, EstimateMS: 300}
+			next := caller.Step{Count: 1 + random.IntN(4), CPU: cpu, MemMB: 10, EstimateMS: 300}
 			if index > 0 {
 				next.DependsOn = []int{random.IntN(index)}
 			}
 			job.Steps = append(job.Steps, next)
 		}
 	case gangJob:
-		job.Steps = []step{
+		job.Steps = []caller.Step{
 			{Count: 2 + random.IntN(2), CPU: cpu, MemMB: 10, EstimateMS: 300, Gang: true},
 			{Count: 1, CPU: cpu, MemMB: 10, EstimateMS: 300, DependsOn: []int{0}},
 		}
 	case longJob:
-		job.Steps = []step{{Count: 1 + random.IntN(3), CPU: cpu, MemMB: 10, EstimateMS: 5000}}
+		job.Steps = []caller.Step{{Count: 1 + random.IntN(3), CPU: cpu, MemMB: 10, EstimateMS: 5000}}
 	case standingJob:
 		job.Key = durableKey
-		job.Steps = []step{{Count: 2, CPU: 500, MemMB: 10, EstimateMS: 1000, LongRunning: true}}
+		job.Steps = []caller.Step{{Count: 2, CPU: 500, MemMB: 10, EstimateMS: 1000, LongRunning: true}}
 	}
 	return job
 }
 
-// body returns the body of the job's submission.
-func (job *job) body() string {
-	data, err := json.Marshal(map[string]any{"spec": "s", "steps": job.Steps})
-	if err != nil {
-		panic(err) // unreachable: steps consist of numbers and lists of them
-	}
-	return string(data)
+// submission returns the job as a client submits it.
+func (job *job) submission() caller.Submission {
+	return caller.Submission{Spec: "s", Steps: job.Steps}
 }
 
 // sightings returns what the client has seen.
@@ -113,19 +98,6 @@
 // kindOf returns the kind of the job that a task belongs to.
 func kindOf(task string) jobKind { return jobKind(task[0] - '0') }
 
-// splitTask returns the job's ID and the step's number in a task's name.
-func splitTask(task string) (string, int) {
-	parts := strings.Split(task, ".")
-	if len(parts) != 4 {
-		return task, 0
-	}
-	number, err := strconv.Atoi(parts[2])
-	if err != nil {
-		return task, 0
-	}
-	return parts[0], number
-}
-
 // ledger holds all jobs of a run.
 type ledger struct {
 	mu   sync.Mutex
--- a/tests/soaker/platform.go
+++ b/tests/soaker/platform.go
@@ -1,7 +1,6 @@
 package soaker
 
 import (
-	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"log/slog"
@@ -25,7 +24,7 @@
 	wait    sync.WaitGroup
 
 	mu       sync.Mutex
-	drains   map[string]int // how many events let a worker drain, by ID, or a zone, by its key in the store
+	drains   map[string]int // how many events let a worker drain, by ID, or a zone, by name
 	version  int            // of the newest configuration
 	storedAt time.Time
 }
@@ -38,6 +37,8 @@
 	stopTime             = 200 * time.Millisecond
 	slowClock            = 0.98 // the speed of a worker's clock that the platform allows
 	maxAttempts          = 3
+	service              = "survey"
+	teamWeight           = 1000 // of each team
 	durableKey           = "soak-key"
 	durablePrefix        = "/checks/"
 	cappedKey            = "capped-key"
@@ -47,13 +48,14 @@
 func startPlatform(plan Plan, port int) (*platform, error) {
 	platform := &platform{store: emulator.NewStore(), port: port, capCPU: plan.CapCPU, stop: make(chan struct{}), drains: map[string]int{}}
 	for host := 1; host <= plan.Hosts; host++ {
-		view := &storeView{store: platform.store.Handler(), source: host}
-		if err := platform.serve(endpoint{storeGroup, host}, view); err != nil {
+		// The addresses in what a host reads are those of its own links.
+		handler := platform.store.HandlerWith(func(value []byte) { readdress(value, host) })
+		if err := platform.serve(endpoint{storeGroup, host}, handler); err != nil {
 			return platform, err
 		}
 	}
 	for number := 1; number <= plan.Workers; number++ {
-		worker := emulator.NewWorker(fmt.Sprintf("w-%d", number), "survey", zones[number%len(zones)], emulator.Amount{CPU: workerCPU, MemMB: workerMemMB})
+		worker := emulator.NewWorker(fmt.Sprintf("w-%d", number), service, zones[number%len(zones)], emulator.Amount{CPU: workerCPU, MemMB: workerMemMB})
 		worker.MaxLease = maxLease
 		worker.Simulate = func(task string, run int) (time.Duration, string) { return simulate(plan.Seed, task, run) }
 		if number%4 == 0 {
@@ -98,11 +100,7 @@
 func (platform *platform) announce(worker *emulator.Worker, address string) {
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
-	state := "ready"
-	if platform.drains[worker.ID] > 0 {
-		state = "draining"
-	}
-	platform.store.Put("keyed.servers", worker.ID, worker.Entry(address, state))
+	platform.store.Register(worker, address, platform.drains[worker.ID] > 0)
 }
 
 // drain changes how many events let a worker drain.
@@ -118,13 +116,12 @@
 func (platform *platform) drainZone(zone string, change int) {
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
-	key := "evacuate/" + zone
-	platform.drains[key] += change
-	var value []byte // which deletes the key
-	if platform.drains[key] > 0 {
-		value = []byte("{}")
+	platform.drains[zone] += change
+	if platform.drains[zone] > 0 {
+		platform.store.RequestDrain(zone)
+	} else {
+		platform.store.WithdrawDrain(zone)
 	}
-	platform.store.Put("keyed.op", key, value)
 }
 
 // Close stops all servers and waits for them.
@@ -145,27 +142,19 @@
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
 	platform.version++
-	queue := func(prefix string) map[string]any {
-		return map[string]any{
-			"name": strings.Trim(prefix, "/"), "pathPrefix": prefix, "service": "survey", "priority": 0,
-			"maxAttempts": maxAttempts, "stretch": 2.0, "targetLatencyMs": 500,
-		}
+	route := func(prefix string) emulator.Route {
+		return emulator.Route{Name: strings.Trim(prefix, "/"), PathPrefix: prefix, Service: service, MaxAttempts: maxAttempts, Stretch: 2, TargetLatencyMS: 500}
 	}
-	document := map[string]any{
-		"version":  platform.version,
-		"routes":   []map[string]any{queue(durablePrefix), queue(versionPrefix(platform.version))},
-		"services": []map[string]any{{"name": "survey"}},
-		"tenants": []map[string]any{
-			{"name": "wardens", "apiKeys": []string{durableKey, versionKey(platform.version)}, "weight": 1000},
-			{"name": "council", "apiKeys": []string{cappedKey}, "weight": 1000, "cap": emulator.Amount{CPU: platform.capCPU}},
+	platform.store.PutConfiguration(emulator.Configuration{
+		Version:  platform.version,
+		Routes:   []emulator.Route{route(durablePrefix), route(versionPrefix(platform.version))},
+		Services: []emulator.Service{{Name: service}},
+		Tenants: []emulator.Tenant{
+			{Name: "wardens", APIKeys: []string{durableKey, versionKey(platform.version)}, Weight: teamWeight},
+			{Name: "council", APIKeys: []string{cappedKey}, Weight: teamWeight, Cap: &emulator.Amount{CPU: platform.capCPU}},
 		},
-		"limits": map[string]any{"maxBodyBytes": 4096},
-	}
-	data, err := json.Marshal(document)
-	if err != nil {
-		panic(err) // unreachable: the document consists of maps, lists, numbers and strings
-	}
-	platform.store.Put("keyed.op", "config", data)
+		Limits: emulator.Limits{MaxBodyBytes: 4096},
+	})
 	platform.storedAt = time.Now()
 }
 
@@ -182,7 +171,7 @@
 	kind := kindOf(task)
 	name := fmt.Sprint(seed, task, run)
 	if kind == gangJob {
-		name = fmt.Sprint(seed, task[:strings.LastIndex(task, ".")], run)
+		name = fmt.Sprint(seed, emulator.TrimIndex(task), run)
 	}
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(name))
@@ -190,13 +179,13 @@
 	share := float64(random>>11) / (1 << 53)
 	switch {
 	case kind == standingJob && random%4 == 0:
-		return time.Second + time.Duration(share*float64(5*time.Second)), "failed"
+		return time.Second + time.Duration(share*float64(5*time.Second)), emulator.Failed
 	case kind == standingJob:
-		return time.Hour, "done"
+		return time.Hour, emulator.Done
 	case kind == longJob:
-		return 4*time.Second + time.Duration(share*float64(4*time.Second)), "done"
+		return 4*time.Second + time.Duration(share*float64(4*time.Second)), emulator.Done
 	case kind != gangJob && random%32 == 0:
-		return 50 * time.Millisecond, "failed"
+		return 50 * time.Millisecond, emulator.Failed
 	}
-	return 50*time.Millisecond + time.Duration(share*float64(500*time.Millisecond)), "done"
+	return 50*time.Millisecond + time.Duration(share*float64(500*time.Millisecond)), emulator.Done
 }
--- a/tests/soaker/prober.go
+++ b/tests/soaker/prober.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"ebonyshunt.org/standin/caller"
 )
 
 // prober calls one host at intervals with what single versions of the configuration allow, and checks which version
@@ -10,7 +12,7 @@
 type prober struct {
 	soak   *soak
 	host   *host
-	caller *caller
+	caller *caller.Caller
 
 	incarnation int
 	seenVersion int // that the incarnation has shown to be in force
@@ -23,7 +25,7 @@
 )
 
 func newProber(soak *soak, host *host) *prober {
-	return &prober{soak: soak, host: host, caller: &caller{address: endpoint{httpGroup, host.number}.address(clientSource, soak.port)}}
+	return &prober{soak: soak, host: host, caller: caller.New(endpoint{httpGroup, host.number}.address(clientSource, soak.port))}
 }
 
 // run probes until the run's traffic ends.
@@ -42,27 +44,27 @@
 // probe makes a call whose status tells whether a version is in force.
 func (prober *prober) probe(version int, storedAt time.Time, what string, isInForce func(int) bool, path, key string) {
 	incarnation := prober.host.currentIncarnation()
-	answer := prober.caller.call("GET", path, key, "")
+	answer := prober.caller.Call(caller.Query, path, key, "")
 	prober.soak.logCall("PROBE", path+" "+key, prober.host.number, answer)
 	prober.soak.checkComplete("PROBE", path, prober.host.number, answer)
 	newest, _ := prober.soak.platform.inForce()
-	if answer.status == 0 || answer.status == http.StatusServiceUnavailable || newest != version || incarnation != prober.host.currentIncarnation() {
+	if answer.Status == 0 || answer.Status == http.StatusServiceUnavailable || newest != version || incarnation != prober.host.currentIncarnation() {
 		return
 	}
 	if incarnation != prober.incarnation {
 		prober.incarnation, prober.seenVersion = incarnation, 0
 	}
-	if isInForce(answer.status) {
+	if isInForce(answer.Status) {
 		if prober.seenVersion != version {
-			prober.seenVersion, prober.seenAt = version, answer.receivedAt
+			prober.seenVersion, prober.seenAt = version, answer.ReceivedAt
 		}
 		return
 	}
 	number := prober.host.number
-	if prober.seenVersion == version && answer.sentAt.Sub(prober.seenAt) > rollbackSlack {
-		prober.soak.report("CONFIG: host %d goes back behind version %d (%s, status %d)", number, version, what, answer.status)
+	if prober.seenVersion == version && answer.SentAt.Sub(prober.seenAt) > rollbackSlack {
+		prober.soak.report("CONFIG: host %d goes back behind version %d (%s, status %d)", number, version, what, answer.Status)
 	}
-	if answer.sentAt.Sub(storedAt) > configWithin && prober.soak.isInTouch(number, answer.sentAt, answer.receivedAt) {
-		prober.soak.report("CONFIG: version %d is not in force at host %d after %v (%s, status %d)", version, number, answer.sentAt.Sub(storedAt), what, answer.status)
+	if answer.SentAt.Sub(storedAt) > configWithin && prober.soak.isInTouch(number, answer.SentAt, answer.ReceivedAt) {
+		prober.soak.report("CONFIG: version %d is not in force at host %d after %v (%s, status %d)", version, number, answer.SentAt.Sub(storedAt), what, answer.Status)
 	}
 }
--- a/tests/soaker/soak.go
+++ b/tests/soaker/soak.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"ebonyshunt.org/standin/caller"
 )
 
 // soak is one run of a plan.
@@ -121,8 +123,8 @@
 func (soak *soak) awaitReady() error {
 	deadline := time.Now().Add(readyWithin)
 	for _, host := range soak.hosts {
-		caller := &caller{address: endpoint{readinessGroup, host.number}.address(listening, soak.port)}
-		for caller.call("GET", "/-/readyz", "", "").status != 200 {
+		caller := caller.New(endpoint{readinessGroup, host.number}.address(listening, soak.port))
+		for !caller.IsReady() {
 			if time.Now().After(deadline) {
 				return fmt.Errorf("host %d is not ready after %v", host.number, readyWithin)
 			}
@@ -241,12 +243,12 @@
 }
 
 // logCall writes a line for a call of a client.
-func (soak *soak) logCall(method, id string, host int, answer answer) {
+func (soak *soak) logCall(method, id string, host int, answer caller.Answer) {
 	soak.mu.Lock()
 	defer soak.mu.Unlock()
-	soak.statuses[fmt.Sprintf("%.6s %d", method, answer.status)]++
-	fmt.Fprintf(soak.calls, "%7.3f to %7.3f %s %s at host %d: status %d %s refused %v timed out %v\n", answer.sentAt.Sub(soak.started).Seconds(),
-		answer.receivedAt.Sub(soak.started).Seconds(), method, id, host, answer.status, answer.state, answer.refused, answer.timedOut)
+	soak.statuses[fmt.Sprintf("%.6s %d", method, answer.Status)]++
+	fmt.Fprintf(soak.calls, "%7.3f to %7.3f %s %s at host %d: status %d %s refused %v timed out %v\n", answer.SentAt.Sub(soak.started).Seconds(),
+		answer.ReceivedAt.Sub(soak.started).Seconds(), method, id, host, answer.Status, answer.State, answer.Refused, answer.TimedOut)
 }
 
 // result counts what was seen.
