--- a/library/planner/effect.go
+++ b/library/planner/effect.go
@@ -116,7 +116,9 @@
 	RefusedIncarnation                // refused: another incarnation of the worker answered
 )
 
-// String returns the outcome's name for logs.
+// String returns the outcome's word in the log's lines start and stop and in the metric ebonyshunt_starts_total. The words are
+// listed in OPERATIONS.md and stay as they are. They are not read from any answer: the platform's reasons, some of which are
+// the same words, are compared in platform/translator only.
 func (outcome Outcome) String() string {
 	return [...]string{"taken", "unknown", "notSent", "fence", "old", "late", "room", "ticket", "birth"}[outcome]
 }
