--- a/library/planner/stragglers_load_test.go
+++ b/library/planner/stragglers_load_test.go
@@ -50,12 +50,12 @@
 }
 
 // play submits 300 jobs and returns their mean value.
-func (load stragglerLoad) play(t *testing.T, moves bool) (float64, *speedFleet) {
+func (stragglerLoad stragglerLoad) play(t *testing.T, moves bool) (float64, *speedFleet) {
 	const jobCount, runTime = 300, 480 * time.Millisecond
 	fleet := newSpeedFleet(t, 36, runTime)
-	fleet.pollInterval, fleet.moves, fleet.work = time.Second, moves, load.runTime
+	fleet.pollInterval, fleet.moves, fleet.work = time.Second, moves, stragglerLoad.runTime
 	fleet.takeOver(3, testCatalog())
-	if load.slowWorkers {
+	if stragglerLoad.slowWorkers {
 		fleet.speeds["w-003"], fleet.speeds["w-017"] = 0.2, 0.2
 	}
 	submitted := map[string]time.Time{}
@@ -63,7 +63,7 @@
 		id := fmt.Sprintf("%016x", number+1)
 		submitted[id] = fleet.now
 		fleet.submit(id, planner.Step{Count: 10, Size: sizer.Size{MilliCores: 11000, MemoryMB: 100}, EstimateMS: runTime.Milliseconds()})
-		fleet.play(load.interval)
+		fleet.play(stragglerLoad.interval)
 	}
 	fleet.play(15 * time.Second)
 	ended := map[string]time.Time{}
@@ -82,12 +82,12 @@
 }
 
 // runTime returns how long a run takes: the jobs' run times vary from 0.6 to 1.4 of the estimate.
-func (load stragglerLoad) runTime(key planner.TaskKey, number int) time.Duration {
-	if !load.longRuns {
+func (stragglerLoad stragglerLoad) runTime(key planner.TaskKey, number int) time.Duration {
+	if !stragglerLoad.longRuns {
 		number = 0
 	}
 	runTime := time.Duration((0.6 + 0.8*fraction(key.Job)) * float64(480*time.Millisecond))
-	if (load.longRuns || load.longTasks) && fraction(fmt.Sprint(key, number)) < 0.03 {
+	if (stragglerLoad.longRuns || stragglerLoad.longTasks) && fraction(fmt.Sprint(key, number)) < 0.03 {
 		runTime *= 7
 	}
 	return runTime
--- a/tests/cell_test.go
+++ b/tests/cell_test.go
@@ -191,22 +191,22 @@
 }
 
 // cleanUp resumes paused hosts, closes the cell and waits until the last calls of the stand-ins have ended.
-func (h *harness) cleanUp() {
-	for _, name := range h.Names {
-		h.fabric.Resume(name)
+func (harness *harness) cleanUp() {
+	for _, name := range harness.Names {
+		harness.fabric.Resume(name)
 	}
-	h.client.CloseIdleConnections()
-	if err := h.Close(); err != nil {
-		h.Errorf("close cell: %v", err)
+	harness.client.CloseIdleConnections()
+	if err := harness.Close(); err != nil {
+		harness.Errorf("close cell: %v", err)
 	}
 	time.Sleep(time.Minute)
 }
 
 func newHarness(t *testing.T, zones []string, hostsPerZone int) *harness {
 	t.Helper()
-	h := &harness{T: t, fabric: connector.New(250 * time.Microsecond), ctx: context.Background()}
-	h.observer = observer{running: map[string]placement{}, attemptsByTarget: map[string][]attempt{}, attempts: map[string]int{}, teamMilliCores: map[string]int64{}, peakMilliCores: map[string]int64{}}
-	plan := builder.Plan{RootKey: rootKey, Fabric: h.fabric}
+	harness := &harness{T: t, fabric: connector.New(250 * time.Microsecond), ctx: context.Background()}
+	harness.observer = observer{running: map[string]placement{}, attemptsByTarget: map[string][]attempt{}, attempts: map[string]int{}, teamMilliCores: map[string]int64{}, peakMilliCores: map[string]int64{}}
+	plan := builder.Plan{RootKey: rootKey, Fabric: harness.fabric}
 	if os.Getenv("EBONYSHUNT_TEST_LOG") != "" {
 		plan.Log, plan.Level = os.Stderr, slog.LevelDebug
 	}
@@ -219,41 +219,41 @@
 	if err != nil {
 		t.Fatalf("build cell: %v", err)
 	}
-	h.Cell = cell
-	h.client = cell.Client()
-	t.Cleanup(h.cleanUp)
-	h.observer.holdsLease = func(at placement) bool { return cell.Workers[at.worker].Holds(at.task) }
+	harness.Cell = cell
+	harness.client = cell.Client()
+	t.Cleanup(harness.cleanUp)
+	harness.observer.holdsLease = func(at placement) bool { return cell.Workers[at.worker].Holds(at.task) }
 	for _, worker := range cell.Workers {
-		worker.Observe = h.observer.observe
+		worker.Observe = harness.observer.observe
 	}
-	if err := cell.Publish(h.ctx, cell.Names[0], baseDocument(zones)); err != nil {
+	if err := cell.Publish(harness.ctx, cell.Names[0], baseDocument(zones)); err != nil {
 		t.Fatalf("publish: %v", err)
 	}
 	for _, name := range cell.Names {
-		if err := cell.WaitReady(h.ctx, name); err != nil {
+		if err := cell.WaitReady(harness.ctx, name); err != nil {
 			t.Fatal(err)
 		}
 	}
 	time.Sleep(3 * time.Second)
-	return h
+	return harness
 }
 
 // checkInvariants fails the test if a worker was overcommitted, team one exceeded its upper limit, or a work
 // item ran twice at the same time without permission.
-func (h *harness) checkInvariants() {
-	h.Helper()
-	for name, worker := range h.Workers {
+func (harness *harness) checkInvariants() {
+	harness.Helper()
+	for name, worker := range harness.Workers {
 		if worker.Overcommitted() {
-			h.Errorf("worker %s was overcommitted", name)
+			harness.Errorf("worker %s was overcommitted", name)
 		}
 	}
-	h.observer.mu.Lock()
-	defer h.observer.mu.Unlock()
-	if peak := h.observer.peakMilliCores["one"]; peak > teamLimitMilliCores {
-		h.Errorf("team one ran %d millicores, its upper limit is %d", peak, teamLimitMilliCores)
+	harness.observer.mu.Lock()
+	defer harness.observer.mu.Unlock()
+	if peak := harness.observer.peakMilliCores["one"]; peak > teamLimitMilliCores {
+		harness.Errorf("team one ran %d millicores, its upper limit is %d", peak, teamLimitMilliCores)
 	}
-	for _, runs := range h.observer.concurrentRuns {
-		h.Errorf("ran twice at the same time: %s", runs)
+	for _, runs := range harness.observer.concurrentRuns {
+		harness.Errorf("ran twice at the same time: %s", runs)
 	}
 }
 
@@ -269,9 +269,9 @@
 }
 
 // send makes one request and reads its answer. The outcome is taken from the trailer, or else from the header.
-func (h *harness) send(ctx context.Context, host, method, path, key string, body []byte, headers ...string) reply {
+func (harness *harness) send(ctx context.Context, host, method, path, key string, body []byte, headers ...string) reply {
 	began := time.Now()
-	target := "http://" + h.Hosts[host].Settings.HTTPAddress + path
+	target := "http://" + harness.Hosts[host].Settings.HTTPAddress + path
 	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
 		return reply{err: err}
@@ -282,7 +282,7 @@
 	for i := 0; i+1 < len(headers); i += 2 {
 		request.Header.Set(headers[i], headers[i+1])
 	}
-	response, err := h.client.Do(request)
+	response, err := harness.client.Do(request)
 	if err != nil {
 		return reply{err: err, took: time.Since(began)}
 	}
@@ -299,41 +299,41 @@
 	return answer
 }
 
-func (h *harness) post(host, query string, headers ...string) reply {
-	return h.send(h.ctx, host, http.MethodPost, "/v1/services/work"+query, teamKey, []byte("body"), headers...)
+func (harness *harness) post(host, query string, headers ...string) reply {
+	return harness.send(harness.ctx, host, http.MethodPost, "/v1/services/work"+query, teamKey, []byte("body"), headers...)
 }
 
 // submitJob submits a job and fails the test unless it is accepted.
-func (h *harness) submitJob(host string, spec server.JobSpec, headers ...string) server.Job {
-	h.Helper()
+func (harness *harness) submitJob(host string, spec server.JobSpec, headers ...string) server.Job {
+	harness.Helper()
 	body, err := json.Marshal(spec)
 	if err != nil {
-		h.Fatal(err)
+		harness.Fatal(err)
 	}
-	answer := h.send(h.ctx, host, http.MethodPost, "/v1/jobs", teamKey, body, headers...)
+	answer := harness.send(harness.ctx, host, http.MethodPost, "/v1/jobs", teamKey, body, headers...)
 	var job server.Job
 	if answer.status != http.StatusAccepted || json.Unmarshal(answer.body, &job) != nil {
-		h.Fatalf("job was not accepted: %+v", answer)
+		harness.Fatalf("job was not accepted: %+v", answer)
 	}
 	return job
 }
 
-func (h *harness) fetchJob(host, id string) server.Job {
-	h.Helper()
-	answer := h.send(h.ctx, host, http.MethodGet, "/v1/jobs/"+id, teamKey, nil)
+func (harness *harness) fetchJob(host, id string) server.Job {
+	harness.Helper()
+	answer := harness.send(harness.ctx, host, http.MethodGet, "/v1/jobs/"+id, teamKey, nil)
 	var job server.Job
 	if err := json.Unmarshal(answer.body, &job); err != nil {
-		h.Fatalf("job %s: %v: %+v", id, err, answer)
+		harness.Fatalf("job %s: %v: %+v", id, err, answer)
 	}
 	return job
 }
 
 // awaitJob polls a job until it is finished or the timeout has passed, and returns its last state.
-func (h *harness) awaitJob(host, id string, timeout time.Duration) server.Job {
-	h.Helper()
+func (harness *harness) awaitJob(host, id string, timeout time.Duration) server.Job {
+	harness.Helper()
 	deadline := time.Now().Add(timeout)
 	for {
-		job := h.fetchJob(host, id)
+		job := harness.fetchJob(host, id)
 		if job.Finished() || time.Now().After(deadline) {
 			return job
 		}
--- a/tests/configuration_test.go
+++ b/tests/configuration_test.go
@@ -20,8 +20,8 @@
 const withdrawnKeySection = "owner = ops\nteam = one\nkeySHA256 = DIGEST\nwithdrawn = true\n"
 
 // sectionVersion returns the version of a section that a host reports, or -1 if it reports none.
-func (h *harness) sectionVersion(host, section string) int64 {
-	answer := h.send(h.ctx, host, http.MethodGet, "/v1/sections", rootKey, nil)
+func (harness *harness) sectionVersion(host, section string) int64 {
+	answer := harness.send(harness.ctx, host, http.MethodGet, "/v1/sections", rootKey, nil)
 	var sections server.SectionsAnswer
 	if json.Unmarshal(answer.body, &sections) != nil {
 		return -1
@@ -36,13 +36,13 @@
 
 // awaitInForce waits until the named hosts report at least the given version of a section, and returns the time
 // that this took.
-func (h *harness) awaitInForce(section string, version int64, hosts []string) time.Duration {
-	h.Helper()
+func (harness *harness) awaitInForce(section string, version int64, hosts []string) time.Duration {
+	harness.Helper()
 	started := time.Now()
 	for _, host := range hosts {
-		for h.sectionVersion(host, section) < version {
+		for harness.sectionVersion(host, section) < version {
 			if time.Since(started) > time.Minute {
-				h.Fatalf("%s did not report version %d of %s within a minute", host, version, section)
+				harness.Fatalf("%s did not report version %d of %s within a minute", host, version, section)
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
@@ -50,12 +50,12 @@
 	return time.Since(started)
 }
 
-func (h *harness) withdrawKey(host string) int64 {
-	h.Helper()
+func (harness *harness) withdrawKey(host string) int64 {
+	harness.Helper()
 	text := strings.ReplaceAll(withdrawnKeySection, "DIGEST", digestOf(teamKey))
-	version, err := h.PublishSection(h.ctx, host, "key one.main", text, h.sectionVersion(host, "key one.main"))
+	version, err := harness.PublishSection(harness.ctx, host, "key one.main", text, harness.sectionVersion(host, "key one.main"))
 	if err != nil {
-		h.Fatal(err)
+		harness.Fatal(err)
 	}
 	return version
 }
--- a/tests/faults_test.go
+++ b/tests/faults_test.go
@@ -21,14 +21,14 @@
 }
 
 // nodesOfZone returns the names of all hosts and workers of a zone.
-func (h *harness) nodesOfZone(zone string) []string {
+func (harness *harness) nodesOfZone(zone string) []string {
 	var names []string
-	for _, name := range h.Names {
+	for _, name := range harness.Names {
 		if strings.HasPrefix(name, "entry-"+zone) {
 			names = append(names, name)
 		}
 	}
-	for name := range h.Workers {
+	for name := range harness.Workers {
 		if strings.HasPrefix(name, "w-"+zone) {
 			names = append(names, name)
 		}
@@ -269,12 +269,12 @@
 // maxUrgentDelay is the target's bound for the time until urgent work starts.
 const maxUrgentDelay = 1400 * time.Millisecond
 
-func (h *harness) checkRecovered() {
-	h.Helper()
-	for _, host := range h.Names {
-		answer := h.post(host, "?workMS=10")
+func (harness *harness) checkRecovered() {
+	harness.Helper()
+	for _, host := range harness.Names {
+		answer := harness.post(host, "?workMS=10")
 		if answer.outcome != responder.Answered || answer.took > maxUrgentDelay {
-			h.Errorf("after all faults ended, %s answered after %s: %+v", host, answer.took, answer)
+			harness.Errorf("after all faults ended, %s answered after %s: %+v", host, answer.took, answer)
 		}
 	}
 }
--- a/tests/figures_test.go
+++ b/tests/figures_test.go
@@ -70,8 +70,8 @@
 			_ = cell.Close()
 			time.Sleep(time.Minute)
 		})
-		h := &harness{T: t, Cell: cell, fabric: fabric, client: cell.Client(), ctx: t.Context()}
-		t.Cleanup(h.client.CloseIdleConnections)
+		harness := &harness{T: t, Cell: cell, fabric: fabric, client: cell.Client(), ctx: t.Context()}
+		t.Cleanup(harness.client.CloseIdleConnections)
 		text := baseDocument(names)
 		text = strings.ReplaceAll(text, "limit = cores:12\n", "")
 		if err := cell.Publish(t.Context(), cell.Names[0], text); err != nil {
@@ -80,20 +80,20 @@
 		time.Sleep(5 * time.Second)
 		for _, name := range cell.Names {
 			if size.standing > 0 && strings.HasSuffix(name, "-0") {
-				h.submitStandingJob(name, size.standing)
+				harness.submitStandingJob(name, size.standing)
 			}
 		}
 		time.Sleep(15 * time.Second)
-		measured = h.sampleRates("z00", size)
+		measured = harness.sampleRates("z00", size)
 	})
 	return measured
 }
 
-func (h *harness) submitStandingJob(host string, count int) {
-	h.Helper()
-	answer := h.send(h.ctx, host, "POST", "/v1/jobs", teamKey, standingJob(count))
+func (harness *harness) submitStandingJob(host string, count int) {
+	harness.Helper()
+	answer := harness.send(harness.ctx, host, "POST", "/v1/jobs", teamKey, standingJob(count))
 	if answer.status != 202 {
-		h.Fatalf("standing job refused: %s", answer.body)
+		harness.Fatalf("standing job refused: %s", answer.body)
 	}
 }
 
@@ -103,23 +103,23 @@
 }
 
 // sampleRates measures the traffic of one zone for measureDuration.
-func (h *harness) sampleRates(zone string, size cellSize) rates {
+func (harness *harness) sampleRates(zone string, size cellSize) rates {
 	deciding := "entry-" + zone + "-0"
 	standby := fmt.Sprintf("entry-%s-%d", zone, size.hosts-1)
 	roles := []string{deciding, standby, "w-" + zone + "-00", builder.LogHost}
 	before := make([]int64, len(roles))
 	for i, role := range roles {
-		before[i] = h.fabric.Traffic(role)
+		before[i] = harness.fabric.Traffic(role)
 	}
 	end := time.Now().Add(measureDuration)
 	for range size.requests {
-		h.post(standby, "?workMS=1")
+		harness.post(standby, "?workMS=1")
 		time.Sleep(measureDuration / time.Duration(2*size.requests))
 	}
 	time.Sleep(time.Until(end))
 	after := make([]float64, len(roles))
 	for i, role := range roles {
-		after[i] = float64(h.fabric.Traffic(role)-before[i]) / measureDuration.Seconds()
+		after[i] = float64(harness.fabric.Traffic(role)-before[i]) / measureDuration.Seconds()
 	}
 	return rates{decider: after[0], standby: after[1], worker: after[2], log: after[3]}
 }
--- a/tests/keys_test.go
+++ b/tests/keys_test.go
@@ -88,12 +88,12 @@
 }
 
 // createHandle requests a new handle from a host.
-func (h *harness) createHandle(host string) string {
-	h.Helper()
-	answer := h.send(h.ctx, host, "POST", "/v1/handles", teamKey, nil)
+func (harness *harness) createHandle(host string) string {
+	harness.Helper()
+	answer := harness.send(harness.ctx, host, "POST", "/v1/handles", teamKey, nil)
 	var created struct{ Handle string }
 	if err := decode(answer.body, &created); err != nil || created.Handle == "" {
-		h.Fatalf("answer without a handle: %+v", answer)
+		harness.Fatalf("answer without a handle: %+v", answer)
 	}
 	return created.Handle
 }
--- a/tests/limits_test.go
+++ b/tests/limits_test.go
@@ -70,11 +70,11 @@
 	})
 }
 
-func (h *harness) setLimit(limit string) {
-	h.Helper()
+func (harness *harness) setLimit(limit string) {
+	harness.Helper()
 	text := "owner = ops\nshare = 1\nlimit = " + limit + "\n"
-	if _, err := h.PublishSection(h.ctx, "entry-a-0", "team one", text, h.sectionVersion("entry-a-0", "team one")); err != nil {
-		h.Fatal(err)
+	if _, err := harness.PublishSection(harness.ctx, "entry-a-0", "team one", text, harness.sectionVersion("entry-a-0", "team one")); err != nil {
+		harness.Fatal(err)
 	}
 }
 
@@ -151,22 +151,22 @@
 	})
 }
 
-func (h *harness) setZones(zones string) {
-	h.Helper()
+func (harness *harness) setZones(zones string) {
+	harness.Helper()
 	text := "owner = ops\nzones = " + zones + "\n"
-	if _, err := h.PublishSection(h.ctx, "entry-a-0", "fleet", text, h.sectionVersion("entry-a-0", "fleet")); err != nil {
-		h.Fatal(err)
+	if _, err := harness.PublishSection(harness.ctx, "entry-a-0", "fleet", text, harness.sectionVersion("entry-a-0", "fleet")); err != nil {
+		harness.Fatal(err)
 	}
 }
 
 // repeatForfeit appends the first forfeit in the log again.
-func (h *harness) repeatForfeit() {
-	h.Helper()
-	client := logger.New(h.client, h.Hosts["entry-a-0"].Settings.LogAddress, "fleet")
+func (harness *harness) repeatForfeit() {
+	harness.Helper()
+	client := logger.New(harness.client, harness.Hosts["entry-a-0"].Settings.LogAddress, "fleet")
 	for next := int64(1); ; {
-		page, err := client.Read(h.ctx, next, 0)
+		page, err := client.Read(harness.ctx, next, 0)
 		if err != nil || len(page.Entries) == 0 {
-			h.Fatalf("no forfeit in the log: %v", err)
+			harness.Fatalf("no forfeit in the log: %v", err)
 		}
 		for _, entry := range page.Entries {
 			next = entry.Offset + 1
@@ -174,8 +174,8 @@
 			if json.Unmarshal(entry.Data, &record) != nil || record.Slice == nil || record.Slice.Forfeit == "" {
 				continue
 			}
-			if _, err := client.Append(h.ctx, record); err != nil {
-				h.Fatal(err)
+			if _, err := client.Append(harness.ctx, record); err != nil {
+				harness.Fatal(err)
 			}
 			return
 		}
--- a/tests/races_test.go
+++ b/tests/races_test.go
@@ -24,22 +24,22 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := &harness{T: t, Cell: cell, client: cell.Client(), ctx: t.Context()}
+	harness := &harness{T: t, Cell: cell, client: cell.Client(), ctx: t.Context()}
 	t.Cleanup(func() {
-		h.client.CloseIdleConnections()
+		harness.client.CloseIdleConnections()
 		_ = cell.Close()
 	})
-	if err := cell.Publish(h.ctx, cell.Names[0], baseDocument(zoneNames)); err != nil {
+	if err := cell.Publish(harness.ctx, cell.Names[0], baseDocument(zoneNames)); err != nil {
 		t.Fatal(err)
 	}
 	for _, name := range cell.Names {
-		if err := cell.WaitReady(h.ctx, name); err != nil {
+		if err := cell.WaitReady(harness.ctx, name); err != nil {
 			t.Fatal(err)
 		}
 	}
 	var wait sync.WaitGroup
 	for caller := range callerCount {
-		wait.Go(func() { h.sendRepeatedRequests(cell.Names[2+caller%4], caller) })
+		wait.Go(func() { harness.sendRepeatedRequests(cell.Names[2+caller%4], caller) })
 	}
 	cell.KillHost("entry-a-0")
 	if err := cell.StartHost("entry-a-0"); err != nil {
@@ -53,14 +53,14 @@
 	}
 }
 
-func (h *harness) sendRepeatedRequests(host string, caller int) {
+func (harness *harness) sendRepeatedRequests(host string, caller int) {
 	for number := range 20 {
 		name := fmt.Sprintf("race%d-%d", caller, number)
-		answer := h.post(host, "?workMS=5", "Idempotency-Key", name)
-		again := h.post(host, "?workMS=5", "Idempotency-Key", name)
+		answer := harness.post(host, "?workMS=5", "Idempotency-Key", name)
+		again := harness.post(host, "?workMS=5", "Idempotency-Key", name)
 		if answer.outcome == responder.Answered && again.outcome == responder.Answered && string(answer.body) != string(again.body) {
-			h.Errorf("%s: two answers to one idempotency key: %s and %s", name, answer.body, again.body)
+			harness.Errorf("%s: two answers to one idempotency key: %s and %s", name, answer.body, again.body)
 		}
-		h.send(h.ctx, host, http.MethodPost, "/v1/jobs", teamKey, []byte(`{"service":"work","tasks":[{"target":"?workMS=5"}]}`))
+		harness.send(harness.ctx, host, http.MethodPost, "/v1/jobs", teamKey, []byte(`{"service":"work","tasks":[{"target":"?workMS=5"}]}`))
 	}
 }
--- a/tests/requests_test.go
+++ b/tests/requests_test.go
@@ -19,14 +19,14 @@
 )
 
 // sendRaw writes text to a new connection to a host and returns the connection.
-func (h *harness) sendRaw(host, text string) net.Conn {
-	h.Helper()
-	conn, err := h.fabric.Host("caller").Dial(h.ctx, h.Hosts[host].Settings.HTTPAddress)
+func (harness *harness) sendRaw(host, text string) net.Conn {
+	harness.Helper()
+	conn, err := harness.fabric.Host("caller").Dial(harness.ctx, harness.Hosts[host].Settings.HTTPAddress)
 	if err != nil {
-		h.Fatal(err)
+		harness.Fatal(err)
 	}
 	if _, err := io.WriteString(conn, text); err != nil {
-		h.Fatal(err)
+		harness.Fatal(err)
 	}
 	return conn
 }
--- a/tests/rolling_restart_test.go
+++ b/tests/rolling_restart_test.go
@@ -13,26 +13,26 @@
 
 // restartGracefully stops hosts one after the other with a graceful shutdown, and starts each again at once. It waits
 // for each until it is ready.
-func (h *harness) restartGracefully(names ...string) {
-	h.Helper()
+func (harness *harness) restartGracefully(names ...string) {
+	harness.Helper()
 	for _, name := range names {
-		ctx, cancel := context.WithTimeout(h.ctx, time.Minute)
-		h.Hosts[name].Server.Shutdown(ctx)
+		ctx, cancel := context.WithTimeout(harness.ctx, time.Minute)
+		harness.Hosts[name].Server.Shutdown(ctx)
 		cancel()
-		h.startAgain(name)
+		harness.startAgain(name)
 	}
 }
 
 // startAgain starts a host that was stopped, and waits until it is ready.
-func (h *harness) startAgain(name string) {
-	h.Helper()
-	if err := h.StartHost(name); err != nil {
-		h.Fatal(err)
+func (harness *harness) startAgain(name string) {
+	harness.Helper()
+	if err := harness.StartHost(name); err != nil {
+		harness.Fatal(err)
 	}
-	ctx, cancel := context.WithTimeout(h.ctx, maxRestartTime)
+	ctx, cancel := context.WithTimeout(harness.ctx, maxRestartTime)
 	defer cancel()
-	if err := h.WaitReady(ctx, name); err != nil {
-		h.Errorf("after a restart: %v", err)
+	if err := harness.WaitReady(ctx, name); err != nil {
+		harness.Errorf("after a restart: %v", err)
 	}
 }
 
@@ -70,19 +70,19 @@
 }
 
 // deciderOf returns the name of the host that is the decider of a zone.
-func (h *harness) deciderOf(zone string) string {
-	h.Helper()
-	answer := h.send(h.ctx, h.Names[0], http.MethodGet, "/v1/hosts", rootKey, nil)
+func (harness *harness) deciderOf(zone string) string {
+	harness.Helper()
+	answer := harness.send(harness.ctx, harness.Names[0], http.MethodGet, "/v1/hosts", rootKey, nil)
 	var hosts []server.HostStatus
 	if err := decode(answer.body, &hosts); err != nil {
-		h.Fatalf("decode hosts: %v: %+v", err, answer)
+		harness.Fatalf("decode hosts: %v: %+v", err, answer)
 	}
 	for _, host := range hosts {
 		if host.Zone == zone && host.Deciding {
 			return host.Name
 		}
 	}
-	h.Fatalf("no host of zone %s is the decider: %+v", zone, hosts)
+	harness.Fatalf("no host of zone %s is the decider: %+v", zone, hosts)
 	return ""
 }
 
--- a/tests/style_test.go
+++ b/tests/style_test.go
@@ -11,12 +11,12 @@
 	"unicode"
 )
 
-// TestStyle checks naming conventions that the linter does not check: a receiver is named after its type in lower
-// case, and a local that holds a new value of a named type is not a single letter.
+// TestStyle checks naming conventions that the linter does not check, also in test files: a receiver is named after its type
+// in lower case, and a local that holds a new value of a named type is not a single letter.
 func TestStyle(t *testing.T) {
 	files := token.NewFileSet()
 	err := filepath.WalkDir("..", func(path string, entry fs.DirEntry, err error) error {
-		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") {
 			return err
 		}
 		file, err := parser.ParseFile(files, path, nil, parser.SkipObjectResolution)
@@ -77,6 +77,8 @@
 		return expression.Name
 	case *ast.IndexExpr:
 		return typeName(expression.X)
+	case *ast.IndexListExpr:
+		return typeName(expression.X)
 	case *ast.SelectorExpr:
 		return expression.Sel.Name
 	}
