--- a/tests/soaker/checks_live.go
+++ b/tests/soaker/checks_live.go
@@ -8,31 +8,31 @@
 	"ebonyshunt.org/standin/emulator"
 )
 
-// isInTouch reports whether a host is in touch all through a span: whether no fault of its own and none of the store
+// isConnected reports whether a host is connected all through a span: whether no fault of its own and none of the store
 // was under way in it and in the time before it.
-func (soak *soak) isInTouch(host int, from, to time.Time) bool {
-	return soak.timeline.isCalm(from.Add(-contact), to, concerns(host))
+func (soak *soak) isConnected(host int, from, to time.Time) bool {
+	return soak.timeline.isFaultFree(from.Add(-reconnectTime), to, concerns(host))
 }
 
 // checkComplete checks that a call got its answer, unless faults were under way. Planned stops and changes of the
-// configuration are no excuse.
+// configuration must not cost an answer.
 func (soak *soak) checkComplete(method, id string, host int, answer caller.Answer) {
 	took := answer.ReceivedAt.Sub(answer.SentAt)
 	if answer.Status != 0 || answer.Refused || answer.TimedOut || took < lossSlack {
 		return
 	}
-	if soak.timeline.isCalm(answer.SentAt.Add(-contact), answer.ReceivedAt, isUnplanned) {
+	if soak.timeline.isFaultFree(answer.SentAt.Add(-reconnectTime), answer.ReceivedAt, isUnplanned) {
 		soak.report("LOST: %s %s at host %d ended without an answer after %v", method, id, host, took)
 	}
 }
 
 // checkState checks the answer to a query for the state of a job that was accepted.
 func (soak *soak) checkState(job *job, host int, answer caller.Answer) {
-	seen := job.sightings()
+	seen := job.observations()
 	switch {
 	case answer.Status == http.StatusGone:
 		isDue := answer.SentAt.Sub(seen.acceptedAt) > visibleWithin
-		if isDue && seen.cancelSentAt.IsZero() && soak.isInTouch(host, answer.SentAt, answer.ReceivedAt) {
+		if isDue && seen.cancelSentAt.IsZero() && soak.isConnected(host, answer.SentAt, answer.ReceivedAt) {
 			soak.report("LOST: host %d answers 410 for the accepted job %s", host, job.ID)
 		}
 	case answer.Status != http.StatusOK:
--- a/tests/soaker/checks_runs.go
+++ b/tests/soaker/checks_runs.go
@@ -59,7 +59,7 @@
 		byJob[id] = append(byJob[id], run)
 	}
 	jobs := map[string]*job{}
-	for _, job := range soak.ledger.all() {
+	for _, job := range soak.jobs.all() {
 		jobs[job.ID] = job
 		soak.checkJobRuns(job, byJob[job.ID])
 	}
@@ -86,20 +86,20 @@
 			if soak.platform.workers[run.worker-1].Zone != zoneDrain.Zone || since <= zoneDrainWithin || !run.At.Before(drain.to.Add(-lossSlack)) {
 				continue
 			}
-			if since > zoneDrainWithin+zoneDrainStretch || soak.timeline.isCalm(drain.from, run.At, isUnplanned) {
+			if since > zoneDrainWithin+zoneDrainExtra || soak.timeline.isFaultFree(drain.from, run.At, isUnplanned) {
 				soak.report("ZONE: %s run %d started on worker %d %v after the request to drain zone %s", run.Task, run.Run, run.worker, since, zoneDrain.Zone)
 			}
 		}
 	}
 }
 
-// checkDrains checks that no task starts on a worker that drains, unless faults were near.
+// checkDrains checks that no task starts on a worker that drains, unless faults were under way shortly before.
 func (soak *soak) checkDrains(runs []placedRun) {
 	for _, drain := range soak.timeline.drains() {
 		for _, run := range runs {
 			since := run.At.Sub(drain.from)
 			isOn := drain.fault == Draining{run.worker}
-			if isOn && since > drainWithin && run.At.Before(drain.to) && soak.timeline.isCalm(run.At.Add(-contact), run.At, isUnplanned) {
+			if isOn && since > drainWithin && run.At.Before(drain.to) && soak.timeline.isFaultFree(run.At.Add(-reconnectTime), run.At, isUnplanned) {
 				soak.report("DRAIN: %s run %d started on worker %d, which had drained for %v", run.Task, run.Run, run.worker, since)
 			}
 		}
@@ -108,7 +108,7 @@
 
 // checkJobRuns checks the runs of one job: the order of its steps, and no run after a refusal or a cancel.
 func (soak *soak) checkJobRuns(job *job, runs []placedRun) {
-	seen := job.sightings()
+	seen := job.observations()
 	if len(runs) > 0 && seen.rejected == seen.attempts && isClosed(soak.trafficEnded) {
 		soak.report("REFUSED: %s started, and all %d submissions were refused", runs[0].Task, seen.attempts)
 	}
@@ -185,7 +185,7 @@
 	return job.Steps[number].CPU
 }
 
-// checkStanding checks that each standing task ran again in time, unless faults were near.
+// checkStanding checks that each standing task ran again in time, unless faults were under way shortly before.
 func (soak *soak) checkStanding(job *job, until time.Time) {
 	byTask := map[string][]placedRun{}
 	for _, run := range soak.runsOf(job.ID) {
@@ -211,7 +211,7 @@
 // checkGap checks the time between two runs of a standing task.
 func (soak *soak) checkGap(task string, ended, next time.Time) {
 	for due := ended.Add(standingWithin); due.Before(next); due = due.Add(probeInterval) {
-		if soak.timeline.isCalm(due.Add(-standingCalm), due, isAny) {
+		if soak.timeline.isFaultFree(due.Add(-standingFaultFree), due, isAny) {
 			soak.report("STANDING: %s did not run for %v", task, next.Sub(ended))
 			return
 		}
--- a/tests/soaker/client.go
+++ b/tests/soaker/client.go
@@ -17,14 +17,14 @@
 }
 
 const (
-	maxSubmissions = 8
-	retryInterval  = 250 * time.Millisecond
-	maxRetryWait   = time.Second
-	pollInterval   = 150 * time.Millisecond
-	followTime     = 10 * time.Second // then the client submits its next job
-	tenthsCanceled = 1
-	tenthsRepeated = 2 // share of jobs that are submitted again after they were accepted
-	tenthsOfStay   = 8 // share of calls that stay on the host of the call before
+	maxSubmissions   = 8
+	retryInterval    = 250 * time.Millisecond
+	maxRetryWait     = time.Second
+	pollInterval     = 150 * time.Millisecond
+	followTime       = 10 * time.Second // then the client submits its next job
+	tenthsCanceled   = 1
+	tenthsRepeated   = 2 // share of jobs that are submitted again after they were accepted
+	tenthsOnSameHost = 8 // share of calls that stay on the host of the call before
 )
 
 func newClient(soak *soak, number uint64) *client {
@@ -41,7 +41,7 @@
 	defer client.close()
 	for !isClosed(client.soak.trafficEnds) {
 		kind := []jobKind{chainJob, chainJob, chainJob, gangJob, longJob}[client.random.IntN(5)]
-		job := client.soak.ledger.add(client.random, kind)
+		job := client.soak.jobs.add(client.random, kind)
 		if client.submit(job) {
 			client.follow(job)
 		}
@@ -65,16 +65,16 @@
 			client.soak.report("ANSWER: job %s was answered with status %d", job.ID, answer.Status)
 			return false
 		}
-		client.move()
+		client.switchHost()
 		time.Sleep(min(max(answer.RetryAfter, retryInterval), maxRetryWait))
 	}
 	return false
 }
 
 func (client *client) submitOnce(job *job) caller.Answer {
-	job.update(func(seen *sightings) { seen.attempts++ })
+	job.update(func(seen *observations) { seen.attempts++ })
 	answer := client.call(caller.Submit, job, job.submission().Encode())
-	job.update(func(seen *sightings) {
+	job.update(func(seen *observations) {
 		if answer.IsRejected() || answer.Refused {
 			seen.rejected++
 		}
@@ -96,7 +96,7 @@
 		repeatAfter = time.Duration(1 + client.random.Int64N(int64(2*time.Second)))
 	}
 	for time.Since(began) < followTime {
-		if client.look(job) {
+		if client.query(job) {
 			return
 		}
 		if repeatAfter > 0 && time.Since(began) > repeatAfter {
@@ -107,20 +107,20 @@
 			cancelAfter = 0
 		}
 		time.Sleep(pollInterval)
-		if client.random.IntN(10) >= tenthsOfStay {
-			client.move()
+		if client.random.IntN(10) >= tenthsOnSameHost {
+			client.switchHost()
 		}
 	}
 }
 
-// look asks for the state of a job, checks the answer and reports whether the job has ended.
-func (client *client) look(job *job) bool {
+// query asks for the state of a job, checks the answer and reports whether the job has ended.
+func (client *client) query(job *job) bool {
 	answer := client.call(caller.Query, job, "")
 	client.soak.checkState(job, client.at+1, answer)
 	if answer.Status != http.StatusOK || answer.State == caller.Queued || answer.State == caller.Running {
 		return false
 	}
-	job.update(func(seen *sightings) {
+	job.update(func(seen *observations) {
 		if seen.state == "" {
 			seen.state, seen.endedAt = answer.State, answer.ReceivedAt
 		}
@@ -130,7 +130,7 @@
 
 // cancel cancels a job and reports whether that was acknowledged.
 func (client *client) cancel(job *job) bool {
-	job.update(func(seen *sightings) {
+	job.update(func(seen *observations) {
 		if seen.cancelSentAt.IsZero() {
 			seen.cancelSentAt = time.Now()
 		}
@@ -139,7 +139,7 @@
 	if answer.Status != http.StatusOK {
 		return false
 	}
-	job.update(func(seen *sightings) {
+	job.update(func(seen *observations) {
 		if seen.canceledAt.IsZero() {
 			seen.canceledAt = answer.ReceivedAt
 		}
@@ -154,10 +154,10 @@
 	client.soak.logCall(method, job.ID, host, answer)
 	client.soak.checkComplete(method, job.ID, host, answer)
 	if answer.Status == 0 {
-		client.move()
+		client.switchHost()
 	}
 	return answer
 }
 
-// move lets the client use another host.
-func (client *client) move() { client.at = client.random.IntN(len(client.callers)) }
+// switchHost lets the client use another host.
+func (client *client) switchHost() { client.at = client.random.IntN(len(client.callers)) }
--- a/tests/soaker/injector.go
+++ b/tests/soaker/injector.go
@@ -10,8 +10,8 @@
 
 // inject carries out an event of the plan: it begins the fault, waits, and ends it.
 func (soak *soak) inject(event Event) {
-	disturbance := soak.timeline.begin(event.Fault)
-	defer soak.timeline.end(disturbance)
+	injection := soak.timeline.begin(event.Fault)
+	defer soak.timeline.end(injection)
 	switch fault := event.Fault.(type) {
 	case LinkFault:
 		links := soak.links.choose(fault.selects)
@@ -60,7 +60,7 @@
 	switch fault.Signal {
 	case Stop:
 		began := time.Now()
-		if !host.stop() && soak.timeline.isCalm(began.Add(-contact), time.Now(), isUnplanned) {
+		if !host.stop() && soak.timeline.isFaultFree(began.Add(-reconnectTime), time.Now(), isUnplanned) {
 			soak.report("STOP: host %d was still there %v after SIGTERM", fault.Host, shutdownGrace+graceSlack)
 		}
 		time.Sleep(lasting)
--- a/tests/soaker/jobs.go
+++ b/tests/soaker/jobs.go
@@ -29,11 +29,11 @@
 	Steps []caller.Step
 
 	mu   sync.Mutex
-	seen sightings
+	seen observations
 }
 
-// sightings is what a client has seen of a job.
-type sightings struct {
+// observations is what a client has seen of a job.
+type observations struct {
 	attempts     int       // submissions
 	rejected     int       // of them, with status 429 or 503
 	acceptedAt   time.Time // first answer 2xx to a submission
@@ -81,15 +81,15 @@
 	return caller.Submission{Spec: "s", Steps: job.Steps}
 }
 
-// sightings returns what the client has seen.
-func (job *job) sightings() sightings {
+// observations returns what the client has seen.
+func (job *job) observations() observations {
 	job.mu.Lock()
 	defer job.mu.Unlock()
 	return job.seen
 }
 
 // update changes what the client has seen.
-func (job *job) update(change func(seen *sightings)) {
+func (job *job) update(change func(seen *observations)) {
 	job.mu.Lock()
 	defer job.mu.Unlock()
 	change(&job.seen)
@@ -98,24 +98,24 @@
 // kindOf returns the kind of the job that a task belongs to.
 func kindOf(task string) jobKind { return jobKind(task[0] - '0') }
 
-// ledger holds all jobs of a run.
-type ledger struct {
+// jobList holds all jobs of a run.
+type jobList struct {
 	mu   sync.Mutex
 	jobs []*job
 }
 
 // add adds a job of the next number.
-func (ledger *ledger) add(random *rand.Rand, kind jobKind) *job {
-	ledger.mu.Lock()
-	defer ledger.mu.Unlock()
-	job := newJob(random, kind, len(ledger.jobs)+1)
-	ledger.jobs = append(ledger.jobs, job)
+func (jobList *jobList) add(random *rand.Rand, kind jobKind) *job {
+	jobList.mu.Lock()
+	defer jobList.mu.Unlock()
+	job := newJob(random, kind, len(jobList.jobs)+1)
+	jobList.jobs = append(jobList.jobs, job)
 	return job
 }
 
 // all returns all jobs.
-func (ledger *ledger) all() []*job {
-	ledger.mu.Lock()
-	defer ledger.mu.Unlock()
-	return slices.Clone(ledger.jobs)
+func (jobList *jobList) all() []*job {
+	jobList.mu.Lock()
+	defer jobList.mu.Unlock()
+	return slices.Clone(jobList.jobs)
 }
--- a/tests/soaker/link.go
+++ b/tests/soaker/link.go
@@ -13,22 +13,22 @@
 // LinkMode is what a link does with the bytes that pass through it.
 type LinkMode int
 
-// The modes of a link. Bytes that a cut holds back arrive when it ends, as TCP sends them again; what a silenced link
-// swallows is lost, and its connections are reset when it is opened.
+// The modes of a link. Bytes that a cut holds back arrive when it ends, as TCP sends them again; what a link
+// discards is lost, and its connections are reset when it is opened.
 const (
-	Open      LinkMode = iota
-	Delayed            // each chunk waits for the delay
-	Refusing           // connections are reset
-	CutForth           // bytes to the server are held back
-	CutBack            // bytes from the server are held back
-	CutBoth            // bytes in both directions are held back
-	Silenced           // bytes in both directions are swallowed
-	linkModes          // number of modes
+	Open          LinkMode = iota
+	Delayed                // each chunk waits for the delay
+	Refusing               // connections are reset
+	CutToServer            // bytes to the server are held back
+	CutFromServer          // bytes from the server are held back
+	CutBoth                // bytes in both directions are held back
+	Discarding             // bytes in both directions are discarded
+	linkModes              // number of modes
 )
 
 // String returns the name of the mode.
 func (linkMode LinkMode) String() string {
-	return [...]string{"open", "delayed", "refusing", "cutForth", "cutBack", "cutBoth", "silenced"}[linkMode]
+	return [...]string{"open", "delayed", "refusing", "cutToServer", "cutFromServer", "cutBoth", "discarding"}[linkMode]
 }
 
 // link is a TCP proxy for the connections of one source to one server.
@@ -51,7 +51,7 @@
 // flow is one connection through a link.
 type flow struct {
 	client, server net.Conn
-	silenced       bool // bytes were swallowed
+	discarded      bool // bytes were discarded
 	ended          chan struct{}
 	once           sync.Once
 }
@@ -90,7 +90,7 @@
 	close(link.changed)
 	link.changed = make(chan struct{})
 	for flow := range link.flows {
-		if mode == Refusing || mode == Open && flow.silenced {
+		if mode == Refusing || mode == Open && flow.discarded {
 			flow.reset()
 		}
 	}
@@ -108,7 +108,7 @@
 	}
 }
 
-// serve carries one connection.
+// serve forwards one connection.
 func (link *link) serve(client net.Conn) {
 	server, err := net.Dial("tcp", link.target)
 	if err != nil {
@@ -124,8 +124,8 @@
 		flow.reset()
 	}
 	var wait sync.WaitGroup
-	wait.Go(func() { link.carry(flow, client, server, CutForth, link.number) })
-	wait.Go(func() { link.carry(flow, server, client, CutBack, link.source) })
+	wait.Go(func() { link.forward(flow, client, server, CutToServer, link.number) })
+	wait.Go(func() { link.forward(flow, server, client, CutFromServer, link.source) })
 	wait.Wait()
 	flow.reset()
 	link.mu.Lock()
@@ -133,11 +133,11 @@
 	link.mu.Unlock()
 }
 
-// carry carries the bytes of one direction, which is held back by the given mode. The addresses in them become those
+// forward forwards the bytes of one direction, which is held back by the given mode. The addresses in them become those
 // that the receiver uses.
-func (link *link) carry(flow *flow, from, to net.Conn, cut LinkMode, receiver int) {
+func (link *link) forward(flow *flow, from, to net.Conn, cut LinkMode, receiver int) {
 	buffer := make([]byte, chunkBytes)
-	kept := 0 // bytes at the begin of the buffer that may begin an address
+	kept := 0 // bytes at the beginning of the buffer that may begin an address
 	for {
 		count, err := from.Read(buffer[kept:])
 		data := buffer[:kept+count]
@@ -171,16 +171,16 @@
 }
 
 // pass waits until the mode lets a chunk through, and reports false if the connection has ended or its bytes are
-// swallowed.
+// discarded.
 func (link *link) pass(flow *flow, cut LinkMode) bool {
 	for {
 		link.mu.Lock()
 		mode, delay, changed := link.mode, link.delay, link.changed
-		flow.silenced = flow.silenced || mode == Silenced
-		silenced := flow.silenced
+		flow.discarded = flow.discarded || mode == Discarding
+		discarded := flow.discarded
 		link.mu.Unlock()
 		switch {
-		case silenced:
+		case discarded:
 			<-flow.ended
 			return false
 		case mode == Delayed:
--- a/tests/soaker/plan.go
+++ b/tests/soaker/plan.go
@@ -66,7 +66,7 @@
 // ZoneDrain is a request to drain an availability zone, which is withdrawn when the fault ends.
 type ZoneDrain struct{ Zone string }
 
-// Compaction lets the store forget its history.
+// Compaction lets the store discard its history.
 type Compaction struct{}
 
 // Reconfiguration stores the next version of the configuration.
@@ -107,15 +107,15 @@
 }
 
 const (
-	calmStart       = 4 * time.Second // before the first fault
+	faultFreeStart  = 4 * time.Second // before the first fault
 	faultTime       = 22 * time.Second
-	calmMiddle      = 9 * time.Second // without faults, so that the rules for hosts in touch apply
+	faultFreeMiddle = 9 * time.Second // without faults, so that the rules for connected hosts apply
 	maxInterval     = 1500 * time.Millisecond
 	maxFaultTime    = 4500 * time.Millisecond
 	rollingPause    = 500 * time.Millisecond
 	capPerClient    = 1500 // thousandths of a core, less than the clients use at times, and enough to end all jobs in time
 	zoneDrainStream = 1    // second seed word of the random numbers for zone drains, so that other faults of a seed do not change
-	// minZoneDrainTime and maxZoneDrainTime leave time after zoneDrainWithin, with and without zoneDrainStretch.
+	// minZoneDrainTime and maxZoneDrainTime leave time after zoneDrainWithin, with and without zoneDrainExtra.
 	minZoneDrainTime = 7 * time.Second
 	maxZoneDrainTime = 15 * time.Second
 	largeRunEvery    = 10 // every tenth seed uses the limits of hosts and workers
@@ -129,9 +129,9 @@
 	name  string
 	kinds []string
 }{
-	{"mixed", []string{"link", "link", "signal", "signal", "store", "worker", "worker", "drain", "compact", "configure", "herd", "roll"}},
-	{"planned", []string{"stop", "roll", "drain", "configure", "configure"}},
-	{"signals", []string{"signal", "signal", "signal", "herd", "roll", "configure"}},
+	{"mixed", []string{"link", "link", "signal", "signal", "store", "worker", "worker", "drain", "compact", "configure", "allHosts", "rolling"}},
+	{"planned", []string{"stop", "rolling", "drain", "configure", "configure"}},
+	{"signals", []string{"signal", "signal", "signal", "allHosts", "rolling", "configure"}},
 	{"links", []string{"link", "link", "link", "link", "configure"}},
 	{"platform", []string{"store", "store", "worker", "worker", "drain", "compact", "configure"}},
 }
@@ -148,7 +148,7 @@
 	if random.IntN(delegatesEvery) == 0 {
 		plan.DelegateFrom = 1
 	}
-	for _, begin := range []time.Duration{calmStart, calmStart + faultTime/2 + calmMiddle} {
+	for _, begin := range []time.Duration{faultFreeStart, faultFreeStart + faultTime/2 + faultFreeMiddle} {
 		end := begin + faultTime/2
 		for at := begin; at < end; at += time.Duration(random.Int64N(int64(maxInterval))) {
 			kind := profile.kinds[random.IntN(len(profile.kinds))]
@@ -165,7 +165,7 @@
 	random := rand.New(rand.NewPCG(plan.Seed, zoneDrainStream))
 	for range 1 + random.IntN(2) {
 		plan.Events = append(plan.Events, Event{
-			At:    calmStart + time.Duration(random.Int64N(int64(faultTime+calmMiddle-maxZoneDrainTime))),
+			At:    faultFreeStart + time.Duration(random.Int64N(int64(faultTime+faultFreeMiddle-maxZoneDrainTime))),
 			For:   minZoneDrainTime + time.Duration(random.Int64N(int64(maxZoneDrainTime-minZoneDrainTime))),
 			Fault: ZoneDrain{zones[random.IntN(len(zones))]},
 		})
@@ -187,15 +187,15 @@
 		return event(SignalFault{host, []HostSignal{Stop, Kill, Kill, Pause, Pause}[random.IntN(5)]})
 	case "stop":
 		return event(SignalFault{host, Stop})
-	case "herd", "roll":
+	case "allHosts", "rolling":
 		var events []Event
 		signal := []HostSignal{Kill, Pause, Stop}[random.IntN(3)]
-		if kind == "roll" {
+		if kind == "rolling" {
 			signal = Stop
 		}
 		for number := 1; number <= plan.Hosts; number++ {
 			events = append(events, Event{at, lasting, SignalFault{number, signal}})
-			if kind == "roll" {
+			if kind == "rolling" {
 				at += rollingPause
 			}
 		}
--- a/tests/soaker/prober.go
+++ b/tests/soaker/prober.go
@@ -64,7 +64,7 @@
 	if prober.seenVersion == version && answer.SentAt.Sub(prober.seenAt) > rollbackSlack {
 		prober.soak.report("CONFIG: host %d goes back behind version %d (%s, status %d)", number, version, what, answer.Status)
 	}
-	if answer.SentAt.Sub(storedAt) > configWithin && prober.soak.isInTouch(number, answer.SentAt, answer.ReceivedAt) {
+	if answer.SentAt.Sub(storedAt) > configWithin && prober.soak.isConnected(number, answer.SentAt, answer.ReceivedAt) {
 		prober.soak.report("CONFIG: version %d is not in force at host %d after %v (%s, status %d)", version, number, answer.SentAt.Sub(storedAt), what, answer.Status)
 	}
 }
--- a/tests/soaker/soak.go
+++ b/tests/soaker/soak.go
@@ -22,7 +22,7 @@
 	platform     *platform
 	links        linkSet
 	hosts        []*host
-	ledger       ledger
+	jobs         jobList
 	timeline     timeline
 	trafficEnds  chan struct{} // closed to end the clients
 	trafficEnded chan struct{} // closed when they have ended
@@ -55,7 +55,7 @@
 	if err := soak.start(program); err != nil {
 		return Result{}, err
 	}
-	soak.drive()
+	soak.runTraffic()
 	soak.finish()
 	return soak.result(), soak.writeRecords()
 }
@@ -135,12 +135,12 @@
 	return nil
 }
 
-// drive lets the clients run while the plan's faults are injected, and returns when both have ended.
-func (soak *soak) drive() {
+// runTraffic lets the clients run while the plan's faults are injected, and returns when both have ended.
+func (soak *soak) runTraffic() {
 	random := rand.New(rand.NewPCG(soak.plan.Seed, 0))
 	standing := newClient(soak, 0)
 	for range standingJobs {
-		standing.submit(soak.ledger.add(random, standingJob))
+		standing.submit(soak.jobs.add(random, standingJob))
 	}
 	standing.close()
 	var traffic, faults sync.WaitGroup
@@ -164,7 +164,7 @@
 		traffic.Wait()
 		close(soak.trafficEnded)
 	}()
-	soak.settle(deadline)
+	soak.awaitEnds(deadline)
 	<-soak.trafficEnded
 }
 
@@ -175,14 +175,14 @@
 	}
 }
 
-// settle waits until all accepted jobs are shown as ended, and reports those that are not at the deadline.
-func (soak *soak) settle(deadline time.Time) {
+// awaitEnds waits until all accepted jobs are shown as ended, and reports those that are not at the deadline.
+func (soak *soak) awaitEnds(deadline time.Time) {
 	client := newClient(soak, 0)
 	defer client.close()
 	waiting := func() []*job {
 		var found []*job
-		for _, job := range soak.ledger.all() {
-			seen := job.sightings()
+		for _, job := range soak.jobs.all() {
+			seen := job.observations()
 			if kindOf(job.ID) != standingJob && !seen.acceptedAt.IsZero() && seen.state == "" {
 				found = append(found, job)
 			}
@@ -192,7 +192,7 @@
 	for {
 		jobs := waiting()
 		for _, job := range jobs {
-			client.look(job)
+			client.query(job)
 		}
 		if len(jobs) == 0 && isClosed(soak.trafficEnded) {
 			return
@@ -212,8 +212,8 @@
 	now := time.Now()
 	client := newClient(soak, 0)
 	defer client.close()
-	for _, job := range soak.ledger.all() {
-		if kindOf(job.ID) == standingJob && !job.sightings().acceptedAt.IsZero() {
+	for _, job := range soak.jobs.all() {
+		if kindOf(job.ID) == standingJob && !job.observations().acceptedAt.IsZero() {
 			soak.checkStanding(job, now)
 			if !client.cancel(job) {
 				soak.report("ACKS: the cancel of job %s was not acknowledged", job.ID)
@@ -254,8 +254,8 @@
 // result counts what was seen.
 func (soak *soak) result() Result {
 	result := Result{Violations: soak.violations, Jobs: map[string]int{}, Runs: map[string]int{}, Calls: soak.statuses}
-	for _, job := range soak.ledger.all() {
-		seen := job.sightings()
+	for _, job := range soak.jobs.all() {
+		seen := job.observations()
 		state := seen.state
 		if state == "" && !seen.acceptedAt.IsZero() {
 			state = "accepted"
--- a/tests/soaker/timeline.go
+++ b/tests/soaker/timeline.go
@@ -8,39 +8,39 @@
 
 // timeline records when faults were under way.
 type timeline struct {
-	mu           sync.Mutex
-	disturbances []*disturbance
+	mu         sync.Mutex
+	injections []*injection
 }
 
-// disturbance is a fault that was carried out. Its end is zero while it lasts.
-type disturbance struct {
+// injection is a fault that was carried out. Its end is zero while it lasts.
+type injection struct {
 	fault    Fault
 	from, to time.Time
 }
 
-// begin records the begin of a fault.
-func (timeline *timeline) begin(fault Fault) *disturbance {
+// begin records the start of a fault.
+func (timeline *timeline) begin(fault Fault) *injection {
 	timeline.mu.Lock()
 	defer timeline.mu.Unlock()
-	disturbance := &disturbance{fault: fault, from: time.Now()}
-	timeline.disturbances = append(timeline.disturbances, disturbance)
-	return disturbance
+	injection := &injection{fault: fault, from: time.Now()}
+	timeline.injections = append(timeline.injections, injection)
+	return injection
 }
 
 // end records the end of a fault.
-func (timeline *timeline) end(disturbance *disturbance) {
+func (timeline *timeline) end(injection *injection) {
 	timeline.mu.Lock()
 	defer timeline.mu.Unlock()
-	disturbance.to = time.Now()
+	injection.to = time.Now()
 }
 
-// isCalm reports whether no fault to which the condition applies was under way in a span.
-func (timeline *timeline) isCalm(from, to time.Time, applies func(Fault) bool) bool {
+// isFaultFree reports whether no fault to which the condition applies was under way in a span.
+func (timeline *timeline) isFaultFree(from, to time.Time, applies func(Fault) bool) bool {
 	timeline.mu.Lock()
 	defer timeline.mu.Unlock()
-	for _, disturbance := range timeline.disturbances {
-		isOver := !disturbance.to.IsZero() && disturbance.to.Before(from)
-		if applies(disturbance.fault) && !isOver && !disturbance.from.After(to) {
+	for _, injection := range timeline.injections {
+		isOver := !injection.to.IsZero() && injection.to.Before(from)
+		if applies(injection.fault) && !isOver && !injection.from.After(to) {
 			return false
 		}
 	}
@@ -48,15 +48,15 @@
 }
 
 // drains returns the spans that are over in which workers or zones were drained.
-func (timeline *timeline) drains() []disturbance {
+func (timeline *timeline) drains() []injection {
 	timeline.mu.Lock()
 	defer timeline.mu.Unlock()
-	var drains []disturbance
-	for _, disturbance := range timeline.disturbances {
-		switch disturbance.fault.(type) {
+	var drains []injection
+	for _, injection := range timeline.injections {
+		switch injection.fault.(type) {
 		case Draining, ZoneDrain:
-			if !disturbance.to.IsZero() {
-				drains = append(drains, *disturbance)
+			if !injection.to.IsZero() {
+				drains = append(drains, *injection)
 			}
 		}
 	}
@@ -68,8 +68,8 @@
 	timeline.mu.Lock()
 	defer timeline.mu.Unlock()
 	var lines []string
-	for _, disturbance := range timeline.disturbances {
-		lines = append(lines, fmt.Sprintf("%7.3f to %7.3f %T%+v", disturbance.from.Sub(start).Seconds(), disturbance.to.Sub(start).Seconds(), disturbance.fault, disturbance.fault))
+	for _, injection := range timeline.injections {
+		lines = append(lines, fmt.Sprintf("%7.3f to %7.3f %T%+v", injection.from.Sub(start).Seconds(), injection.to.Sub(start).Seconds(), injection.fault, injection.fault))
 	}
 	return lines
 }
@@ -88,7 +88,7 @@
 	return true
 }
 
-// concerns applies to the faults after which a host is not in touch for a while: its own, and those of the store.
+// concerns applies to the faults after which a host is not connected for a while: its own, and those of the store.
 func concerns(host int) func(Fault) bool {
 	return func(fault Fault) bool {
 		switch fault := fault.(type) {
