--- a/daemon/scheduler/delegate.go
+++ b/daemon/scheduler/delegate.go
@@ -104,14 +104,6 @@
 	return true
 }
 
-// acknowledge removes the results that the decider has received.
-func (session *session) acknowledge(acked []int64) {
-	if len(acked) == 0 {
-		return
-	}
-	session.results = slices.DeleteFunc(session.results, func(result DelegatedResult) bool { return slices.Contains(acked, result.ID) })
-}
-
 // sessions holds the sessions of a delegate.
 type sessions struct {
 	mu    sync.Mutex
@@ -175,11 +167,11 @@
 	return results
 }
 
-// acknowledge removes the results that the decider has.
-func (sessions *sessions) acknowledge(session *session, call CollectCall) {
+// acknowledge removes the results that the decider has received.
+func (sessions *sessions) acknowledge(session *session, acked []int64) {
 	sessions.mu.Lock()
 	defer sessions.mu.Unlock()
-	session.acknowledge(call.Acked)
+	session.results = slices.DeleteFunc(session.results, func(result DelegatedResult) bool { return slices.Contains(acked, result.ID) })
 }
 
 // firstOf returns the calls that arrived for the first time.
@@ -223,7 +215,7 @@
 // collectResults returns the results of a session. It waits until there is one, at most for the time of the call.
 func (host *Host) collectResults(ctx context.Context, call CollectCall) []DelegatedResult {
 	session := host.sessions.use(call.Session)
-	host.sessions.acknowledge(session, call)
+	host.sessions.acknowledge(session, call.Acked)
 	if call.MinAge > 0 {
 		return host.collectLate(ctx, session, call)
 	}
--- a/daemon/scheduler/delegator.go
+++ b/daemon/scheduler/delegator.go
@@ -230,11 +230,8 @@
 		}
 	}
 	delegator.mu.Lock()
-	delegate.collecting = false
 	restart := len(delegate.pending) > 0 && tenure.ctx.Err() == nil
-	if restart {
-		delegate.collecting = true
-	}
+	delegate.collecting = restart
 	delegator.mu.Unlock()
 	if restart {
 		delegator.collect(delegate)
