--- a/standin/emulator/operator.go
+++ b/standin/emulator/operator.go
@@ -6,10 +6,12 @@
 	WorkersTopic  = "keyed.servers" // registrations of workers, written by the workers
 )
 
+// ConfigurationKey is the key of the configuration in OperatorTopic.
+const ConfigurationKey = "config"
+
 const (
-	configurationKey = "config"
-	drainKeyPrefix   = "evacuate/" // of a request to drain a zone, whose name follows
-	drainRequest     = "{}"
+	drainKeyPrefix = "evacuate/" // of a request to drain a zone, whose name follows
+	drainRequest   = "{}"
 )
 
 // Configuration is the configuration that an operator stores.
@@ -50,9 +52,12 @@
 	MaxBodyBytes int64 `json:"maxBodyBytes"`
 }
 
-// PutConfiguration stores a configuration as an operator does.
-func (store *Store) PutConfiguration(configuration Configuration) {
-	store.Put(OperatorTopic, configurationKey, encodeJSON(configuration))
+// PutConfiguration stores a configuration as an operator does, and returns its size in bytes. The document is a Configuration,
+// or a map with the same fields and others.
+func (store *Store) PutConfiguration(document any) int64 {
+	data := encodeJSON(document)
+	store.Put(OperatorTopic, ConfigurationKey, data)
+	return int64(len(data))
 }
 
 // RequestDrain stores the request to drain an availability zone.
--- a/standin/emulator/store.go
+++ b/standin/emulator/store.go
@@ -289,7 +289,7 @@
 func encodeJSON(value any) []byte {
 	data, err := json.Marshal(value)
 	if err != nil {
-		panic(err) // unreachable: callers pass only maps and lists of numbers, strings and structs
+		panic(err) // unreachable: callers pass only maps, lists and structs of numbers and strings
 	}
 	return data
 }
--- a/tests/fleet_configuration_test.go
+++ b/tests/fleet_configuration_test.go
@@ -1,7 +1,6 @@
 package tests
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"testing"
@@ -75,12 +74,7 @@
 		})
 	}
 	document["routes"] = routes
-	data, err := json.Marshal(document)
-	if err != nil {
-		fleet.Fatal(err)
-	}
-	fleet.store.Put("keyed.op", "config", data)
-	return int64(len(data))
+	return fleet.store.PutConfiguration(document)
 }
 
 func largeConfigurationPrefix(number int) string { return fmt.Sprintf("/more-%d/", number) }
--- a/tests/fleet_drain_test.go
+++ b/tests/fleet_drain_test.go
@@ -19,12 +19,12 @@
 
 // requestDrain stores the request to drain a zone and returns the time of its acknowledgment.
 func (fleet *fleet) requestDrain(zone string) time.Time {
-	fleet.store.Put("keyed.op", "evacuate/"+zone, []byte("{}"))
+	fleet.store.RequestDrain(zone)
 	return time.Now()
 }
 
 // withdrawDrain deletes the request to drain a zone.
-func (fleet *fleet) withdrawDrain(zone string) { fleet.store.Put("keyed.op", "evacuate/"+zone, nil) }
+func (fleet *fleet) withdrawDrain(zone string) { fleet.store.WithdrawDrain(zone) }
 
 // submitFor submits a job through one host after the other every 100 ms for a time. Refused jobs are not repeated, and calls
 // without an answer are given up after a second.
@@ -200,7 +200,7 @@
 			fleet.requestDrain("c")
 			fleet.withdrawDrain("c")
 			time.Sleep(drainBound)
-			fleet.store.Compact("keyed.op")
+			fleet.store.Compact(emulator.OperatorTopic)
 			fleet.restartAll()
 			fleet.submitFor(8 * time.Second)
 			fleet.wantNoStarts("b", requestedAt.Add(drainBound))
--- a/tests/fleet_shares_test.go
+++ b/tests/fleet_shares_test.go
@@ -1,7 +1,6 @@
 package tests
 
 import (
-	"encoding/json"
 	"net/http"
 	"strings"
 	"testing"
@@ -65,11 +64,7 @@
 	fleet.Helper()
 	document := fleet.nextConfiguration()
 	document["tenants"] = append(document["tenants"].([]map[string]any), map[string]any{"name": "others", "apiKeys": []string{otherTeamKey}, "weight": 1000})
-	data, err := json.Marshal(document)
-	if err != nil {
-		fleet.Fatal(err)
-	}
-	fleet.store.Put("keyed.op", "config", data)
+	fleet.store.PutConfiguration(document)
 	fleet.poolShares = true
 	for _, name := range fleet.hostNames {
 		fleet.hosts[name].Close()
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -17,6 +17,7 @@
 
 	"ebonyshunt.org/daemon/loader"
 	"ebonyshunt.org/daemon/scheduler"
+	"ebonyshunt.org/platform/translator"
 	"ebonyshunt.org/standin/connector"
 	"ebonyshunt.org/standin/emulator"
 	"ebonyshunt.org/tests/auditor"
@@ -123,7 +124,7 @@
 		defer ticker.Stop()
 		for {
 			if !worker.Down() {
-				fleet.store.Put("keyed.servers", worker.ID, worker.Entry(address, "ready"))
+				fleet.store.Register(worker, address, false)
 			}
 			select {
 			case <-ticker.C:
@@ -136,11 +137,7 @@
 
 // publishConfiguration stores the next version of the operators' configuration.
 func (fleet *fleet) publishConfiguration() {
-	data, err := json.Marshal(fleet.nextConfiguration())
-	if err != nil {
-		fleet.Fatal(err)
-	}
-	fleet.store.Put("keyed.op", "config", data)
+	fleet.store.PutConfiguration(fleet.nextConfiguration())
 }
 
 // nextConfiguration returns the next version of the operators' configuration.
@@ -466,7 +463,7 @@
 	{"storeLosesAnswers", storeFault(emulator.StoreFaults{LoseEvery: 3})},
 	{"storeTakesAppendsLate", storeFault(emulator.StoreFaults{LateEvery: 3, LateBy: 2 * time.Second})},
 	{"historyForgotten", func(fleet *fleet) func() {
-		for _, topic := range []string{"keyed.op", "keyed.servers", "keyed.ebonyshunt-fleet"} {
+		for _, topic := range []string{emulator.OperatorTopic, emulator.WorkersTopic, string(translator.Fleet)} {
 			fleet.store.Compact(topic)
 		}
 		return func() {}
@@ -485,9 +482,9 @@
 		return fleet.fabric.Cut([]string{"w-0"}, append(slices.Clone(fleet.hostNames), "store"))
 	}},
 	{"unreadableEntry", func(fleet *fleet) func() {
-		fleet.store.Put("keyed.servers", "w-x", []byte("{"))
-		fleet.store.Put("keyed.servers", "w-y", []byte(`{"service":"survey","state":"odd","address":"10.8.0.1:80"}`))
-		fleet.store.Put("keyed.ebonyshunt-fleet", "decider", []byte(`{"term":"x"}`))
+		fleet.store.Put(emulator.WorkersTopic, "w-x", []byte("{"))
+		fleet.store.Put(emulator.WorkersTopic, "w-y", []byte(`{"service":"survey","state":"odd","address":"10.8.0.1:80"}`))
+		fleet.store.Put(string(translator.Fleet), "decider", []byte(`{"term":"x"}`))
 		return func() {}
 	}},
 }
--- a/tests/store_reads_test.go
+++ b/tests/store_reads_test.go
@@ -20,7 +20,7 @@
 	read := func(t *testing.T, during func(fabric *connector.Fabric)) ([]translator.Entry, time.Duration, error) {
 		t.Helper()
 		fabric, store := connector.New(fleetNetworkLatency), emulator.NewStore()
-		store.Put("keyed.op", "config", bytes.Repeat([]byte("x"), recordBytes))
+		store.Put(emulator.OperatorTopic, emulator.ConfigurationKey, bytes.Repeat([]byte("x"), recordBytes))
 		listener, err := fabric.Host("store").Listen(fleetStoreAddress)
 		if err != nil {
 			t.Fatal(err)
