--- a/tests/soaker/client.go
+++ b/tests/soaker/client.go
@@ -4,31 +4,33 @@
 	"math/rand/v2"
 	"net/http"
 	"time"
+
+	"ebonyshunt.org/standin/caller"
 )
 
 // client submits jobs one after the other and follows each until it has ended.
 type client struct {
 	soak    *soak
 	random  *rand.Rand
-	callers []*caller // by host
-	at      int       // index of the host that the client uses
+	callers []*caller.Caller // by host
+	at      int              // index of the host that the client uses
 }
 
 const (
-	maxSubmissions = 8
-	retryInterval  = 250 * time.Millisecond
-	maxRetryWait   = time.Second
-	pollInterval   = 150 * time.Millisecond
-	followTime     = 10 * time.Second // then the client submits its next job
-	tenthsCanceled = 1
-	tenthsRepeated = 2 // share of jobs that are submitted again after they were accepted
-	tenthsOfStay   = 8 // share of calls that stay on the host of the call before
+	maxSubmissions   = 8
+	retryInterval    = 250 * time.Millisecond
+	maxRetryWait     = time.Second
+	pollInterval     = 150 * time.Millisecond
+	followTime       = 10 * time.Second // then the client submits its next job
+	tenthsCanceled   = 1
+	tenthsRepeated   = 2 // share of jobs that are submitted again after they were accepted
+	tenthsOnSameHost = 8 // share of calls that stay on the host of the call before
 )
 
 func newClient(soak *soak, number uint64) *client {
 	client := &client{soak: soak, random: rand.New(rand.NewPCG(soak.plan.Seed, number))}
 	for host := 1; host <= soak.plan.Hosts; host++ {
-		client.callers = append(client.callers, &caller{address: endpoint{httpGroup, host}.address(clientSource, soak.port)})
+		client.callers = append(client.callers, caller.New(endpoint{httpGroup, host}.address(clientSource, soak.port)))
 	}
 	client.at = client.random.IntN(len(client.callers))
 	return client
@@ -39,7 +41,7 @@
 	defer client.close()
 	for !isClosed(client.soak.trafficEnds) {
 		kind := []jobKind{chainJob, chainJob, chainJob, gangJob, longJob}[client.random.IntN(5)]
-		job := client.soak.ledger.add(client.random, kind)
+		job := client.soak.jobs.add(client.random, kind)
 		if client.submit(job) {
 			client.follow(job)
 		}
@@ -56,28 +58,28 @@
 func (client *client) submit(job *job) bool {
 	for range maxSubmissions {
 		answer := client.submitOnce(job)
-		if answer.status == http.StatusOK {
+		if answer.Status == http.StatusOK {
 			return true
 		}
-		if answer.status >= http.StatusBadRequest && answer.status < http.StatusInternalServerError && !answer.isRejected() {
-			client.soak.report("ANSWER: job %s was answered with status %d", job.ID, answer.status)
+		if answer.Status >= http.StatusBadRequest && answer.Status < http.StatusInternalServerError && !answer.IsRejected() {
+			client.soak.report("ANSWER: job %s was answered with status %d", job.ID, answer.Status)
 			return false
 		}
-		client.move()
-		time.Sleep(min(max(answer.retryAfter, retryInterval), maxRetryWait))
+		client.switchHost()
+		time.Sleep(min(max(answer.RetryAfter, retryInterval), maxRetryWait))
 	}
 	return false
 }
 
-func (client *client) submitOnce(job *job) answer {
-	job.update(func(seen *sightings) { seen.attempts++ })
-	answer := client.call("POST", job, job.body())
-	job.update(func(seen *sightings) {
-		if answer.isRejected() || answer.refused {
+func (client *client) submitOnce(job *job) caller.Answer {
+	job.update(func(seen *observations) { seen.attempts++ })
+	answer := client.call(caller.Submit, job, job.submission().Encode())
+	job.update(func(seen *observations) {
+		if answer.IsRejected() || answer.Refused {
 			seen.rejected++
 		}
-		if answer.status == http.StatusOK && seen.acceptedAt.IsZero() {
-			seen.acceptedAt = answer.receivedAt
+		if answer.Status == http.StatusOK && seen.acceptedAt.IsZero() {
+			seen.acceptedAt = answer.ReceivedAt
 		}
 	})
 	return answer
@@ -94,7 +96,7 @@
 		repeatAfter = time.Duration(1 + client.random.Int64N(int64(2*time.Second)))
 	}
 	for time.Since(began) < followTime {
-		if client.look(job) {
+		if client.query(job) {
 			return
 		}
 		if repeatAfter > 0 && time.Since(began) > repeatAfter {
@@ -105,22 +107,22 @@
 			cancelAfter = 0
 		}
 		time.Sleep(pollInterval)
-		if client.random.IntN(10) >= tenthsOfStay {
-			client.move()
+		if client.random.IntN(10) >= tenthsOnSameHost {
+			client.switchHost()
 		}
 	}
 }
 
-// look asks for the state of a job, checks the answer and reports whether the job has ended.
-func (client *client) look(job *job) bool {
-	answer := client.call("GET", job, "")
+// query asks for the state of a job, checks the answer and reports whether the job has ended.
+func (client *client) query(job *job) bool {
+	answer := client.call(caller.Query, job, "")
 	client.soak.checkState(job, client.at+1, answer)
-	if answer.status != http.StatusOK || answer.state == "queued" || answer.state == "running" {
+	if answer.Status != http.StatusOK || answer.State == caller.Queued || answer.State == caller.Running {
 		return false
 	}
-	job.update(func(seen *sightings) {
+	job.update(func(seen *observations) {
 		if seen.state == "" {
-			seen.state, seen.endedAt = answer.state, answer.receivedAt
+			seen.state, seen.endedAt = answer.State, answer.ReceivedAt
 		}
 	})
 	return true
@@ -128,34 +130,34 @@
 
 // cancel cancels a job and reports whether that was acknowledged.
 func (client *client) cancel(job *job) bool {
-	job.update(func(seen *sightings) {
+	job.update(func(seen *observations) {
 		if seen.cancelSentAt.IsZero() {
 			seen.cancelSentAt = time.Now()
 		}
 	})
-	answer := client.call("DELETE", job, "")
-	if answer.status != http.StatusOK {
+	answer := client.call(caller.Cancel, job, "")
+	if answer.Status != http.StatusOK {
 		return false
 	}
-	job.update(func(seen *sightings) {
+	job.update(func(seen *observations) {
 		if seen.canceledAt.IsZero() {
-			seen.canceledAt = answer.receivedAt
+			seen.canceledAt = answer.ReceivedAt
 		}
 	})
 	return true
 }
 
 // call calls the host that the client uses. After a failure it moves to another host.
-func (client *client) call(method string, job *job, body string) answer {
+func (client *client) call(method string, job *job, body string) caller.Answer {
 	host := client.at + 1
-	answer := client.callers[client.at].call(method, durablePrefix+job.ID, job.Key, body)
+	answer := client.callers[client.at].Call(method, durablePrefix+job.ID, job.Key, body)
 	client.soak.logCall(method, job.ID, host, answer)
 	client.soak.checkComplete(method, job.ID, host, answer)
-	if answer.status == 0 {
-		client.move()
+	if answer.Status == 0 {
+		client.switchHost()
 	}
 	return answer
 }
 
-// move lets the client use another host.
-func (client *client) move() { client.at = client.random.IntN(len(client.callers)) }
+// switchHost lets the client use another host.
+func (client *client) switchHost() { client.at = client.random.IntN(len(client.callers)) }
--- a/tests/soaker/injector.go
+++ b/tests/soaker/injector.go
@@ -4,13 +4,14 @@
 	"syscall"
 	"time"
 
+	"ebonyshunt.org/platform/translator"
 	"ebonyshunt.org/standin/emulator"
 )
 
 // inject carries out an event of the plan: it begins the fault, waits, and ends it.
 func (soak *soak) inject(event Event) {
-	disturbance := soak.timeline.begin(event.Fault)
-	defer soak.timeline.end(disturbance)
+	injection := soak.timeline.begin(event.Fault)
+	defer soak.timeline.end(injection)
 	switch fault := event.Fault.(type) {
 	case LinkFault:
 		links := soak.links.choose(fault.selects)
@@ -46,7 +47,7 @@
 		time.Sleep(event.For)
 		soak.platform.drainZone(fault.Zone, -1)
 	case Compaction:
-		for _, topic := range []string{"keyed.op", "keyed.servers", "keyed.ebonyshunt-fleet"} {
+		for _, topic := range []string{emulator.OperatorTopic, emulator.WorkersTopic, string(translator.Fleet)} {
 			soak.platform.store.Compact(topic)
 		}
 	case Reconfiguration:
@@ -59,7 +60,7 @@
 	switch fault.Signal {
 	case Stop:
 		began := time.Now()
-		if !host.stop() && soak.timeline.isCalm(began.Add(-contact), time.Now(), isUnplanned) {
+		if !host.stop() && soak.timeline.isFaultFree(began.Add(-reconnectTime), time.Now(), isUnplanned) {
 			soak.report("STOP: host %d was still there %v after SIGTERM", fault.Host, shutdownGrace+graceSlack)
 		}
 		time.Sleep(lasting)
--- a/tests/soaker/soak.go
+++ b/tests/soaker/soak.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"ebonyshunt.org/standin/caller"
 )
 
 // soak is one run of a plan.
@@ -20,7 +22,7 @@
 	platform     *platform
 	links        linkSet
 	hosts        []*host
-	ledger       ledger
+	jobs         jobList
 	timeline     timeline
 	trafficEnds  chan struct{} // closed to end the clients
 	trafficEnded chan struct{} // closed when they have ended
@@ -53,7 +55,7 @@
 	if err := soak.start(program); err != nil {
 		return Result{}, err
 	}
-	soak.drive()
+	soak.runTraffic()
 	soak.finish()
 	return soak.result(), soak.writeRecords()
 }
@@ -121,8 +123,8 @@
 func (soak *soak) awaitReady() error {
 	deadline := time.Now().Add(readyWithin)
 	for _, host := range soak.hosts {
-		caller := &caller{address: endpoint{readinessGroup, host.number}.address(listening, soak.port)}
-		for caller.call("GET", "/-/readyz", "", "").status != 200 {
+		caller := caller.New(endpoint{readinessGroup, host.number}.address(listening, soak.port))
+		for !caller.IsReady() {
 			if time.Now().After(deadline) {
 				return fmt.Errorf("host %d is not ready after %v", host.number, readyWithin)
 			}
@@ -133,12 +135,12 @@
 	return nil
 }
 
-// drive lets the clients run while the plan's faults are injected, and returns when both have ended.
-func (soak *soak) drive() {
+// runTraffic lets the clients run while the plan's faults are injected, and returns when both have ended.
+func (soak *soak) runTraffic() {
 	random := rand.New(rand.NewPCG(soak.plan.Seed, 0))
 	standing := newClient(soak, 0)
 	for range standingJobs {
-		standing.submit(soak.ledger.add(random, standingJob))
+		standing.submit(soak.jobs.add(random, standingJob))
 	}
 	standing.close()
 	var traffic, faults sync.WaitGroup
@@ -162,7 +164,7 @@
 		traffic.Wait()
 		close(soak.trafficEnded)
 	}()
-	soak.settle(deadline)
+	soak.awaitEnds(deadline)
 	<-soak.trafficEnded
 }
 
@@ -173,14 +175,14 @@
 	}
 }
 
-// settle waits until all accepted jobs are shown as ended, and reports those that are not at the deadline.
-func (soak *soak) settle(deadline time.Time) {
+// awaitEnds waits until all accepted jobs are shown as ended, and reports those that are not at the deadline.
+func (soak *soak) awaitEnds(deadline time.Time) {
 	client := newClient(soak, 0)
 	defer client.close()
 	waiting := func() []*job {
 		var found []*job
-		for _, job := range soak.ledger.all() {
-			seen := job.sightings()
+		for _, job := range soak.jobs.all() {
+			seen := job.observations()
 			if kindOf(job.ID) != standingJob && !seen.acceptedAt.IsZero() && seen.state == "" {
 				found = append(found, job)
 			}
@@ -190,7 +192,7 @@
 	for {
 		jobs := waiting()
 		for _, job := range jobs {
-			client.look(job)
+			client.query(job)
 		}
 		if len(jobs) == 0 && isClosed(soak.trafficEnded) {
 			return
@@ -210,8 +212,8 @@
 	now := time.Now()
 	client := newClient(soak, 0)
 	defer client.close()
-	for _, job := range soak.ledger.all() {
-		if kindOf(job.ID) == standingJob && !job.sightings().acceptedAt.IsZero() {
+	for _, job := range soak.jobs.all() {
+		if kindOf(job.ID) == standingJob && !job.observations().acceptedAt.IsZero() {
 			soak.checkStanding(job, now)
 			if !client.cancel(job) {
 				soak.report("ACKS: the cancel of job %s was not acknowledged", job.ID)
@@ -241,19 +243,19 @@
 }
 
 // logCall writes a line for a call of a client.
-func (soak *soak) logCall(method, id string, host int, answer answer) {
+func (soak *soak) logCall(method, id string, host int, answer caller.Answer) {
 	soak.mu.Lock()
 	defer soak.mu.Unlock()
-	soak.statuses[fmt.Sprintf("%.6s %d", method, answer.status)]++
-	fmt.Fprintf(soak.calls, "%7.3f to %7.3f %s %s at host %d: status %d %s refused %v timed out %v\n", answer.sentAt.Sub(soak.started).Seconds(),
-		answer.receivedAt.Sub(soak.started).Seconds(), method, id, host, answer.status, answer.state, answer.refused, answer.timedOut)
+	soak.statuses[fmt.Sprintf("%.6s %d", method, answer.Status)]++
+	fmt.Fprintf(soak.calls, "%7.3f to %7.3f %s %s at host %d: status %d %s refused %v timed out %v\n", answer.SentAt.Sub(soak.started).Seconds(),
+		answer.ReceivedAt.Sub(soak.started).Seconds(), method, id, host, answer.Status, answer.State, answer.Refused, answer.TimedOut)
 }
 
 // result counts what was seen.
 func (soak *soak) result() Result {
 	result := Result{Violations: soak.violations, Jobs: map[string]int{}, Runs: map[string]int{}, Calls: soak.statuses}
-	for _, job := range soak.ledger.all() {
-		seen := job.sightings()
+	for _, job := range soak.jobs.all() {
+		seen := job.observations()
 		state := seen.state
 		if state == "" && !seen.acceptedAt.IsZero() {
 			state = "accepted"
