scheduler: the same odd record is logged once

Callers saw: nothing; the log of the decider grows with each copy of a record that it cannot decode. Cause: each copy of a record of another writer is logged, with the whole reason, which holds parts of the record. This covers the list of workers, the members and elections of the fleet, and the configuration.

--- a/daemon/scheduler/catalog.go
+++ b/daemon/scheduler/catalog.go
@@ -126,9 +126,10 @@
 func (host *Host) applyCatalog(text []byte, source string) {
 	catalog, err := translator.DecodeCatalog(text)
 	if err != nil {
-		host.log.Warn("cannot decode configuration", "source", source, "error", err)
+		host.logUndecodable("cannot decode configuration from "+source, translator.Operator, translator.OperatorKey, err)
 		return
 	}
+	host.undecodable.decoded(translator.Operator, translator.OperatorKey)
 	host.mu.Lock()
 	current := host.catalog.Load()
 	if current != nil && current.Version >= catalog.Version {
--- a/daemon/scheduler/fleet.go
+++ b/daemon/scheduler/fleet.go
@@ -208,21 +208,23 @@
 	if entry.Key == electionKey {
 		var election Election
 		if err := json.Unmarshal(entry.Value, &election); err != nil {
-			host.log.Warn("cannot decode election", "error", err)
+			host.logUndecodable("cannot decode election", translator.Fleet, entry.Key, err)
 			return
 		}
+		host.undecodable.decoded(translator.Fleet, entry.Key)
 		host.applyElection(election, "store")
 		return
 	}
-	name, found := strings.CutPrefix(entry.Key, memberPrefix)
+	_, found := strings.CutPrefix(entry.Key, memberPrefix)
 	if !found || len(entry.Value) == 0 {
 		return
 	}
 	var member Member
 	if err := json.Unmarshal(entry.Value, &member); err != nil {
-		host.log.Warn("cannot decode member", "member", name, "error", err)
+		host.logUndecodable("cannot decode member", translator.Fleet, entry.Key, err)
 		return
 	}
+	host.undecodable.decoded(translator.Fleet, entry.Key)
 	host.fleet.register(member)
 }
 
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -54,6 +54,7 @@
 	hedgedCaller    *hedgedCaller
 	drains          drainer.Register
 	fleet           *fleet
+	undecodable     *undecodable
 	storeAnsweredAt atomic.Int64 // uptime when the store last answered, in nanoseconds
 	shuttingDown    atomic.Bool
 	deciderStatus   deciderStatus
@@ -94,7 +95,7 @@
 		store:    translator.NewStore(newHTTPClient(network, maxStoreConns), settings.StoreAddress),
 		workers:  translator.NewWorkerClient(newWorkerClient(network, int(settings.MaxOpenFiles))),
 		peerPool: linker.NewPool(network, settings.Host, clock),
-		fleet:    newFleet(), sessions: newSessions(),
+		fleet:    newFleet(), sessions: newSessions(), undecodable: newUndecodable(),
 	}
 	host.metrics = newMetrics(host)
 	host.catalogFetcher = newCatalogFetcher(host)
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -333,11 +333,12 @@
 		}
 		info, err := translator.DecodeWorker(entry.Key, entry.Value)
 		if err == nil {
+			tenure.host.undecodable.decoded(translator.Workers, entry.Key)
 			registrations = append(registrations, registration{entry.Key, &info})
 			continue
 		}
 		if len(entry.Value) > 0 {
-			tenure.host.log.Warn("cannot decode worker entry, removing the worker", "worker", entry.Key, "error", err)
+			tenure.host.logUndecodable("cannot decode worker entry, removing the worker", translator.Workers, entry.Key, err)
 		}
 		registrations = append(registrations, registration{id: entry.Key})
 	}
