--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -115,7 +115,11 @@
 
 func (fleet *fleet) addWorker(number int) {
 	worker := emulator.NewWorker(fmt.Sprintf("w-%d", number), "survey", string(rune('a'+number%3)), emulator.Amount{CPU: 16000, MemMB: 32000})
-	address := fmt.Sprintf("10.8.0.%d:80", number+1)
+	fleet.runWorker(worker, fmt.Sprintf("10.8.0.%d:80", number+1))
+}
+
+// runWorker serves a worker at an address and registers it at regular intervals.
+func (fleet *fleet) runWorker(worker *emulator.Worker, address string) {
 	fleet.workers = append(fleet.workers, worker)
 	fleet.serve(worker.ID, address, worker.Handler())
 	go func() {
