--- a/tests/fleet_odd_entries_test.go
+++ b/tests/fleet_odd_entries_test.go
@@ -110,3 +110,56 @@
 		fleet.Error("the worker that registered later has run nothing")
 	}
 }
+
+// oddListings are answers of a worker to a poll, while the task 0 of step 0 of job 0 runs elsewhere.
+var oddListings = map[string]string{
+	"negativeIndex":   `{"clockMs":1,"running":[["0000000000000000.0.0.-1",1]]}`,
+	"negativeEnd":     `{"clockMs":1,"finished":[[1,"0000000000000000.0.0.-1",1,"done"]]}`,
+	"nested":          `{"clockMs":1,"a":` + strings.Repeat("[", 1<<20),
+	"nestedClosed":    `{"clockMs":1,"a":` + strings.Repeat("[", 9_990) + strings.Repeat("]", 9_990) + "}",
+	"notJSON":         "<html>",
+	"empty":           "",
+	"null":            "null",
+	"numbersTooLarge": `{"clockMs":9e30,"born":9e30,"running":[["0000000000000000.0.0.0",9e30,"",9e30]],"finished":[[9e30,"0000000000000000.0.0.0",-9e30,"done"]]}`,
+}
+
+// TestFleetOddListings guards against hosts that end at the answer of one odd worker, or that lose the answers of others by it.
+func TestFleetOddListings(t *testing.T) {
+	for name, listing := range oddListings {
+		t.Run(name, func(t *testing.T) { checkOddListing(t, listing, noDelegates) })
+		t.Run(name+"ThroughDelegates", func(t *testing.T) { checkOddListing(t, listing, 1) })
+	}
+}
+
+// checkOddListing registers a worker that answers each poll with a listing. Jobs that are submitted meanwhile complete on the
+// others as fast as without it.
+func checkOddListing(t *testing.T, listing string, delegateFrom int64) {
+	t.Helper()
+	const bound = 900 * time.Millisecond // see TestFleetStoreCut
+	runFleet(t, 6, delegateFrom, func(fleet *fleet) {
+		fleet.serve("odd", oddAddress, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			if request.URL.Path != "/-/hold" {
+				writer.WriteHeader(http.StatusMisdirectedRequest)
+				return
+			}
+			_, _ = writer.Write([]byte(listing))
+		}))
+		for _, worker := range fleet.workers {
+			worker.RunTime = 5 * time.Second
+		}
+		fleet.submitJob(fleet.hostNames[0], 0) // runs throughout
+		time.Sleep(500 * time.Millisecond)
+		for _, worker := range fleet.workers {
+			worker.RunTime = 100 * time.Millisecond
+		}
+		fleet.store.Put("keyed.servers", "w-odd", []byte(soundEntry))
+		time.Sleep(time.Second)
+		for number := range 5 {
+			if took := fleet.measureJob(fleet.hostNames[number%3], 1+number); took > bound {
+				fleet.Errorf("job %d took %v beside the odd worker, its objective is %v", 1+number, took, bound)
+			}
+		}
+		fleet.awaitJobs(fleet.hostNames[0], 20*time.Second)
+		fleet.wantWorkOnLateWorker()
+	})
+}
