--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -187,7 +187,7 @@
 		MoveStragglers: settings.MoveStragglers,
 	}, tenure.term, tenure.host.catalog.Load(), time.Now())
 	if undecodable := restored.Restore(records, time.Now()); len(undecodable) > 0 {
-		tenure.host.log.Error("cannot decode journal records", "keys", undecodable)
+		tenure.host.log.Error("cannot decode journal records", "count", len(undecodable), "keys", undecodable[:min(len(undecodable), maxUndecodableLines)])
 	}
 	tenure.mu.Lock()
 	tenure.planner = restored
--- a/library/planner/expiry.go
+++ b/library/planner/expiry.go
@@ -29,7 +29,7 @@
 	RemainingMS int64 `json:"remainingMS"` // time until every lease has expired, when this was stored
 }
 
-// UnmarshalJSON decodes a lease expiry, and refuses any other format version than expiryVersion.
+// UnmarshalJSON decodes a lease expiry, and refuses a time out of range and any other format version than expiryVersion.
 func (leaseExpiry *LeaseExpiry) UnmarshalJSON(data []byte) error {
 	type plain LeaseExpiry
 	var decoded plain
@@ -39,6 +39,9 @@
 	if decoded.Version != expiryVersion {
 		return Error.New("lease expiry record has format version %d, this program reads version %d only", decoded.Version, expiryVersion)
 	}
+	if decoded.RemainingMS < 0 || decoded.RemainingMS > maxExpiryMS {
+		return Error.New("lease expiry record has %d ms left, which is not from 0 to %d", decoded.RemainingMS, maxExpiryMS)
+	}
 	*leaseExpiry = LeaseExpiry(decoded)
 	return nil
 }
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -59,7 +59,7 @@
 	Number      int    `json:"number,omitempty"` // 0 for the task's last run number
 }
 
-// UnmarshalJSON decodes progress, and refuses any other format version than journalVersion.
+// UnmarshalJSON decodes progress, and refuses values out of range and any other format version than journalVersion.
 func (progress *Progress) UnmarshalJSON(data []byte) error {
 	type plain Progress
 	var decoded plain
@@ -69,6 +69,9 @@
 	if decoded.Version != journalVersion {
 		return Error.New("progress record has format version %d, this program reads version %d only", decoded.Version, journalVersion)
 	}
+	if err := (*Progress)(&decoded).check(); err != nil {
+		return err
+	}
 	*progress = Progress(decoded)
 	return nil
 }
@@ -173,7 +176,7 @@
 
 // journalTime is the inverse of journalMS.
 func (planner *Planner) journalTime(journalMS int64) time.Time {
-	return planner.startedAt.Add(time.Duration(journalMS-planner.journalStartMS) * time.Millisecond)
+	return planner.startedAt.Add(journalDuration(planner.journalStartMS, journalMS))
 }
 
 // progress returns the job's progress as it is stored.
