scheduler: an odd election does not end all elections

Callers saw: no job is accepted any more after another writer has left an election with a large term in the topic of the hosts. Cause: the term of an election is the offset after its record, so that each exceeds all before. A stored election is believed with any term. No later one exceeds math.MaxInt64, or a million while the topic has a few records, and the host that it names does not exist. In fencing tokens, terms above 2^43 overflow (by reading). Evidence, on the code before: TestFleetOddRecords/termTooLarge and termOfTheFuture fail, no job is accepted in 40 attempts. The other subtests pass: members with odd addresses or shares, and elections without a port. Change: an election whose term is above the end of the topic, as of the read that returned it, is refused. One that was stored between the pages of a read is refused at first and then arrives with the next read. Terms are at most 2^42. Measured: TestFleetOddRecords passes: jobs complete, also after the loss of the decider and after all hosts were started again.

--- a/daemon/scheduler/calls.go
+++ b/daemon/scheduler/calls.go
@@ -103,13 +103,13 @@
 func (tenure *tenure) stillDecides(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	entries, _, err := tenure.host.readNewest(ctx, translator.Fleet)
+	entries, end, err := tenure.host.readNewest(ctx, translator.Fleet)
 	if err != nil {
 		tenure.host.log.Info("cannot confirm that this host is still the decider", "term", tenure.term, "error", err)
 		return false
 	}
 	for _, entry := range entries {
-		tenure.host.applyFleetEntry(entry)
+		tenure.host.applyFleetEntry(entry, end)
 	}
 	return tenure.host.currentTenure() == tenure
 }
--- a/daemon/scheduler/fleet.go
+++ b/daemon/scheduler/fleet.go
@@ -46,15 +46,18 @@
 	return nil
 }
 
-// UnmarshalJSON decodes an election. It returns an error if the term or the address is missing.
+// maxTerm bounds terms, since fencing tokens have 20 more bits.
+const maxTerm = 1 << 42
+
+// UnmarshalJSON decodes an election. It returns an error if the term is out of range or the address is missing.
 func (election *Election) UnmarshalJSON(data []byte) error {
 	type plain Election
 	var decoded plain
 	if err := json.Unmarshal(data, &decoded); err != nil {
 		return fmt.Errorf("decode election: %w", err)
 	}
-	if decoded.Term <= 0 || decoded.Address == "" {
-		return Error.New("election has no term or no address")
+	if decoded.Term <= 0 || decoded.Term > maxTerm || decoded.Address == "" {
+		return Error.New("election has term %d, which is not from 1 to %d, or no address", decoded.Term, int64(maxTerm))
 	}
 	*election = Election(decoded)
 	return nil
@@ -174,7 +177,7 @@
 	host.wait.Go(host.register)
 	host.followTopic(host.ctx, translator.Fleet, 0, func(change topicChange) {
 		for _, entry := range change.entries {
-			host.applyFleetEntry(entry)
+			host.applyFleetEntry(entry, change.end)
 		}
 		host.fleet.markLoaded()
 		if tenure := host.currentTenure(); tenure != nil {
@@ -204,10 +207,11 @@
 	}
 }
 
-func (host *Host) applyFleetEntry(entry translator.Entry) {
+// applyFleetEntry applies a record of a read that covers the topic up to the offset end.
+func (host *Host) applyFleetEntry(entry translator.Entry, end int64) {
 	if entry.Key == electionKey {
-		var election Election
-		if err := json.Unmarshal(entry.Value, &election); err != nil {
+		election, err := decodeElection(entry.Value, end)
+		if err != nil {
 			host.logUndecodable("cannot decode election", translator.Fleet, entry.Key, err)
 			return
 		}
@@ -228,6 +232,19 @@
 	host.fleet.register(member)
 }
 
+// decodeElection decodes an election of a topic that ends at an offset. The term of an election is the offset after its record.
+// It returns an error for a higher term, which no later election could exceed.
+func decodeElection(data []byte, end int64) (Election, error) {
+	var election Election
+	if err := json.Unmarshal(data, &election); err != nil {
+		return Election{}, fmt.Errorf("read stored election: %w", err)
+	}
+	if election.Term > end {
+		return Election{}, Error.New("election has term %d, but the topic ends at %d", election.Term, end)
+	}
+	return election, nil
+}
+
 // applyElection records an election, and begins or ends this host's tenure accordingly.
 func (host *Host) applyElection(election Election, source string) {
 	previous, isNew := host.fleet.recordElection(election)
@@ -257,7 +274,7 @@
 		return fmt.Errorf("campaign: %w", err)
 	}
 	for _, entry := range entries {
-		host.applyFleetEntry(entry)
+		host.applyFleetEntry(entry, end)
 	}
 	if election, _ := host.fleet.currentElection(); election.Term > known.Term {
 		return nil
--- a/tests/fleet_odd_entries_test.go
+++ b/tests/fleet_odd_entries_test.go
@@ -163,3 +163,51 @@
 		fleet.wantWorkOnLateWorker()
 	})
 }
+
+// oddFleetRecords are records of another writer in the topic of the hosts.
+var oddFleetRecords = map[string]struct{ key, value string }{
+	"termTooLarge":    {"decider", `{"term":9223372036854775807,"host":"entry-x-0","address":"10.1.9.9:82","boot":"b"}`},
+	"termOfTheFuture": {"decider", `{"term":1000000,"host":"entry-x-0","address":"10.1.9.9:82","boot":"b"}`},
+	"electedNoPort":   {"decider", `{"term":9,"host":"entry-x-0","address":"10.1.9.9","boot":"b"}`},
+	"otherName":       {"host/entry-x-0", `{"name":"entry-a-0","zone":"a","address":"10.1.9.9:82","boot":"b","processorShare":1}`},
+	"noPort":          {"host/entry-x-0", `{"name":"entry-x-0","zone":"a","address":"10.1.9.9","boot":"b","processorShare":1}`},
+	"portTooLarge":    {"host/entry-x-0", `{"name":"entry-x-0","zone":"a","address":"10.1.9.9:99999","boot":"b","processorShare":1}`},
+	"shareTooLarge":   {"host/entry-x-0", `{"name":"entry-x-0","zone":"a","address":"10.1.9.9:82","boot":"b","processorShare":1e300}`},
+	"nested":          {"host/entry-x-0", strings.Repeat(`{"a":[`, 100_000)},
+}
+
+// TestFleetOddRecords guards against hosts that elect no decider any more after an odd record among their own: no term can exceed that
+// of an odd election, and an odd member stands for a host that no other reaches.
+func TestFleetOddRecords(t *testing.T) {
+	for name, record := range oddFleetRecords {
+		t.Run(name, func(t *testing.T) {
+			runFleetTest(t, 4, func(fleet *fleet) {
+				for number := range 4 {
+					fleet.submitJob(fleet.hostNames[number%4], number)
+					fleet.store.Put("keyed.ebonyshunt-fleet", record.key, []byte(record.value))
+				}
+				fleet.awaitJobs(fleet.hostNames[1], 5*time.Second)
+				fleet.killHost(fleet.decidingHost())
+				time.Sleep(3 * time.Second)
+				fleet.submitJob(fleet.hostNames[1], 10)
+				fleet.awaitJobs(fleet.hostNames[1], 5*time.Second)
+				fleet.restartAllRunning()
+				fleet.submitJob(fleet.hostNames[1], 11)
+				fleet.awaitJobs(fleet.hostNames[1], 5*time.Second)
+			})
+		})
+	}
+}
+
+// restartAllRunning kills all hosts that run, starts all hosts on the records in the store, and waits for an election.
+func (fleet *fleet) restartAllRunning() {
+	for _, name := range fleet.hostNames {
+		if fleet.hosts[name] != nil {
+			fleet.killHost(name)
+		}
+	}
+	for _, name := range fleet.hostNames {
+		fleet.startHost(name)
+	}
+	time.Sleep(3 * time.Second)
+}
