--- a/tests/store_reads_test.go
+++ b/tests/store_reads_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"bytes"
+	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,3 +62,32 @@
 		})
 	})
 }
+
+// TestStoreReadsOddKeys guards against a read that never ends, or that leaves out the keys after a whole page of keys that are not text.
+func TestStoreReadsOddKeys(t *testing.T) {
+	const timeout = 2 * time.Second
+	for name, prefix := range map[string]string{"highBytes": "b\xff", "lowBytes": "b\x80", "onlyBytes": "\xff", "empty": ""} {
+		t.Run(name, func(t *testing.T) {
+			store := emulator.NewStore()
+			for number := range 1100 {
+				store.Put("keyed.servers", prefix+fmt.Sprint(number), []byte("odd"))
+			}
+			for _, key := range []string{"", "a", "c"} {
+				store.Put("keyed.servers", key, []byte("x"))
+			}
+			server := httptest.NewServer(store.Handler())
+			defer server.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), timeout)
+			defer cancel()
+			limits := translator.ReadLimits{First: timeout, Stall: timeout, Total: timeout}
+			entries, _, err := translator.NewStore(server.Client(), strings.TrimPrefix(server.URL, "http://")).ReadNewest(ctx, translator.Workers, limits)
+			found := map[string]bool{}
+			for _, entry := range entries {
+				found[entry.Key] = true
+			}
+			if err != nil || !found["a"] || !found["c"] {
+				t.Errorf("%d entries, a %t, c %t, error %v, want both", len(entries), found["a"], found["c"], err)
+			}
+		})
+	}
+}
