tests: fuzz registrations and listings of workers

FuzzWorkers decodes any text as both and checks that what is accepted is within the ranges that the planner reckons with.

--- a/tests/fuzz_test.go
+++ b/tests/fuzz_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 	"reflect"
 	"testing"
+	"time"
 
 	"ebonyshunt.org/daemon/linker"
 	"ebonyshunt.org/daemon/lister"
@@ -16,10 +18,12 @@
 	"ebonyshunt.org/library/keeper"
 	"ebonyshunt.org/library/limiter"
 	"ebonyshunt.org/library/parser"
+	"ebonyshunt.org/library/planner"
 	"ebonyshunt.org/library/recorder"
 	"ebonyshunt.org/library/replayer"
 	"ebonyshunt.org/library/responder"
 	"ebonyshunt.org/library/sizer"
+	"ebonyshunt.org/platform/translator"
 )
 
 // newValues return an empty value of each type that validates itself when decoded.
@@ -120,3 +124,41 @@
 		}
 	})
 }
+
+// FuzzWorkers decodes text as the registration of a worker and as a listing of its runs. What is accepted must be within the ranges that the
+// planner reckons with.
+func FuzzWorkers(f *testing.F) {
+	for _, seed := range []string{
+		soundEntry, `{"clockMs":482113,"born":1,"running":[["5c0e7a21d94b36f8.0.1.17",2,"0b",41]],"finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]}`,
+	} {
+		f.Add("w-1", []byte(seed))
+	}
+	for _, entry := range oddEntries {
+		if len(entry) < 1000 { // the others differ in length only
+			f.Add("w-1", []byte(entry))
+		}
+	}
+	f.Fuzz(func(t *testing.T, id string, data []byte) {
+		if info, err := translator.DecodeWorker(id, data); err == nil {
+			address, err := netip.ParseAddrPort(info.Address)
+			if err != nil || address.Port() == 0 || info.ID != id || len(id) > 249 { // of 255 bytes of a key, 6 are its prefix
+				t.Errorf("accepted with address %q, id %q", info.Address, info.ID)
+			}
+			if largest := (sizer.Size{MilliCores: 1e9, MemoryMB: 1e9, Accelerators: 1e9}); !info.Capacity.Fits(largest) || !(sizer.Size{}).Fits(info.Capacity) {
+				t.Errorf("accepted with capacity %s", info.Capacity)
+			}
+			if info.Incarnation < 0 || min(info.LeavesIn, info.ColdLeft) < 0 || max(info.LeavesIn, info.ColdLeft) > 24*time.Hour {
+				t.Errorf("accepted with times %v, %v and %d", info.LeavesIn, info.ColdLeft, info.Incarnation)
+			}
+		}
+		listing, err := translator.DecodeListing(data, planner.Poll{}, time.Time{})
+		if err != nil {
+			return
+		}
+		for _, run := range listing.Running {
+			if min(run.Key.Occurrence, run.Key.Step, run.Key.Index, run.Number, run.Percent) < 0 || run.Percent > 100 {
+				t.Errorf("accepted with run %+v", run)
+			}
+		}
+	})
+}
