scheduler: an odd member is none

Callers saw: nothing yet. A member of another writer that has the name of a sound one takes its place, so that the others call a wrong address; one that no host can be is counted, asked in elections, and called. Cause: the entry of a member is believed with any name, address and capacity. Change: the name of a member is the one in its key, its address an IP address with a port, and its capacity within the limits of the settings. Members that peers report are checked in the same way, without the key.

--- a/daemon/loader/scheduling.go
+++ b/daemon/loader/scheduling.go
@@ -37,7 +37,8 @@
 }
 
 const (
-	maxProcessorShare  = 1024
+	// MaxProcessorShare is the maximum of ProcessorShare.
+	MaxProcessorShare  = 1024
 	maxMemoryMB        = 1 << 30
 	maxCrossRackFactor = 100
 	maxDuration        = 24 * time.Hour
@@ -108,7 +109,7 @@
 	scheduling.MetricsAddress = optionalAddress(fields, "metricsAddress")
 	scheduling.PeerAddress = fields.Address("peerAddress", "")
 	scheduling.Seeds = fields.Addresses("seeds")
-	scheduling.ProcessorShare = fields.Number("processorShare", 1, maxProcessorShare)
+	scheduling.ProcessorShare = fields.Number("processorShare", 1, MaxProcessorShare)
 	scheduling.MemoryMB = fields.Integer("memoryMB", 256, 16, maxMemoryMB)
 	scheduling.MaxOpenFiles = fields.Integer("mostFiles", defaultFileLimit, minFileLimit, maxFileLimit)
 	scheduling.LogLevel = fields.Choice("logLevel", "info", "debug", "info", "warn", "error")
--- a/daemon/scheduler/fleet.go
+++ b/daemon/scheduler/fleet.go
@@ -7,11 +7,13 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"ebonyshunt.org/daemon/loader"
 	"ebonyshunt.org/platform/translator"
 )
 
@@ -219,12 +221,12 @@
 		host.applyElection(election, "store")
 		return
 	}
-	_, found := strings.CutPrefix(entry.Key, memberPrefix)
+	name, found := strings.CutPrefix(entry.Key, memberPrefix)
 	if !found || len(entry.Value) == 0 {
 		return
 	}
-	var member Member
-	if err := json.Unmarshal(entry.Value, &member); err != nil {
+	member, err := decodeMember(name, entry.Value)
+	if err != nil {
 		host.logUndecodable("cannot decode member", translator.Fleet, entry.Key, err)
 		return
 	}
@@ -232,6 +234,29 @@
 	host.fleet.register(member)
 }
 
+// decodeMember decodes the entry of the member with a name.
+func decodeMember(name string, data []byte) (Member, error) {
+	var member Member
+	if err := json.Unmarshal(data, &member); err != nil {
+		return Member{}, fmt.Errorf("read stored member: %w", err)
+	}
+	if member.Name != name {
+		return Member{}, Error.New("entry of member %s names member %s", name, member.Name)
+	}
+	return member, member.check()
+}
+
+// check returns an error if no host can have the member's address or capacity.
+func (member Member) check() error {
+	if address, err := netip.ParseAddrPort(member.Address); err != nil || address.Port() == 0 {
+		return Error.New("member %s has the address %.40q, want an IP address and a port", member.Name, member.Address)
+	}
+	if member.ProcessorShare < 0 || member.ProcessorShare > loader.MaxProcessorShare {
+		return Error.New("member %s has capacity %v, which is not from 0 to %d", member.Name, member.ProcessorShare, loader.MaxProcessorShare)
+	}
+	return nil
+}
+
 // decodeElection decodes an election of a topic that ends at an offset. The term of an election is the offset after its record.
 // It returns an error for a higher term, which no later election could exceed.
 func decodeElection(data []byte, end int64) (Election, error) {
--- a/daemon/scheduler/watch.go
+++ b/daemon/scheduler/watch.go
@@ -186,7 +186,9 @@
 	}
 	host.catalogFetcher.report(answer.CatalogVersion, address)
 	for _, member := range answer.Members {
-		host.fleet.register(member)
+		if member.check() == nil { // a host of an earlier release may know an odd one
+			host.fleet.register(member)
+		}
 	}
 	host.learnDrains(answer.Drains)
 	if answer.Election.Term > 0 {
