planner: a job whose occurrences are due without end ends no decider

Callers saw: nothing yet. Cause: all occurrences that are due are created at once, with the planner locked, and a due time overflows without a limit on the interval. Evidence, on the code before: TestOddSchedule/withoutEnd, 3 million occurrences without an interval, does not end within 50 s. In overflows, 5 occurrences run instead of 1, four of them before they are due. Change: at most 1000 occurrences of a job are open; the next ones are created as these are completed. Due times are at most in the year 9999. Measured: TestOddSchedule passes in 0.3 s; a backlog of 1500 occurrences is completed.

--- a/library/planner/submission.go
+++ b/library/planner/submission.go
@@ -89,9 +89,8 @@
 		return
 	}
 	for entry.nextOccurrence < entry.Runs {
-		due := time.UnixMilli(entry.FirstRunMS + int64(entry.nextOccurrence)*entry.IntervalMS)
-		late := planner.Settings.TimeOfDay().Sub(due)
-		if late < 0 {
+		late := planner.Settings.TimeOfDay().Sub(entry.dueAt(entry.nextOccurrence))
+		if late < 0 || len(entry.occurrences) >= maxOpenOccurrences {
 			planner.scheduled[entry.ID] = entry
 			return
 		}
@@ -102,6 +101,22 @@
 	delete(planner.scheduled, entry.ID)
 }
 
+const (
+	// maxOpenOccurrences limits the occurrences of a job that are not completed. Further ones are created as these are completed.
+	maxOpenOccurrences = 1000
+	// maxDueMS is the latest due time, the end of the year 9999 in Unix milliseconds.
+	maxDueMS = 253_402_300_799_999
+)
+
+// dueAt returns when an occurrence is due, at most maxDueMS before or after 1970.
+func (job *Job) dueAt(number int) time.Time {
+	firstMS := min(max(job.FirstRunMS, -maxDueMS), maxDueMS)
+	if job.IntervalMS > 0 && int64(number) > (maxDueMS-firstMS)/job.IntervalMS {
+		return time.UnixMilli(maxDueMS)
+	}
+	return time.UnixMilli(firstMS + int64(number)*job.IntervalMS)
+}
+
 // occurrences returns the total number of occurrences of the job.
 func (job *Job) occurrences() int { return max(1, job.Runs) }
 
