--- a/daemon/scheduler/fleet.go
+++ b/daemon/scheduler/fleet.go
@@ -7,11 +7,13 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"ebonyshunt.org/daemon/loader"
 	"ebonyshunt.org/platform/translator"
 )
 
@@ -46,15 +48,18 @@
 	return nil
 }
 
-// UnmarshalJSON decodes an election. It returns an error if the term or the address is missing.
+// maxTerm bounds terms, since fencing tokens have 20 more bits.
+const maxTerm = 1 << 42
+
+// UnmarshalJSON decodes an election. It returns an error if the term is out of range or the address is missing.
 func (election *Election) UnmarshalJSON(data []byte) error {
 	type plain Election
 	var decoded plain
 	if err := json.Unmarshal(data, &decoded); err != nil {
 		return fmt.Errorf("decode election: %w", err)
 	}
-	if decoded.Term <= 0 || decoded.Address == "" {
-		return Error.New("election has no term or no address")
+	if decoded.Term <= 0 || decoded.Term > maxTerm || decoded.Address == "" {
+		return Error.New("election has term %d, which is not from 1 to %d, or no address", decoded.Term, int64(maxTerm))
 	}
 	*election = Election(decoded)
 	return nil
@@ -174,7 +179,7 @@
 	host.wait.Go(host.register)
 	host.followTopic(host.ctx, translator.Fleet, 0, func(change topicChange) {
 		for _, entry := range change.entries {
-			host.applyFleetEntry(entry)
+			host.applyFleetEntry(entry, change.end)
 		}
 		host.fleet.markLoaded()
 		if tenure := host.currentTenure(); tenure != nil {
@@ -204,13 +209,15 @@
 	}
 }
 
-func (host *Host) applyFleetEntry(entry translator.Entry) {
+// applyFleetEntry applies a record of a read that covers the topic up to the offset end.
+func (host *Host) applyFleetEntry(entry translator.Entry, end int64) {
 	if entry.Key == electionKey {
-		var election Election
-		if err := json.Unmarshal(entry.Value, &election); err != nil {
-			host.log.Warn("cannot decode election", "error", err)
+		election, err := decodeElection(entry.Value, end)
+		if err != nil {
+			host.logUndecodable("cannot decode election", translator.Fleet, entry.Key, err)
 			return
 		}
+		host.undecodable.decoded(translator.Fleet, entry.Key)
 		host.applyElection(election, "store")
 		return
 	}
@@ -218,14 +225,51 @@
 	if !found || len(entry.Value) == 0 {
 		return
 	}
-	var member Member
-	if err := json.Unmarshal(entry.Value, &member); err != nil {
-		host.log.Warn("cannot decode member", "member", name, "error", err)
+	member, err := decodeMember(name, entry.Value)
+	if err != nil {
+		host.logUndecodable("cannot decode member", translator.Fleet, entry.Key, err)
 		return
 	}
+	host.undecodable.decoded(translator.Fleet, entry.Key)
 	host.fleet.register(member)
 }
 
+// decodeMember decodes the entry of the member with a name.
+func decodeMember(name string, data []byte) (Member, error) {
+	var member Member
+	if err := json.Unmarshal(data, &member); err != nil {
+		return Member{}, fmt.Errorf("read stored member: %w", err)
+	}
+	if member.Name != name {
+		return Member{}, Error.New("entry of member %s names member %s", name, member.Name)
+	}
+	return member, member.check()
+}
+
+// check returns an error if no host can have the member's address or capacity.
+func (member Member) check() error {
+	if address, err := netip.ParseAddrPort(member.Address); err != nil || address.Port() == 0 {
+		return Error.New("member %s has the address %.40q, want an IP address and a port", member.Name, member.Address)
+	}
+	if member.ProcessorShare < 0 || member.ProcessorShare > loader.MaxProcessorShare {
+		return Error.New("member %s has capacity %v, which is not from 0 to %d", member.Name, member.ProcessorShare, loader.MaxProcessorShare)
+	}
+	return nil
+}
+
+// decodeElection decodes an election of a topic that ends at an offset. The term of an election is the offset after its record.
+// It returns an error for a higher term, which no later election could exceed.
+func decodeElection(data []byte, end int64) (Election, error) {
+	var election Election
+	if err := json.Unmarshal(data, &election); err != nil {
+		return Election{}, fmt.Errorf("read stored election: %w", err)
+	}
+	if election.Term > end {
+		return Election{}, Error.New("election has term %d, but the topic ends at %d", election.Term, end)
+	}
+	return election, nil
+}
+
 // applyElection records an election, and begins or ends this host's tenure accordingly.
 func (host *Host) applyElection(election Election, source string) {
 	previous, isNew := host.fleet.recordElection(election)
@@ -255,7 +299,7 @@
 		return fmt.Errorf("campaign: %w", err)
 	}
 	for _, entry := range entries {
-		host.applyFleetEntry(entry)
+		host.applyFleetEntry(entry, end)
 	}
 	if election, _ := host.fleet.currentElection(); election.Term > known.Term {
 		return nil
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -56,6 +56,7 @@
 	hedgedCaller    *hedgedCaller
 	drains          drainer.Register
 	fleet           *fleet
+	undecodable     *undecodable
 	storeAnsweredAt atomic.Int64 // uptime when the store last answered, in nanoseconds
 	shuttingDown    atomic.Bool
 	deciderStatus   deciderStatus
@@ -93,7 +94,7 @@
 	clock := &recorder.Clock{}
 	host := &Host{
 		settings: settings, network: network, log: log, bootID: uuid.NewString(), started: time.Now(), campaignBackoff: minCampaignBackoff, clock: clock,
-		fleet: newFleet(), sessions: newSessions(),
+		fleet: newFleet(), sessions: newSessions(), undecodable: newUndecodable(),
 	}
 	host.peerNetwork = network.Metered(&host.traffic.peers)
 	host.peerPool = linker.NewPool(host.peerNetwork, settings.Host, clock)
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -192,7 +192,7 @@
 		MoveStragglers: settings.MoveStragglers,
 	}, tenure.term, tenure.host.catalog.Load(), time.Now())
 	if undecodable := restored.Restore(records, time.Now()); len(undecodable) > 0 {
-		tenure.host.log.Error("cannot decode journal records", "keys", undecodable)
+		tenure.host.log.Error("cannot decode journal records", "count", len(undecodable), "keys", undecodable[:min(len(undecodable), maxUndecodableLines)])
 	}
 	tenure.mu.Lock()
 	tenure.planner = restored
@@ -339,11 +339,12 @@
 		}
 		info, err := translator.DecodeWorker(entry.Key, entry.Value)
 		if err == nil {
+			tenure.host.undecodable.decoded(translator.Workers, entry.Key)
 			registrations = append(registrations, registration{entry.Key, &info})
 			continue
 		}
 		if len(entry.Value) > 0 {
-			tenure.host.log.Warn("cannot decode worker entry, removing the worker", "worker", entry.Key, "error", err)
+			tenure.host.logUndecodable("cannot decode worker entry, removing the worker", translator.Workers, entry.Key, err)
 		}
 		registrations = append(registrations, registration{id: entry.Key})
 	}
