scheduler: a slowed processor is noticed within a second

The check counted 20 samples of the decider's timer. On a processor that is slowed eight times the timer itself is late, so that these took 4 s and more. Until now the peers replaced such a decider before, since they took its late answers for none. A window now lasts 0.5 s and has 3 samples or more.

TestSpeed/lateTimers failed before.

--- a/daemon/scheduler/lag.go
+++ b/daemon/scheduler/lag.go
@@ -54,7 +54,7 @@
 			late := time.Since(due)
 			tenure.tickLag.record(late)
 			raise(&tenure.meter.longestWait, int64(late))
-			tenure.speed.record(probe())
+			tenure.speed.record(probe(), time.Now())
 			tenure.answerLag.record(tenure.quorum.answerTime())
 		case <-tenure.ctx.Done():
 			return
--- a/daemon/scheduler/speed.go
+++ b/daemon/scheduler/speed.go
@@ -9,6 +9,7 @@
 // least of several times counts, since any of them may include waiting for the processor.
 type speed struct {
 	samples int
+	beganAt time.Time     // when the current window began, zero for the first one
 	least   time.Duration // of the samples of the current window
 	usual   time.Duration // moving average of the least times, 0 before the first window
 	latest  atomic.Int64  // least time of the latest window, in nanoseconds
@@ -16,8 +17,9 @@
 }
 
 const (
-	// speedWindow is the number of samples of which the least one counts.
-	speedWindow = 20
+	// speedWindow is the time of the samples of which the least one counts, at least minSpeedSamples of them.
+	speedWindow     = 500 * time.Millisecond
+	minSpeedSamples = 3
 	// slowedFactor is the multiple of the usual time from which on the processor counts as slowed. Other programs on the same
 	// machine cost less.
 	slowedFactor = 2.5
@@ -44,16 +46,16 @@
 	return time.Since(began)
 }
 
-// record adds the time of one computation.
-func (speed *speed) record(took time.Duration) {
+// record adds the time of one computation that was made at a time.
+func (speed *speed) record(took time.Duration, now time.Time) {
 	if speed.samples == 0 || took < speed.least {
 		speed.least = took
 	}
 	speed.samples++
-	if speed.samples < speedWindow {
+	if speed.samples < minSpeedSamples || now.Sub(speed.beganAt) < speedWindow {
 		return
 	}
-	speed.samples = 0
+	speed.samples, speed.beganAt = 0, now
 	speed.latest.Store(int64(speed.least))
 	if speed.usual == 0 {
 		speed.usual = speed.least
--- a/daemon/scheduler/speed_test.go
+++ b/daemon/scheduler/speed_test.go
@@ -5,6 +5,14 @@
 	"time"
 )
 
+// recordFor records computations that each take the given time, at intervals, until a time has passed.
+func recordFor(speed *speed, took, interval, length time.Duration, now *time.Time) {
+	for until := now.Add(length); now.Before(until); {
+		*now = now.Add(interval)
+		speed.record(took, *now)
+	}
+}
+
 // TestSpeed guards against a decider that hands over because it has too much to do: the next one has as much to do, and has to poll the
 // whole fleet first. Only a processor that is slowed itself is a reason.
 func TestSpeed(t *testing.T) {
@@ -22,43 +30,50 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			var speed speed
-			for range speedWindow {
-				speed.record(usual)
-			}
-			for sample := range 2 * speedWindow {
-				speed.record(test.took(sample))
+			var now time.Time
+			recordFor(&speed, usual, planInterval, time.Second, &now)
+			for sample := range 20 { // a second
+				now = now.Add(planInterval)
+				speed.record(test.took(sample), now)
 			}
 			if speed.isSlowed() != test.want {
 				t.Errorf("slowed %t, want %t", speed.isSlowed(), test.want)
 			}
-			for range speedWindow {
-				speed.record(usual)
-			}
+			recordFor(&speed, usual, planInterval, time.Second, &now)
 			if speed.isSlowed() {
 				t.Error("still slowed after the end of it")
 			}
 		})
 	}
-	t.Run("oneFastWindow", func(t *testing.T) {
+	t.Run("oneFastSecond", func(t *testing.T) {
 		var speed speed
-		for window := range 10 {
+		var now time.Time
+		for second := range 10 {
 			took := usual
-			if window == 4 {
+			if second == 4 {
 				took = usual / 3
 			}
-			for range speedWindow {
-				speed.record(took)
-			}
-			if speed.isSlowed() {
-				t.Fatalf("slowed in window %d at its usual speed", window)
+			for range 20 {
+				recordFor(&speed, took, planInterval, planInterval, &now)
+				if speed.isSlowed() {
+					t.Fatalf("slowed in second %d at its usual speed", second)
+				}
 			}
 		}
 	})
-	t.Run("pausedClock", func(t *testing.T) {
+	t.Run("lateTimers", func(t *testing.T) { // a slowed processor delays the timers by which it is measured, too
 		var speed speed
-		for range 3 * speedWindow {
-			speed.record(0)
+		var now time.Time
+		recordFor(&speed, usual, planInterval, 3*time.Second, &now)
+		recordFor(&speed, 8*usual, 200*time.Millisecond, time.Second, &now)
+		if !speed.isSlowed() {
+			t.Error("not slowed after a second")
 		}
+	})
+	t.Run("pausedClock", func(t *testing.T) {
+		var speed speed
+		var now time.Time
+		recordFor(&speed, 0, planInterval, 3*time.Second, &now)
 		if speed.isSlowed() {
 			t.Error("slowed on a clock that stands still")
 		}
