scheduler: hosts do not tell a new decider the delay of the former one

A heartbeat says how long the decider's last answer took. The first ones to a new decider carried what the former one's answer had taken, so that it took its link for full, and waited up to 2 s longer before it repeated an append that got lost: no batch was stored from 5.2 s to 6.3 s, and of the first second's starts 117 were made in place of 1,328. The time is forgotten with an election.

TestFormerAnswerTime failed before.

--- a/daemon/scheduler/decider_status.go
+++ b/daemon/scheduler/decider_status.go
@@ -52,7 +52,8 @@
 
 // recordElection records that this host learned of an election at an uptime, and whether it suspected the former decider.
 func (deciderStatus *deciderStatus) recordElection(uptime time.Duration, suspected bool) {
-	deciderStatus.storeOutage.Store(0) // it was that of the former decider
+	deciderStatus.storeOutage.Store(0) // this and the next were those of the former decider
+	deciderStatus.tookNS.Store(0)
 	term := uptime - time.Duration(deciderStatus.electedAt.Swap(int64(uptime)))
 	switch {
 	case term >= shortTerm:
