--- a/tests/fleet_slow_links_test.go
+++ b/tests/fleet_slow_links_test.go
@@ -345,12 +345,12 @@
 		fleet.addWorker(len(fleet.workers))
 		fleet.workers[len(fleet.workers)-1].Simulate = simulateLasting
 		worker.Drain(remaining)
-		fleet.store.Put("keyed.servers", worker.ID, worker.Entry(workerAddress(number), "ready"))
+		fleet.store.Register(worker, workerAddress(number), false)
 		leaving.Go(func() {
 			time.Sleep(stay)
 			worker.Leave()
 			fleet.fabric.Kill(worker.ID)
-			fleet.store.Put("keyed.servers", worker.ID, nil)
+			fleet.store.Put(emulator.WorkersTopic, worker.ID, nil)
 		})
 	}
 }
