planner: a run that was not listed lately does not count as hung

A run counts as hung when its progress stood still for 2.5 s or more. Progress is read from listings; over a slow link a poll takes longer than that before it fails, so that healthy runs were stopped and started again, which adds to the load of that link. No judgement is made on a listing that is older than 2.3 s, the longest time between two.

--- a/library/planner/plan.go
+++ b/library/planner/plan.go
@@ -118,6 +118,9 @@
 const (
 	minHangTime    = 2500 * time.Millisecond
 	hangTimeFactor = 1.0
+	// maxReadingAge is the age of a worker's last listing above which it says nothing about the progress of its runs: it is longer than
+	// the time between two listings, and shorter than minHangTime.
+	maxReadingAge = 2300 * time.Millisecond
 	// maxHangTime is the time from which on it is not doubled any more.
 	maxHangTime = 30 * 24 * time.Hour
 )
@@ -149,7 +152,7 @@
 
 // hangs reports whether a run has made no progress for too long. Runs of standing steps and gangs never hang.
 func (planner *Planner) hangs(run *Run, now time.Time) bool {
-	if !run.Confirmed || run.Stopping || now.Sub(run.ProgressAt) < minHangTime {
+	if !run.Confirmed || run.Stopping || now.Sub(run.ProgressAt) < minHangTime || now.Sub(run.readAt) > maxReadingAge {
 		return false
 	}
 	step := planner.steps[run.Key.step()]
