planner: a gang starts under a small limit on starts

A gang needed as many free places as it has tasks, or the whole limit. Since the limit follows what the host carries, it may be 32; steps of lower rank take single places as they come free, so that these were never free together. A gang now starts as a whole when one place is free.

--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -248,7 +248,7 @@
 	}
 	tenure.planner.SetSlots(slots)
 	limit := tenure.startWindow.Limit()
-	tenure.planner.SetStartLimit(planner.StartLimit{Available: limit - int(tenure.startsInFlight.Load()), Max: limit})
+	tenure.planner.SetStartLimit(planner.StartLimit{Available: limit - int(tenure.startsInFlight.Load())})
 	passedFrom := time.Now()
 	tenure.planner.Plan(now)
 	tenure.passes.record(now, time.Since(passedFrom))
--- a/library/planner/place.go
+++ b/library/planner/place.go
@@ -66,7 +66,7 @@
 
 // place starts the waiting tasks of a step as far as there is room.
 func (pass *pass) place(step *step) {
-	if len(step.waiting) == 0 || step.blockedPass == pass.number || !pass.starts.allow(step) || !pass.withinShare(step) {
+	if len(step.waiting) == 0 || step.blockedPass == pass.number || !pass.starts.allow() || !pass.withinShare(step) {
 		return
 	}
 	queue, found := pass.planner.catalog.Queue(step.job.Queue)
@@ -100,7 +100,7 @@
 			return
 		}
 		task := &step.tasks[index]
-		if !pass.starts.allow(step) || !pass.planner.withinCap(step.job.Team, step.Step, 1) || !pass.withinShare(step) {
+		if !pass.starts.allow() || !pass.planner.withinCap(step.job.Team, step.Step, 1) || !pass.withinShare(step) {
 			return
 		}
 		var worker *Worker
--- a/library/planner/quarantine.go
+++ b/library/planner/quarantine.go
@@ -72,7 +72,7 @@
 		if step.held(index) {
 			continue
 		}
-		if !pass.starts.allow(step) || !pass.planner.withinCap(step.job.Team, step.Step, 1) || !pass.withinShare(step) {
+		if !pass.starts.allow() || !pass.planner.withinCap(step.job.Team, step.Step, 1) || !pass.withinShare(step) {
 			return
 		}
 		worker := pass.chooseForSuspect(step, queue, index)
--- a/library/planner/start_limit.go
+++ b/library/planner/start_limit.go
@@ -7,20 +7,14 @@
 // starts are carried out.
 type StartLimit struct {
 	Available int // starts that the next pass may make
-	Max       int // starts that may be carried out at the same time
 }
 
 // unlimitedStarts is the limit of a planner for which none is set.
-var unlimitedStarts = StartLimit{Available: math.MaxInt32, Max: math.MaxInt32}
+var unlimitedStarts = StartLimit{Available: math.MaxInt32}
 
 // SetStartLimit sets the limit on the starts of the next pass.
 func (planner *Planner) SetStartLimit(startLimit StartLimit) { planner.startLimit = startLimit }
 
-// allow reports whether a step may start a task now. A gang needs room for all its tasks, or for as many as ever have.
-func (startLimit StartLimit) allow(step *step) bool {
-	needed := 1
-	if step.Gang {
-		needed = min(step.Count, startLimit.Max)
-	}
-	return startLimit.Available >= needed
-}
+// allow reports whether a step may start a task now. A gang starts as a whole when one place is free, although it takes more: steps
+// of lower rank take single places as they come free, so that as many as it needs may never be free at the same time.
+func (startLimit StartLimit) allow() bool { return startLimit.Available > 0 }
