scheduler: a processor that stays slowed does not soon count as usual

The usual speed followed the slowed one within a second or two, while a decider hands over 10 s after its election at the earliest. The average now moves sixteen times as slowly while the processor is slowed. TestSpeed/slowedForLong failed before.

--- a/daemon/scheduler/speed.go
+++ b/daemon/scheduler/speed.go
@@ -26,6 +26,8 @@
 	// speedAverageDivisor is the inverse of the weight of the latest window in the usual time: a processor that is fast for a moment
 	// does not count as slowed after it.
 	speedAverageDivisor = 8
+	// slowedAverageDivisor is the same for a slowed processor, which counts as such for some ten seconds at least.
+	slowedAverageDivisor = 128
 	// probeSteps is the length of the computation, some 10 us.
 	probeSteps = 10_000
 )
@@ -60,8 +62,13 @@
 	if speed.usual == 0 {
 		speed.usual = speed.least
 	}
-	speed.slowed.Store(float64(speed.least) > slowedFactor*float64(speed.usual))
-	speed.usual += (speed.least - speed.usual) / speedAverageDivisor
+	slowed := float64(speed.least) > slowedFactor*float64(speed.usual)
+	speed.slowed.Store(slowed)
+	divisor := time.Duration(speedAverageDivisor)
+	if slowed {
+		divisor = slowedAverageDivisor
+	}
+	speed.usual += (speed.least - speed.usual) / divisor
 }
 
 // isSlowed reports whether the processor was slowed in the latest window.
--- a/daemon/scheduler/speed_test.go
+++ b/daemon/scheduler/speed_test.go
@@ -70,6 +70,17 @@
 			t.Error("not slowed after a second")
 		}
 	})
+	t.Run("slowedForLong", func(t *testing.T) { // a decider hands over 10 s after its election at the earliest
+		for _, factor := range []time.Duration{4, 5, 8} {
+			var speed speed
+			var now time.Time
+			recordFor(&speed, usual, planInterval, 3*time.Second, &now)
+			recordFor(&speed, factor*usual, planInterval, 10*time.Second, &now)
+			if !speed.isSlowed() {
+				t.Errorf("slowed %d times for 10 s: counts as usual", factor)
+			}
+		}
+	})
 	t.Run("pausedClock", func(t *testing.T) {
 		var speed speed
 		var now time.Time
