scheduler: one host that tells a long time does not make the decider's link count as slow

Of two times the greater one counted as the middle, and a single host's as well. The lower middle of two times or more counts now, and while no host tells, as on a decider that has lost its quorum over a full link, the last known delay stays in force, where it was 0 before. TestLinkAllowance/oneOfTwo and oneTells failed before (2 s were added).

--- a/daemon/scheduler/lag.go
+++ b/daemon/scheduler/lag.go
@@ -55,7 +55,9 @@
 			tenure.tickLag.record(late)
 			raise(&tenure.meter.longestWait, int64(late))
 			tenure.speed.record(probe(), time.Now())
-			tenure.answerLag.record(tenure.quorum.answerTime())
+			if took, known := tenure.quorum.answerTime(); known {
+				tenure.answerLag.record(took)
+			}
 		case <-tenure.ctx.Done():
 			return
 		}
--- a/daemon/scheduler/lag_test.go
+++ b/daemon/scheduler/lag_test.go
@@ -68,6 +68,8 @@
 		{"calm", []time.Duration{time.Millisecond, 2 * time.Millisecond, 4 * time.Millisecond}, 0, 0},
 		{"fullLink", []time.Duration{200 * time.Millisecond, 300 * time.Millisecond, 400 * time.Millisecond}, 300 * time.Millisecond, maxLagTimeout},
 		{"oneSlowHost", []time.Duration{2 * time.Millisecond, 2 * time.Millisecond, time.Second}, 0, 0},
+		{"oneOfTwo", []time.Duration{2 * time.Millisecond, time.Second}, 0, 0},
+		{"oneTells", []time.Duration{0, 0, time.Second}, 0, 0},
 		{"notToldYet", []time.Duration{0, 0, 0}, 0, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -77,7 +79,9 @@
 			}
 			for range ticks {
 				tenure.tickLag.record(time.Millisecond)
-				tenure.answerLag.record(tenure.quorum.answerTime())
+				if took, known := tenure.quorum.answerTime(); known {
+					tenure.answerLag.record(took)
+				}
 			}
 			if got := tenure.lagAllowance(); got < test.least || got > test.most {
 				t.Errorf("%v are added to timeouts, want %v to %v", got, test.least, test.most)
--- a/daemon/scheduler/quorum.go
+++ b/daemon/scheduler/quorum.go
@@ -40,9 +40,12 @@
 	quorum.heartbeats[heartbeat.Host] = receivedHeartbeat{at: time.Now(), answerTime: heartbeat.AnswerTime}
 }
 
-// answerTime returns how long this host's answers to heartbeats take on the way to a host in the middle of the quorum, 0 if
-// none has told. What delays the answers to most hosts delays all messages of this host.
-func (quorum *quorum) answerTime() time.Duration {
+// minAnswerTimes is the number of hosts that have to tell how long the answers to their heartbeats take.
+const minAnswerTimes = 2
+
+// answerTime returns how long this host's answers to heartbeats take on the way to a host in the middle of the quorum, and false if
+// fewer than minAnswerTimes hosts tell. What delays the answers to most hosts delays all messages of this host.
+func (quorum *quorum) answerTime() (time.Duration, bool) {
 	quorum.mu.Lock()
 	defer quorum.mu.Unlock()
 	var times []time.Duration
@@ -51,11 +54,11 @@
 			times = append(times, received.answerTime)
 		}
 	}
-	if len(times) == 0 {
-		return 0
+	if len(times) < minAnswerTimes {
+		return 0, false
 	}
 	slices.Sort(times)
-	return times[len(times)/2]
+	return times[(len(times)-1)/2], true
 }
 
 // includes reports whether a host sent a heartbeat within heartbeatValidity.
