scheduler: surveys wait for slow links, a backoff ends, and a call ends with its decider

(2) The longer time until a decider is suspected stayed in force until the next election, for an hour if need be; it ends with shortTerm.

TestSuspicionBackoff failed before for (2).

--- a/daemon/scheduler/decider_status.go
+++ b/daemon/scheduler/decider_status.go
@@ -13,11 +13,11 @@
 	heartbeatTimeout = 150 * time.Millisecond
 	// lateAnswerTimeout is how long a late answer to a heartbeat is waited for, beside the heartbeats that follow.
 	lateAnswerTimeout = 2 * time.Second
-	// shortTerm is the time within which a takeover is over on a host that can carry the load: it has read the journal and polled
-	// all workers.
+	// shortTerm is the time until a takeover is over on a host that can carry the load. A decider that is replaced sooner counts towards
+	// the backoff, which ends with a longer term.
 	shortTerm = 10 * time.Second
-	// maxSuspicions bounds the factor of deciderStatus.backoff.
-	maxSuspicions = 3
+	// maxBackoffDoublings bounds the factor of deciderStatus.backoff.
+	maxBackoffDoublings = 3
 )
 
 // neverAnswered is the uptime that is stored before a decider has answered.
@@ -28,8 +28,8 @@
 	answeredAt   atomic.Int64 // uptime when the decider last answered, in time or late, in nanoseconds
 	lateAnswerAt atomic.Int64 // uptime when the decider last answered late, in nanoseconds
 	electedAt    atomic.Int64 // uptime when this host learned of the election, in nanoseconds
-	suspicions   atomic.Int64 // successive deciders that were suspected and replaced within shortTerm of their election
-	tookNS       atomic.Int64 // time until the latest answer, in nanoseconds
+	suspicions   atomic.Int64 // short terms in a row that ended with a suspicion
+	answerTimeNS atomic.Int64 // time until the latest answer, in nanoseconds
 	unanswered   atomic.Int64 // heartbeats whose answer is still waited for
 	storeOutage  atomic.Int64 // duration of the decider's store outage, in nanoseconds
 }
@@ -43,7 +43,7 @@
 
 // recordAnswer records an answer that arrived at an uptime and took the given time.
 func (deciderStatus *deciderStatus) recordAnswer(uptime, took time.Duration) {
-	deciderStatus.tookNS.Store(int64(took))
+	deciderStatus.answerTimeNS.Store(int64(took))
 	deciderStatus.answeredAt.Store(int64(uptime))
 	if took >= heartbeatTimeout {
 		deciderStatus.lateAnswerAt.Store(int64(uptime))
@@ -53,7 +53,7 @@
 // recordElection records that this host learned of an election at an uptime, and whether it suspected the former decider.
 func (deciderStatus *deciderStatus) recordElection(uptime time.Duration, suspected bool) {
 	deciderStatus.storeOutage.Store(0) // this and the next were those of the former decider
-	deciderStatus.tookNS.Store(0)
+	deciderStatus.answerTimeNS.Store(0)
 	term := uptime - time.Duration(deciderStatus.electedAt.Swap(int64(uptime)))
 	switch {
 	case term >= shortTerm:
@@ -63,16 +63,29 @@
 	}
 }
 
-// backoff returns the factor by which the time without an answer grows after which the decider is suspected. It doubles with each
-// decider that was replaced within shortTerm of its election: if deciders are slow because of their load, each takeover makes the next
-// one slower.
-func (deciderStatus *deciderStatus) backoff() time.Duration {
-	return 1 << min(deciderStatus.suspicions.Load(), maxSuspicions)
+// backoff returns the factor by which the time without an answer grows after which the decider is suspected, given the time since its
+// election. It doubles with each decider that was replaced within shortTerm of its election: if deciders are slow because of their load,
+// each takeover makes the next one slower.
+func (deciderStatus *deciderStatus) backoff(sinceElection time.Duration) time.Duration {
+	if sinceElection >= shortTerm {
+		return 1
+	}
+	return 1 << min(deciderStatus.suspicions.Load(), maxBackoffDoublings)
 }
 
 // answerTime returns how long the latest answer took.
 func (deciderStatus *deciderStatus) answerTime() time.Duration {
-	return time.Duration(deciderStatus.tookNS.Load())
+	return time.Duration(deciderStatus.answerTimeNS.Load())
+}
+
+// linkAllowance returns the time to add to the time-outs of calls to peers, from how long the decider's latest answer took: this host's
+// own link, or all links, may be slow.
+func (host *Host) linkAllowance() time.Duration {
+	took := host.deciderStatus.answerTime()
+	if took < overloadLag {
+		return 0
+	}
+	return min(answerLagTimeoutFactor*took, maxLagTimeout)
 }
 
 // deciderSilence returns the time since the decider last answered.
--- a/daemon/scheduler/decider_status_test.go
+++ b/daemon/scheduler/decider_status_test.go
@@ -26,9 +26,12 @@
 		t.Helper()
 		uptime += after
 		status.recordElection(uptime, suspected)
-		if got := status.backoff(); got != want {
+		if got := status.backoff(0); got != want {
 			t.Errorf("factor %d, want %d", got, want)
 		}
+		if got := status.backoff(shortTerm); got != 1 {
+			t.Errorf("factor %d after a term that is not short, want 1", got)
+		}
 	}
 	elect(shortTerm, true, 1)
 	elect(time.Second, true, 2)
--- a/daemon/scheduler/gateway.go
+++ b/daemon/scheduler/gateway.go
@@ -26,10 +26,9 @@
 	// answerMargin is subtracted from a caller's deadline, to leave time to return the answer.
 	answerMargin      = 150 * time.Millisecond
 	deciderRetryDelay = 40 * time.Millisecond
-	// deciderCallTimeout bounds one attempt to call the decider, beside deciderDelayFactor times what its answers to heartbeats take: it
-	// calls the store over the same link before it answers.
+	// deciderCallTimeout bounds one attempt to call the decider, beside linkAllowance: the decider calls the store over the same link
+	// before it answers.
 	deciderCallTimeout = 800 * time.Millisecond
-	deciderDelayFactor = 2
 	// maxCallTime bounds a call with all its attempts, including an election in between.
 	maxCallTime = 1800 * time.Millisecond
 	// callerRetryDelay is sent to callers along with a refusal or an uncertain outcome.
@@ -72,7 +71,7 @@
 	sent, startedAt := false, time.Now()
 	for {
 		election, changed := host.fleet.currentElection()
-		reply, err := gateway.callDeciderOnce(ctx, election, method, call)
+		reply, err := gateway.callDeciderOnce(ctx, election, changed, method, call)
 		if err == nil {
 			host.metrics.calls.WithLabelValues(method, reply.Verdict.String()).Observe(time.Since(startedAt).Seconds())
 			host.log.Info("call", "method", method, "job", call.ID, "queue", call.Queue, "verdict", reply.Verdict.String(), "state", reply.State, "reason", reply.Reason)
@@ -112,15 +111,26 @@
 
 var errNoDecider = errors.New("no decider is known")
 
-func (gateway *gateway) callDeciderOnce(ctx context.Context, election Election, method string, call Call) (planner.Reply, error) {
+// cancelOnChange ends an attempt to call a decider when a later election is known, until ctx is done.
+func cancelOnChange(ctx context.Context, cancel context.CancelFunc, changed <-chan struct{}) {
+	select {
+	case <-changed:
+		cancel()
+	case <-ctx.Done():
+	}
+}
+
+// callDeciderOnce makes one attempt to call the decider of an election, which ends early when changed is closed.
+func (gateway *gateway) callDeciderOnce(ctx context.Context, election Election, changed <-chan struct{}, method string, call Call) (planner.Reply, error) {
 	if tenure := gateway.host.currentTenure(); tenure != nil {
 		return tenure.answerCall(ctx, method, call)
 	}
 	if election.Term == 0 || election.BootID == gateway.host.bootID {
 		return planner.Reply{}, linker.ErrUnsent.Wrap(errNoDecider)
 	}
-	ctx, cancel := context.WithTimeout(ctx, deciderCallTimeout+deciderDelayFactor*gateway.host.deciderStatus.answerTime())
+	ctx, cancel := context.WithTimeout(ctx, deciderCallTimeout+gateway.host.linkAllowance())
 	defer cancel()
+	go cancelOnChange(ctx, cancel, changed)
 	var reply planner.Reply
 	err := gateway.host.hedgedCaller.call(ctx, election.Address, method, call, &reply, 0)
 	if text, refused := linker.RemoteError(err); refused && text == errNotDeciding.Error() {
--- a/daemon/scheduler/watch.go
+++ b/daemon/scheduler/watch.go
@@ -88,8 +88,9 @@
 // suspicionTimeout returns suspicionTimeout for a host whose heartbeats may be rarer than those of the strongest hosts, during a takeover
 // and after takeovers that follow each other.
 func (host *Host) suspicionTimeout() time.Duration {
-	timeout := suspicionTimeout * host.deciderStatus.backoff()
-	if host.sinceElection() < takeoverTime {
+	sinceElection := host.sinceElection()
+	timeout := suspicionTimeout * host.deciderStatus.backoff(sinceElection)
+	if sinceElection < takeoverTime {
 		timeout = max(timeout, takeoverSuspicionTimeout)
 	}
 	return timeout + host.heartbeatInterval() - heartbeatInterval
@@ -235,7 +236,7 @@
 		peers = host.seedPeers()
 	}
 	peers = peers[:min(maxSurveyedPeers, len(peers))]
-	ctx, cancel := context.WithTimeout(host.ctx, surveyTimeout)
+	ctx, cancel := context.WithTimeout(host.ctx, surveyTimeout+host.linkAllowance())
 	defer cancel()
 	var mu sync.Mutex
 	var wait sync.WaitGroup
