linker: connections have a second to open, and longer over a slow link

300 ms are less than a round trip over a full link, so that no connection could be opened to a decider whose connections were reset or replaced, and hosts campaigned against it without end. The network in memory opened connections in no time, whatever its delays; it now takes a round trip for it, as TCP does.

--- a/daemon/linker/pool.go
+++ b/daemon/linker/pool.go
@@ -60,6 +60,9 @@
 
 // Pool calls peers over one connection per address, which it opens on the first call and reopens after a loss.
 type Pool struct {
+	// Allowance returns the time to add to the one within which a connection has to be made, nil for none. It is set before the first call.
+	Allowance func() time.Duration
+
 	network dialer.Network
 	host    string
 	clock   *recorder.Clock
@@ -90,7 +93,7 @@
 }
 
 const (
-	connectTimeout = 300 * time.Millisecond
+	connectTimeout = time.Second
 	writeTimeout   = time.Second
 	maxUnanswered  = 4 // calls that time out in a row before the connection is reopened
 	// silenceTimeout is the minimum time without an answer before the connection is reopened: many calls may time out at
@@ -206,7 +209,11 @@
 	if peer.conn != nil && !disconnected(peer.conn) {
 		return peer.conn, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	timeout := connectTimeout
+	if pool.Allowance != nil {
+		timeout += pool.Allowance()
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	raw, err := pool.network.Dial(ctx, address)
 	if err != nil {
--- a/daemon/scheduler/hedged_calls.go
+++ b/daemon/scheduler/hedged_calls.go
@@ -41,8 +41,10 @@
 )
 
 func newHedgedCaller(host *Host) *hedgedCaller {
+	pool := linker.NewPool(host.peerNetwork, host.settings.Host, host.clock)
+	pool.Allowance = host.linkAllowance
 	return &hedgedCaller{
-		host: host, pool: linker.NewPool(host.peerNetwork, host.settings.Host, host.clock),
+		host: host, pool: pool,
 		budget: retrier.NewBudget(callHedgeRatio, callHedgeBurst), answerTimes: map[string]*average{},
 		stalls: map[string]time.Time{},
 	}
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -98,6 +98,7 @@
 	}
 	host.peerNetwork = network.Metered(&host.traffic.peers)
 	host.peerPool = linker.NewPool(host.peerNetwork, settings.Host, clock)
+	host.peerPool.Allowance = host.linkAllowance
 	host.store = translator.NewStore(newHTTPClient(network.Metered(&host.traffic.store), maxStoreConns), settings.StoreAddress)
 	host.workers = translator.NewWorkerClient(newWorkerClient(network.Metered(&host.traffic.workers), int(settings.MaxOpenFiles)))
 	host.metrics = newMetrics(host)
--- a/standin/connector/fabric.go
+++ b/standin/connector/fabric.go
@@ -317,7 +317,7 @@
 			return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: parseAddr(address), Err: err}
 		}
 		if dialed != nil {
-			return dialed, nil
+			return fabric.awaitHandshake(ctx, dialed, address)
 		}
 		select {
 		case <-pathsChanged:
@@ -327,6 +327,25 @@
 	}
 }
 
+// handshakeBytes is the size of the packets in each direction that open a connection.
+const handshakeBytes = 60
+
+// awaitHandshake returns a connection after the time that the packets take that open it.
+func (fabric *Fabric) awaitHandshake(ctx context.Context, dialed *conn, address string) (net.Conn, error) {
+	fabric.mu.Lock()
+	to := dialed.peer.host
+	openedAt := fabric.arrivalTime(dialed.host, to, handshakeBytes)
+	openedAt = openedAt.Add(time.Until(fabric.arrivalTime(to, dialed.host, handshakeBytes)))
+	fabric.mu.Unlock()
+	select {
+	case <-time.After(time.Until(openedAt)):
+		return dialed, nil
+	case <-ctx.Done():
+		_ = dialed.Close()
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: parseAddr(address), Err: ctx.Err()}
+	}
+}
+
 // tryDial returns a connection if the path is open. Otherwise it returns a channel that is closed when a path or
 // listener changes, after which the caller tries again. It returns ECONNREFUSED if no host listens on the address.
 func (fabric *Fabric) tryDial(host, address string) (*conn, <-chan struct{}, error) {
