--- a/daemon/linker/pool.go
+++ b/daemon/linker/pool.go
@@ -70,7 +70,7 @@
 
 	mu    sync.Mutex
 	conns map[string]*peerConn // by address
-	// retired holds the connections that were replaced and whose calls may still be answered, with the timers that close them.
+	// retired holds the connections that take no further calls, and whose calls may still be answered, with the timers that close them.
 	retired map[*peerConn]*time.Timer
 	closed  bool
 	bytes   ByteCounter
@@ -99,7 +99,7 @@
 	// silenceTimeout is the minimum time without an answer before the connection is reopened: many calls may time out at
 	// once while a peer or this process is busy.
 	silenceTimeout = 500 * time.Millisecond
-	// retirementTime is how long a connection that was replaced stays open for the answers to its calls.
+	// retirementTime is how long a retired connection stays open for the answers to its calls.
 	retirementTime = 2 * time.Second
 )
 
@@ -150,7 +150,7 @@
 // for it.
 func (pool *Pool) RecordLate(address string) { pool.recordTimeout(pool.peer(address), address) }
 
-// recordTimeout counts a call that timed out, and replaces the connection if it is likely to be broken.
+// recordTimeout counts a call that timed out, and retires the connection if it is likely to be broken.
 func (pool *Pool) recordTimeout(peer *peerConn, address string) {
 	silence := time.Since(pool.started) - time.Duration(peer.answeredAt.Load())
 	if peer.unanswered.Add(1) >= maxUnanswered && silence >= silenceTimeout {
--- a/daemon/scheduler/decider_status.go
+++ b/daemon/scheduler/decider_status.go
@@ -131,7 +131,7 @@
 	host.deciderStatus.unanswered.Add(1)
 	host.wait.Go(func() {
 		defer host.deciderStatus.unanswered.Add(-1)
-		contacts <- host.awaitDecider(election)
+		contacts <- host.askDecider(election)
 	})
 	timer := time.NewTimer(heartbeatTimeout)
 	defer timer.Stop()
@@ -144,8 +144,8 @@
 	}
 }
 
-// awaitDecider sends a heartbeat to the decider and waits for its answer, at most for lateAnswerTimeout.
-func (host *Host) awaitDecider(election Election) deciderContact {
+// askDecider sends a heartbeat to the decider and waits for its answer, at most for lateAnswerTimeout.
+func (host *Host) askDecider(election Election) deciderContact {
 	ctx, cancel := context.WithTimeout(host.ctx, lateAnswerTimeout)
 	defer cancel()
 	sentAt := time.Now()
--- a/daemon/scheduler/load_meter.go
+++ b/daemon/scheduler/load_meter.go
@@ -85,7 +85,8 @@
 			"outOfTurn", meter.outOfTurn.Swap(0), "storeLossy", tenure.journal.lossRate.isHigh(), "workersLossy", tenure.answerLossRate.isHigh(),
 			"queriedWorkers", load.QueriedWorkers, "requeriedWorkers", load.RequeriedWorkers, "examinedSteps", load.ExaminedSteps,
 			"wakeups", processor.wakeups, "medianWait", inMilliseconds(processor.medianWait), "highWait", inMilliseconds(processor.highWait),
-			"garbageCollection", inMilliseconds(processor.gcTime), "startsInFlight", tenure.startsInFlight.Load(), "startLimit", startLimit, "probe", time.Duration(tenure.speed.latest.Load()).String(),
+			"garbageCollection", inMilliseconds(processor.gcTime), "startsInFlight", tenure.startsInFlight.Load(), "startLimit", startLimit,
+			"probe", time.Duration(tenure.speed.latest.Load()).String(),
 			"slowed", tenure.speed.isSlowed(), "answerTime", inMilliseconds(tenure.answerLag.recent()),
 			"peersSent", bytes.peersSent, "peersReceived", bytes.peersReceived, "storeSent", bytes.storeSent, "storeReceived", bytes.storeReceived,
 			"workersSent", bytes.workersSent, "workersReceived", bytes.workersReceived)
--- a/daemon/scheduler/poller.go
+++ b/daemon/scheduler/poller.go
@@ -63,12 +63,12 @@
 	minRetryDelay      = 60 * time.Millisecond
 	maxRetryDelay      = 500 * time.Millisecond
 	maxStartsPerWorker = 2
-	// minStartsInFlight and maxStartsInFlight limit the bound on the starts over all workers from the pass that plans them to their
-	// outcome.
+	// minStartsInFlight and maxStartsInFlight are the least and the greatest limit on the starts over all workers that are in flight, from
+	// the pass that plans them to their outcome.
 	minStartsInFlight = 32
 	maxStartsInFlight = 500
-	// startTarget is the time from the pass to the outcome above which that bound shrinks while this process or its link is late: the
-	// permissions of the policy are valid for a few times as long, and urgent callers wait for less.
+	// startTarget is the time from the pass to the outcome above which that limit shrinks while this process or its link is late: the
+	// permissions of the policy are valid for a few times as long.
 	startTarget = 500 * time.Millisecond
 	// maxImmediatePolls limits the polls without a wait that are in flight, over all workers.
 	maxImmediatePolls = 128
@@ -366,7 +366,7 @@
 	})
 }
 
-// recordStartTime adjusts the bound on starts in flight after a start that took the given time from its pass to its outcome.
+// recordStartTime adjusts the limit on starts in flight after a start that took the given time from its pass to its outcome.
 func (tenure *tenure) recordStartTime(took time.Duration) {
 	congested := tenure.lagAllowance() > 0
 	tenure.mu.Lock()
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -40,7 +40,7 @@
 	meter            loadMeter
 	passes           passPacer        // used by the goroutine of run only
 	startsInFlight   atomic.Int64     // starts that were planned and have no outcome yet
-	startWindow      throttler.Window // bounds startsInFlight, guarded by mu
+	startWindow      throttler.Window // limits startsInFlight, guarded by mu
 
 	mu          sync.Mutex
 	planner     *planner.Planner // nil until it is restored from the journal
--- a/library/throttler/window.go
+++ b/library/throttler/window.go
@@ -1,14 +1,15 @@
-// Package throttler bounds the number of operations in flight by how long they take, as congestion control does.
+// Package throttler limits the number of operations in flight by how long they take, as congestion control does.
 package throttler
 
 import "time"
 
-// Window is a bound on operations in flight. It grows by a constant amount in the time that an operation takes while operations are
-// in time, and shrinks when one is late because of the load, in the ratio of the target to the time that it took. More operations in flight than a host can carry do
-// not end sooner: they only wait behind each other, and nothing that is urgent can overtake them. It is not safe for concurrent use.
+// Window is a limit on operations in flight. It grows by a constant amount in the time that an operation takes while operations are in
+// time, and shrinks when one is late because of the load, in the ratio of the target to the time that it took. More operations in flight
+// than a host can carry do not end sooner: they only wait behind each other, and nothing that is urgent can overtake them. A Window is
+// not safe for concurrent use.
 type Window struct {
-	Min    int           // lowest bound
-	Max    int           // highest bound, and the one to begin with
+	Min    int           // lowest limit
+	Max    int           // highest limit, and the one to begin with
 	Target time.Duration // time within which an operation should end
 
 	limit    float64 // 0 before the first change
@@ -16,13 +17,13 @@
 }
 
 const (
-	// growth is the number of operations by which the bound grows while as many operations as the bound end in time.
+	// growth is the number of operations by which the limit grows while as many operations as the limit end in time.
 	growth = 8
-	// minShrinkFactor bounds the factor by which the bound shrinks at once.
+	// minShrinkFactor is the least factor by which the limit shrinks at once.
 	minShrinkFactor = 0.2
 )
 
-// Limit returns the bound.
+// Limit returns the number of operations that may be in flight.
 func (window *Window) Limit() int { return int(window.current()) }
 
 func (window *Window) current() float64 {
@@ -32,9 +33,9 @@
 	return window.limit
 }
 
-// Record adjusts the bound after an operation ended that took the given time. congested reports whether the host that carries the
-// operations is late itself: an operation that is late for other reasons does not shrink the bound. The bound shrinks once in the
-// time that an operation takes, since those in flight began under the former bound.
+// Record adjusts the limit after an operation ended that took the given time. congested reports whether the host that carries the
+// operations is late itself: an operation that is late for other reasons does not shrink the limit. The limit shrinks once in the
+// time that an operation takes, since those in flight began under the former limit.
 func (window *Window) Record(took time.Duration, congested bool, now time.Time) {
 	limit := window.current()
 	switch {
