--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -46,6 +46,7 @@
 	poolShares     bool               // loader.Scheduling.PoolShares of the hosts
 	moveStragglers bool               // loader.Scheduling.MoveStragglers of the hosts
 	forecast       bool               // loader.Scheduling.ForecastAdmission of the hosts
+	maxLease       time.Duration      // loader.Scheduling.MaxLease of the hosts
 }
 
 const (
@@ -83,7 +84,7 @@
 		fleet := &fleet{
 			T: t, fabric: connector.New(fleetNetworkLatency), store: emulator.NewStore(), hosts: map[string]*scheduler.Host{},
 			apiKeys: []string{fleetKey}, pathPrefix: fleetPathPrefix, stopWorkers: make(chan struct{}),
-			delegateFrom: noDelegates, logged: &messageCounter{counts: map[string]int{}},
+			delegateFrom: noDelegates, maxLease: 6 * time.Second, logged: &messageCounter{counts: map[string]int{}},
 		}
 		configure(fleet)
 		fleet.client = fleet.fabric.Host("client").Client()
@@ -179,7 +180,7 @@
 	host, err := scheduler.Start(loader.Scheduling{
 		Host: name, Zone: name[6:7], HTTPAddress: hostAddress(name, 80), ReadinessAddress: hostAddress(name, 81),
 		PeerAddress: hostAddress(name, 82), ProcessorShare: share, MemoryMB: 4096, MaxOpenFiles: 4096, StoreAddress: fleetStoreAddress, PolicyAddress: fleetPolicyAddress,
-		MaxLease: 6 * time.Second, MaxStopTime: 200 * time.Millisecond, StatusRetention: 2 * time.Minute,
+		MaxLease: fleet.maxLease, MaxStopTime: 200 * time.Millisecond, StatusRetention: 2 * time.Minute,
 		LearnRunTimes: fleet.learnRunTimes, PoolShares: fleet.poolShares, ForecastAdmission: fleet.forecast,
 		CrossRackFactor: 1.5, ShutdownGrace: 5 * time.Second, DelegateFrom: fleet.delegateFrom, Seeds: []string{hostAddress(fleet.hostNames[0], 82)},
 		MoveStragglers: fleet.moveStragglers,
