planner: a term settles as soon as no former decider renews leases

Cause: the record 'settled' says that no decider before a term renews leases any more. It was written 12 s after a term began, whatever the decider knew. A decider that was replaced within these 12 s took its knowledge along: its successor did not look whether it has ended, and waited for renewals that nobody can send, 10.4 s in all.

Change: the record is written at the end of the renewals that the planner knows of (EndFormerRenewals), which is 3 s after the quorum at the latest.

--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -66,7 +66,9 @@
 	forgottenJobs   []string        // IDs of the jobs whose records the next batch deletes
 	changedExpiries map[string]bool // IDs of the workers whose lease expiry record has to be written or deleted
 	endedJobs       []endedJob      // in the order in which they ended
-	// formerLeasesExpireBy is the time by which every lease of an earlier planner has expired.
+	// formerRenewalsEnd is the time from which no earlier planner renews leases, and formerLeasesExpireBy the time by which every
+	// lease of an earlier planner has expired.
+	formerRenewalsEnd    time.Time
 	formerLeasesExpireBy time.Time
 	lastBatch            int64     // number of the last batch that was taken
 	passCount            int64     // number of placement passes so far
@@ -113,6 +115,7 @@
 		now:                  now,
 		startedAt:            now,
 		mayLease:             true,
+		formerRenewalsEnd:    now.Add(settings.FormerRenewalWindow),
 		formerLeasesExpireBy: now.Add(settings.FormerRenewalWindow + settings.maxLeaseDuration(settings.Lease)),
 		Settings:             settings,
 		Term:                 term,
@@ -142,16 +145,16 @@
 // EndFormerRenewals records that no earlier planner renews leases after a time, which shortens the wait for the leases
 // of earlier planners to expire.
 func (planner *Planner) EndFormerRenewals(after time.Time) {
-	expireBy := after.Add(planner.Settings.maxLeaseDuration(planner.Settings.Lease))
-	if !expireBy.Before(planner.formerLeasesExpireBy) {
+	if !after.Before(planner.formerRenewalsEnd) {
 		return
 	}
+	expireBy := after.Add(planner.Settings.maxLeaseDuration(planner.Settings.Lease))
 	for _, worker := range planner.workers {
 		if worker.leasesExpireBy.Equal(planner.formerLeasesExpireBy) {
 			worker.leasesExpireBy = expireBy
 		}
 	}
-	planner.formerLeasesExpireBy = expireBy
+	planner.formerRenewalsEnd, planner.formerLeasesExpireBy = after, expireBy
 }
 
 // SetMayLease sets whether this planner may give leases. It may not while a later planner may have begun: it then sends
--- a/library/planner/settled.go
+++ b/library/planner/settled.go
@@ -2,16 +2,16 @@
 
 import "strconv"
 
-// settledKey is the key of the journal record that names the latest term whose planner has lasted for
-// Settings.FormerRenewalWindow, so that no earlier planner renews leases any more.
+// settledKey is the key of the journal record that names the latest term whose planner has outlasted the renewals of all earlier
+// planners. A later planner then only has to know of that one when it stopped to renew leases.
 const settledKey = "settled"
 
 // settles reports whether the record of settledKey has to be written for this term.
 func (planner *Planner) settles() bool {
-	return !planner.settled && planner.now.Sub(planner.startedAt) > planner.Settings.FormerRenewalWindow
+	return !planner.settled && planner.now.After(planner.formerRenewalsEnd)
 }
 
-// settledRecord returns the record of settledKey once, when this planner has lasted long enough.
+// settledRecord returns the record of settledKey once, when no earlier planner renews leases any more.
 func (planner *Planner) settledRecord() []Record {
 	if !planner.settles() {
 		return nil
@@ -32,6 +32,6 @@
 	}
 }
 
-// SettledTerm returns the latest term before this one whose planner had lasted so long that no planner of a lower
-// term renews leases any more, 0 if none is known.
+// SettledTerm returns the latest term before this one whose planner knew that no planner of a lower term renews leases any
+// more, 0 if none is known.
 func (planner *Planner) SettledTerm() int64 { return planner.settledTerm }
