scheduler: a new decider asks all former deciders back to the settled term

Cause: a new decider asked only its direct predecessor, and only if that one's term had settled. After two takeovers in a row it waited for the renewals of both although both processes had ended.

Change: an election names the elections before it (at most 8, in the store only; heartbeat answers leave the list out). The new decider asks all of them from its election on, beside the takeover, until none of their leases can matter any more. The wait for renewals ends when each of them back to the settled term is known to have ended.

--- a/daemon/scheduler/calls.go
+++ b/daemon/scheduler/calls.go
@@ -76,7 +76,7 @@
 		return Election{}, err
 	}
 	current, _ := host.fleet.currentElection()
-	return current, nil
+	return current.withoutFormer(), nil
 }
 
 // answerCall answers a caller's call once the planner is restored.
--- a/daemon/scheduler/fleet.go
+++ b/daemon/scheduler/fleet.go
@@ -32,6 +32,8 @@
 	Host    string `json:"host"`
 	Address string `json:"address"`
 	BootID  string `json:"boot"`
+	// Former are the elections before this one, the latest first, at most maxFormerElections. It is empty in what peers send.
+	Former []FormerElection `json:"former,omitempty"`
 }
 
 // UnmarshalJSON decodes a member. It returns an error if the name or the address is missing.
@@ -61,6 +63,14 @@
 	if decoded.Term <= 0 || decoded.Term > maxTerm || decoded.Address == "" {
 		return Error.New("election has term %d, which is not from 1 to %d, or no address", decoded.Term, int64(maxTerm))
 	}
+	after := decoded.Term
+	for _, former := range decoded.Former {
+		if former.Term <= 0 || former.Term >= after || former.Address == "" {
+			return Error.New("election has former term %d, which is not from 1 to %d, or no address for it", former.Term, after-1)
+		}
+		after = former.Term
+	}
+	decoded.Former = decoded.Former[:min(len(decoded.Former), maxFormerElections)]
 	*election = Election(decoded)
 	return nil
 }
@@ -115,6 +125,9 @@
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
 	previous := fleet.election
+	if election.Term == previous.Term && len(previous.Former) == 0 {
+		fleet.election.Former = election.Former // a peer sent the election before the store did
+	}
 	if election.Term <= previous.Term {
 		return previous, false
 	}
@@ -281,7 +294,10 @@
 	host.mu.Lock()
 	endedTenure := host.tenure
 	if election.BootID == host.bootID {
-		host.tenure = newTenure(host, election.Term, previous)
+		if len(election.Former) == 0 {
+			election = election.withFormer(previous)
+		}
+		host.tenure = newTenure(host, election)
 	} else {
 		host.tenure = nil
 	}
@@ -301,10 +317,11 @@
 	for _, entry := range entries {
 		host.applyFleetEntry(entry, end)
 	}
-	if election, _ := host.fleet.currentElection(); election.Term > known.Term {
+	previous, _ := host.fleet.currentElection()
+	if previous.Term > known.Term {
 		return nil
 	}
-	election := Election{Term: end + 1, Host: host.settings.Host, Address: host.settings.PeerAddress, BootID: host.bootID}
+	election := Election{Term: end + 1, Host: host.settings.Host, Address: host.settings.PeerAddress, BootID: host.bootID}.withFormer(previous)
 	data, err := json.Marshal(election)
 	if err != nil {
 		return fmt.Errorf("campaign: encode election: %w", err)
--- /dev/null
+++ b/daemon/scheduler/former.go
@@ -0,0 +1,133 @@
+package scheduler
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"ebonyshunt.org/daemon/linker"
+)
+
+// FormerElection is an election before another one.
+type FormerElection struct {
+	Term    int64  `json:"term"`
+	Host    string `json:"host"`
+	Address string `json:"address"`
+	BootID  string `json:"boot"`
+}
+
+// maxFormerElections bounds Election.Former. With more elections before the first term settles, a decider waits for the longest
+// time in which former deciders may renew leases.
+const maxFormerElections = 8
+
+// withFormer returns the election with the list of the elections before it, given the latest one of them.
+func (election Election) withFormer(previous Election) Election {
+	if previous.Term == 0 {
+		return election
+	}
+	former := []FormerElection{{Term: previous.Term, Host: previous.Host, Address: previous.Address, BootID: previous.BootID}}
+	former = append(former, previous.Former...)
+	election.Former = former[:min(len(former), maxFormerElections)]
+	return election
+}
+
+// withoutFormer returns the election as it is sent to peers: only the next decider needs the list, and reads it from the store.
+func (election Election) withoutFormer() Election {
+	election.Former = nil
+	return election
+}
+
+// formerDeciders tracks of the deciders before a tenure from when on they give no leases.
+type formerDeciders struct {
+	mu   sync.Mutex
+	rows []formerDecider // the latest one first
+}
+
+// formerDecider is a row of formerDeciders.
+type formerDecider struct {
+	FormerElection
+	endedAt time.Time // from when on it is known that the decider gives no leases in this term, zero before
+}
+
+func newFormerDeciders(elections []FormerElection) *formerDeciders {
+	formerDeciders := &formerDeciders{}
+	for _, election := range elections {
+		formerDeciders.rows = append(formerDeciders.rows, formerDecider{FormerElection: election})
+	}
+	return formerDeciders
+}
+
+// recordEnd records that a decider gives no leases from a time on in a term.
+func (formerDeciders *formerDeciders) recordEnd(term int64, at time.Time) {
+	formerDeciders.mu.Lock()
+	defer formerDeciders.mu.Unlock()
+	for index := range formerDeciders.rows {
+		if row := &formerDeciders.rows[index]; row.Term == term && row.endedAt.IsZero() {
+			row.endedAt = at
+		}
+	}
+}
+
+// end returns from when on no former decider gives leases, and false if that is not known: of each decider from the settled term on
+// it has to be known, and each has to be listed.
+func (formerDeciders *formerDeciders) end(settledTerm int64) (time.Time, bool) {
+	formerDeciders.mu.Lock()
+	defer formerDeciders.mu.Unlock()
+	var end time.Time
+	for _, row := range formerDeciders.rows {
+		if row.Term < settledTerm || row.endedAt.IsZero() {
+			return time.Time{}, false
+		}
+		if row.endedAt.After(end) {
+			end = row.endedAt
+		}
+		if row.Term == settledTerm {
+			return end, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// probeFormerDeciders checks whether the former deciders have ended.
+func (tenure *tenure) probeFormerDeciders() {
+	for _, row := range slices.Clone(tenure.former.rows) {
+		tenure.wait.Go(func() { tenure.probeFormerDecider(row.FormerElection) })
+	}
+}
+
+// probeFormerDecider checks whether the process of a former decider has ended, until it has or no lease can depend on it any more.
+func (tenure *tenure) probeFormerDecider(former FormerElection) {
+	for tenure.ctx.Err() == nil && tenure.dependsOn(former) {
+		ctx, cancel := context.WithTimeout(tenure.ctx, heartbeatTimeout)
+		answer, err := tenure.host.sendHeartbeat(ctx, former.Address)
+		ended := err == nil && answer.BootID != former.BootID || linker.ErrUnsent.Has(err) && ctx.Err() == nil
+		cancel()
+		if ended {
+			tenure.host.log.Info("former decider is gone", "term", former.Term, "host", former.Host)
+			tenure.former.recordEnd(former.Term, time.Now())
+			tenure.endFormerRenewals()
+			return
+		}
+		sleep(tenure.ctx, heartbeatInterval)
+	}
+}
+
+// dependsOn reports whether the wait for the leases of former deciders could be shorter if the end of one of them were known.
+func (tenure *tenure) dependsOn(former FormerElection) bool {
+	tenure.mu.Lock()
+	defer tenure.mu.Unlock()
+	return tenure.planner == nil || former.Term >= tenure.planner.SettledTerm() && time.Now().Before(tenure.planner.FormerRenewalsEnd())
+}
+
+// endFormerRenewals tells the planner from when on no former decider gives leases, if that is known.
+func (tenure *tenure) endFormerRenewals() {
+	tenure.mu.Lock()
+	defer tenure.mu.Unlock()
+	if tenure.planner == nil {
+		return
+	}
+	if end, known := tenure.former.end(tenure.planner.SettledTerm()); known {
+		tenure.planner.EndFormerRenewals(end)
+	}
+}
--- a/daemon/scheduler/heartbeat.go
+++ b/daemon/scheduler/heartbeat.go
@@ -71,7 +71,7 @@
 func (host *Host) answerHeartbeat(heartbeat Heartbeat) HeartbeatAnswer {
 	election, _ := host.fleet.currentElection()
 	answer := HeartbeatAnswer{
-		Election: election, BootID: host.bootID, Deciding: host.currentTenure() != nil, ReachesDecider: host.reachesDecider(),
+		Election: election.withoutFormer(), BootID: host.bootID, Deciding: host.currentTenure() != nil, ReachesDecider: host.reachesDecider(),
 		StoreOutage: host.storeOutage(), CatalogVersion: host.catalogVersion(), Drains: host.reportedDrains(heartbeat.Drains != nil),
 	}
 	host.learnDrains(heartbeat.Drains)
--- a/daemon/scheduler/quorum.go
+++ b/daemon/scheduler/quorum.go
@@ -1,12 +1,9 @@
 package scheduler
 
 import (
-	"context"
 	"slices"
 	"sync"
 	"time"
-
-	"ebonyshunt.org/daemon/linker"
 )
 
 const (
@@ -124,32 +121,6 @@
 	return unconfirmed <= renewalWindow || unconfirmed <= quorumRenewalWindow && tenure.quorum.isHeld(tenure.host.fleet.size())
 }
 
-// probePreviousDecider checks whether the process of the previous decider has ended. If it has, and was the decider
-// for so long that no decider before it can renew leases either, then no earlier decider renews leases from now on.
-func (tenure *tenure) probePreviousDecider() {
-	previous := tenure.previousElection
-	tenure.mu.Lock()
-	settled := tenure.planner.SettledTerm()
-	tenure.mu.Unlock()
-	if previous.Term == 0 || previous.Term != settled {
-		return
-	}
-	for until := tenure.host.uptime() + renewalWindow; tenure.host.uptime() < until && tenure.ctx.Err() == nil; {
-		ctx, cancel := context.WithTimeout(tenure.ctx, heartbeatTimeout)
-		answer, err := tenure.host.sendHeartbeat(ctx, previous.Address)
-		ended := err == nil && answer.BootID != previous.BootID || linker.ErrUnsent.Has(err) && ctx.Err() == nil
-		cancel()
-		if ended {
-			tenure.host.log.Info("former decider is gone", "term", previous.Term, "host", previous.Host)
-			tenure.mu.Lock()
-			tenure.planner.EndFormerRenewals(time.Now())
-			tenure.mu.Unlock()
-			return
-		}
-		sleep(tenure.ctx, heartbeatInterval)
-	}
-}
-
 // mayBeSuperseded reports whether another host may have become the decider: appends fail, or the last store call that
 // showed no later decider is too long ago.
 func (tenure *tenure) mayBeSuperseded() bool {
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -16,31 +16,31 @@
 // tenure is one period in which this host is the decider. It owns the planner, the journal that the planner's
 // batches are stored in, and a poller for each worker.
 type tenure struct {
-	host             *Host
-	term             int64
-	previousElection Election      // zero if not known
-	beganAt          time.Duration // uptime of the host when the tenure began
-	fencedAt         time.Time     // when the journal refused the earlier terms, set before the planner is restored
-	journal          *journal
-	ctx              context.Context
-	cancel           context.CancelFunc
-	wait             sync.WaitGroup
-	planRequested    chan struct{}
-	batchTimer       *time.Timer // plans again once the minimum interval between two batches is over
-	policyQueries    *balancer
-	delegator        *delegator
-	quorum           *quorum
-	submissions      *submissions
-	immediatePolls   chan struct{} // limits the polls without a wait that are in flight
-	confirming       chan struct{} // holds an element while a refusal reads from the store whether this host still decides
-	answerLossRate   lossRate      // answers of workers that were lost
-	tickLag          *lag          // of timers
-	answerLag        *lag          // of answers to heartbeats, on the way to a host in the middle of the quorum
-	speed            speed
-	meter            loadMeter
-	passes           passPacer        // used by the goroutine of run only
-	startsInFlight   atomic.Int64     // starts that were planned and have no outcome yet
-	startWindow      throttler.Window // limits startsInFlight, guarded by mu
+	host           *Host
+	term           int64
+	former         *formerDeciders
+	beganAt        time.Duration // uptime of the host when the tenure began
+	fencedAt       time.Time     // when the journal refused the earlier terms, set before the planner is restored
+	journal        *journal
+	ctx            context.Context
+	cancel         context.CancelFunc
+	wait           sync.WaitGroup
+	planRequested  chan struct{}
+	batchTimer     *time.Timer // plans again once the minimum interval between two batches is over
+	policyQueries  *balancer
+	delegator      *delegator
+	quorum         *quorum
+	submissions    *submissions
+	immediatePolls chan struct{} // limits the polls without a wait that are in flight
+	confirming     chan struct{} // holds an element while a refusal reads from the store whether this host still decides
+	answerLossRate lossRate      // answers of workers that were lost
+	tickLag        *lag          // of timers
+	answerLag      *lag          // of answers to heartbeats, on the way to a host in the middle of the quorum
+	speed          speed
+	meter          loadMeter
+	passes         passPacer        // used by the goroutine of run only
+	startsInFlight atomic.Int64     // starts that were planned and have no outcome yet
+	startWindow    throttler.Window // limits startsInFlight, guarded by mu
 
 	mu          sync.Mutex
 	planner     *planner.Planner // nil until it is restored from the journal
@@ -69,10 +69,10 @@
 	workerListInterval = 250 * time.Millisecond
 )
 
-func newTenure(host *Host, term int64, previousElection Election) *tenure {
+func newTenure(host *Host, election Election) *tenure {
 	ctx, cancel := context.WithCancel(host.ctx)
 	tenure := &tenure{
-		host: host, term: term, previousElection: previousElection, beganAt: host.uptime(), ctx: ctx, cancel: cancel,
+		host: host, term: election.Term, former: newFormerDeciders(election.Former), beganAt: host.uptime(), ctx: ctx, cancel: cancel,
 		planRequested: make(chan struct{}, 1), immediatePolls: make(chan struct{}, maxImmediatePolls), confirming: make(chan struct{}, 1),
 		tickLag:        newLag(),
 		answerLag:      newLag(),
@@ -129,6 +129,7 @@
 		}
 	}
 	began := time.Now()
+	tenure.probeFormerDeciders()
 	if err := tenure.takeOver(); err != nil {
 		if tenure.ctx.Err() == nil {
 			tenure.resign(err)
@@ -137,7 +138,7 @@
 	}
 	tenure.host.log.Info("deciding", "term", tenure.term, "after", time.Since(began))
 	tenure.wait.Go(tenure.followWorkers)
-	tenure.wait.Go(tenure.probePreviousDecider)
+	tenure.endFormerRenewals() // what was learned of former deciders during the takeover
 	tenure.wait.Go(tenure.logLoad)
 	tenure.wait.Go(tenure.measureLag)
 	tick := time.NewTicker(planInterval)
--- a/daemon/scheduler/watch.go
+++ b/daemon/scheduler/watch.go
@@ -222,7 +222,7 @@
 // requestCampaign asks a peer to become the decider after an election, and applies the election that the peer returns.
 func (host *Host) requestCampaign(ctx context.Context, peer Member, election Election) error {
 	var current Election
-	if err := host.peerPool.Call(ctx, peer.Address, methodCampaign, election, &current); err != nil {
+	if err := host.peerPool.Call(ctx, peer.Address, methodCampaign, election.withoutFormer(), &current); err != nil {
 		return fmt.Errorf("ask %s to decide: %w", peer.Name, err)
 	}
 	host.applyElection(current, "peer")
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -157,6 +157,9 @@
 	planner.formerRenewalsEnd, planner.formerLeasesExpireBy = after, expireBy
 }
 
+// FormerRenewalsEnd returns the time from which no earlier planner renews leases.
+func (planner *Planner) FormerRenewalsEnd() time.Time { return planner.formerRenewalsEnd }
+
 // SetMayLease sets whether this planner may give leases. It may not while a later planner may have begun: it then sends
 // no start orders, and polls without leases.
 func (planner *Planner) SetMayLease(may bool) { planner.mayLease = may }
--- a/tests/fleet_lasting_test.go
+++ b/tests/fleet_lasting_test.go
@@ -12,6 +12,8 @@
 	longLease = 10 * time.Second
 	// termBeforeLoss is how long a decider has decided before it is lost with a worker.
 	termBeforeLoss = 6 * time.Second
+	// shortTerm is the same for a decider that cannot know yet that no former decider renews leases.
+	shortTerm = 500 * time.Millisecond
 )
 
 // TestFleetLastingTasks guards against lasting tasks that stay down for too long after their worker has ended, because deciders end at
@@ -27,6 +29,19 @@
 			fleet.killHost(fleet.decidingHost())
 		})
 	})
+	// Guards against a decider that waits for the renewals of two deciders although both have ended: the second one was lost before it
+	// knew of the end of the first one.
+	t.Run("twoTakeovers", func(t *testing.T) {
+		runLasting(t, func(fleet *fleet) {
+			first := fleet.decidingHost()
+			fleet.silenceDecider()
+			fleet.awaitDecider()
+			time.Sleep(shortTerm)
+			fleet.endWorkers()
+			fleet.restartHost(first)
+			fleet.killHost(fleet.decidingHost())
+		})
+	})
 	// Guards against a decider that waits for renewals although its predecessor has ended.
 	t.Run("firstTakeover", func(t *testing.T) {
 		runLasting(t, func(fleet *fleet) {
@@ -62,3 +77,11 @@
 		fleet.fabric.Kill(worker.ID)
 	}
 }
+
+// restartHost ends a host that is silent or runs, and starts it as a new process.
+func (fleet *fleet) restartHost(name string) {
+	fleet.Helper()
+	fleet.killHost(name)
+	fleet.fabric.Resume(name)
+	fleet.startHost(name)
+}
