scheduler: log until when a decider waits for leases of former deciders

Change: the line 'leases of former deciders' each time the wait becomes shorter, two or three times a term: the grounds (window, quorum, gone), when renewals end and leases expire, the settled term, and the terms whose deciders are known to give none or may. The counter of log lines in the tests also counts by grounds.

TestFleetFormerLeases: no line before; now at most one for each of the grounds, and the last one tells the shortest wait.

--- a/daemon/scheduler/former.go
+++ b/daemon/scheduler/former.go
@@ -89,6 +89,20 @@
 	return time.Time{}, false
 }
 
+// terms returns the terms in which deciders are known to give no leases any more, and those in which they may.
+func (formerDeciders *formerDeciders) terms() (ended, open []int64) {
+	formerDeciders.mu.Lock()
+	defer formerDeciders.mu.Unlock()
+	for _, row := range formerDeciders.rows {
+		if row.endedAt.IsZero() {
+			open = append(open, row.Term)
+		} else {
+			ended = append(ended, row.Term)
+		}
+	}
+	return ended, open
+}
+
 // probeFormerDeciders checks whether the former deciders have ended.
 func (tenure *tenure) probeFormerDeciders() {
 	for _, row := range slices.Clone(tenure.former.rows) {
@@ -128,6 +142,31 @@
 		return
 	}
 	if end, known := tenure.former.end(tenure.planner.SettledTerm()); known {
-		tenure.planner.EndFormerRenewals(end)
+		tenure.shortenFormerWait(end, groundGone)
 	}
 }
+
+// ground is why a tenure believes that no former decider renews leases from a time on.
+type ground string
+
+const (
+	groundWindow ground = "window" // the longest time in which a former decider may renew leases is over
+	groundQuorum ground = "quorum" // as formerRenewalsEnd
+	groundGone   ground = "gone"   // each former decider is known to give no leases
+)
+
+// shortenFormerWait tells the planner that no former decider renews leases after a time, and logs it if the planner waited for longer.
+// The caller holds tenure.mu.
+func (tenure *tenure) shortenFormerWait(after time.Time, ground ground) {
+	if tenure.planner.EndFormerRenewals(after) {
+		tenure.logFormerWait(ground)
+	}
+}
+
+// logFormerWait logs until when the tenure waits for leases of former deciders. The caller holds tenure.mu.
+func (tenure *tenure) logFormerWait(ground ground) {
+	ended, open := tenure.former.terms()
+	tenure.host.log.Info("leases of former deciders", "term", tenure.term, "grounds", string(ground),
+		"renewalsEndIn", time.Until(tenure.planner.FormerRenewalsEnd()).String(), "expireIn", time.Until(tenure.planner.FormerLeasesExpireBy()).String(),
+		"settled", tenure.planner.SettledTerm(), "ended", ended, "mayRenew", open)
+}
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -198,6 +198,7 @@
 	tenure.mu.Lock()
 	tenure.planner = restored
 	tenure.planner.SetDrainedZones(tenure.host.drains.Zones())
+	tenure.logFormerWait(groundWindow)
 	tenure.mu.Unlock()
 	close(tenure.ready)
 	return nil
@@ -245,7 +246,7 @@
 	tenure.mu.Lock()
 	tenure.meter.lockTime.Add(int64(time.Since(lockedFrom)))
 	if !quorumSince.IsZero() {
-		tenure.planner.EndFormerRenewals(formerRenewalsEnd(quorumSince, tenure.fencedAt))
+		tenure.shortenFormerWait(formerRenewalsEnd(quorumSince, tenure.fencedAt), groundQuorum)
 	}
 	tenure.planner.SetSlots(slots)
 	limit := tenure.startWindow.Limit()
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -142,11 +142,11 @@
 	return lease + lease/(clockDriftDivisor-1) + leaseExpiryMargin
 }
 
-// EndFormerRenewals records that no earlier planner renews leases after a time, which shortens the wait for the leases
-// of earlier planners to expire.
-func (planner *Planner) EndFormerRenewals(after time.Time) {
+// EndFormerRenewals records that no earlier planner renews leases after a time, and reports whether that shortens the wait for the
+// leases of earlier planners to expire.
+func (planner *Planner) EndFormerRenewals(after time.Time) bool {
 	if !after.Before(planner.formerRenewalsEnd) {
-		return
+		return false
 	}
 	expireBy := after.Add(planner.Settings.maxLeaseDuration(planner.Settings.Lease))
 	for _, worker := range planner.workers {
@@ -155,11 +155,15 @@
 		}
 	}
 	planner.formerRenewalsEnd, planner.formerLeasesExpireBy = after, expireBy
+	return true
 }
 
 // FormerRenewalsEnd returns the time from which no earlier planner renews leases.
 func (planner *Planner) FormerRenewalsEnd() time.Time { return planner.formerRenewalsEnd }
 
+// FormerLeasesExpireBy returns the time by which every lease of an earlier planner has expired.
+func (planner *Planner) FormerLeasesExpireBy() time.Time { return planner.formerLeasesExpireBy }
+
 // SetMayLease sets whether this planner may give leases. It may not while a later planner may have begun: it then sends
 // no start orders, and polls without leases.
 func (planner *Planner) SetMayLease(may bool) { planner.mayLease = may }
--- a/tests/fleet_lasting_test.go
+++ b/tests/fleet_lasting_test.go
@@ -64,6 +64,48 @@
 	})
 }
 
+// TestFleetFormerLeases guards against a decider that does not tell until when it waits for leases of former deciders, and why.
+func TestFleetFormerLeases(t *testing.T) {
+	for name, test := range map[string]struct {
+		lose func(fleet *fleet, decider string)
+		want map[string]int // lines of the next decider by grounds
+	}{
+		"silent":    {func(fleet *fleet, _ string) { fleet.silenceDecider() }, map[string]int{"window": 1, "quorum": 1}},
+		"restarted": {func(fleet *fleet, decider string) { fleet.restartHost(decider) }, map[string]int{"window": 1, "quorum": 1, "gone": 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFleetWith(t, lastingHosts, func(fleet *fleet) { fleet.maxLease = longLease }, func(fleet *fleet) {
+				time.Sleep(20 * time.Second)
+				before := fleet.formerLeaseLines()
+				test.lose(fleet, fleet.decidingHost())
+				time.Sleep(20 * time.Second)
+				after := fleet.formerLeaseLines()
+				for _, grounds := range formerLeaseGrounds {
+					if count := after[grounds] - before[grounds]; count > test.want[grounds] {
+						t.Errorf("%d lines with the grounds %s, want %d at most", count, grounds, test.want[grounds])
+					}
+				}
+				last := formerLeaseGrounds[len(test.want)-1]
+				if after[last] == before[last] {
+					t.Errorf("no line with the grounds %s", last)
+				}
+			})
+		})
+	}
+}
+
+// formerLeaseGrounds are the grounds on which a decider waits for leases of former deciders, from the longest wait to the shortest.
+var formerLeaseGrounds = []string{"window", "quorum", "gone"}
+
+// formerLeaseLines returns how many lines tell until when a decider waits for leases of former deciders, by grounds.
+func (fleet *fleet) formerLeaseLines() map[string]int {
+	lines := map[string]int{}
+	for _, grounds := range formerLeaseGrounds {
+		lines[grounds] = fleet.logged.count("leases of former deciders " + grounds)
+	}
+	return lines
+}
+
 // endWorkers ends all workers that run lasting tasks, for good and without notice, while as many others start.
 func (fleet *fleet) endWorkers() {
 	former := len(fleet.workers)
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -191,7 +191,7 @@
 	fleet.hosts[name] = host
 }
 
-// messageCounter is a log handler that counts the records by message.
+// messageCounter is a log handler that counts the records by message, and those with grounds also by both, with a space between.
 type messageCounter struct {
 	mu     sync.Mutex
 	counts map[string]int
@@ -214,6 +214,12 @@
 	messageCounter.mu.Lock()
 	defer messageCounter.mu.Unlock()
 	messageCounter.counts[record.Message]++
+	record.Attrs(func(attribute slog.Attr) bool {
+		if attribute.Key == "grounds" {
+			messageCounter.counts[record.Message+" "+attribute.Value.String()]++
+		}
+		return true
+	})
 	return nil
 }
 
