scheduler: a lease counts from a time before the check that it may be given

What callers saw: nothing yet; found by reading. A task could run twice after a takeover.

Cause: a decider checked that it may give leases, and read the time from which the lease counts afterwards. If its process stood still in between (node_freeze), the lease counted from the moment it woke, while its successor waits for leases as of the check: with a worker that only the former decider reaches, the run goes on there after it was started elsewhere.

Change: the time is read first, in one place for polls, orders and readings.

TestLeaseTime: fails before, passes now.

--- a/daemon/scheduler/poller.go
+++ b/daemon/scheduler/poller.go
@@ -203,8 +203,7 @@
 // poll makes one poll and passes the worker's listing to the planner.
 func (tenure *tenure) poll(ctx context.Context, worker string, wait time.Duration) error {
 	tenure.mu.Lock()
-	tenure.planner.SetMayLease(tenure.mayRenewLeases())
-	poll, found := tenure.planner.NextPoll(worker, time.Now())
+	poll, found := tenure.planner.NextPoll(worker, tenure.leaseTime())
 	zone, workerCount := tenure.workerInfos[worker].Zone, len(tenure.workerInfos)
 	tenure.mu.Unlock()
 	if !found {
@@ -348,8 +347,7 @@
 			}
 		}
 		tenure.mu.Lock()
-		tenure.planner.SetMayLease(tenure.mayRenewLeases())
-		order, wanted := tenure.planner.PrepareOrder(start, time.Now())
+		order, wanted := tenure.planner.PrepareOrder(start, tenure.leaseTime())
 		zone, workerCount := tenure.workerInfos[order.Worker].Zone, len(tenure.workerInfos)
 		tenure.mu.Unlock()
 		if !wanted || tenure.ctx.Err() != nil {
--- a/daemon/scheduler/quorum.go
+++ b/daemon/scheduler/quorum.go
@@ -121,6 +121,14 @@
 	return unconfirmed <= renewalWindow || unconfirmed <= quorumRenewalWindow && tenure.quorum.isHeld(tenure.host.fleet.size())
 }
 
+// leaseTime tells the planner whether it may give leases, and returns the time from which they count. It reads the time before the check:
+// if the process stands still in between, a lease must not count from a time at which it would not be given. The caller holds tenure.mu.
+func (tenure *tenure) leaseTime() time.Time {
+	now := time.Now()
+	tenure.planner.SetMayLease(tenure.mayRenewLeases())
+	return now
+}
+
 // mayBeSuperseded reports whether another host may have become the decider: appends fail, or the last store call that
 // showed no later decider is too long ago.
 func (tenure *tenure) mayBeSuperseded() bool {
--- a/daemon/scheduler/quorum_test.go
+++ b/daemon/scheduler/quorum_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"ebonyshunt.org/library/planner"
 )
 
 // TestFormerRenewalsEnd checks that both the quorum and the fence of the journal have to stand before the time in which a
@@ -20,3 +22,32 @@
 		})
 	}
 }
+
+// TestLeaseTime guards against a lease that is longer than a later decider waits for, since its decider stood still between the check
+// that it may give leases and the reading of the time from which the lease counts.
+func TestLeaseTime(t *testing.T) {
+	const attempts, standstill = 100, 20 * time.Millisecond
+	now := time.Now()
+	tenure := &tenure{
+		host:    &Host{started: now.Add(-time.Minute), fleet: newFleet()},
+		quorum:  newQuorum(),
+		planner: planner.New(planner.Settings{}, 1, &planner.Catalog{}, now),
+	}
+	tenure.confirmTerm(tenure.host.uptime() - quorumRenewalWindow/2) // so that the check takes the lock of the quorum
+	for range attempts {
+		times, begun := make(chan time.Time), make(chan struct{})
+		tenure.quorum.mu.Lock()
+		go func() {
+			close(begun)
+			times <- tenure.leaseTime()
+		}()
+		<-begun
+		time.Sleep(standstill)
+		checkedAfter := time.Now()
+		tenure.quorum.mu.Unlock()
+		if !(<-times).After(checkedAfter) {
+			return
+		}
+	}
+	t.Errorf("in %d attempts the lease counts from a time after the check", attempts)
+}
--- a/daemon/scheduler/stragglers.go
+++ b/daemon/scheduler/stragglers.go
@@ -36,8 +36,7 @@
 		return // the workers are polled without waits as often as is useful
 	}
 	tenure.mu.Lock()
-	tenure.planner.SetMayLease(tenure.mayRenewLeases())
-	poll, found := tenure.planner.NextPoll(worker, time.Now())
+	poll, found := tenure.planner.NextPoll(worker, tenure.leaseTime())
 	tenure.mu.Unlock()
 	if !found {
 		return
