scheduler: a former decider that runs tells that it gives no leases any more

What callers saw: lasting tasks that ended with their workers while the decider stood still for 0.7 s ran again 11 s later, though 9 s are allowed: the new decider waited 3 s for renewals of the former one, which had woken and knew that it was replaced.

Cause: a new decider could only learn that the process of a former one had ended.

Evidence: TestFleetLastingTasks/deciderWakes.

Change: a heartbeat for a later term ends the giving of leases in all earlier terms of the process that receives it, before it is answered, and the answer says so (leaseTerm). A lease that another goroutine prepares meanwhile counts from a time before its check, hence from before the answer, and its deadline is a time on the worker's clock: a poll that arrives late lengthens nothing. A decider that has so been told of a later term asks its peers for the election. A host of an earlier release does not say it; then the wait stays as it was. The line 'former decider is gone' is now 'former decider gives no leases' and names the grounds.

TestReleasedLeases checks that the word is kept; TestFleetFormerLeases/woken that the grounds are logged.

--- a/daemon/scheduler/former.go
+++ b/daemon/scheduler/former.go
@@ -48,6 +48,7 @@
 type formerDecider struct {
 	FormerElection
 	endedAt time.Time // from when on it is known that the decider gives no leases in this term, zero before
+	ground  ground    // why
 }
 
 func newFormerDeciders(elections []FormerElection) *formerDeciders {
@@ -59,34 +60,35 @@
 }
 
 // recordEnd records that a decider gives no leases from a time on in a term.
-func (formerDeciders *formerDeciders) recordEnd(term int64, at time.Time) {
+func (formerDeciders *formerDeciders) recordEnd(term int64, ground ground, at time.Time) {
 	formerDeciders.mu.Lock()
 	defer formerDeciders.mu.Unlock()
 	for index := range formerDeciders.rows {
 		if row := &formerDeciders.rows[index]; row.Term == term && row.endedAt.IsZero() {
-			row.endedAt = at
+			row.endedAt, row.ground = at, ground
 		}
 	}
 }
 
-// end returns from when on no former decider gives leases, and false if that is not known: of each decider from the settled term on
-// it has to be known, and each has to be listed.
-func (formerDeciders *formerDeciders) end(settledTerm int64) (time.Time, bool) {
+// end returns from when on no former decider gives leases and why that is known of the last one, and false if it is not known: of each
+// decider from the settled term on it has to be known, and each has to be listed.
+func (formerDeciders *formerDeciders) end(settledTerm int64) (time.Time, ground, bool) {
 	formerDeciders.mu.Lock()
 	defer formerDeciders.mu.Unlock()
 	var end time.Time
+	var ground ground
 	for _, row := range formerDeciders.rows {
 		if row.Term < settledTerm || row.endedAt.IsZero() {
-			return time.Time{}, false
+			return time.Time{}, "", false
 		}
 		if row.endedAt.After(end) {
-			end = row.endedAt
+			end, ground = row.endedAt, row.ground
 		}
 		if row.Term == settledTerm {
-			return end, true
+			return end, ground, true
 		}
 	}
-	return time.Time{}, false
+	return time.Time{}, "", false
 }
 
 // terms returns the terms in which deciders are known to give no leases any more, and those in which they may.
@@ -103,23 +105,19 @@
 	return ended, open
 }
 
-// probeFormerDeciders checks whether the former deciders have ended.
+// probeFormerDeciders asks the former deciders whether they may give leases.
 func (tenure *tenure) probeFormerDeciders() {
 	for _, row := range slices.Clone(tenure.former.rows) {
 		tenure.wait.Go(func() { tenure.probeFormerDecider(row.FormerElection) })
 	}
 }
 
-// probeFormerDecider checks whether the process of a former decider has ended, until it has or no lease can depend on it any more.
+// probeFormerDecider asks a former decider whether it may give leases, until it gives none or no lease can depend on it any more.
 func (tenure *tenure) probeFormerDecider(former FormerElection) {
 	for tenure.ctx.Err() == nil && tenure.dependsOn(former) {
-		ctx, cancel := context.WithTimeout(tenure.ctx, heartbeatTimeout)
-		answer, err := tenure.host.sendHeartbeat(ctx, former.Address)
-		ended := err == nil && answer.BootID != former.BootID || linker.ErrUnsent.Has(err) && ctx.Err() == nil
-		cancel()
-		if ended {
-			tenure.host.log.Info("former decider is gone", "term", former.Term, "host", former.Host)
-			tenure.former.recordEnd(former.Term, time.Now())
+		if ground, ended := tenure.askFormerDecider(former); ended {
+			tenure.host.log.Info("former decider gives no leases", "term", former.Term, "host", former.Host, "grounds", string(ground))
+			tenure.former.recordEnd(former.Term, ground, time.Now())
 			tenure.endFormerRenewals()
 			return
 		}
@@ -127,6 +125,20 @@
 	}
 }
 
+// askFormerDecider reports whether a former decider gives no leases in its term from now on, and why.
+func (tenure *tenure) askFormerDecider(former FormerElection) (ground, bool) {
+	ctx, cancel := context.WithTimeout(tenure.ctx, heartbeatTimeout)
+	defer cancel()
+	answer, err := tenure.host.sendHeartbeat(ctx, former.Address)
+	switch {
+	case err != nil:
+		return groundGone, linker.ErrUnsent.Has(err) && ctx.Err() == nil
+	case answer.BootID != former.BootID:
+		return groundGone, true
+	}
+	return groundResigned, answer.LeaseTerm > former.Term
+}
+
 // dependsOn reports whether the wait for the leases of former deciders could be shorter if the end of one of them were known.
 func (tenure *tenure) dependsOn(former FormerElection) bool {
 	tenure.mu.Lock()
@@ -141,8 +153,8 @@
 	if tenure.planner == nil {
 		return
 	}
-	if end, known := tenure.former.end(tenure.planner.SettledTerm()); known {
-		tenure.shortenFormerWait(end, groundGone)
+	if end, ground, known := tenure.former.end(tenure.planner.SettledTerm()); known {
+		tenure.shortenFormerWait(end, ground)
 	}
 }
 
@@ -150,9 +162,10 @@
 type ground string
 
 const (
-	groundWindow ground = "window" // the longest time in which a former decider may renew leases is over
-	groundQuorum ground = "quorum" // as formerRenewalsEnd
-	groundGone   ground = "gone"   // each former decider is known to give no leases
+	groundWindow   ground = "window"   // the longest time in which a former decider may renew leases is over
+	groundQuorum   ground = "quorum"   // as formerRenewalsEnd
+	groundGone     ground = "gone"     // the process has ended
+	groundResigned ground = "resigned" // the process told that it gives no leases in its term any more
 )
 
 // shortenFormerWait tells the planner that no former decider renews leases after a time, and logs it if the planner waited for longer.
--- a/daemon/scheduler/former_test.go
+++ b/daemon/scheduler/former_test.go
@@ -32,9 +32,9 @@
 			}
 			formerDeciders := newFormerDeciders(elections)
 			for term, at := range test.ended {
-				formerDeciders.recordEnd(term, start.Add(at))
+				formerDeciders.recordEnd(term, groundGone, start.Add(at))
 			}
-			if end, known := formerDeciders.end(settled); known != (test.want > 0) || known && end.Sub(start) != test.want {
+			if end, _, known := formerDeciders.end(settled); known != (test.want > 0) || known && end.Sub(start) != test.want {
 				t.Errorf("end after %v, known %t, want %v", end.Sub(start), known, test.want)
 			}
 		})
--- a/daemon/scheduler/heartbeat.go
+++ b/daemon/scheduler/heartbeat.go
@@ -29,9 +29,11 @@
 
 // HeartbeatAnswer is the answer to a Heartbeat.
 type HeartbeatAnswer struct {
-	Election       Election      `json:"election,omitzero"`
-	BootID         string        `json:"boot"`
-	Deciding       bool          `json:"deciding"`          // whether the answering host is the decider
+	Election Election `json:"election,omitzero"`
+	BootID   string   `json:"boot"`
+	Deciding bool     `json:"deciding"` // whether the answering host is the decider
+	// LeaseTerm is the lowest term in which the answering process may still give leases, 0 from a host of an earlier release.
+	LeaseTerm      int64         `json:"leaseTerm,omitempty"`
 	ReachesDecider bool          `json:"reaches"`           // whether the answering host reaches the decider
 	StoreOutage    time.Duration `json:"storeSilent"`       // duration of the answering host's store outage, 0 for none
 	CatalogVersion int64         `json:"version"`           // version of the answering host's configuration
@@ -67,11 +69,13 @@
 	return answer, nil
 }
 
-// answerHeartbeat answers a peer's heartbeat. A heartbeat for the term of this host's tenure counts towards its quorum.
+// answerHeartbeat answers a peer's heartbeat. A heartbeat for the term of this host's tenure counts towards its quorum. One for a later
+// term ends all leases of earlier terms before it is answered.
 func (host *Host) answerHeartbeat(heartbeat Heartbeat) HeartbeatAnswer {
+	leaseTerm := host.raiseLeaseTerm(heartbeat.Term)
 	election, _ := host.fleet.currentElection()
 	answer := HeartbeatAnswer{
-		Election: election.withoutFormer(), BootID: host.bootID, Deciding: host.currentTenure() != nil, ReachesDecider: host.reachesDecider(),
+		Election: election.withoutFormer(), BootID: host.bootID, Deciding: host.currentTenure() != nil, LeaseTerm: leaseTerm, ReachesDecider: host.reachesDecider(),
 		StoreOutage: host.storeOutage(), CatalogVersion: host.catalogVersion(), Drains: host.reportedDrains(heartbeat.Drains != nil),
 	}
 	host.learnDrains(heartbeat.Drains)
@@ -86,3 +90,17 @@
 	}
 	return answer
 }
+
+// raiseLeaseTerm ends the giving of leases in all terms before one, and returns the lowest term in which this process may give them. A
+// lease that is prepared meanwhile counts from an earlier time, see tenure.leaseTime.
+func (host *Host) raiseLeaseTerm(term int64) int64 {
+	for {
+		lowest := host.leaseTerm.Load()
+		if term <= lowest {
+			return lowest
+		}
+		if host.leaseTerm.CompareAndSwap(lowest, term) {
+			return term
+		}
+	}
+}
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -60,6 +60,7 @@
 	storeAnsweredAt atomic.Int64 // uptime when the store last answered, in nanoseconds
 	shuttingDown    atomic.Bool
 	deciderStatus   deciderStatus
+	leaseTerm       atomic.Int64 // lowest term in which this process may give leases
 	sessions        *sessions
 	// strongerTransferAt is the uptime when this host last asked a stronger host to take over.
 	strongerTransferAt time.Duration
--- a/daemon/scheduler/quorum.go
+++ b/daemon/scheduler/quorum.go
@@ -117,10 +117,16 @@
 // mayRenewLeases reports whether the tenure may renew leases. While it may, no other host can have started the
 // leased runs elsewhere.
 func (tenure *tenure) mayRenewLeases() bool {
+	if tenure.releasedLeases() {
+		return false
+	}
 	unconfirmed := tenure.host.uptime() - time.Duration(tenure.confirmedAt.Load())
 	return unconfirmed <= renewalWindow || unconfirmed <= quorumRenewalWindow && tenure.quorum.isHeld(tenure.host.fleet.size())
 }
 
+// releasedLeases reports whether this host has told a peer that it gives no leases in the tenure's term any more.
+func (tenure *tenure) releasedLeases() bool { return tenure.term < tenure.host.leaseTerm.Load() }
+
 // leaseTime tells the planner whether it may give leases, and returns the time from which they count. It reads the time before the check:
 // if the process stands still in between, a lease must not count from a time at which it would not be given. The caller holds tenure.mu.
 func (tenure *tenure) leaseTime() time.Time {
@@ -129,11 +135,11 @@
 	return now
 }
 
-// mayBeSuperseded reports whether another host may have become the decider: appends fail, or the last store call that
-// showed no later decider is too long ago.
+// mayBeSuperseded reports whether another host may have become the decider: a peer knows of a later term, appends fail, or the last store
+// call that showed no later decider is too long ago.
 func (tenure *tenure) mayBeSuperseded() bool {
 	unconfirmed := tenure.host.uptime() - time.Duration(tenure.confirmedAt.Load())
-	return tenure.storeOutage() > supersededCheckDelay || unconfirmed > tailWait+tailTimeoutSlack
+	return tenure.releasedLeases() || tenure.storeOutage() > supersededCheckDelay || unconfirmed > tailWait+tailTimeoutSlack
 }
 
 // supersededCheckDelay is how long appends may fail before a decider asks its peers about a later decider.
--- a/daemon/scheduler/quorum_test.go
+++ b/daemon/scheduler/quorum_test.go
@@ -51,3 +51,21 @@
 	}
 	t.Errorf("in %d attempts the lease counts from a time after the check", attempts)
 }
+
+// TestReleasedLeases guards against a decider that gives leases after it has told a later one that it gives none.
+func TestReleasedLeases(t *testing.T) {
+	host := &Host{started: time.Now(), fleet: newFleet()}
+	tenure := &tenure{host: host, term: 5, quorum: newQuorum()}
+	tenure.confirmTerm(host.uptime())
+	for _, step := range []struct {
+		heartbeatTerm, want int64
+		may                 bool
+	}{{0, 0, true}, {5, 5, true}, {6, 6, false}, {5, 6, false}} {
+		if lowest := host.raiseLeaseTerm(step.heartbeatTerm); lowest != step.want {
+			t.Errorf("after a heartbeat for term %d this host gives leases from term %d on, want %d", step.heartbeatTerm, lowest, step.want)
+		}
+		if may := tenure.mayRenewLeases(); may != step.may {
+			t.Errorf("after a heartbeat for term %d the tenure may give leases: %t, want %t", step.heartbeatTerm, may, step.may)
+		}
+	}
+}
--- a/tests/fleet_lasting_test.go
+++ b/tests/fleet_lasting_test.go
@@ -14,6 +14,8 @@
 	termBeforeLoss = 6 * time.Second
 	// shortTerm is the same for a decider that cannot know yet that no former decider renews leases.
 	shortTerm = 500 * time.Millisecond
+	// silentTime is how long a decider is silent that is replaced meanwhile.
+	silentTime = 700 * time.Millisecond
 )
 
 // TestFleetLastingTasks guards against lasting tasks that stay down for too long after their worker has ended, because deciders end at
@@ -42,6 +44,16 @@
 			fleet.killHost(fleet.decidingHost())
 		})
 	})
+	// Guards against a decider that waits for the renewals of a predecessor that runs and answers, but no longer decides.
+	t.Run("deciderWakes", func(t *testing.T) {
+		runLasting(t, func(fleet *fleet) {
+			fleet.endWorkers()
+			former := fleet.decidingHost()
+			fleet.fabric.Pause(former)
+			time.Sleep(silentTime)
+			fleet.fabric.Resume(former)
+		})
+	})
 	// Guards against a decider that waits for renewals although its predecessor has ended.
 	t.Run("firstTakeover", func(t *testing.T) {
 		runLasting(t, func(fleet *fleet) {
@@ -70,8 +82,13 @@
 		lose func(fleet *fleet, decider string)
 		want map[string]int // lines of the next decider by grounds
 	}{
-		"silent":    {func(fleet *fleet, _ string) { fleet.silenceDecider() }, map[string]int{"window": 1, "quorum": 1}},
-		"restarted": {func(fleet *fleet, decider string) { fleet.restartHost(decider) }, map[string]int{"window": 1, "quorum": 1, "gone": 1}},
+		"silent": {func(fleet *fleet, _ string) { fleet.silenceDecider() }, map[string]int{"window": 1, "quorum": 1}},
+		"woken": {func(fleet *fleet, decider string) {
+			fleet.fabric.Pause(decider)
+			time.Sleep(silentTime)
+			fleet.fabric.Resume(decider)
+		}, map[string]int{"window": 1, "quorum": 1, "resigned": 1}},
+		"restarted": {func(fleet *fleet, decider string) { fleet.restartHost(decider) }, map[string]int{"window": 1, "quorum": 1, "resigned": 0, "gone": 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			runFleetWith(t, lastingHosts, func(fleet *fleet) { fleet.maxLease = longLease }, func(fleet *fleet) {
@@ -95,7 +112,7 @@
 }
 
 // formerLeaseGrounds are the grounds on which a decider waits for leases of former deciders, from the longest wait to the shortest.
-var formerLeaseGrounds = []string{"window", "quorum", "gone"}
+var formerLeaseGrounds = []string{"window", "quorum", "resigned", "gone"}
 
 // formerLeaseLines returns how many lines tell until when a decider waits for leases of former deciders, by grounds.
 func (fleet *fleet) formerLeaseLines() map[string]int {
