scheduler: leases count from the proof that there is no later decider

What callers saw: two things. Lasting tasks that ended with their workers when the decider fell silent for good ran again 11 s later, though 9 s are allowed (LOST). And found by a test: behind a cut that refuses connections, tasks ran twice, as the former decider was cut off together with their workers.

Cause: a decider gave whole leases for up to 3 s after the last proof that there is no later one. A new decider had to wait for these 3 s unless it knew that the former one has ended; it took a refused connection for that, but cuts may refuse.

Evidence: TestFleetLastingTasks/silentDecider; TestFleetRefusingCut: all four tasks run a second time while the first run goes on.

Change: a lease counts from the proof itself: the sending of the last store call that showed no later decider, or the time at which most hosts certainly knew of none. For the latter, a heartbeat echoes the time at which the decider sent the last answer that the host had received (a heartbeat may arrive long after it was sent, to a process that stood still). Elections say whether their decider counts so; for deciders of earlier releases, or if a former election may be missing from the list, the wait stays. A host ends its own leases of earlier terms before it supports a later one.

The bound of TestFormerRenewalsEnd is now passed in, with the former cases and two new ones. TestFleetFormerLeases/woken is replaced by handedOver: a decider that wakes shortens no wait any more; one that hands over tells so before the quorum does.

Cost: runs on workers that are cut off together with their decider end 7 s after the cut, as on other workers that are cut off from it; they lasted up to 10 s. A heartbeat and its answer grow by some 20 bytes each.

--- a/daemon/scheduler/fleet.go
+++ b/daemon/scheduler/fleet.go
@@ -32,6 +32,8 @@
 	Host    string `json:"host"`
 	Address string `json:"address"`
 	BootID  string `json:"boot"`
+	// LeasesFromBase is whether the elected process counts leases from tenure.leaseBase, false for an earlier release.
+	LeasesFromBase bool `json:"leasesFromBase,omitempty"`
 	// Former are the elections before this one, the latest first, at most maxFormerElections. It is empty in what peers send.
 	Former []FormerElection `json:"former,omitempty"`
 }
@@ -285,6 +287,7 @@
 
 // applyElection records an election, and begins or ends this host's tenure accordingly.
 func (host *Host) applyElection(election Election, source string) {
+	host.raiseLeaseTerm(election.Term) // before this host supports the term
 	previous, isNew := host.fleet.recordElection(election)
 	if !isNew {
 		return
@@ -321,7 +324,9 @@
 	if previous.Term > known.Term {
 		return nil
 	}
-	election := Election{Term: end + 1, Host: host.settings.Host, Address: host.settings.PeerAddress, BootID: host.bootID}.withFormer(previous)
+	election := Election{
+		Term: end + 1, Host: host.settings.Host, Address: host.settings.PeerAddress, BootID: host.bootID, LeasesFromBase: true,
+	}.withFormer(previous)
 	data, err := json.Marshal(election)
 	if err != nil {
 		return fmt.Errorf("campaign: encode election: %w", err)
--- a/daemon/scheduler/former.go
+++ b/daemon/scheduler/former.go
@@ -15,6 +15,8 @@
 	Host    string `json:"host"`
 	Address string `json:"address"`
 	BootID  string `json:"boot"`
+	// LeasesFromBase is Election.LeasesFromBase.
+	LeasesFromBase bool `json:"leasesFromBase,omitempty"`
 }
 
 // maxFormerElections bounds Election.Former. With more elections before the first term settles, a decider waits for the longest
@@ -26,7 +28,9 @@
 	if previous.Term == 0 {
 		return election
 	}
-	former := []FormerElection{{Term: previous.Term, Host: previous.Host, Address: previous.Address, BootID: previous.BootID}}
+	former := []FormerElection{{
+		Term: previous.Term, Host: previous.Host, Address: previous.Address, BootID: previous.BootID, LeasesFromBase: previous.LeasesFromBase,
+	}}
 	former = append(former, previous.Former...)
 	election.Former = former[:min(len(former), maxFormerElections)]
 	return election
@@ -91,6 +95,22 @@
 	return time.Time{}, "", false
 }
 
+// window returns how much later a lease of a former decider may count from than what confirms the decider's term: renewalWindow for
+// deciders of earlier releases, and for those that are not listed.
+func (formerDeciders *formerDeciders) window(settledTerm int64) time.Duration {
+	formerDeciders.mu.Lock()
+	defer formerDeciders.mu.Unlock()
+	for _, row := range formerDeciders.rows {
+		if row.Term < settledTerm || !row.LeasesFromBase {
+			return renewalWindow
+		}
+		if row.Term == settledTerm {
+			return 0
+		}
+	}
+	return renewalWindow
+}
+
 // terms returns the terms in which deciders are known to give no leases any more, and those in which they may.
 func (formerDeciders *formerDeciders) terms() (ended, open []int64) {
 	formerDeciders.mu.Lock()
@@ -127,6 +147,9 @@
 
 // askFormerDecider reports whether a former decider gives no leases in its term from now on, and why.
 func (tenure *tenure) askFormerDecider(former FormerElection) (ground, bool) {
+	if former.BootID == tenure.host.bootID {
+		return groundResigned, true // its tenures before this one have ended, see applyElection
+	}
 	ctx, cancel := context.WithTimeout(tenure.ctx, heartbeatTimeout)
 	defer cancel()
 	answer, err := tenure.host.sendHeartbeat(ctx, former.Address)
--- a/daemon/scheduler/former_test.go
+++ b/daemon/scheduler/former_test.go
@@ -78,3 +78,32 @@
 		})
 	}
 }
+
+// TestFormerWindow guards against a decider that does not wait for the time in which deciders of earlier releases, or deciders that it does
+// not know of, go on to give leases.
+func TestFormerWindow(t *testing.T) {
+	const settled = 5
+	current := func(terms ...int64) (elections []FormerElection) {
+		for _, term := range terms {
+			elections = append(elections, FormerElection{Term: term, LeasesFromBase: true})
+		}
+		return elections
+	}
+	for name, test := range map[string]struct {
+		elections []FormerElection
+		want      time.Duration
+	}{
+		"current":              {current(9, 7, 5), 0},
+		"olderBeforeSettled":   {append(current(9, 5), FormerElection{Term: 4}), 0},
+		"olderRelease":         {append(current(9), FormerElection{Term: 5}), renewalWindow},
+		"settledIsNotListed":   {current(9, 7), renewalWindow},
+		"settledIsLeftOut":     {current(9, 4), renewalWindow},
+		"noneIsKnownOfAFormer": {nil, renewalWindow},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if window := newFormerDeciders(test.elections).window(settled); window != test.want {
+				t.Errorf("window %v, want %v", window, test.want)
+			}
+		})
+	}
+}
--- a/daemon/scheduler/heartbeat.go
+++ b/daemon/scheduler/heartbeat.go
@@ -20,6 +20,9 @@
 	// AnswerTime is how long the decider's latest answer to the sender took, 0 if it has not answered yet or the heartbeat goes to
 	// another host.
 	AnswerTime time.Duration `json:"answerTime,omitempty"`
+	// EchoMS is HeartbeatAnswer.SentMS of the decider's latest answer that the sender had received in this term before it read which
+	// term it knows, 0 for none.
+	EchoMS int64 `json:"echo,omitempty"`
 	// Drains is the sender's state of drained zones, nil if none was ever drained.
 	Drains *drainer.State `json:"drains,omitempty"`
 }
@@ -29,10 +32,13 @@
 
 // HeartbeatAnswer is the answer to a Heartbeat.
 type HeartbeatAnswer struct {
+	// SentMS is the uptime of the answering host when it sent this, in milliseconds, 0 unless it decides in the term of the heartbeat.
+	SentMS   int64    `json:"sent,omitempty"`
 	Election Election `json:"election,omitzero"`
 	BootID   string   `json:"boot"`
 	Deciding bool     `json:"deciding"` // whether the answering host is the decider
-	// LeaseTerm is the lowest term in which the answering process may still give leases, 0 from a host of an earlier release.
+	// LeaseTerm is the lowest term in which the answering process may still give leases, 0 from a host of an earlier release, or if it
+	// decides in the term of the heartbeat.
 	LeaseTerm      int64         `json:"leaseTerm,omitempty"`
 	ReachesDecider bool          `json:"reaches"`           // whether the answering host reaches the decider
 	StoreOutage    time.Duration `json:"storeSilent"`       // duration of the answering host's store outage, 0 for none
@@ -42,8 +48,15 @@
 	Drains *drainer.State `json:"drains,omitempty"`
 }
 
+// deciderEcho is Heartbeat.EchoMS for the heartbeats of a term.
+type deciderEcho struct {
+	term   int64
+	sentMS int64
+}
+
 // sendHeartbeat sends a heartbeat to the peer at an address, and applies what its answer says of the fleet.
 func (host *Host) sendHeartbeat(ctx context.Context, address string) (HeartbeatAnswer, error) {
+	echo := host.echo.Load() // before the election: when the answer arrived, this host knew of no later one
 	election, _ := host.fleet.currentElection()
 	var answer HeartbeatAnswer
 	heartbeat := Heartbeat{
@@ -52,10 +65,16 @@
 	}
 	if address == election.Address {
 		heartbeat.AnswerTime = host.deciderStatus.answerTime()
+		if echo != nil && echo.term == election.Term {
+			heartbeat.EchoMS = echo.sentMS
+		}
 	}
 	if err := host.peerPool.Call(ctx, address, methodHeartbeat, heartbeat, &answer); err != nil {
 		return answer, err
 	}
+	if answer.SentMS > 0 {
+		host.echo.Store(&deciderEcho{term: election.Term, sentMS: answer.SentMS})
+	}
 	host.catalogFetcher.report(answer.CatalogVersion, address)
 	for _, member := range answer.Members {
 		if member.check() == nil { // a host of an earlier release may know an odd one
@@ -75,7 +94,7 @@
 	leaseTerm := host.raiseLeaseTerm(heartbeat.Term)
 	election, _ := host.fleet.currentElection()
 	answer := HeartbeatAnswer{
-		Election: election.withoutFormer(), BootID: host.bootID, Deciding: host.currentTenure() != nil, LeaseTerm: leaseTerm, ReachesDecider: host.reachesDecider(),
+		Election: election.withoutFormer(), BootID: host.bootID, Deciding: host.currentTenure() != nil, ReachesDecider: host.reachesDecider(),
 		StoreOutage: host.storeOutage(), CatalogVersion: host.catalogVersion(), Drains: host.reportedDrains(heartbeat.Drains != nil),
 	}
 	host.learnDrains(heartbeat.Drains)
@@ -86,7 +105,14 @@
 		answer.Members = host.fleet.allMembers()
 	}
 	if tenure := host.currentTenure(); tenure != nil && heartbeat.Term == tenure.term {
-		tenure.quorum.recordHeartbeat(heartbeat)
+		answer.SentMS = host.uptime().Milliseconds() // rounded down: a lease must not count from a later time
+		var echo time.Time
+		if heartbeat.EchoMS > 0 {
+			echo = host.started.Add(time.Duration(heartbeat.EchoMS) * time.Millisecond)
+		}
+		tenure.quorum.recordHeartbeat(heartbeat, echo)
+	} else {
+		answer.LeaseTerm = leaseTerm
 	}
 	return answer
 }
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -61,6 +61,7 @@
 	shuttingDown    atomic.Bool
 	deciderStatus   deciderStatus
 	leaseTerm       atomic.Int64 // lowest term in which this process may give leases
+	echo            atomic.Pointer[deciderEcho]
 	sessions        *sessions
 	// strongerTransferAt is the uptime when this host last asked a stronger host to take over.
 	strongerTransferAt time.Duration
--- a/daemon/scheduler/lag_test.go
+++ b/daemon/scheduler/lag_test.go
@@ -75,7 +75,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			tenure := &tenure{tickLag: newLag(), answerLag: newLag(), quorum: newQuorum()}
 			for index, took := range test.times {
-				tenure.quorum.recordHeartbeat(Heartbeat{Host: string(rune('a' + index)), AnswerTime: took})
+				tenure.quorum.recordHeartbeat(Heartbeat{Host: string(rune('a' + index)), AnswerTime: took}, time.Time{})
 			}
 			for range ticks {
 				tenure.tickLag.record(time.Millisecond)
--- a/daemon/scheduler/quorum.go
+++ b/daemon/scheduler/quorum.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	// renewalWindow is how long a decider may renew leases after the last store call that showed no later decider.
+	// renewalWindow is how long a decider may renew leases after the last store call that showed no later decider. Each lease counts from
+	// that call, or from the time at which a quorum supported the term, see tenure.leaseBase.
 	renewalWindow = 3 * time.Second
 	// quorumRenewalWindow is the same while the decider holds a quorum, since the store may be down for all hosts.
 	quorumRenewalWindow = 12 * time.Second
@@ -25,16 +26,44 @@
 
 // receivedHeartbeat is the last heartbeat of a host.
 type receivedHeartbeat struct {
-	at         time.Time
-	answerTime time.Duration // Heartbeat.AnswerTime
+	at time.Time
+	// supportedAt is a time at which the host certainly knew of no later decider, zero if none is known: a heartbeat may arrive long after
+	// it was sent.
+	supportedAt time.Time
+	answerTime  time.Duration // Heartbeat.AnswerTime
 }
 
 func newQuorum() *quorum { return &quorum{heartbeats: map[string]receivedHeartbeat{}} }
 
-func (quorum *quorum) recordHeartbeat(heartbeat Heartbeat) {
+// recordHeartbeat records a heartbeat whose sender had received the answer that was sent at echo. Without one, which hosts of earlier
+// releases do not tell, it is not known when the heartbeat was sent.
+func (quorum *quorum) recordHeartbeat(heartbeat Heartbeat, echo time.Time) {
 	quorum.mu.Lock()
 	defer quorum.mu.Unlock()
-	quorum.heartbeats[heartbeat.Host] = receivedHeartbeat{at: time.Now(), answerTime: heartbeat.AnswerTime}
+	received := receivedHeartbeat{at: time.Now(), supportedAt: echo, answerTime: heartbeat.AnswerTime}
+	former := quorum.heartbeats[heartbeat.Host].supportedAt
+	if former.After(received.supportedAt) || echo.After(received.at) {
+		received.supportedAt = former
+	}
+	quorum.heartbeats[heartbeat.Host] = received
+}
+
+// supportedAt returns the latest time at which more than half of the given number of hosts, this host included, certainly knew of no later
+// decider, given the current time. It returns zero if there is none.
+func (quorum *quorum) supportedAt(hostCount int, now time.Time) time.Time {
+	quorum.mu.Lock()
+	defer quorum.mu.Unlock()
+	times := []time.Time{now}
+	for _, received := range quorum.heartbeats {
+		if !received.supportedAt.IsZero() {
+			times = append(times, received.supportedAt)
+		}
+	}
+	if 2*len(times) <= hostCount {
+		return time.Time{}
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	return times[hostCount/2]
 }
 
 // minAnswerTimes is the number of hosts that have to tell how long the answers to their heartbeats take.
@@ -94,14 +123,14 @@
 	return tenure.quorum.firstHeldAt
 }
 
-// formerRenewalsEnd returns the time from which no former decider renews leases, given the times since which this
-// tenure has held the quorum and since which the journal refuses the appends of former deciders. An append that the
-// journal still accepts confirms a former decider's term for renewalWindow.
-func formerRenewalsEnd(quorumSince, fencedAt time.Time) time.Time {
+// formerRenewalsEnd returns the time from which on no leases of former deciders count, given the times since which this tenure has held the
+// quorum and since which the journal refuses the appends of former deciders: until then, an append that the journal accepts, or a quorum
+// of its own, may confirm the term of a former decider. The window is how much later a lease may count from than what confirms the term.
+func formerRenewalsEnd(quorumSince, fencedAt time.Time, window time.Duration) time.Time {
 	if fencedAt.After(quorumSince) {
 		quorumSince = fencedAt
 	}
-	return quorumSince.Add(renewalWindow)
+	return quorumSince.Add(window)
 }
 
 // confirmTerm records that a store call sent at the given uptime showed no later decider.
@@ -127,14 +156,27 @@
 // releasedLeases reports whether this host has told a peer that it gives no leases in the tenure's term any more.
 func (tenure *tenure) releasedLeases() bool { return tenure.term < tenure.host.leaseTerm.Load() }
 
-// leaseTime tells the planner whether it may give leases, and returns the time from which they count. It reads the time before the check:
-// if the process stands still in between, a lease must not count from a time at which it would not be given. The caller holds tenure.mu.
+// leaseTime tells the planner whether it may give leases and from when on they count, and returns the current time. It reads the time
+// before the check: if the process stands still in between, a lease must not count from a time at which it would not be given. The caller
+// holds tenure.mu.
 func (tenure *tenure) leaseTime() time.Time {
 	now := time.Now()
+	tenure.planner.SetLeaseBase(tenure.leaseBase(now))
 	tenure.planner.SetMayLease(tenure.mayRenewLeases())
 	return now
 }
 
+// leaseBase returns the latest time at which there was certainly no later decider that had begun to wait for the leases of this one, given
+// the current time: the sending of a store call that showed none, or when most hosts knew of none. Since leases count from then, a later
+// decider waits for one lease and no longer.
+func (tenure *tenure) leaseBase(now time.Time) time.Time {
+	base := tenure.host.started.Add(time.Duration(tenure.confirmedAt.Load()))
+	if supportedAt := tenure.quorum.supportedAt(tenure.host.fleet.size(), now); supportedAt.After(base) {
+		base = supportedAt
+	}
+	return base
+}
+
 // mayBeSuperseded reports whether another host may have become the decider: a peer knows of a later term, appends fail, or the last store
 // call that showed no later decider is too long ago.
 func (tenure *tenure) mayBeSuperseded() bool {
--- a/daemon/scheduler/quorum_test.go
+++ b/daemon/scheduler/quorum_test.go
@@ -11,12 +11,14 @@
 // former decider may renew leases begins to run out.
 func TestFormerRenewalsEnd(t *testing.T) {
 	start := time.Unix(1_800_000_000, 0)
-	for name, times := range map[string]struct{ quorum, fence, want time.Duration }{
-		"fencedFirst": {quorum: 2 * time.Second, fence: time.Second, want: 2*time.Second + renewalWindow},
-		"quorumFirst": {quorum: time.Second, fence: 2 * time.Second, want: 2*time.Second + renewalWindow},
+	for name, times := range map[string]struct{ quorum, fence, window, want time.Duration }{
+		"fencedFirst":    {quorum: 2 * time.Second, fence: time.Second, window: renewalWindow, want: 2*time.Second + renewalWindow},
+		"quorumFirst":    {quorum: time.Second, fence: 2 * time.Second, window: renewalWindow, want: 2*time.Second + renewalWindow},
+		"fencedFirstAll": {quorum: 2 * time.Second, fence: time.Second, want: 2 * time.Second},
+		"quorumFirstAll": {quorum: time.Second, fence: 2 * time.Second, want: 2 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if end := formerRenewalsEnd(start.Add(times.quorum), start.Add(times.fence)); !end.Equal(start.Add(times.want)) {
+			if end := formerRenewalsEnd(start.Add(times.quorum), start.Add(times.fence), times.window); !end.Equal(start.Add(times.want)) {
 				t.Errorf("former renewals end after %v, want %v", end.Sub(start), times.want)
 			}
 		})
@@ -69,3 +71,38 @@
 		}
 	}
 }
+
+// TestSupportedAt guards against leases that count from the arrival of heartbeats that were sent long before, to a process that stood still
+// or over a link that was cut: their senders may support a later decider by now.
+func TestSupportedAt(t *testing.T) {
+	const hosts = 5
+	now := time.Now()
+	for name, test := range map[string]struct {
+		echoes map[string]time.Duration // before now, by host, negative for none
+		want   time.Duration            // before now, negative for never
+	}{
+		"fresh":        {map[string]time.Duration{"b": time.Second, "c": 2 * time.Second, "d": 3 * time.Second}, 2 * time.Second},
+		"sentLongAgo":  {map[string]time.Duration{"b": 8 * time.Second, "c": 9 * time.Second}, 9 * time.Second},
+		"minority":     {map[string]time.Duration{"b": time.Second}, -1},
+		"withoutEcho":  {map[string]time.Duration{"b": time.Second, "c": -1}, -1},
+		"echoOfFuture": {map[string]time.Duration{"b": time.Second, "c": -time.Hour}, -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			quorum := newQuorum()
+			for host, ago := range test.echoes {
+				var echo time.Time
+				if ago != -1 {
+					echo = now.Add(-ago)
+				}
+				quorum.recordHeartbeat(Heartbeat{Host: host}, echo)
+			}
+			supportedAt := quorum.supportedAt(hosts, now)
+			if supportedAt.IsZero() != (test.want < 0) {
+				t.Fatalf("supported at %v, want %v before %v", supportedAt, test.want, now)
+			}
+			if late := supportedAt.Sub(now.Add(-test.want)); test.want >= 0 && (late != 0) {
+				t.Errorf("supported %v before now, want %v", now.Sub(supportedAt), test.want)
+			}
+		})
+	}
+}
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -246,7 +246,8 @@
 	tenure.mu.Lock()
 	tenure.meter.lockTime.Add(int64(time.Since(lockedFrom)))
 	if !quorumSince.IsZero() {
-		tenure.shortenFormerWait(formerRenewalsEnd(quorumSince, tenure.fencedAt), groundQuorum)
+		window := tenure.former.window(tenure.planner.SettledTerm())
+		tenure.shortenFormerWait(formerRenewalsEnd(quorumSince, tenure.fencedAt, window), groundQuorum)
 	}
 	tenure.planner.SetSlots(slots)
 	limit := tenure.startWindow.Limit()
--- a/library/planner/expiry_test.go
+++ b/library/planner/expiry_test.go
@@ -94,3 +94,21 @@
 		t.Errorf("%d orders, want 1", len(fleet.orders))
 	}
 }
+
+// TestLeaseBase guards against leases that count from a later time than from when on they may be given, for which no later planner waits.
+func TestLeaseBase(t *testing.T) {
+	const age = 1500 * time.Millisecond
+	fleet := newFleet(t, testStart, 1)
+	fleet.submit(jobA, newStep(1))
+	fleet.settle()
+	usual, _ := fleet.planner.NextPoll("w-000", fleet.time())
+	fleet.planner.SetLeaseBase(fleet.time().Add(-age))
+	poll, _ := fleet.planner.NextPoll("w-000", fleet.time())
+	if earlier := usual.DeadlineMS - poll.DeadlineMS; usual.DeadlineMS == 0 || earlier < age.Milliseconds()*49/50 {
+		t.Errorf("the lease until %d ms ends %d ms before one that counts from now, want %v", poll.DeadlineMS, earlier, age)
+	}
+	fleet.planner.SetLeaseBase(fleet.time().Add(age))
+	if poll, _ := fleet.planner.NextPoll("w-000", fleet.time()); poll.DeadlineMS > usual.DeadlineMS {
+		t.Errorf("the lease until %d ms ends after one that counts from now, %d ms", poll.DeadlineMS, usual.DeadlineMS)
+	}
+}
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -77,6 +77,7 @@
 	startedAt            time.Time
 	journalStartMS       int64     // journal's clock when this planner began, see journalMS
 	mayLease             bool      // whether this planner may give leases now
+	leaseBase            time.Time // from when on leases count, zero for the time at which they are given
 	settled              bool      // whether the record of settledKey names this term
 	settledTerm          int64     // term in the record of settledKey, 0 without a record
 	hangsCheckedAt       time.Time // when the last search for hung runs took place
@@ -168,6 +169,9 @@
 // no start orders, and polls without leases.
 func (planner *Planner) SetMayLease(may bool) { planner.mayLease = may }
 
+// SetLeaseBase sets the time from which on leases count.
+func (planner *Planner) SetLeaseBase(base time.Time) { planner.leaseBase = base }
+
 // SetCatalog replaces the configuration; one whose version is not newer is ignored.
 func (planner *Planner) SetCatalog(catalog *Catalog) {
 	if catalog.Version > planner.catalog.Version {
--- a/library/planner/polling.go
+++ b/library/planner/polling.go
@@ -46,7 +46,7 @@
 	}
 	poll := Poll{Worker: id, Address: worker.Address, Token: worker.Token, AckCursor: worker.AckCursor}
 	if planner.leasable(worker) {
-		poll.DeadlineMS = worker.minClockMS(now) + planner.leaseFor(worker, now).Milliseconds()
+		poll.DeadlineMS = planner.leaseEndMS(worker, now)
 		worker.leaseEndMS = max(worker.leaseEndMS, poll.DeadlineMS)
 	}
 	return poll, true
@@ -75,6 +75,15 @@
 	return len(worker.Runs) == 0 && now.Sub(worker.AnsweredAt) < MaxIdleAnswerAge
 }
 
+// leaseEndMS returns the end of a lease that is given to a worker now, on its clock.
+func (planner *Planner) leaseEndMS(worker *Worker, now time.Time) int64 {
+	base := now
+	if !planner.leaseBase.IsZero() && planner.leaseBase.Before(now) {
+		base = planner.leaseBase
+	}
+	return max(worker.minClockMS(base)+planner.leaseFor(worker, now).Milliseconds(), 1)
+}
+
 // leaseFor returns the duration of the lease to give to a worker now.
 func (planner *Planner) leaseFor(worker *Worker, now time.Time) time.Duration {
 	switch {
--- a/library/planner/runs.go
+++ b/library/planner/runs.go
@@ -24,7 +24,7 @@
 		Key: run.Key, Number: run.Number, Worker: worker.ID, Address: worker.Address,
 		Payload: step.job.Payload, Checkpoint: step.tasks[start.Key.Index].checkpoint,
 		Ticket: step.policy.allowed[worker.ID].text, Token: worker.Token, SentAt: now,
-		DeadlineMS: worker.minClockMS(now) + planner.leaseFor(worker, now).Milliseconds(),
+		DeadlineMS: planner.leaseEndMS(worker, now),
 	}
 	run.learning.resumed = order.Checkpoint != ""
 	worker.leaseEndMS = max(worker.leaseEndMS, order.DeadlineMS)
--- a/standin/connector/fabric.go
+++ b/standin/connector/fabric.go
@@ -20,6 +20,7 @@
 	mu           sync.Mutex
 	listeners    map[string]*listener
 	cuts         map[hostPair]int // number of cuts in force on each path
+	refusals     map[hostPair]int // number of those that refuse connections
 	paused       map[string]bool
 	conns        map[*conn]bool
 	opened       int64 // connections opened so far
@@ -50,6 +51,7 @@
 		Latency:      latency,
 		listeners:    map[string]*listener{},
 		cuts:         map[hostPair]int{},
+		refusals:     map[hostPair]int{},
 		paused:       map[string]bool{},
 		conns:        map[*conn]bool{},
 		traffic:      map[string]int64{},
@@ -186,6 +188,28 @@
 	return func() { fabric.addCuts(near, far, -1) }
 }
 
+// CutRefusing is Cut for a partition that is not silent: it resets the connections between the two sets, and refuses new ones.
+func (fabric *Fabric) CutRefusing(near, far []string) (heal func()) {
+	fabric.addRefusals(near, far, 1)
+	healCuts := fabric.Cut(near, far)
+	return func() {
+		fabric.addRefusals(near, far, -1)
+		healCuts()
+	}
+}
+
+func (fabric *Fabric) addRefusals(near, far []string, delta int) {
+	fabric.mu.Lock()
+	defer fabric.mu.Unlock()
+	for _, a := range near {
+		for _, b := range far {
+			pair := pairOf(a, b)
+			fabric.refusals[pair] += delta
+			fabric.resetIf(func(conn *conn) bool { return pairOf(conn.host, conn.peer.host) == pair })
+		}
+	}
+}
+
 func (fabric *Fabric) addCuts(near, far []string, delta int) {
 	fabric.mu.Lock()
 	defer fabric.mu.Unlock()
@@ -206,8 +230,13 @@
 }
 
 func (fabric *Fabric) reset(host string) {
+	fabric.resetIf(func(conn *conn) bool { return conn.host == host || conn.peer.host == host })
+}
+
+// resetIf resets the connections for which applies returns true. The caller holds the lock.
+func (fabric *Fabric) resetIf(applies func(*conn) bool) {
 	for conn := range fabric.conns {
-		if conn.host == host || conn.peer.host == host {
+		if applies(conn) {
 			conn.reset = true
 			conn.changed.Broadcast()
 			delete(fabric.conns, conn)
@@ -347,12 +376,13 @@
 }
 
 // tryDial returns a connection if the path is open. Otherwise it returns a channel that is closed when a path or
-// listener changes, after which the caller tries again. It returns ECONNREFUSED if no host listens on the address.
+// listener changes, after which the caller tries again. It returns ECONNREFUSED if no host listens on the address, or a cut refuses
+// connections.
 func (fabric *Fabric) tryDial(host, address string) (*conn, <-chan struct{}, error) {
 	fabric.mu.Lock()
 	defer fabric.mu.Unlock()
 	found := fabric.listeners[address]
-	if found == nil {
+	if found == nil || fabric.refusals[pairOf(host, found.host)] > 0 {
 		return nil, nil, syscall.ECONNREFUSED
 	}
 	if !fabric.reachable(host, found.host) {
--- a/tests/fleet_lasting_test.go
+++ b/tests/fleet_lasting_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"ebonyshunt.org/standin/emulator"
 )
 
 const (
@@ -54,6 +56,13 @@
 			fleet.fabric.Resume(former)
 		})
 	})
+	// Guards against a decider that waits for the renewals of a predecessor that is silent for good, of which nothing can be learned.
+	t.Run("silentDecider", func(t *testing.T) {
+		runLasting(t, func(fleet *fleet) {
+			fleet.endWorkers()
+			fleet.silenceDecider()
+		})
+	})
 	// Guards against a decider that waits for renewals although its predecessor has ended.
 	t.Run("firstTakeover", func(t *testing.T) {
 		runLasting(t, func(fleet *fleet) {
@@ -83,10 +92,10 @@
 		want map[string]int // lines of the next decider by grounds
 	}{
 		"silent": {func(fleet *fleet, _ string) { fleet.silenceDecider() }, map[string]int{"window": 1, "quorum": 1}},
-		"woken": {func(fleet *fleet, decider string) {
-			fleet.fabric.Pause(decider)
-			time.Sleep(silentTime)
-			fleet.fabric.Resume(decider)
+		"handedOver": {func(fleet *fleet, decider string) {
+			strongest := fleet.others(decider)[0]
+			fleet.shares = map[string]float64{strongest: 10}
+			fleet.restartHost(strongest)
 		}, map[string]int{"window": 1, "quorum": 1, "resigned": 1}},
 		"restarted": {func(fleet *fleet, decider string) { fleet.restartHost(decider) }, map[string]int{"window": 1, "quorum": 1, "resigned": 0, "gone": 1}},
 	} {
@@ -125,13 +134,9 @@
 
 // endWorkers ends all workers that run lasting tasks, for good and without notice, while as many others start.
 func (fleet *fleet) endWorkers() {
-	former := len(fleet.workers)
-	for range former {
-		fleet.addWorker(len(fleet.workers))
-		fleet.workers[len(fleet.workers)-1].Simulate = simulateLasting
-	}
-	time.Sleep(time.Second) // the new workers are known
-	for _, worker := range fleet.workers[:former] {
+	ending := fleet.workers
+	fleet.replacements()
+	for _, worker := range ending {
 		worker.Leave()
 		fleet.fabric.Kill(worker.ID)
 	}
@@ -144,3 +149,50 @@
 	fleet.fabric.Resume(name)
 	fleet.startHost(name)
 }
+
+// TestFleetRefusingCut guards against tasks that run twice after a cut that refuses connections: the decider goes on to give leases on
+// workers that only it reaches, while the next one takes the refusal for the end of its process.
+func TestFleetRefusingCut(t *testing.T) {
+	runFleetWith(t, lastingHosts, func(fleet *fleet) { fleet.maxLease = longLease }, func(fleet *fleet) {
+		fleet.submitLasting()
+		time.Sleep(20 * time.Second)
+		decider := fleet.decidingHost()
+		inside, outside := []string{decider}, append(fleet.others(decider), "store")
+		for _, worker := range fleet.workers {
+			inside = append(inside, worker.ID)
+		}
+		for _, worker := range fleet.replacements() {
+			outside = append(outside, worker.ID)
+		}
+		heal := fleet.fabric.CutRefusing(inside, outside)
+		time.Sleep(20 * time.Second)
+		heal()
+		time.Sleep(5 * time.Second)
+		fleet.assertMoved()
+	})
+}
+
+// replacements starts as many workers as there are, and waits until they are known.
+func (fleet *fleet) replacements() []*emulator.Worker {
+	former := len(fleet.workers)
+	for range former {
+		fleet.addWorker(len(fleet.workers))
+		fleet.workers[len(fleet.workers)-1].Simulate = simulateLasting
+	}
+	time.Sleep(time.Second)
+	return fleet.workers[former:]
+}
+
+// assertMoved checks that each lasting task has run a second time.
+func (fleet *fleet) assertMoved() {
+	fleet.Helper()
+	moved := 0
+	for _, runs := range fleet.runsByTask() {
+		if len(runs) > 1 {
+			moved++
+		}
+	}
+	if moved < lastingTasks {
+		fleet.Errorf("%d tasks ran a second time, want %d", moved, lastingTasks)
+	}
+}
