scheduler: a refused connection does not prove that a former decider has ended

What callers saw: nothing yet; found by a test. Behind a cut that refuses connections, tasks ran twice: the decider was cut off from the store together with most hosts and with the workers, and went on to give leases with the support of these hosts, up to 12 s. The host that was elected on the side of the store took the refusal for its end, and started the tasks there one lease later.

Cause: any failure to connect counted as the end of the process, also a shortage of file descriptors of the asking host.

Evidence: TestFleetRefusingCut/deciderOfMost: four tasks run a second time while the first run goes on.

Change: a former decider gives no leases if another process answers at its address, or if it says so, not if the connection is refused. Since leases count from proofs, this lengthens the wait only where no quorum supports the new decider.

TestFleetRefusingCut/deciderOfMost: four tasks ran twice before, none now. TestFleetLastingTasks: all within the bound of 9 s as before.

--- a/daemon/scheduler/former.go
+++ b/daemon/scheduler/former.go
@@ -5,8 +5,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"ebonyshunt.org/daemon/linker"
 )
 
 // FormerElection is an election before another one.
@@ -145,7 +143,8 @@
 	}
 }
 
-// askFormerDecider reports whether a former decider gives no leases in its term from now on, and why.
+// askFormerDecider reports whether a former decider gives no leases in its term from now on, and why. A refused connection says nothing:
+// a cut between hosts may refuse them, while the former decider still reaches workers on its side.
 func (tenure *tenure) askFormerDecider(former FormerElection) (ground, bool) {
 	if former.BootID == tenure.host.bootID {
 		return groundResigned, true // its tenures before this one have ended, see applyElection
@@ -155,7 +154,7 @@
 	answer, err := tenure.host.sendHeartbeat(ctx, former.Address)
 	switch {
 	case err != nil:
-		return groundGone, linker.ErrUnsent.Has(err) && ctx.Err() == nil
+		return "", false
 	case answer.BootID != former.BootID:
 		return groundGone, true
 	}
--- a/tests/fleet_lasting_test.go
+++ b/tests/fleet_lasting_test.go
@@ -153,11 +153,27 @@
 // TestFleetRefusingCut guards against tasks that run twice after a cut that refuses connections: the decider goes on to give leases on
 // workers that only it reaches, while the next one takes the refusal for the end of its process.
 func TestFleetRefusingCut(t *testing.T) {
+	for name, test := range map[string]struct {
+		peers int           // hosts on the side of the decider
+		wait  time.Duration // until the tasks run elsewhere
+	}{
+		"deciderAlone":  {0, 20 * time.Second},
+		"deciderOfMost": {lastingHosts / 2, 40 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) { checkRefusingCut(t, test.peers, test.wait) })
+	}
+}
+
+// checkRefusingCut cuts the decider off from the store and from other hosts, together with peers and with the workers that run lasting
+// tasks. These have to run elsewhere after a wait, and not before.
+func checkRefusingCut(t *testing.T, peers int, wait time.Duration) {
+	t.Helper()
 	runFleetWith(t, lastingHosts, func(fleet *fleet) { fleet.maxLease = longLease }, func(fleet *fleet) {
 		fleet.submitLasting()
 		time.Sleep(20 * time.Second)
 		decider := fleet.decidingHost()
-		inside, outside := []string{decider}, append(fleet.others(decider), "store")
+		others := fleet.others(decider)
+		inside, outside := append([]string{decider}, others[:peers]...), append(others[peers:], "store")
 		for _, worker := range fleet.workers {
 			inside = append(inside, worker.ID)
 		}
@@ -165,7 +181,7 @@
 			outside = append(outside, worker.ID)
 		}
 		heal := fleet.fabric.CutRefusing(inside, outside)
-		time.Sleep(20 * time.Second)
+		time.Sleep(wait)
 		heal()
 		time.Sleep(5 * time.Second)
 		fleet.assertMoved()
