scheduler: half of the hosts keep a former decider from a quorum

What callers saw: since a refused connection proves nothing, in a fleet of two hosts of which the decider ends for good, lasting tasks that ended with it ran again 19.5 s later, though 9 s are allowed.

Cause: a new decider waited for a quorum of its own before it took former deciders to have none. With two hosts it never has one.

Evidence: TestFleetLastingTasksOfTwoHosts.

Change: a decider needs more than half of the hosts to give leases by a quorum, so that half of them, which support the later term, keep every former decider from it. What a decider may do with a quorum of its own is unchanged.

--- a/daemon/scheduler/quorum.go
+++ b/daemon/scheduler/quorum.go
@@ -19,9 +19,11 @@
 
 // quorum tracks which hosts have sent heartbeats for the term of a tenure.
 type quorum struct {
-	mu          sync.Mutex
-	heartbeats  map[string]receivedHeartbeat // the last one, by host
-	firstHeldAt time.Time                    // when the quorum was first held, zero before
+	mu         sync.Mutex
+	heartbeats map[string]receivedHeartbeat // the last one, by host
+	// blocksSince is when half of the hosts, this host included, first belonged to the quorum, zero before: no other decider has more
+	// than half of them from then on.
+	blocksSince time.Time
 }
 
 // receivedHeartbeat is the last heartbeat of a host.
@@ -94,8 +96,8 @@
 	return time.Since(quorum.heartbeats[host].at) <= heartbeatValidity
 }
 
-// isHeld reports whether more than half of the given number of hosts belong to the quorum, this host included,
-// and records when that is first so.
+// isHeld reports whether more than half of the given number of hosts belong to the quorum, this host included, and records when half of
+// them first do.
 func (quorum *quorum) isHeld(hostCount int) bool {
 	quorum.mu.Lock()
 	defer quorum.mu.Unlock()
@@ -106,25 +108,22 @@
 			count++
 		}
 	}
-	if 2*count <= hostCount {
-		return false
-	}
-	if quorum.firstHeldAt.IsZero() {
-		quorum.firstHeldAt = now
+	if 2*count >= hostCount && quorum.blocksSince.IsZero() {
+		quorum.blocksSince = now
 	}
-	return true
+	return 2*count > hostCount
 }
 
-// quorumSince returns when the tenure first held a quorum, or zero.
+// quorumSince returns since when no other decider can hold a quorum, or zero.
 func (tenure *tenure) quorumSince() time.Time {
 	tenure.quorum.isHeld(tenure.host.fleet.size())
 	tenure.quorum.mu.Lock()
 	defer tenure.quorum.mu.Unlock()
-	return tenure.quorum.firstHeldAt
+	return tenure.quorum.blocksSince
 }
 
-// formerRenewalsEnd returns the time from which on no leases of former deciders count, given the times since which this tenure has held the
-// quorum and since which the journal refuses the appends of former deciders: until then, an append that the journal accepts, or a quorum
+// formerRenewalsEnd returns the time from which on no leases of former deciders count, given the times since which this tenure keeps others
+// from a quorum and since which the journal refuses the appends of former deciders: until then, an append that the journal accepts, or a quorum
 // of its own, may confirm the term of a former decider. The window is how much later a lease may count from than what confirms the term.
 func formerRenewalsEnd(quorumSince, fencedAt time.Time, window time.Duration) time.Time {
 	if fencedAt.After(quorumSince) {
--- a/tests/fleet_lasting_test.go
+++ b/tests/fleet_lasting_test.go
@@ -72,11 +72,25 @@
 	})
 }
 
+// TestFleetLastingTasksOfTwoHosts guards against a decider that waits for the quorum of a former one that can have none without it.
+func TestFleetLastingTasksOfTwoHosts(t *testing.T) {
+	runLastingOn(t, 2, func(fleet *fleet) {
+		fleet.endWorkers()
+		fleet.killHost(fleet.decidingHost())
+	})
+}
+
 // runLasting runs lasting tasks on a fleet whose decider has decided for long, and checks that each of them runs again in time after a
 // loss.
 func runLasting(t *testing.T, lose func(fleet *fleet)) {
 	t.Helper()
-	runFleetWith(t, lastingHosts, func(fleet *fleet) { fleet.maxLease = longLease }, func(fleet *fleet) {
+	runLastingOn(t, lastingHosts, lose)
+}
+
+// runLastingOn is runLasting on a number of hosts.
+func runLastingOn(t *testing.T, hosts int, lose func(fleet *fleet)) {
+	t.Helper()
+	runFleetWith(t, hosts, func(fleet *fleet) { fleet.maxLease = longLease }, func(fleet *fleet) {
 		fleet.submitLasting()
 		time.Sleep(20 * time.Second)
 		lose(fleet)
