scheduler: a decider does not count its own heartbeat twice

A lasting task ran twice: a host that had started anew and was elected again asked its own address about a former decider of that address, and counted the heartbeat towards its quorum. It then held half of six hosts with one other, while the former decider went on to give leases with the other four.

Cause: a former decider is asked at its address, also if that is the own one.

Change: a host does not ask itself: a former process at its address has ended, and its own tenures have. Own heartbeats do not count.

--- a/daemon/scheduler/former.go
+++ b/daemon/scheduler/former.go
@@ -146,8 +146,11 @@
 // askFormerDecider reports whether a former decider gives no leases in its term from now on, and why. A refused connection says nothing:
 // a cut between hosts may refuse them, while the former decider still reaches workers on its side.
 func (tenure *tenure) askFormerDecider(former FormerElection) (ground, bool) {
-	if former.BootID == tenure.host.bootID {
+	switch {
+	case former.BootID == tenure.host.bootID:
 		return groundResigned, true // its tenures before this one have ended, see applyElection
+	case former.Address == tenure.host.settings.PeerAddress:
+		return groundGone, true // this process has taken its place
 	}
 	ctx, cancel := context.WithTimeout(tenure.ctx, heartbeatTimeout)
 	defer cancel()
--- a/daemon/scheduler/heartbeat.go
+++ b/daemon/scheduler/heartbeat.go
@@ -104,7 +104,7 @@
 	if host.fleet.size() > heartbeat.KnownHosts {
 		answer.Members = host.fleet.allMembers()
 	}
-	if tenure := host.currentTenure(); tenure != nil && heartbeat.Term == tenure.term {
+	if tenure := host.currentTenure(); tenure != nil && heartbeat.Term == tenure.term && heartbeat.Host != host.settings.Host {
 		answer.SentMS = host.uptime().Milliseconds() // rounded down: a lease must not count from a later time
 		var echo time.Time
 		if heartbeat.EchoMS > 0 {
