--- a/daemon/scheduler/quorum.go
+++ b/daemon/scheduler/quorum.go
@@ -1,16 +1,14 @@
 package scheduler
 
 import (
-	"context"
 	"slices"
 	"sync"
 	"time"
-
-	"ebonyshunt.org/daemon/linker"
 )
 
 const (
-	// renewalWindow is how long a decider may renew leases after the last store call that showed no later decider.
+	// renewalWindow is how long a decider may renew leases after the last store call that showed no later decider. Each lease counts from
+	// that call, or from the time at which a quorum supported the term, see tenure.leaseBase.
 	renewalWindow = 3 * time.Second
 	// quorumRenewalWindow is the same while the decider holds a quorum, since the store may be down for all hosts.
 	quorumRenewalWindow = 12 * time.Second
@@ -21,23 +19,53 @@
 
 // quorum tracks which hosts have sent heartbeats for the term of a tenure.
 type quorum struct {
-	mu          sync.Mutex
-	heartbeats  map[string]receivedHeartbeat // the last one, by host
-	firstHeldAt time.Time                    // when the quorum was first held, zero before
+	mu         sync.Mutex
+	heartbeats map[string]receivedHeartbeat // the last one, by host
+	// blocksSince is when half of the hosts, this host included, first belonged to the quorum, zero before: no other decider has more
+	// than half of them from then on.
+	blocksSince time.Time
 }
 
 // receivedHeartbeat is the last heartbeat of a host.
 type receivedHeartbeat struct {
-	at         time.Time
-	answerTime time.Duration // Heartbeat.AnswerTime
+	at time.Time
+	// supportedAt is a time at which the host certainly knew of no later decider, zero if none is known: a heartbeat may arrive long after
+	// it was sent.
+	supportedAt time.Time
+	answerTime  time.Duration // Heartbeat.AnswerTime
 }
 
 func newQuorum() *quorum { return &quorum{heartbeats: map[string]receivedHeartbeat{}} }
 
-func (quorum *quorum) recordHeartbeat(heartbeat Heartbeat) {
+// recordHeartbeat records a heartbeat whose sender had received the answer that was sent at echo. Without one, which hosts of earlier
+// releases do not tell, it is not known when the heartbeat was sent.
+func (quorum *quorum) recordHeartbeat(heartbeat Heartbeat, echo time.Time) {
 	quorum.mu.Lock()
 	defer quorum.mu.Unlock()
-	quorum.heartbeats[heartbeat.Host] = receivedHeartbeat{at: time.Now(), answerTime: heartbeat.AnswerTime}
+	received := receivedHeartbeat{at: time.Now(), supportedAt: echo, answerTime: heartbeat.AnswerTime}
+	former := quorum.heartbeats[heartbeat.Host].supportedAt
+	if former.After(received.supportedAt) || echo.After(received.at) {
+		received.supportedAt = former
+	}
+	quorum.heartbeats[heartbeat.Host] = received
+}
+
+// supportedAt returns the latest time at which more than half of the given number of hosts, this host included, certainly knew of no later
+// decider, given the current time. It returns zero if there is none.
+func (quorum *quorum) supportedAt(hostCount int, now time.Time) time.Time {
+	quorum.mu.Lock()
+	defer quorum.mu.Unlock()
+	times := []time.Time{now}
+	for _, received := range quorum.heartbeats {
+		if !received.supportedAt.IsZero() {
+			times = append(times, received.supportedAt)
+		}
+	}
+	if 2*len(times) <= hostCount {
+		return time.Time{}
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	return times[hostCount/2]
 }
 
 // minAnswerTimes is the number of hosts that have to tell how long the answers to their heartbeats take.
@@ -68,8 +96,8 @@
 	return time.Since(quorum.heartbeats[host].at) <= heartbeatValidity
 }
 
-// isHeld reports whether more than half of the given number of hosts belong to the quorum, this host included,
-// and records when that is first so.
+// isHeld reports whether more than half of the given number of hosts belong to the quorum, this host included, and records when half of
+// them first do.
 func (quorum *quorum) isHeld(hostCount int) bool {
 	quorum.mu.Lock()
 	defer quorum.mu.Unlock()
@@ -80,31 +108,28 @@
 			count++
 		}
 	}
-	if 2*count <= hostCount {
-		return false
+	if 2*count >= hostCount && quorum.blocksSince.IsZero() {
+		quorum.blocksSince = now
 	}
-	if quorum.firstHeldAt.IsZero() {
-		quorum.firstHeldAt = now
-	}
-	return true
+	return 2*count > hostCount
 }
 
-// quorumSince returns when the tenure first held a quorum, or zero.
+// quorumSince returns since when no other decider can hold a quorum, or zero.
 func (tenure *tenure) quorumSince() time.Time {
 	tenure.quorum.isHeld(tenure.host.fleet.size())
 	tenure.quorum.mu.Lock()
 	defer tenure.quorum.mu.Unlock()
-	return tenure.quorum.firstHeldAt
+	return tenure.quorum.blocksSince
 }
 
-// formerRenewalsEnd returns the time from which no former decider renews leases, given the times since which this
-// tenure has held the quorum and since which the journal refuses the appends of former deciders. An append that the
-// journal still accepts confirms a former decider's term for renewalWindow.
-func formerRenewalsEnd(quorumSince, fencedAt time.Time) time.Time {
+// formerRenewalsEnd returns the time from which on no leases of former deciders count, given the times since which this tenure keeps others
+// from a quorum and since which the journal refuses the appends of former deciders: until then, an append that the journal accepts, or a quorum
+// of its own, may confirm the term of a former decider. The window is how much later a lease may count from than what confirms the term.
+func formerRenewalsEnd(quorumSince, fencedAt time.Time, window time.Duration) time.Time {
 	if fencedAt.After(quorumSince) {
 		quorumSince = fencedAt
 	}
-	return quorumSince.Add(renewalWindow)
+	return quorumSince.Add(window)
 }
 
 // confirmTerm records that a store call sent at the given uptime showed no later decider.
@@ -120,41 +145,42 @@
 // mayRenewLeases reports whether the tenure may renew leases. While it may, no other host can have started the
 // leased runs elsewhere.
 func (tenure *tenure) mayRenewLeases() bool {
+	if tenure.releasedLeases() {
+		return false
+	}
 	unconfirmed := tenure.host.uptime() - time.Duration(tenure.confirmedAt.Load())
 	return unconfirmed <= renewalWindow || unconfirmed <= quorumRenewalWindow && tenure.quorum.isHeld(tenure.host.fleet.size())
 }
 
-// probePreviousDecider checks whether the process of the previous decider has ended. If it has, and was the decider
-// for so long that no decider before it can renew leases either, then no earlier decider renews leases from now on.
-func (tenure *tenure) probePreviousDecider() {
-	previous := tenure.previousElection
-	tenure.mu.Lock()
-	settled := tenure.planner.SettledTerm()
-	tenure.mu.Unlock()
-	if previous.Term == 0 || previous.Term != settled {
-		return
-	}
-	for until := tenure.host.uptime() + renewalWindow; tenure.host.uptime() < until && tenure.ctx.Err() == nil; {
-		ctx, cancel := context.WithTimeout(tenure.ctx, heartbeatTimeout)
-		answer, err := tenure.host.sendHeartbeat(ctx, previous.Address)
-		ended := err == nil && answer.BootID != previous.BootID || linker.ErrUnsent.Has(err) && ctx.Err() == nil
-		cancel()
-		if ended {
-			tenure.host.log.Info("former decider is gone", "term", previous.Term, "host", previous.Host)
-			tenure.mu.Lock()
-			tenure.planner.EndFormerRenewals(time.Now())
-			tenure.mu.Unlock()
-			return
-		}
-		sleep(tenure.ctx, heartbeatInterval)
+// releasedLeases reports whether this host has told a peer that it gives no leases in the tenure's term any more.
+func (tenure *tenure) releasedLeases() bool { return tenure.term < tenure.host.leaseTerm.Load() }
+
+// leaseTime tells the planner whether it may give leases and from when on they count, and returns the current time. It reads the time
+// before the check: if the process stands still in between, a lease must not count from a time at which it would not be given. The caller
+// holds tenure.mu.
+func (tenure *tenure) leaseTime() time.Time {
+	now := time.Now()
+	tenure.planner.SetLeaseBase(tenure.leaseBase(now))
+	tenure.planner.SetMayLease(tenure.mayRenewLeases())
+	return now
+}
+
+// leaseBase returns the latest time at which there was certainly no later decider that had begun to wait for the leases of this one, given
+// the current time: the sending of a store call that showed none, or when most hosts knew of none. Since leases count from then, a later
+// decider waits for one lease and no longer.
+func (tenure *tenure) leaseBase(now time.Time) time.Time {
+	base := tenure.host.started.Add(time.Duration(tenure.confirmedAt.Load()))
+	if supportedAt := tenure.quorum.supportedAt(tenure.host.fleet.size(), now); supportedAt.After(base) {
+		base = supportedAt
 	}
+	return base
 }
 
-// mayBeSuperseded reports whether another host may have become the decider: appends fail, or the last store call that
-// showed no later decider is too long ago.
+// mayBeSuperseded reports whether another host may have become the decider: a peer knows of a later term, appends fail, or the last store
+// call that showed no later decider is too long ago.
 func (tenure *tenure) mayBeSuperseded() bool {
 	unconfirmed := tenure.host.uptime() - time.Duration(tenure.confirmedAt.Load())
-	return tenure.storeOutage() > supersededCheckDelay || unconfirmed > tailWait+tailTimeoutSlack
+	return tenure.releasedLeases() || tenure.storeOutage() > supersededCheckDelay || unconfirmed > tailWait+tailTimeoutSlack
 }
 
 // supersededCheckDelay is how long appends may fail before a decider asks its peers about a later decider.
--- a/tests/fleet_lasting_test.go
+++ b/tests/fleet_lasting_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"ebonyshunt.org/standin/emulator"
 )
 
 const (
@@ -12,6 +14,10 @@
 	longLease = 10 * time.Second
 	// termBeforeLoss is how long a decider has decided before it is lost with a worker.
 	termBeforeLoss = 6 * time.Second
+	// shortTerm is the same for a decider that cannot know yet that no former decider renews leases.
+	shortTerm = 500 * time.Millisecond
+	// silentTime is how long a decider is silent that is replaced meanwhile.
+	silentTime = 700 * time.Millisecond
 )
 
 // TestFleetLastingTasks guards against lasting tasks that stay down for too long after their worker has ended, because deciders end at
@@ -27,6 +33,36 @@
 			fleet.killHost(fleet.decidingHost())
 		})
 	})
+	// Guards against a decider that waits for the renewals of two deciders although both have ended: the second one was lost before it
+	// knew of the end of the first one.
+	t.Run("twoTakeovers", func(t *testing.T) {
+		runLasting(t, func(fleet *fleet) {
+			first := fleet.decidingHost()
+			fleet.silenceDecider()
+			fleet.awaitDecider()
+			time.Sleep(shortTerm)
+			fleet.endWorkers()
+			fleet.restartHost(first)
+			fleet.killHost(fleet.decidingHost())
+		})
+	})
+	// Guards against a decider that waits for the renewals of a predecessor that runs and answers, but no longer decides.
+	t.Run("deciderWakes", func(t *testing.T) {
+		runLasting(t, func(fleet *fleet) {
+			fleet.endWorkers()
+			former := fleet.decidingHost()
+			fleet.fabric.Pause(former)
+			time.Sleep(silentTime)
+			fleet.fabric.Resume(former)
+		})
+	})
+	// Guards against a decider that waits for the renewals of a predecessor that is silent for good, of which nothing can be learned.
+	t.Run("silentDecider", func(t *testing.T) {
+		runLasting(t, func(fleet *fleet) {
+			fleet.endWorkers()
+			fleet.silenceDecider()
+		})
+	})
 	// Guards against a decider that waits for renewals although its predecessor has ended.
 	t.Run("firstTakeover", func(t *testing.T) {
 		runLasting(t, func(fleet *fleet) {
@@ -36,11 +72,25 @@
 	})
 }
 
+// TestFleetLastingTasksOfTwoHosts guards against a decider that waits for the quorum of a former one that can have none without it.
+func TestFleetLastingTasksOfTwoHosts(t *testing.T) {
+	runLastingOn(t, 2, func(fleet *fleet) {
+		fleet.endWorkers()
+		fleet.killHost(fleet.decidingHost())
+	})
+}
+
 // runLasting runs lasting tasks on a fleet whose decider has decided for long, and checks that each of them runs again in time after a
 // loss.
 func runLasting(t *testing.T, lose func(fleet *fleet)) {
 	t.Helper()
-	runFleetWith(t, lastingHosts, func(fleet *fleet) { fleet.maxLease = longLease }, func(fleet *fleet) {
+	runLastingOn(t, lastingHosts, lose)
+}
+
+// runLastingOn is runLasting on a number of hosts.
+func runLastingOn(t *testing.T, hosts int, lose func(fleet *fleet)) {
+	t.Helper()
+	runFleetWith(t, hosts, func(fleet *fleet) { fleet.maxLease = longLease }, func(fleet *fleet) {
 		fleet.submitLasting()
 		time.Sleep(20 * time.Second)
 		lose(fleet)
@@ -49,16 +99,130 @@
 	})
 }
 
+// TestFleetFormerLeases guards against a decider that does not tell until when it waits for leases of former deciders, and why.
+func TestFleetFormerLeases(t *testing.T) {
+	for name, test := range map[string]struct {
+		lose func(fleet *fleet, decider string)
+		want map[string]int // lines of the next decider by grounds
+	}{
+		"silent": {func(fleet *fleet, _ string) { fleet.silenceDecider() }, map[string]int{"window": 1, "quorum": 1}},
+		"handedOver": {func(fleet *fleet, decider string) {
+			strongest := fleet.others(decider)[0]
+			fleet.shares = map[string]float64{strongest: 10}
+			fleet.restartHost(strongest)
+		}, map[string]int{"window": 1, "quorum": 1, "resigned": 1}},
+		"restarted": {func(fleet *fleet, decider string) { fleet.restartHost(decider) }, map[string]int{"window": 1, "quorum": 1, "resigned": 0, "gone": 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFleetWith(t, lastingHosts, func(fleet *fleet) { fleet.maxLease = longLease }, func(fleet *fleet) {
+				time.Sleep(20 * time.Second)
+				before := fleet.formerLeaseLines()
+				test.lose(fleet, fleet.decidingHost())
+				time.Sleep(20 * time.Second)
+				after := fleet.formerLeaseLines()
+				for _, grounds := range formerLeaseGrounds {
+					if count := after[grounds] - before[grounds]; count > test.want[grounds] {
+						t.Errorf("%d lines with the grounds %s, want %d at most", count, grounds, test.want[grounds])
+					}
+				}
+				last := formerLeaseGrounds[len(test.want)-1]
+				if after[last] == before[last] {
+					t.Errorf("no line with the grounds %s", last)
+				}
+			})
+		})
+	}
+}
+
+// formerLeaseGrounds are the grounds on which a decider waits for leases of former deciders, from the longest wait to the shortest.
+var formerLeaseGrounds = []string{"window", "quorum", "resigned", "gone"}
+
+// formerLeaseLines returns how many lines tell until when a decider waits for leases of former deciders, by grounds.
+func (fleet *fleet) formerLeaseLines() map[string]int {
+	lines := map[string]int{}
+	for _, grounds := range formerLeaseGrounds {
+		lines[grounds] = fleet.logged.count("leases of former deciders " + grounds)
+	}
+	return lines
+}
+
 // endWorkers ends all workers that run lasting tasks, for good and without notice, while as many others start.
 func (fleet *fleet) endWorkers() {
+	ending := fleet.workers
+	fleet.replacements()
+	for _, worker := range ending {
+		worker.Leave()
+		fleet.fabric.Kill(worker.ID)
+	}
+}
+
+// restartHost ends a host that is silent or runs, and starts it as a new process.
+func (fleet *fleet) restartHost(name string) {
+	fleet.Helper()
+	fleet.killHost(name)
+	fleet.fabric.Resume(name)
+	fleet.startHost(name)
+}
+
+// TestFleetRefusingCut guards against tasks that run twice after a cut that refuses connections: the decider goes on to give leases on
+// workers that only it reaches, while the next one takes the refusal for the end of its process.
+func TestFleetRefusingCut(t *testing.T) {
+	for name, test := range map[string]struct {
+		peers int           // hosts on the side of the decider
+		wait  time.Duration // until the tasks run elsewhere
+	}{
+		"deciderAlone":  {0, 20 * time.Second},
+		"deciderOfMost": {lastingHosts / 2, 40 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) { checkRefusingCut(t, test.peers, test.wait) })
+	}
+}
+
+// checkRefusingCut cuts the decider off from the store and from other hosts, together with peers and with the workers that run lasting
+// tasks. These have to run elsewhere after a wait, and not before.
+func checkRefusingCut(t *testing.T, peers int, wait time.Duration) {
+	t.Helper()
+	runFleetWith(t, lastingHosts, func(fleet *fleet) { fleet.maxLease = longLease }, func(fleet *fleet) {
+		fleet.submitLasting()
+		time.Sleep(20 * time.Second)
+		decider := fleet.decidingHost()
+		others := fleet.others(decider)
+		inside, outside := append([]string{decider}, others[:peers]...), append(others[peers:], "store")
+		for _, worker := range fleet.workers {
+			inside = append(inside, worker.ID)
+		}
+		for _, worker := range fleet.replacements() {
+			outside = append(outside, worker.ID)
+		}
+		heal := fleet.fabric.CutRefusing(inside, outside)
+		time.Sleep(wait)
+		heal()
+		time.Sleep(5 * time.Second)
+		fleet.assertMoved()
+	})
+}
+
+// replacements starts as many workers as there are, and waits until they are known.
+func (fleet *fleet) replacements() []*emulator.Worker {
 	former := len(fleet.workers)
 	for range former {
 		fleet.addWorker(len(fleet.workers))
 		fleet.workers[len(fleet.workers)-1].Simulate = simulateLasting
 	}
-	time.Sleep(time.Second) // the new workers are known
-	for _, worker := range fleet.workers[:former] {
-		worker.Leave()
-		fleet.fabric.Kill(worker.ID)
+	time.Sleep(time.Second)
+	return fleet.workers[former:]
+}
+
+// assertMoved checks that each lasting task has run a second time.
+func (fleet *fleet) assertMoved() {
+	fleet.Helper()
+	moved := 0
+	for _, runs := range fleet.runsByTask() {
+		if len(runs) > 1 {
+			moved++
+		}
+	}
+	if moved < lastingTasks {
+		fleet.Errorf("%d tasks ran a second time, want %d", moved, lastingTasks)
 	}
 }
