planner: suspects of one job start beside each other

What callers saw: of two tasks of one lasting step that were on one lost worker, the second waited a second longer, although the policy allowed a worker with room for both. Cause: each task whose worker fell silent is a suspect, and a worker with a suspect takes no other one for a second, also none of the same job. With a policy that allows a tenth of the workers there is often no second worker. The room beside the first is not kept in that second (no reservation while there is room), so that it may be taken, too. Change: a crash under any of a job's tasks counts against this job alone, so suspects are only kept apart from those of other jobs. The isolation after two crashes stays.

--- a/library/planner/quarantine.go
+++ b/library/planner/quarantine.go
@@ -16,8 +16,19 @@
 	neighborCost = 0.5
 )
 
-// hasSuspect reports whether a run of a suspect started on the worker less than suspectTime ago.
-func (worker *Worker) hasSuspect(now time.Time) bool { return now.Before(worker.suspectUntil) }
+// hasSuspectBeside reports whether a run of a suspect of another job started on the worker less than suspectTime ago. Suspects
+// of one job are not kept apart: a crash under any of them counts against this job alone.
+func (worker *Worker) hasSuspectBeside(job string, now time.Time) bool {
+	if !now.Before(worker.suspectUntil) {
+		return false
+	}
+	for key, run := range worker.Runs {
+		if key.Job != job && run.Suspicion > 0 && now.Before(run.OrderedAt.Add(suspectTime)) {
+			return true
+		}
+	}
+	return false
+}
 
 // isolated reports whether the worker takes no runs beside the suspect that it has.
 func (worker *Worker) isolated(now time.Time) bool { return now.Before(worker.isolatedUntil) }
@@ -135,7 +146,7 @@
 	}
 	kept := make([]*Worker, 0, len(workers))
 	for _, worker := range workers {
-		if !worker.hasSuspect(pass.now) {
+		if !worker.hasSuspectBeside(step.job.ID, pass.now) {
 			kept = append(kept, worker)
 		}
 	}
--- a/library/planner/quarantine_test.go
+++ b/library/planner/quarantine_test.go
@@ -20,6 +20,15 @@
 		fleet.play(3*time.Second, fleet.reviveSame, noTask, func() bool { return false })
 		fleet.wantRunning(2)
 	})
+	// Guards against tasks of one job that wait for each other on the few workers that they may start on.
+	t.Run("thoseOfOneJobTogether", func(t *testing.T) {
+		fleet := newCrashFleet(t, 1)
+		fleet.submit(jobA, newStep(2))
+		fleet.settle()
+		fleet.crash(fleet.workers["w-000"])
+		fleet.play(10*time.Second, fleet.reviveSame, noTask, func() bool { return fleet.runningCount() > 0 })
+		fleet.wantRunning(2)
+	})
 	t.Run("nothingNewBesideASuspectOfTwoCrashes", func(t *testing.T) {
 		fleet := newSuspects(t)
 		fleet.submit(jobC, newStep(1))
