planner: get permission and room ready before a lost standing task's lease ends

Cause: the policy was asked when the task waited, that is after the lease. That the worker does not answer, and when its leases expire, had been known for seconds. Room was made no earlier than that either. Change: standby.go. For each standing task whose worker does not answer or has left the list, the policy is asked one answer time and up to 1 s (half of the ticket's validity) before the leases expire, after the urgent work that waits and before all else, with at most two open queries a step. Tickets that would be outdated are asked for again. Once a worker is allowed it is kept free; 8 workers at most or an eighth of all. If it is full, runs are preempted one stop time and 0.2 s before the end, as for a standing step that waits. At the end these tasks start ahead of all other work; the worker is kept for 1 s more if that fails. A start is still sent only after the lease has expired, since the run counts as open until then.

--- a/library/planner/catalog.go
+++ b/library/planner/catalog.go
@@ -51,6 +51,11 @@
 	Validity  time.Duration
 }
 
+// maxAnswerTime returns the time to the answer of a query about minQueriedWorkers workers.
+func (policy *Policy) maxAnswerTime() time.Duration {
+	return policy.BaseTime + minQueriedWorkers*policy.PerWorker
+}
+
 // Service is a pool of workers.
 type Service struct {
 	Name           string
--- a/library/planner/explain.go
+++ b/library/planner/explain.go
@@ -91,7 +91,7 @@
 		return "apart"
 	case worker.isolated(pass.now):
 		return "isolated"
-	case step.Filler && worker.servingRuns > 0 || step.TailMS > 0 && worker.fillerRuns > 0:
+	case step.disturbedOn(worker):
 		return "disturbed"
 	case queue.Policy != nil && step.policy.denied[worker.ID]:
 		return "denied"
--- a/library/planner/place.go
+++ b/library/planner/place.go
@@ -24,6 +24,9 @@
 	// queriedSize is the total size, by service, of the waiting tasks of steps with an open policy query.
 	queriedSize map[string]sizer.Size
 	pools       map[string]*pool // by service
+	// standbyTargets is the number of workers that are reserved for standbys.
+	standbyTargets  int
+	standbysQueried bool // whether the policy has been queried for the standbys
 }
 
 // pool holds the workers of a service that accept runs, and counters of the pass.
@@ -51,6 +54,9 @@
 		for count < len(all) && all[count].rank.tier == all[0].rank.tier && all[count].rank.priority == all[0].rank.priority {
 			count++
 		}
+		if all[0].rank.tier > tierRegular || all[0].rank.priority > 0 {
+			pass.queryForStandbys() // urgent work that waits goes before
+		}
 		pass.tier = all[0].rank.tier
 		for _, pass.limitShares = range []bool{true, false} {
 			for _, ranked := range pass.ordered(all[:count]) {
@@ -59,6 +65,7 @@
 		}
 		all = all[count:]
 	}
+	pass.queryForStandbys()
 	pass.limitShares = false
 	pass.startCopies()
 	pass.hedgeStragglers()
@@ -224,12 +231,17 @@
 	if !pass.admittedWhileCold(step, queue, worker, assigned) {
 		return false
 	}
-	if step.Filler && worker.servingRuns > 0 || step.TailMS > 0 && worker.fillerRuns > 0 {
+	if step.disturbedOn(worker) {
 		return false
 	}
 	return queue.Policy == nil || step.policy.hasTicket(worker, pass.now)
 }
 
+// disturbedOn reports whether a task of the step would disturb serving tasks on a worker, or be disturbed as one.
+func (step *Step) disturbedOn(worker *Worker) bool {
+	return step.Filler && worker.servingRuns > 0 || step.TailMS > 0 && worker.fillerRuns > 0
+}
+
 // acceptsRuns reports whether a worker may get new runs: it may be given a lease, lists no unknown runs, has
 // answered recently enough, and is not barred.
 func (planner *Planner) acceptsRuns(worker *Worker, now time.Time) bool {
--- a/library/planner/plan.go
+++ b/library/planner/plan.go
@@ -26,6 +26,7 @@
 		number: planner.passCount, planner: planner, now: now, reserved: map[string]bool{},
 		queriedSize: map[string]sizer.Size{}, pools: map[string]*pool{}, starts: planner.startLimit,
 	}
+	pass.updateStandbys()
 	pass.leaveDrainedZones()
 	all := planner.rankedSteps(now)
 	pass.run(all)
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -45,6 +45,7 @@
 	catalog      *Catalog
 	drainedZones map[string]bool // availability zones whose workers get no new runs
 	drainMoves   []drainMove     // standing tasks that leave these zones
+	standbys     []standby       // standing tasks that start again soon
 	jobs         map[string]*jobEntry
 	scheduled    map[string]*jobEntry // jobs with occurrences that are not due yet
 	steps        map[StepKey]*step    // active steps, and steps with runs that may exist
--- a/library/planner/policy.go
+++ b/library/planner/policy.go
@@ -108,16 +108,22 @@
 
 // queryPolicyFor is queryPolicy for a number of tasks.
 func (pass *pass) queryPolicyFor(step *step, queue Queue, tasks int) {
-	maxAnswerTime := queue.Policy.BaseTime + time.Duration(minQueriedWorkers)*queue.Policy.PerWorker
+	pass.queryUntil(step, queue, tasks, maxOpenQueries, pass.now)
+}
+
+// queryUntil is queryPolicyFor with at most maxOpen open queries, for tasks that start at a time: tickets that expire before are
+// asked for again.
+func (pass *pass) queryUntil(step *step, queue Queue, tasks, maxOpen int, startAt time.Time) {
+	maxAnswerTime := queue.Policy.maxAnswerTime()
 	lostBefore := pass.now.Add(-maxAnswerTime - time.Duration(maxQueriedWorkers)*queue.Policy.PerWorker - queryRetryMargin)
 	step.policy.open = slices.DeleteFunc(step.policy.open, func(open openQuery) bool { return open.sentAt.Before(lostBefore) })
 	wanted := queryMargin * float64(tasks)
-	for len(step.policy.open) < maxOpenQueries && step.policy.expectedTasks() < wanted {
+	for len(step.policy.open) < maxOpen && step.policy.expectedTasks() < wanted {
 		full := pass.queriedSize[queue.Service].DominantShare(pass.pool(queue.Service).totalFree) >= 1
 		if full || !pass.planner.slotFree(maxAnswerTime) {
 			break
 		}
-		ids, expected := pass.candidates(step, queue, tasks, wanted-step.policy.expectedTasks())
+		ids, expected := pass.candidates(step, queue, tasks, wanted-step.policy.expectedTasks(), startAt)
 		if len(ids) == 0 {
 			break
 		}
@@ -156,8 +162,8 @@
 // give room. It names as many as should give room for the wanted number of tasks, and none if no worker has room and the
 // step may not make any by preemption. Up to minQueriedWorkers, workers that are full are included because they may
 // have room by the time of the answer.
-func (pass *pass) candidates(step *step, queue Queue, tasks int, wanted float64) ([]string, float64) {
-	found := pass.findCandidates(step, queue, tasks)
+func (pass *pass) candidates(step *step, queue Queue, tasks int, wanted float64, startAt time.Time) ([]string, float64) {
+	found := pass.findCandidates(step, queue, tasks, startAt)
 	if len(found) == 0 || found[0].room == 0 && !pass.mayPreempt(step, queue) {
 		return nil, 0
 	}
@@ -179,8 +185,8 @@
 }
 
 // findCandidates returns the workers that a policy query of the step may name: first those with room, then those that the
-// policy allowed before, then by cost.
-func (pass *pass) findCandidates(step *step, queue Queue, tasks int) []candidate {
+// policy allowed before, then by cost. Workers whose tickets are still valid at startAt are left out.
+func (pass *pass) findCandidates(step *step, queue Queue, tasks int, startAt time.Time) []candidate {
 	queried := map[string]bool{}
 	for _, open := range step.policy.open {
 		for _, id := range open.workers {
@@ -190,7 +196,7 @@
 	var found []candidate
 	for _, worker := range pass.pool(queue.Service).workers {
 		if !worker.hasLabel(step.Label) || !step.chargedSize().Fits(worker.Capacity) || step.policy.denied[worker.ID] ||
-			queried[worker.ID] || step.policy.hasTicket(worker, pass.now) || !pass.admittedWhileCold(step, queue, worker, 0) {
+			queried[worker.ID] || step.policy.hasTicket(worker, startAt) || !pass.admittedWhileCold(step, queue, worker, 0) {
 			continue
 		}
 		found = append(found, candidate{worker, step.policy.allowedBefore(worker), pass.roomFor(step, worker, tasks), pass.cost(step, queue, nil, worker, 0)})
--- a/library/planner/preempt.go
+++ b/library/planner/preempt.go
@@ -13,7 +13,7 @@
 	// reserveDelay is how long a step has to be blocked before a worker is reserved for it.
 	reserveDelay = 150 * time.Millisecond
 	// maxReserved limits the workers that are reserved in one pass. Those reserved by preemption are counted, but not
-	// limited; those reserved for tasks that leave drained zones are not counted.
+	// limited; those reserved for tasks that leave drained zones and for standbys are not counted.
 	maxReserved = 4
 	// reservedDivisor gives the part of a service's workers that may be reserved in one pass instead, if that is more: a
 	// quarter, so that most of the service always takes small tasks.
@@ -66,7 +66,7 @@
 	if pass.planner.Settings.PoolShares {
 		count, limit = len(step.waiting), max(limit, len(pass.pool(queue.Service).workers)/reservedDivisor)
 	}
-	for _, worker := range pass.mostFreeWorkers(step, queue, min(count, limit-len(pass.reserved)+len(pass.planner.drainMoves))) {
+	for _, worker := range pass.mostFreeWorkers(step, queue, min(count, limit-len(pass.reserved)+len(pass.planner.drainMoves)+pass.standbyTargets)) {
 		pass.reserved[worker.ID] = true
 		worker.reservedPass = pass.number
 	}
