planner: keep no workers free for a step that can never use them

What callers saw: "at the end a step of a job whose turn has come doesn't run for 3 s, with most of the workers' room free". One way to it, found by playing the planner with a quarter of the room in use; that it is the reported one is not shown. Cause: a step that finds no room has workers reserved for it in each pass: one, or with shares of each service one for each task up to a quarter of the workers. A gang that needs more workers than its policy allows, or than standing tasks leave room on, never starts, and its reservation never ends. Another step that may run on just these workers waits as long, although all is free. The same gang also stops runs of lower priority in vain if it is urgent, and asks the policy again each time its tickets expire. Change: workers are only reserved, runs only stopped and a gang's queries only sent if the step fits once all runs but the standing ones have ended, on workers that the policy has not refused (feasible.go). A worker is reserved for a task only if the task fits beside the standing runs there.

--- /dev/null
+++ b/library/planner/feasible.go
@@ -0,0 +1,37 @@
+package planner
+
+import "ebonyshunt.org/library/sizer"
+
+// emptied returns the capacity of a worker once all its runs but the standing ones have ended.
+func (worker *Worker) emptied() sizer.Size { return worker.Capacity.Sub(worker.standingSize) }
+
+// fitsWhenEmptied reports whether a step would find room if all runs but the standing ones ended. If not, it is of no use to keep
+// workers free for it or to stop runs. Workers that the policy has not been asked about count as allowed.
+func (pass *pass) fitsWhenEmptied(step *step, queue Queue) bool {
+	wanted := 1
+	if step.Gang {
+		wanted = step.Count
+	}
+	room := 0
+	for _, worker := range pass.pool(queue.Service).workers {
+		if worker.hasLabel(step.Label) && !step.policy.denied[worker.ID] {
+			room += step.countIn(worker.emptied(), wanted)
+		}
+		if room >= wanted {
+			return true
+		}
+	}
+	return false
+}
+
+// countIn returns how many tasks of the step fit into an otherwise empty worker's capacity, at most the given number.
+func (step *step) countIn(capacity sizer.Size, most int) int {
+	if step.MaxPerWorker > 0 {
+		most = min(most, step.MaxPerWorker)
+	}
+	count := 0
+	for size := step.chargedSize(); count < most && size.Mul(int64(count+1)).Fits(capacity); {
+		count++
+	}
+	return count
+}
--- a/library/planner/place.go
+++ b/library/planner/place.go
@@ -176,6 +176,7 @@
 	return &Run{
 		Suspicion: step.suspicion(key.Index),
 		Urgent:    queue.Priority == 0 && !step.Standing,
+		Standing:  step.Standing,
 		Key:       key, Number: number, Worker: worker.ID, Incarnation: worker.Incarnation, Size: step.chargedSize(), Token: worker.Token,
 		OrderedAt: now, ProgressAt: now, placedAt: now, Filler: step.Filler, Serving: step.TailMS > 0, learning: planner.expectRun(step, worker),
 	}
--- a/library/planner/policy.go
+++ b/library/planner/policy.go
@@ -160,11 +160,11 @@
 
 // candidates returns the IDs of the workers to name in a policy query, and for how many tasks the answer is expected to
 // give room. It names as many as should give room for the wanted number of tasks, and none if no worker has room and the
-// step may not make any by preemption. Up to minQueriedWorkers, workers that are full are included because they may
-// have room by the time of the answer.
+// step may not make any by preemption, or if a gang can find none at all. Up to minQueriedWorkers, workers that are full are
+// included because they may have room by the time of the answer.
 func (pass *pass) candidates(step *step, queue Queue, tasks int, wanted float64, startAt time.Time) ([]string, float64) {
 	found := pass.findCandidates(step, queue, tasks, startAt)
-	if len(found) == 0 || found[0].room == 0 && !pass.mayPreempt(step, queue) {
+	if len(found) == 0 || found[0].room == 0 && !pass.mayPreempt(step, queue) || step.Gang && !pass.fitsWhenEmptied(step, queue) {
 		return nil, 0
 	}
 	allowedShare := pass.planner.ensureQueueStats(queue.Name).allowedShare
--- a/library/planner/preempt.go
+++ b/library/planner/preempt.go
@@ -47,7 +47,7 @@
 	if pass.planner.Settings.PoolShares {
 		pass.giveBack(step, queue, waited)
 	}
-	if waited < preemptDelay || pool.roomSearches >= maxRoomSearches {
+	if waited < preemptDelay || pool.roomSearches >= maxRoomSearches || !pass.fitsWhenEmptied(step, queue) {
 		return
 	}
 	pool.roomSearches++
@@ -84,10 +84,10 @@
 	return (queue.Priority == 0 || step.Standing) && pass.now.Sub(step.blockedSince) >= preemptDelay
 }
 
-// reservable reports whether a worker may be reserved for a step, or preempted on for it. With a policy it has to have
-// allowed the worker before: room on any other worker is most likely of no use to the step.
+// reservable reports whether a worker may be reserved for a step, or preempted on for it: the step fits beside its standing runs.
+// With a policy it has to have allowed the worker before: room on any other worker is most likely of no use to the step.
 func (pass *pass) reservable(step *step, queue Queue, worker *Worker) bool {
-	return worker.hasLabel(step.Label) && step.chargedSize().Fits(worker.Capacity) && !pass.reserved[worker.ID] &&
+	return worker.hasLabel(step.Label) && step.chargedSize().Fits(worker.emptied()) && !pass.reserved[worker.ID] &&
 		pass.admittedWhileCold(step, queue, worker, 0) &&
 		(queue.Policy == nil || step.policy.allowedBefore(worker)) && pass.planner.belowWorkerLimit(step, worker, 0)
 }
--- a/library/planner/worker.go
+++ b/library/planner/worker.go
@@ -71,7 +71,8 @@
 	pendingEnds     []pendingEnd // in the order of their sequence numbers
 	unknownRuns     int          // number of listed runs that are not open in the tables
 	health          health
-	servingRuns     int // number of runs that serve requests of users
+	standingSize    sizer.Size // total size of the runs of standing steps
+	servingRuns     int        // number of runs that serve requests of users
 	fillerRuns      int
 	replaced        bool      // whether its machine has started anew as another worker
 	lostTasks       []TaskKey // tasks with runs that were lost on it, and of which it is not known whether it crashed
@@ -103,6 +104,7 @@
 	ProgressAt  time.Time // when it was placed, ordered, or confirmed, or when Percent last grew
 	Filler      bool
 	Serving     bool
+	Standing    bool // whether its step is standing
 	Urgent      bool // whether its queue has the highest priority and its step is not standing
 	Suspicion   int  // suspicion of its task when it was placed
 	loss        *lostRun
@@ -188,6 +190,9 @@
 func (worker *Worker) addRun(run *Run) {
 	worker.Runs[run.Key] = run
 	worker.Used = worker.Used.Add(run.Size)
+	if run.Standing {
+		worker.standingSize = worker.standingSize.Add(run.Size)
+	}
 	if run.Serving {
 		worker.servingRuns++
 	}
@@ -203,6 +208,9 @@
 	}
 	delete(worker.Runs, run.Key)
 	worker.Used = worker.Used.Sub(run.Size)
+	if run.Standing {
+		worker.standingSize = worker.standingSize.Sub(run.Size)
+	}
 	if run.Serving {
 		worker.servingRuns--
 	}
