scheduler: send policy queries only through hosts that are present

What callers saw: "a step of a job whose turn has come doesn't run for 3 s, with most of the workers' room free". Cause: a policy query goes through the host with the least backlog that is not in backoff. A host that has ended always has the least. A query through it fails after 1.27 s, the backoff lasts 1 s at first, and each new decider begins without any, so that with two hosts gone the same step asks through them in turn. Change: a host's queries go through itself and the peers whose last heartbeat is not older than 1.5 s, as calls to delegates do. Until the first heartbeat of a tenure all peers count as present. A host that ends is still chosen for up to 1.5 s.

--- a/daemon/scheduler/balancer.go
+++ b/daemon/scheduler/balancer.go
@@ -110,19 +110,27 @@
 	return balancer.backlog[name]
 }
 
-// usableHosts returns this host and the peers that are not in backoff.
+// usableHosts returns this host and the peers that are not in backoff and sent a heartbeat lately. A peer that has ended would
+// always be the one with the least backlog. Until the first heartbeat of a tenure, the peers count as present.
 func (balancer *balancer) usableHosts() []Member {
 	own := balancer.tenure.host.member()
-	members := []Member{own}
+	var present, absent []Member
 	now := time.Now()
 	balancer.mu.Lock()
 	defer balancer.mu.Unlock()
 	for _, member := range balancer.tenure.host.fleet.others(own.Name) {
-		if now.After(balancer.backoffs[member.Name].until) {
-			members = append(members, member)
+		switch {
+		case !now.After(balancer.backoffs[member.Name].until):
+		case balancer.tenure.quorum.includes(member.Name):
+			present = append(present, member)
+		default:
+			absent = append(absent, member)
 		}
 	}
-	return members
+	if !balancer.tenure.quorum.heard() {
+		present = absent
+	}
+	return append([]Member{own}, present...)
 }
 
 // isShortHost reports whether the host at an index among count usable hosts is reserved for short queries.
