planner: open queries for a scarce resource keep only those from asking that need it

Cause: a step sends no policy query if the tasks of the open queries before it are expected to take all of any resource of the service. Open queries of two steps for all free accelerators kept a step that needs none from asking. Change: only the resources that the step needs count. Measured: TestScarceResourceDoesNotKeepOthersFromAsking, four workers that are all free: without the change the third job is not asked for, with it all three are.

--- a/library/planner/feasible.go
+++ b/library/planner/feasible.go
@@ -35,3 +35,14 @@
 	}
 	return count
 }
+
+// roomIsQueried reports whether the tasks of the open queries are expected to take all free room of a service, of any resource
+// that the step needs.
+func (pass *pass) roomIsQueried(step *step, service string) bool {
+	size, queried, free := step.chargedSize(), pass.queriedSize[service], pass.pool(service).totalFree
+	return isTaken(size.MilliCores, queried.MilliCores, free.MilliCores) || isTaken(size.MemoryMB, queried.MemoryMB, free.MemoryMB) ||
+		isTaken(size.Accelerators, queried.Accelerators, free.Accelerators)
+}
+
+// isTaken reports whether all of a resource that is needed is expected to be taken.
+func isTaken(needed, queried, free int64) bool { return needed > 0 && queried > 0 && queried >= free }
--- a/library/planner/policy.go
+++ b/library/planner/policy.go
@@ -123,8 +123,7 @@
 	step.policy.open = slices.DeleteFunc(step.policy.open, func(open openQuery) bool { return open.sentAt.Before(lostBefore) })
 	wanted := queryMargin * float64(tasks)
 	for len(step.policy.open) < maxOpen && step.policy.expectedTasks() < wanted {
-		full := pass.queriedSize[queue.Service].DominantShare(pass.pool(queue.Service).totalFree) >= 1
-		if full || !pass.planner.slotFree(maxAnswerTime) {
+		if pass.roomIsQueried(step, queue.Service) || !pass.planner.slotFree(maxAnswerTime) {
 			break
 		}
 		ids, expected := pass.candidates(step, queue, tasks, wanted-step.policy.expectedTasks(), startAt)
--- a/library/planner/reserve_test.go
+++ b/library/planner/reserve_test.go
@@ -86,3 +86,23 @@
 		}
 	})
 }
+
+// TestScarceResourceDoesNotKeepOthersFromAsking guards against steps that may not ask the policy while most of the room is free: the
+// open queries of others were expected to take all of a resource that these steps do not need.
+func TestScarceResourceDoesNotKeepOthersFromAsking(t *testing.T) {
+	fleet := newRoomFleet(t, 4, false)
+	scarce := newStep(8)
+	scarce.Size = sizer.Size{MilliCores: 1000, MemoryMB: 1000, Accelerators: 4}
+	plain := newStep(1)
+	for id, step := range map[string]planner.Step{jobA: scarce, jobB: scarce, jobC: plain} {
+		fleet.submitTo("batch", id, step)
+	}
+	fleet.passTime(50 * time.Millisecond)
+	asked := map[string]bool{}
+	for _, query := range fleet.queries {
+		asked[query.Step.Job] = true
+	}
+	if !asked[jobA] || !asked[jobB] || !asked[jobC] {
+		t.Errorf("the policy was asked for %v, want all three jobs", asked)
+	}
+}
