--- a/daemon/scheduler/balancer_test.go
+++ b/daemon/scheduler/balancer_test.go
@@ -34,7 +34,7 @@
 func TestQueriesAvoidAbsentHosts(t *testing.T) {
 	hear := func(balancer *balancer, numbers ...int) {
 		for _, number := range numbers {
-			balancer.tenure.quorum.recordHeartbeat(Heartbeat{Host: fmt.Sprintf("peer-%d", number)})
+			balancer.tenure.quorum.recordHeartbeat(Heartbeat{Host: fmt.Sprintf("peer-%d", number)}, time.Time{})
 		}
 	}
 	synctest.Test(t, func(t *testing.T) {
--- a/daemon/scheduler/quorum.go
+++ b/daemon/scheduler/quorum.go
@@ -96,6 +96,13 @@
 	return time.Since(quorum.heartbeats[host].at) <= heartbeatValidity
 }
 
+// heard reports whether any host has sent a heartbeat in this tenure.
+func (quorum *quorum) heard() bool {
+	quorum.mu.Lock()
+	defer quorum.mu.Unlock()
+	return len(quorum.heartbeats) > 0
+}
+
 // isHeld reports whether more than half of the given number of hosts belong to the quorum, this host included, and records when half of
 // them first do.
 func (quorum *quorum) isHeld(hostCount int) bool {
