--- a/library/planner/crashes_test.go
+++ b/library/planner/crashes_test.go
@@ -232,6 +232,29 @@
 		fleet.wantState(jobA, planner.Running)
 		fleet.wantRunning(1)
 	})
+	t.Run("workersThatCrashedBeforeTheOrderCame", func(t *testing.T) {
+		fleet := newCrashFleet(t, 4)
+		fleet.submit(jobA, newStep(1))
+		fleet.settle()
+		unanswered := 0
+		fleet.crashBefore = func(planner.TaskKey) bool { unanswered++; return unanswered <= 2 }
+		crashAndReturn(fleet, fleet.orders[0].Worker)
+		fleet.play(20*time.Second, fleet.reviveSame, noTask, func() bool { return fleet.runningCount() > 0 })
+		fleet.wantState(jobA, planner.Running)
+		fleet.wantRunning(1)
+	})
+	t.Run("workersOfDifferentMembersOfAGang", func(t *testing.T) {
+		fleet, step := newCrashFleet(t, 4), newStep(3)
+		step.Gang, step.MaxPerWorker = true, 1
+		fleet.submit(jobA, step)
+		fleet.settle()
+		for index := range step.Count {
+			fleet.wantState(jobA, planner.Running)
+			crashAndReturn(fleet, fleet.workerOf(planner.TaskKey{Job: jobA, Index: index}))
+		}
+		fleet.wantState(jobA, planner.Running)
+		fleet.wantRunning(step.Count)
+	})
 	t.Run("standingTaskThatRanLong", func(t *testing.T) {
 		fleet, step := newCrashFleet(t, 1), newStep(1)
 		step.Standing = true
@@ -246,6 +269,17 @@
 	})
 }
 
+// workerOf returns the ID of the worker that runs a task.
+func (fleet *fleet) workerOf(key planner.TaskKey) string {
+	for id, worker := range fleet.workers {
+		if _, found := worker.running[key]; found {
+			return id
+		}
+	}
+	fleet.t.Fatalf("no worker runs %v", key)
+	return ""
+}
+
 // crashAndReturn lets a worker crash and plays until it is back and had time to get its tasks again.
 func crashAndReturn(fleet *fleet, id string) {
 	fleet.crash(fleet.workers[id])
--- a/library/planner/fleet_test.go
+++ b/library/planner/fleet_test.go
@@ -37,8 +37,10 @@
 	refusals     []planner.Refusal         // of the jobs that were submitted
 	// crashOn tells which tasks crash the workers that start them, nil if none does; see crashes_test.go.
 	crashOn func(planner.TaskKey) bool
-	adjust  func(*planner.Settings) // changes the settings of the planners to come, nil to leave them
-	events  []planner.EndEvent
+	// crashBefore tells which orders find a worker that has just crashed, nil if none does.
+	crashBefore func(planner.TaskKey) bool
+	adjust      func(*planner.Settings) // changes the settings of the planners to come, nil to leave them
+	events      []planner.EndEvent
 	// calibrations are those of all batches.
 	calibrations []planner.Calibration
 }
@@ -313,6 +315,9 @@
 	}
 	fleet.orders = append(fleet.orders, order)
 	worker := fleet.workers[order.Worker]
+	if fleet.crashBefore != nil && fleet.crashBefore(order.Key) {
+		fleet.crash(worker)
+	}
 	if worker.unresponsive {
 		fleet.planner.HandleOrderOutcome(order, planner.Unknown, 0, fleet.time())
 		return
