planner: an order that no worker answered is little evidence of a crash under its task

Cause: a run counts as lost in a crash of its worker if the worker comes back as another incarnation, also if the worker never answered the run's order. Orders reach a worker that has just crashed until that is noticed, so the task of such an order had never run there. After one crash under a task, one such order gave it up if no other run was on the worker; otherwise two.

They give a task up only together with the others from five on, and hold it back only from there. They still make it a suspect that starts apart.

--- a/daemon/scheduler/crash_log.go
+++ b/daemon/scheduler/crash_log.go
@@ -15,7 +15,7 @@
 			}
 			if suspect.GivenUp {
 				tenure.host.log.Info("task given up", "task", suspect.Task.String(), "run", suspect.Number, "worker", crash.Worker,
-					"crashes", suspect.Crashes, "alone", suspect.Alone)
+					"crashes", suspect.Crashes, "unanswered", suspect.Unanswered, "alone", suspect.Alone)
 			}
 		}
 		tenure.host.log.Info("worker crashed", "worker", crash.Worker, "suspects", len(crash.Suspects), "tasks", suspects)
--- a/library/planner/crash_records.go
+++ b/library/planner/crash_records.go
@@ -10,6 +10,7 @@
 	Number      int    `json:"number"`
 	Alone       bool   `json:"alone,omitempty"`
 	Sound       bool   `json:"sound,omitempty"`
+	Unanswered  bool   `json:"unanswered,omitempty"`
 }
 
 // addCrashes adds the crashes that count against the step's tasks, or may do so, to its stored progress.
@@ -23,20 +24,29 @@
 		if task.done {
 			continue
 		}
-		if task.crashes > 0 {
-			if progress.Crashes == nil {
-				progress.Crashes = map[int]int{}
-			}
-			progress.Crashes[index] = task.crashes
-		}
+		progress.Crashes = setCount(progress.Crashes, index, task.crashes)
+		progress.Unanswered = setCount(progress.Unanswered, index, task.unansweredCrashes)
 		for _, lost := range task.lost {
 			progress.Lost = append(progress.Lost, LostRun{
 				Index: index, Worker: lost.worker, Incarnation: lost.incarnation, Number: lost.number, Alone: lost.alone, Sound: lost.sound,
+				Unanswered: lost.unanswered,
 			})
 		}
 	}
 }
 
+// setCount sets the count of a task unless that is 0, in a map that is created if needed.
+func setCount(counts map[int]int, index, count int) map[int]int {
+	if count == 0 {
+		return counts
+	}
+	if counts == nil {
+		counts = map[int]int{}
+	}
+	counts[index] = count
+	return counts
+}
+
 // restoreCrashes restores what addCrashes stored.
 func (planner *Planner) restoreCrashes(step *step, stored StepProgress) {
 	step.crashedRun = stored.CrashedRun
@@ -46,6 +56,12 @@
 			step.suspected = true
 		}
 	}
+	for index, crashes := range stored.Unanswered {
+		if index >= 0 && index < len(step.tasks) {
+			step.tasks[index].unansweredCrashes = crashes
+			step.suspected = true
+		}
+	}
 	for _, lost := range stored.Lost {
 		if lost.Index < 0 || lost.Index >= len(step.tasks) {
 			continue
@@ -53,6 +69,7 @@
 		task, worker := &step.tasks[lost.Index], planner.ensureWorker(lost.Worker)
 		task.lost = append(task.lost, lostRun{
 			worker: lost.Worker, incarnation: lost.Incarnation, number: lost.Number, alone: lost.Alone, sound: lost.Sound,
+			unanswered: lost.Unanswered,
 		})
 		key := TaskKey{Job: step.key.Job, Occurrence: step.key.Occurrence, Step: step.key.Step, Index: lost.Index}
 		if !slices.Contains(worker.lostTasks, key) {
--- a/library/planner/crashes.go
+++ b/library/planner/crashes.go
@@ -14,6 +14,9 @@
 	maxCrashes = 3
 	// maxCrashesAlone is the same number if nothing else ran on the worker that crashed last.
 	maxCrashesAlone = 2
+	// maxUnansweredCrashes is the same number if crashes of workers that did not answer the task's order count too: such a worker may
+	// have crashed before the order arrived.
+	maxUnansweredCrashes = 5
 	// soundRunTime is the run time of a standing task after which a crash of its worker is no evidence against it.
 	soundRunTime = 30 * time.Second
 )
@@ -24,6 +27,7 @@
 	incarnation int64 // Run.Incarnation
 	number      int
 	alone       bool // whether no run of another step, or of another task that is not in the same gang, was on the worker
+	unanswered  bool // whether the worker did not answer the order, and may never have had the run
 	sound       bool // whether its task is standing and had run for soundRunTime
 }
 
@@ -40,6 +44,8 @@
 	Crashes int  // number of crashes that count against the task
 	Alone   bool // whether nothing else ran on the worker
 	GivenUp bool // whether the job of the task has failed for it
+	// Unanswered is the number of further crashes, of workers that did not answer the task's order.
+	Unanswered int
 }
 
 // suspect returns the entry of a task that its crashes are counted in: for a gang, that of the first task.
@@ -53,19 +59,30 @@
 // suspicion returns the number of crashes that count against a task, or may do so: a lost run counts until the worker is
 // heard of again.
 func (step *step) suspicion(index int) int {
+	answered, unanswered := step.countCrashes(index)
+	return answered + unanswered
+}
+
+// countCrashes returns the number of crashes that count against a task, or may do so, and the number of those of workers that did not
+// answer the task's order.
+func (step *step) countCrashes(index int) (answered, unanswered int) {
 	if !step.suspected {
-		return 0
+		return 0, 0
 	}
 	task := step.suspect(index)
-	count := task.crashes
+	answered, unanswered = task.crashes, task.unansweredCrashes
 	for position, lost := range task.lost {
 		sameRun := func(other lostRun) bool { return other.number == lost.number }
 		counted := step.Gang && lost.number == step.crashedRun
-		if !counted && !slices.ContainsFunc(task.lost[:position], sameRun) {
-			count++
+		switch {
+		case counted || slices.ContainsFunc(task.lost[:position], sameRun):
+		case lost.unanswered:
+			unanswered++
+		default:
+			answered++
 		}
 	}
-	return count
+	return answered, unanswered
 }
 
 // markLosses notes what a worker ran when it fell silent or crashed. A worker that is draining leaves as planned.
@@ -81,7 +98,7 @@
 }
 
 func (planner *Planner) lossOf(worker *Worker, run *Run) *lostRun {
-	loss := &lostRun{worker: worker.ID, incarnation: run.Incarnation, number: run.Number, alone: true}
+	loss := &lostRun{worker: worker.ID, incarnation: run.Incarnation, number: run.Number, alone: true, unanswered: !run.answered}
 	step := planner.steps[run.Key.step()]
 	if step != nil && step.Standing && run.Confirmed {
 		loss.sound = worker.AnsweredAt.Sub(run.ConfirmedAt) >= soundRunTime
@@ -125,20 +142,29 @@
 		step.crashedRun = loss.number
 	}
 	if loss.sound {
-		task.crashes = 0
+		task.crashes, task.unansweredCrashes = 0, 0
 		return
 	}
 	step.suspected = true
-	task.crashes++
-	givenUp := task.crashes >= maxCrashes || loss.alone && task.crashes >= maxCrashesAlone
+	if loss.unanswered {
+		task.unansweredCrashes++
+	} else {
+		task.crashes++
+	}
+	givenUp := givesUp(task.crashes, task.unansweredCrashes) || loss.alone && !loss.unanswered && task.crashes >= maxCrashesAlone
 	planner.recordSuspect(loss.worker, Suspect{
-		Task: key, Number: loss.number, Crashes: task.crashes, Alone: loss.alone, GivenUp: givenUp,
+		Task: key, Number: loss.number, Crashes: task.crashes, Unanswered: task.unansweredCrashes, Alone: loss.alone, GivenUp: givenUp,
 	})
 	if givenUp {
 		planner.finishJob(step.job, Failed, planner.now)
 	}
 }
 
+// givesUp reports whether crashes are enough to give a task up, whatever else ran on the workers.
+func givesUp(answered, unanswered int) bool {
+	return answered >= maxCrashes || answered+unanswered >= maxUnansweredCrashes
+}
+
 // recordSuspect adds a suspect to the event of its worker's crash.
 func (planner *Planner) recordSuspect(worker string, suspect Suspect) {
 	for index := range planner.crashes {
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -49,6 +49,8 @@
 	Crashes     map[int]int    `json:"crashes,omitempty"`    // numbers of crashes that count against tasks, by task index
 	CrashedRun  int            `json:"crashedRun,omitempty"` // step.crashedRun
 	Lost        []LostRun      `json:"lost,omitempty"`
+	// Unanswered holds the numbers of crashes of workers that did not answer the order, by task index.
+	Unanswered map[int]int `json:"unanswered,omitempty"`
 }
 
 // OpenRun is a run that may exist.
@@ -330,7 +332,7 @@
 			number = step.tasks[open.Index].lastRunNumber
 		}
 		run := planner.newRun(step, key, number, worker, now)
-		run.learning.restored = true
+		run.learning.restored, run.answered = true, true
 		run.Incarnation, run.Token, run.Sent = open.Incarnation, 0, true // token 0 is lower than every token of this term
 		planner.addRun(step, run)
 		planner.steps[step.key] = step
--- a/library/planner/journal_check.go
+++ b/library/planner/journal_check.go
@@ -34,9 +34,11 @@
 
 // invalid reports whether an index, the number of a run, or a count is out of range.
 func (stepProgress StepProgress) invalid() bool {
-	for index, crashes := range stepProgress.Crashes {
-		if !validNumbers(index, crashes) {
-			return true
+	for _, counts := range []map[int]int{stepProgress.Crashes, stepProgress.Unanswered} {
+		for index, crashes := range counts {
+			if !validNumbers(index, crashes) {
+				return true
+			}
 		}
 	}
 	return !validNumbers(stepProgress.Numbers...) || !validNumbers(stepProgress.Failures...) || !validNumbers(stepProgress.CrashedRun) ||
--- a/library/planner/quarantine.go
+++ b/library/planner/quarantine.go
@@ -47,8 +47,9 @@
 	}
 }
 
-// held reports whether a task waits until it is known what became of the workers that fell silent under it.
-func (step *step) held(index int) bool { return step.suspicion(index) >= maxCrashes }
+// held reports whether a task waits until it is known what became of the workers that fell silent under it: it would be given up if
+// all of them had crashed.
+func (step *step) held(index int) bool { return givesUp(step.countCrashes(index)) }
 
 // sortWaiting puts the suspects among the waiting tasks last, so that the others do not wait for them.
 func (step *step) sortWaiting() {
--- a/library/planner/runs.go
+++ b/library/planner/runs.go
@@ -54,6 +54,7 @@
 	}
 	switch outcome {
 	case Accepted:
+		run.answered = true
 		if worker.RunsKnown && current {
 			run.Confirmed, run.ConfirmedAt, run.ProgressAt = true, now, now
 			planner.recordStartTime(run, now)
@@ -241,6 +242,7 @@
 			continue
 		}
 		run.loss = nil // it was started on the current incarnation
+		run.answered = true
 		run.recordReading(running.Percent, now)
 		if !run.Confirmed {
 			run.Confirmed, run.ConfirmedAt, run.ProgressAt = true, listing.SentAt, now
