planner: crashes under different tasks of a gang are not added up

Cause: a gang was one suspect, so that the crash of any of its workers counted against it as a whole. A gang has several workers, and members that take a whole worker count as alone there: two crashes of any two of its workers gave it up.

Change: each task of a gang has its own count. A gang is held back, and its starts are kept apart, by the highest among them. The number of the run whose crash was counted is no longer needed, and its field in the record is gone; of what earlier releases stored for a gang, one loss for each run is kept.

TestCrashNeighbors/workersOfDifferentMembersOfAGang fails before, passes after; TestCrashingTask, which has gangs whose tasks all crash their workers, passes unchanged.

--- a/library/planner/crash_records.go
+++ b/library/planner/crash_records.go
@@ -18,7 +18,6 @@
 	if !step.suspected {
 		return
 	}
-	progress.CrashedRun = step.crashedRun
 	for index := range step.tasks {
 		task := &step.tasks[index]
 		if task.done {
@@ -49,7 +48,6 @@
 
 // restoreCrashes restores what addCrashes stored.
 func (planner *Planner) restoreCrashes(step *step, stored StepProgress) {
-	step.crashedRun = stored.CrashedRun
 	for index, crashes := range stored.Crashes {
 		if index >= 0 && index < len(step.tasks) {
 			step.tasks[index].crashes = crashes
@@ -67,6 +65,10 @@
 			continue
 		}
 		task, worker := &step.tasks[lost.Index], planner.ensureWorker(lost.Worker)
+		sameRun := func(other lostRun) bool { return other.number == lost.Number }
+		if slices.ContainsFunc(task.lost, sameRun) {
+			continue // earlier releases stored the runs of all tasks of a gang with the first one
+		}
 		task.lost = append(task.lost, lostRun{
 			worker: lost.Worker, incarnation: lost.Incarnation, number: lost.Number, alone: lost.Alone, sound: lost.Sound,
 			unanswered: lost.Unanswered,
--- a/library/planner/crashes.go
+++ b/library/planner/crashes.go
@@ -48,37 +48,37 @@
 	Unanswered int
 }
 
-// suspect returns the entry of a task that its crashes are counted in: for a gang, that of the first task.
-func (step *step) suspect(index int) *task {
-	if step.Gang {
-		return &step.tasks[0]
-	}
-	return &step.tasks[index]
-}
-
 // suspicion returns the number of crashes that count against a task, or may do so: a lost run counts until the worker is
-// heard of again.
+// heard of again. The tasks of a gang, which start together, have the highest suspicion among them.
 func (step *step) suspicion(index int) int {
-	answered, unanswered := step.countCrashes(index)
-	return answered + unanswered
+	if !step.suspected {
+		return 0
+	}
+	highest := 0
+	suspects := step.suspects(index)
+	for position := range suspects {
+		answered, unanswered := suspects[position].crashCounts()
+		highest = max(highest, answered+unanswered)
+	}
+	return highest
 }
 
-// countCrashes returns the number of crashes that count against a task, or may do so, and the number of those of workers that did not
-// answer the task's order.
-func (step *step) countCrashes(index int) (answered, unanswered int) {
-	if !step.suspected {
-		return 0, 0
+// suspects returns the tasks whose crashes tell when a task may start: all of a gang, otherwise the task alone.
+func (step *step) suspects(index int) []task {
+	if step.Gang {
+		return step.tasks
 	}
-	task := step.suspect(index)
+	return step.tasks[index : index+1]
+}
+
+// crashCounts returns the numbers of crashes that count against a task, or may do so: those of workers that answered the task's order,
+// and those of the others.
+func (task *task) crashCounts() (answered, unanswered int) {
 	answered, unanswered = task.crashes, task.unansweredCrashes
-	for position, lost := range task.lost {
-		sameRun := func(other lostRun) bool { return other.number == lost.number }
-		counted := step.Gang && lost.number == step.crashedRun
-		switch {
-		case counted || slices.ContainsFunc(task.lost[:position], sameRun):
-		case lost.unanswered:
+	for _, lost := range task.lost {
+		if lost.unanswered {
 			unanswered++
-		default:
+		} else {
 			answered++
 		}
 	}
@@ -122,7 +122,7 @@
 	case EndedCrashed:
 		planner.countCrash(step, run.Key, *run.loss)
 	case Vanished:
-		task, worker := step.suspect(run.Key.Index), planner.ensureWorker(run.Worker)
+		task, worker := &step.tasks[run.Key.Index], planner.ensureWorker(run.Worker)
 		task.lost = append(task.lost, *run.loss)
 		worker.lostTasks = append(worker.lostTasks, run.Key)
 		step.suspected = true
@@ -130,17 +130,14 @@
 	}
 }
 
-// countCrash counts a crash against a task, once for each run of a gang, and gives the task up if that is enough: its job
-// has then failed.
+// countCrash counts a crash against a task, and gives the task up if that is enough: its job has then failed. The crashes under
+// different tasks of a gang are not added up: each of these workers may have crashed by itself.
 func (planner *Planner) countCrash(step *step, key TaskKey, loss lostRun) {
-	task := step.suspect(key.Index)
-	if step.job.state.Final() || task.done || step.Gang && step.crashedRun == loss.number {
+	task := &step.tasks[key.Index]
+	if step.job.state.Final() || task.done {
 		return
 	}
 	planner.markDirty(step.job)
-	if step.Gang {
-		step.crashedRun = loss.number
-	}
 	if loss.sound {
 		task.crashes, task.unansweredCrashes = 0, 0
 		return
@@ -185,7 +182,7 @@
 		if step == nil || key.Index >= len(step.tasks) {
 			continue
 		}
-		task := step.suspect(key.Index)
+		task := &step.tasks[key.Index]
 		resolved := slices.Clone(task.lost)
 		task.lost = slices.DeleteFunc(task.lost, func(lost lostRun) bool { return lost.worker == worker.ID })
 		for _, lost := range resolved {
@@ -215,7 +212,7 @@
 func (planner *Planner) resolveGone(worker *Worker) {
 	for _, key := range worker.lostTasks {
 		if step := planner.steps[key.step()]; step != nil && key.Index < len(step.tasks) {
-			step.suspect(key.Index).weakenLosses(worker.ID)
+			step.tasks[key.Index].weakenLosses(worker.ID)
 		}
 	}
 	planner.resolveReplaced(worker)
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -46,8 +46,7 @@
 	Failures    []int          `json:"failures,omitempty"`
 	Checkpoints map[int]string `json:"checkpoints,omitempty"`
 	Open        []OpenRun      `json:"open,omitempty"`
-	Crashes     map[int]int    `json:"crashes,omitempty"`    // numbers of crashes that count against tasks, by task index
-	CrashedRun  int            `json:"crashedRun,omitempty"` // step.crashedRun
+	Crashes     map[int]int    `json:"crashes,omitempty"` // numbers of crashes that count against tasks, by task index
 	Lost        []LostRun      `json:"lost,omitempty"`
 	// Unanswered holds the numbers of crashes of workers that did not answer the order, by task index.
 	Unanswered map[int]int `json:"unanswered,omitempty"`
--- a/library/planner/journal_check.go
+++ b/library/planner/journal_check.go
@@ -41,7 +41,7 @@
 			}
 		}
 	}
-	return !validNumbers(stepProgress.Numbers...) || !validNumbers(stepProgress.Failures...) || !validNumbers(stepProgress.CrashedRun) ||
+	return !validNumbers(stepProgress.Numbers...) || !validNumbers(stepProgress.Failures...) ||
 		slices.ContainsFunc(stepProgress.Open, func(open OpenRun) bool { return !validNumbers(open.Index, open.Number) }) ||
 		slices.ContainsFunc(stepProgress.Lost, func(lost LostRun) bool { return !validNumbers(lost.Index, lost.Number) })
 }
--- a/library/planner/quarantine.go
+++ b/library/planner/quarantine.go
@@ -49,7 +49,10 @@
 
 // held reports whether a task waits until it is known what became of the workers that fell silent under it: it would be given up if
 // all of them had crashed.
-func (step *step) held(index int) bool { return givesUp(step.countCrashes(index)) }
+func (step *step) held(index int) bool {
+	suspects := step.suspects(index)
+	return step.suspected && slices.ContainsFunc(suspects, func(task task) bool { return givesUp(task.crashCounts()) })
+}
 
 // sortWaiting puts the suspects among the waiting tasks last, so that the others do not wait for them.
 func (step *step) sortWaiting() {
--- a/library/planner/tables.go
+++ b/library/planner/tables.go
@@ -46,8 +46,6 @@
 	// gangNumber is the run number of the gang's last start, 0 once a failure of that start was counted.
 	gangNumber int
 	policy     policyCache
-	// crashedRun is the run number of the gang's last start whose crash was counted.
-	crashedRun int
 	// suspected reports whether a worker crashed, or may have crashed, under one of its tasks.
 	suspected bool
 	// blockedSince is when placement first found no room for the step, zero while it is not blocked.
