planner: a restored run that no worker listed counts as unanswered

Orders that reach workers which have just crashed, followed by the loss of the decider, were certain crashes again.

Change: such a run counts as answered once its worker has listed it.

TestCrashNeighbors/workersThatCrashedBeforeTheOrderCameAndATakeover fails without it. A task that crashes its workers while takeovers follow each other is given up within five starts, as before (TestCrashingTask, unchanged).

--- a/library/planner/crashes_test.go
+++ b/library/planner/crashes_test.go
@@ -261,6 +261,19 @@
 		fleet.wantState(jobA, planner.Running)
 		fleet.wantRunning(1)
 	})
+	t.Run("workersThatCrashedBeforeTheOrderCameAndATakeover", func(t *testing.T) {
+		fleet, step := newCrashFleet(t, 4), newStep(1)
+		step.Speculative = true
+		fleet.crashBefore = func(planner.TaskKey) bool { return true }
+		fleet.submit(jobA, step)
+		fleet.settle()
+		fleet.play(2*time.Second, func(*fakeWorker) {}, noTask, func() bool { return fleet.startsOf(jobA) == 2 })
+		fleet.crashBefore = nil
+		fleet.takeOver(2, testCatalog())
+		fleet.play(20*time.Second, fleet.reviveSame, noTask, func() bool { return fleet.runningCount() > 0 })
+		fleet.wantState(jobA, planner.Running)
+		fleet.wantRunning(1)
+	})
 	t.Run("workersOfDifferentMembersOfAGang", func(t *testing.T) {
 		fleet, step := newCrashFleet(t, 4), newStep(3)
 		step.Gang, step.MaxPerWorker = true, 1
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -331,7 +331,7 @@
 			number = step.tasks[open.Index].lastRunNumber
 		}
 		run := planner.newRun(step, key, number, worker, now)
-		run.learning.restored, run.answered = true, true
+		run.learning.restored = true
 		run.Incarnation, run.Token, run.Sent = open.Incarnation, 0, true // token 0 is lower than every token of this term
 		planner.addRun(step, run)
 		planner.steps[step.key] = step
--- a/library/planner/worker.go
+++ b/library/planner/worker.go
@@ -106,8 +106,8 @@
 	Urgent      bool // whether its queue has the highest priority and its step is not standing
 	Suspicion   int  // suspicion of its task when it was placed
 	loss        *lostRun
-	// answered reports whether its worker accepted its order or listed it, on any incarnation. The journal does not tell, so that it is
-	// set for restored runs.
+	// answered reports whether its worker accepted its order or listed it, on any incarnation. The journal does not tell it of restored
+	// runs.
 	answered bool
 
 	placedAt        time.Time   // when it was placed, or restored
