--- a/library/planner/crashes.go
+++ b/library/planner/crashes.go
@@ -14,6 +14,9 @@
 	maxCrashes = 3
 	// maxCrashesAlone is the same number if nothing else ran on the worker that crashed last.
 	maxCrashesAlone = 2
+	// maxUnansweredCrashes is the same number if crashes of workers that did not answer the task's order count too: such a worker may
+	// have crashed before the order arrived.
+	maxUnansweredCrashes = 5
 	// soundRunTime is the run time of a standing task after which a crash of its worker is no evidence against it.
 	soundRunTime = 30 * time.Second
 )
@@ -24,6 +27,7 @@
 	incarnation int64 // Run.Incarnation
 	number      int
 	alone       bool // whether no run of another step, or of another task that is not in the same gang, was on the worker
+	unanswered  bool // whether the worker did not answer the order, and may never have had the run
 	sound       bool // whether its task is standing and had run for soundRunTime
 }
 
@@ -40,32 +44,45 @@
 	Crashes int  // number of crashes that count against the task
 	Alone   bool // whether nothing else ran on the worker
 	GivenUp bool // whether the job of the task has failed for it
-}
-
-// suspect returns the entry of a task that its crashes are counted in: for a gang, that of the first task.
-func (step *step) suspect(index int) *task {
-	if step.Gang {
-		return &step.tasks[0]
-	}
-	return &step.tasks[index]
+	// Unanswered is the number of further crashes, of workers that did not answer the task's order.
+	Unanswered int
 }
 
 // suspicion returns the number of crashes that count against a task, or may do so: a lost run counts until the worker is
-// heard of again.
+// heard of again. The tasks of a gang, which start together, have the highest suspicion among them.
 func (step *step) suspicion(index int) int {
 	if !step.suspected {
 		return 0
 	}
-	task := step.suspect(index)
-	count := task.crashes
-	for position, lost := range task.lost {
-		sameRun := func(other lostRun) bool { return other.number == lost.number }
-		counted := step.Gang && lost.number == step.crashedRun
-		if !counted && !slices.ContainsFunc(task.lost[:position], sameRun) {
-			count++
+	highest := 0
+	suspects := step.suspects(index)
+	for position := range suspects {
+		answered, unanswered := suspects[position].crashCounts()
+		highest = max(highest, answered+unanswered)
+	}
+	return highest
+}
+
+// suspects returns the tasks whose crashes tell when a task may start: all of a gang, otherwise the task alone.
+func (step *step) suspects(index int) []task {
+	if step.Gang {
+		return step.tasks
+	}
+	return step.tasks[index : index+1]
+}
+
+// crashCounts returns the numbers of crashes that count against a task, or may do so: those of workers that answered the task's order,
+// and those of the others.
+func (task *task) crashCounts() (answered, unanswered int) {
+	answered, unanswered = task.crashes, task.unansweredCrashes
+	for _, lost := range task.lost {
+		if lost.unanswered {
+			unanswered++
+		} else {
+			answered++
 		}
 	}
-	return count
+	return answered, unanswered
 }
 
 // markLosses notes what a worker ran when it fell silent or crashed. A worker that is draining leaves as planned.
@@ -81,7 +98,7 @@
 }
 
 func (planner *Planner) lossOf(worker *Worker, run *Run) *lostRun {
-	loss := &lostRun{worker: worker.ID, incarnation: run.Incarnation, number: run.Number, alone: true}
+	loss := &lostRun{worker: worker.ID, incarnation: run.Incarnation, number: run.Number, alone: true, unanswered: !run.answered}
 	step := planner.steps[run.Key.step()]
 	if step != nil && step.Standing && run.Confirmed {
 		loss.sound = worker.AnsweredAt.Sub(run.ConfirmedAt) >= soundRunTime
@@ -105,7 +122,7 @@
 	case EndedCrashed:
 		planner.countCrash(step, run.Key, *run.loss)
 	case Vanished:
-		task, worker := step.suspect(run.Key.Index), planner.ensureWorker(run.Worker)
+		task, worker := &step.tasks[run.Key.Index], planner.ensureWorker(run.Worker)
 		task.lost = append(task.lost, *run.loss)
 		worker.lostTasks = append(worker.lostTasks, run.Key)
 		step.suspected = true
@@ -113,32 +130,38 @@
 	}
 }
 
-// countCrash counts a crash against a task, once for each run of a gang, and gives the task up if that is enough: its job
-// has then failed.
+// countCrash counts a crash against a task, and gives the task up if that is enough: its job has then failed. The crashes under
+// different tasks of a gang are not added up: each of these workers may have crashed by itself.
 func (planner *Planner) countCrash(step *step, key TaskKey, loss lostRun) {
-	task := step.suspect(key.Index)
-	if step.job.state.Final() || task.done || step.Gang && step.crashedRun == loss.number {
+	task := &step.tasks[key.Index]
+	if step.job.state.Final() || task.done {
 		return
 	}
 	planner.markDirty(step.job)
-	if step.Gang {
-		step.crashedRun = loss.number
-	}
 	if loss.sound {
-		task.crashes = 0
+		task.crashes, task.unansweredCrashes = 0, 0
 		return
 	}
 	step.suspected = true
-	task.crashes++
-	givenUp := task.crashes >= maxCrashes || loss.alone && task.crashes >= maxCrashesAlone
+	if loss.unanswered {
+		task.unansweredCrashes++
+	} else {
+		task.crashes++
+	}
+	givenUp := givesUp(task.crashes, task.unansweredCrashes) || loss.alone && !loss.unanswered && task.crashes >= maxCrashesAlone
 	planner.recordSuspect(loss.worker, Suspect{
-		Task: key, Number: loss.number, Crashes: task.crashes, Alone: loss.alone, GivenUp: givenUp,
+		Task: key, Number: loss.number, Crashes: task.crashes, Unanswered: task.unansweredCrashes, Alone: loss.alone, GivenUp: givenUp,
 	})
 	if givenUp {
 		planner.finishJob(step.job, Failed, planner.now)
 	}
 }
 
+// givesUp reports whether crashes are enough to give a task up, whatever else ran on the workers.
+func givesUp(answered, unanswered int) bool {
+	return answered >= maxCrashes || answered+unanswered >= maxUnansweredCrashes
+}
+
 // recordSuspect adds a suspect to the event of its worker's crash.
 func (planner *Planner) recordSuspect(worker string, suspect Suspect) {
 	for index := range planner.crashes {
@@ -159,7 +182,7 @@
 		if step == nil || key.Index >= len(step.tasks) {
 			continue
 		}
-		task := step.suspect(key.Index)
+		task := &step.tasks[key.Index]
 		resolved := slices.Clone(task.lost)
 		task.lost = slices.DeleteFunc(task.lost, func(lost lostRun) bool { return lost.worker == worker.ID })
 		for _, lost := range resolved {
@@ -189,7 +212,7 @@
 func (planner *Planner) resolveGone(worker *Worker) {
 	for _, key := range worker.lostTasks {
 		if step := planner.steps[key.step()]; step != nil && key.Index < len(step.tasks) {
-			step.suspect(key.Index).weakenLosses(worker.ID)
+			step.tasks[key.Index].weakenLosses(worker.ID)
 		}
 	}
 	planner.resolveReplaced(worker)
--- a/library/planner/crashes_test.go
+++ b/library/planner/crashes_test.go
@@ -104,12 +104,25 @@
 func wantGivenUp(t *testing.T, fleet *fleet, step planner.Step, revive func(*fakeWorker)) {
 	t.Helper()
 	fleet.crashOn = ofJob(jobA)
+	fleet.wantFewStarts(step, revive)
+}
+
+// wantGivenUpUnanswered is wantGivenUp for tasks that crash their workers before these have answered the order.
+func wantGivenUpUnanswered(t *testing.T, fleet *fleet, step planner.Step, revive func(*fakeWorker)) {
+	t.Helper()
+	fleet.crashBefore = ofJob(jobA)
+	fleet.wantFewStarts(step, revive)
+}
+
+// wantFewStarts submits jobA and checks that it fails after few starts.
+func (fleet *fleet) wantFewStarts(step planner.Step, revive func(*fakeWorker)) {
+	fleet.t.Helper()
 	fleet.submit(jobA, step)
 	fleet.settle()
 	fleet.play(3*time.Minute, revive, noTask, fleet.stateIs(jobA, planner.Failed))
 	fleet.wantState(jobA, planner.Failed)
 	if starts := fleet.startsOf(jobA); starts > maxCrashStarts {
-		t.Errorf("the task was started %d times, want %d at most", starts, maxCrashStarts)
+		fleet.t.Errorf("the task was started %d times, want %d at most", starts, maxCrashStarts)
 	}
 }
 
@@ -133,6 +146,11 @@
 				configure(&step)
 				wantGivenUp(t, fleet, step, revive(fleet))
 			})
+			t.Run(kind+"/"+name+"/beforeTheAnswer", func(t *testing.T) {
+				fleet, step := newCrashFleet(t, 9), newStep(1)
+				configure(&step)
+				wantGivenUpUnanswered(t, fleet, step, revive(fleet))
+			})
 		}
 	}
 	t.Run("takeoverAfterEachCrash", func(t *testing.T) {
@@ -232,6 +250,42 @@
 		fleet.wantState(jobA, planner.Running)
 		fleet.wantRunning(1)
 	})
+	t.Run("workersThatCrashedBeforeTheOrderCame", func(t *testing.T) {
+		fleet := newCrashFleet(t, 4)
+		fleet.submit(jobA, newStep(1))
+		fleet.settle()
+		unanswered := 0
+		fleet.crashBefore = func(planner.TaskKey) bool { unanswered++; return unanswered <= 2 }
+		crashAndReturn(fleet, fleet.orders[0].Worker)
+		fleet.play(20*time.Second, fleet.reviveSame, noTask, func() bool { return fleet.runningCount() > 0 })
+		fleet.wantState(jobA, planner.Running)
+		fleet.wantRunning(1)
+	})
+	t.Run("workersThatCrashedBeforeTheOrderCameAndATakeover", func(t *testing.T) {
+		fleet, step := newCrashFleet(t, 4), newStep(1)
+		step.Speculative = true
+		fleet.crashBefore = func(planner.TaskKey) bool { return true }
+		fleet.submit(jobA, step)
+		fleet.settle()
+		fleet.play(2*time.Second, func(*fakeWorker) {}, noTask, func() bool { return fleet.startsOf(jobA) == 2 })
+		fleet.crashBefore = nil
+		fleet.takeOver(2, testCatalog())
+		fleet.play(20*time.Second, fleet.reviveSame, noTask, func() bool { return fleet.runningCount() > 0 })
+		fleet.wantState(jobA, planner.Running)
+		fleet.wantRunning(1)
+	})
+	t.Run("workersOfDifferentMembersOfAGang", func(t *testing.T) {
+		fleet, step := newCrashFleet(t, 4), newStep(3)
+		step.Gang, step.MaxPerWorker = true, 1
+		fleet.submit(jobA, step)
+		fleet.settle()
+		for index := range step.Count {
+			fleet.wantState(jobA, planner.Running)
+			crashAndReturn(fleet, fleet.workerOf(planner.TaskKey{Job: jobA, Index: index}))
+		}
+		fleet.wantState(jobA, planner.Running)
+		fleet.wantRunning(step.Count)
+	})
 	t.Run("standingTaskThatRanLong", func(t *testing.T) {
 		fleet, step := newCrashFleet(t, 1), newStep(1)
 		step.Standing = true
@@ -246,6 +300,17 @@
 	})
 }
 
+// workerOf returns the ID of the worker that runs a task.
+func (fleet *fleet) workerOf(key planner.TaskKey) string {
+	for id, worker := range fleet.workers {
+		if _, found := worker.running[key]; found {
+			return id
+		}
+	}
+	fleet.t.Fatalf("no worker runs %v", key)
+	return ""
+}
+
 // crashAndReturn lets a worker crash and plays until it is back and had time to get its tasks again.
 func crashAndReturn(fleet *fleet, id string) {
 	fleet.crash(fleet.workers[id])
--- a/library/planner/fleet_test.go
+++ b/library/planner/fleet_test.go
@@ -35,10 +35,13 @@
 	poolShares   bool                      // as planner.Settings.PoolShares
 	forecast     bool                      // planner.Settings.ForecastAdmission, from the next takeover on
 	refusals     []planner.Refusal         // of the jobs that were submitted
-	// crashOn tells which tasks crash the workers that start them, nil if none does; see crashes_test.go.
+	// crashOn tells which tasks crash the workers that start them, once these have answered the order, nil if none does; see
+	// crashes_test.go.
 	crashOn func(planner.TaskKey) bool
-	adjust  func(*planner.Settings) // changes the settings of the planners to come, nil to leave them
-	events  []planner.EndEvent
+	// crashBefore tells which orders get no answer since the worker has just crashed, nil if none does.
+	crashBefore func(planner.TaskKey) bool
+	adjust      func(*planner.Settings) // changes the settings of the planners to come, nil to leave them
+	events      []planner.EndEvent
 	// calibrations are those of all batches.
 	calibrations []planner.Calibration
 }
@@ -313,12 +316,10 @@
 	}
 	fleet.orders = append(fleet.orders, order)
 	worker := fleet.workers[order.Worker]
-	if worker.unresponsive {
-		fleet.planner.HandleOrderOutcome(order, planner.Unknown, 0, fleet.time())
-		return
-	}
-	if fleet.crashOn != nil && fleet.crashOn(order.Key) {
+	if fleet.crashBefore != nil && fleet.crashBefore(order.Key) {
 		fleet.crash(worker)
+	}
+	if worker.unresponsive {
 		fleet.planner.HandleOrderOutcome(order, planner.Unknown, 0, fleet.time())
 		return
 	}
@@ -327,6 +328,9 @@
 		worker.leaseEnd = leaseEnd
 	}
 	fleet.planner.HandleOrderOutcome(order, planner.Accepted, fleet.clockMS(worker), fleet.time())
+	if fleet.crashOn != nil && fleet.crashOn(order.Key) {
+		fleet.crash(worker)
+	}
 }
 
 func (fleet *fleet) clockMS(worker *fakeWorker) int64 {
--- a/library/planner/tables.go
+++ b/library/planner/tables.go
@@ -46,8 +46,6 @@
 	// gangNumber is the run number of the gang's last start, 0 once a failure of that start was counted.
 	gangNumber int
 	policy     policyCache
-	// crashedRun is the run number of the gang's last start whose crash was counted.
-	crashedRun int
 	// suspected reports whether a worker crashed, or may have crashed, under one of its tasks.
 	suspected bool
 	// blockedSince is when placement first found no room for the step, zero while it is not blocked.
@@ -74,11 +72,13 @@
 	hangs         int // number of its runs that were stopped because they hung
 	done          bool
 	checkpoint    string
-	run           *Run        // open run, nil if none
-	copy          *Run        // open speculative second run, nil if none
-	failedOn      []string    // IDs of the workers on which it failed, or from which it was moved for being late
-	crashes       int         // number of crashes of workers that count against it, see crashes.go
-	hedges        *taskHedges // copies and moves for being late, nil if none, see stragglers.go
+	run           *Run     // open run, nil if none
+	copy          *Run     // open speculative second run, nil if none
+	failedOn      []string // IDs of the workers on which it failed, or from which it was moved for being late
+	crashes       int      // number of crashes of workers that count against it, see crashes.go
+	// unansweredCrashes is the number of crashes of workers that did not answer its order.
+	unansweredCrashes int
+	hedges            *taskHedges // copies and moves for being late, nil if none, see stragglers.go
 	// lost holds its runs on workers that fell silent and were not heard of since.
 	lost []lostRun
 }
--- a/library/planner/worker.go
+++ b/library/planner/worker.go
@@ -97,7 +97,7 @@
 	OrderedAt   time.Time
 	Sent        bool      // whether its order may have been sent
 	Confirmed   bool      // whether the worker accepted the order or listed the run
-	ConfirmedAt time.Time // when the acceptance arrived, or when the poll that listed the run was sent
+	ConfirmedAt time.Time // when the acceptance, or the listing that first showed the run, arrived
 	Stopping    bool
 	StopSentAt  time.Time
 	Percent     int       // share of its work that is done, as last listed
@@ -108,6 +108,9 @@
 	Urgent      bool // whether its queue has the highest priority and its step is not standing
 	Suspicion   int  // suspicion of its task when it was placed
 	loss        *lostRun
+	// answered reports whether its worker accepted its order or listed it, on any incarnation. The journal does not tell it of restored
+	// runs.
+	answered bool
 
 	placedAt        time.Time   // when it was placed, or restored
 	stopRequestedAt time.Time   // when its stop was first requested, zero before
