planner: bound the cost of standbys when many workers are lost

Cause: each pass searched all workers for each standing task that starts again soon, also before the policy had allowed any. Change: only workers with a ticket are searched, and the need of a query is found once a step and only while a slot is free.

--- a/library/planner/standby.go
+++ b/library/planner/standby.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"ebonyshunt.org/library/sizer"
@@ -200,22 +201,36 @@
 		(queue.Policy == nil || step.policy.hasTicket(worker, pass.now))
 }
 
+// ticketed returns the workers on which a step may start, sorted by ID: those with a ticket if its queue has a policy.
+func (pass *pass) ticketed(step *step, queue Queue) []*Worker {
+	workers := pass.placeable(step, queue)
+	if len(workers) == len(pass.pool(queue.Service).workers) {
+		return workers // the pool, which is sorted
+	}
+	slices.SortFunc(workers, func(a, b *Worker) int { return strings.Compare(a.ID, b.ID) })
+	return workers
+}
+
 // chooseTarget returns the ID of the worker to keep free for a standby: the best one with room, or else the one with the largest
 // free share, or an empty string if the policy allows none.
 func (pass *pass) chooseTarget(standby *standby, step *step, queue Queue) string {
-	if worker := pass.chooseWorker(step, queue, &step.tasks[standby.key.Index]); worker != nil {
-		return worker.ID
-	}
-	target, largest := "", -1.0
-	for _, worker := range pass.pool(queue.Service).workers {
+	best, mostFree := "", ""
+	bestCost, largest := 0.0, -1.0
+	for _, worker := range pass.ticketed(step, queue) {
 		if !pass.suits(worker.ID, step, queue) {
 			continue
 		}
 		if share := worker.Free().Max(sizer.Size{}).DominantShare(worker.Capacity); share > largest {
-			target, largest = worker.ID, share
+			mostFree, largest = worker.ID, share
+		}
+		if !pass.eligible(step, queue, worker, 0) {
+			continue
+		}
+		if cost := pass.cost(step, queue, &step.tasks[standby.key.Index], worker, 0); best == "" || cost < bestCost {
+			best, bestCost = worker.ID, cost
 		}
 	}
-	return target
+	return cmp.Or(best, mostFree)
 }
 
 // stopForStandby stops runs of lower priority on the suitable worker where the fewest make room for a task of the step, and
@@ -223,7 +238,7 @@
 func (pass *pass) stopForStandby(later *pass, step *step, queue Queue) string {
 	target := ""
 	var best []*Run
-	for _, worker := range pass.pool(queue.Service).workers {
+	for _, worker := range later.ticketed(step, queue) {
 		if !later.suits(worker.ID, step, queue) {
 			continue
 		}
@@ -244,21 +259,32 @@
 	}
 	pass.standbysQueried = true
 	missing := map[StepKey]int{}
+	var first []*standby // of each step, in order
 	for index := range pass.planner.standbys {
 		standby := &pass.planner.standbys[index]
 		step, run := pass.planner.openRun(standby.key, standby.number)
-		if run == nil {
-			continue // it waits, so the step asks for itself
+		if run == nil || standby.hasRoom(step, pass.planner.workers[standby.target]) {
+			continue // a task without a run waits, so that its step asks for itself
 		}
-		queue, found := pass.planner.catalog.Queue(step.job.Queue)
-		if !found || queue.Policy == nil || standby.hasRoom(step, pass.planner.workers[standby.target]) {
-			continue
+		if missing[step.key] == 0 {
+			first = append(first, standby)
 		}
 		missing[step.key]++
-		later := pass.atLeaseEnd(standby, queue)
-		if len(step.policy.open) < maxStandbyQueries && !later.allowsRoom(step, queue, missing[step.key]) {
-			pass.queryUntil(step, queue, missing[step.key], maxStandbyQueries, later.now)
-		}
+	}
+	for _, standby := range first {
+		step := pass.planner.steps[standby.key.step()]
+		pass.queryForStandby(standby, step, missing[step.key])
+	}
+}
+
+// queryForStandby queries the policy about workers for some tasks of a step, unless it allows enough with room.
+func (pass *pass) queryForStandby(standby *standby, step *step, tasks int) {
+	queue, found := pass.planner.catalog.Queue(step.job.Queue)
+	if !found || queue.Policy == nil || len(step.policy.open) >= maxStandbyQueries || !pass.planner.slotFree(queue.Policy.maxAnswerTime()) {
+		return
+	}
+	if later := pass.atLeaseEnd(standby, queue); !later.allowsRoom(step, queue, tasks) {
+		pass.queryUntil(step, queue, tasks, maxStandbyQueries, later.now)
 	}
 }
 
@@ -270,7 +296,7 @@
 // allowsRoom reports whether the policy allows enough workers with room for a number of tasks of the step.
 func (pass *pass) allowsRoom(step *step, queue Queue, tasks int) bool {
 	room := 0
-	for _, worker := range pass.pool(queue.Service).workers {
+	for _, worker := range pass.ticketed(step, queue) {
 		if pass.suits(worker.ID, step, queue) {
 			room += pass.roomFor(step, worker, tasks)
 		}
