planner: standing tasks move off workers that leave

What callers saw: two standing tasks of a step were down for 12 s. Their worker had said 6 s ahead that it leaves, and nothing was done in these 6 s; it took the tasks along, and the decider ended at the same moment.

Cause: evacuate stopped a standing run on a worker that leaves only as far as Step.MaxUnavailable allows, so never if the step names no such number. No line said so. A step that names a number was stopped without a target, permission or room, and a standing gang as a whole.

Change: moves from drained zones and from workers that leave are one mechanism (moves.go): a target with room and permission first, kept free until the task starts. Permission is asked for with the notice. One task of a step at a time, or as many as the step may miss; what is left once there is time for one stop moves together. Without a target a task stays to the end. Moves begin behind urgent and standing tasks that wait and ahead of all others, eight at a time, not on workers that do not answer. Standing gangs stay: members on workers that stay would be ended too, against the budget. Policy queries for a move are sent only while some worker has room. Two log lines: what moves where, and why a task stays.

A test of the lease after a worker has left (upkeep_test.go) had room elsewhere, so that its task now moves before; both workers are full until the worker has left, which keeps the question and the bound.

--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -218,7 +218,7 @@
 		tenure.makePass(now)
 	case callersWait:
 		tenure.batchTimer.Reset(passWait)
-		tenure.takeBatch(now, nil)
+		tenure.takeBatch()
 	default:
 		tenure.applyPending(passWait)
 	}
@@ -252,13 +252,15 @@
 	passedFrom := time.Now()
 	tenure.planner.Plan(now)
 	tenure.passes.record(now, time.Since(passedFrom))
-	blockedSteps := tenure.explainBlocked(now)
+	blockedSteps, staying := tenure.explain(now)
 	tenure.mu.Unlock()
-	tenure.takeBatch(now, blockedSteps)
+	tenure.logBlocked(blockedSteps, now)
+	tenure.logStaying(staying)
+	tenure.takeBatch()
 }
 
 // takeBatch applies the effects of the events and passes since the last batch, and stores their records.
-func (tenure *tenure) takeBatch(now time.Time, blockedSteps []planner.BlockedStep) {
+func (tenure *tenure) takeBatch() {
 	tenure.mu.Lock()
 	encodedFrom := time.Now()
 	batch, err := tenure.planner.Take()
@@ -270,9 +272,9 @@
 	}
 	tenure.startsInFlight.Add(int64(len(batch.Starts)))
 	tenure.mu.Unlock()
-	tenure.logBlocked(blockedSteps, now)
 	tenure.logCrashes(batch.Crashes)
 	tenure.logGiveBacks(batch.GiveBacks)
+	tenure.logMoves(batch.Moves)
 	tenure.logEvents(batch.Events)
 	tenure.logHedges(batch.Hedges)
 	tenure.host.metrics.calibration.add(batch.Calibrations)
@@ -379,13 +381,13 @@
 	maxExplanations  = 4 // log lines per interval
 )
 
-// explainBlocked returns why steps are blocked, at most once per explainInterval.
-func (tenure *tenure) explainBlocked(now time.Time) []planner.BlockedStep {
+// explain returns why steps are blocked, and why standing tasks stay on workers that leave, at most once per explainInterval.
+func (tenure *tenure) explain(now time.Time) ([]planner.BlockedStep, []planner.StayingRun) {
 	if now.Sub(tenure.explainedAt) < explainInterval {
-		return nil
+		return nil, nil
 	}
 	tenure.explainedAt = now
-	return tenure.planner.Explain(now, minExplainedWait, maxExplanations)
+	return tenure.planner.Explain(now, minExplainedWait, maxExplanations), tenure.planner.ExplainStaying(now, maxExplanations)
 }
 
 func (tenure *tenure) logBlocked(steps []planner.BlockedStep, now time.Time) {
--- a/library/planner/effect.go
+++ b/library/planner/effect.go
@@ -138,7 +138,9 @@
 	Calibrations []Calibration
 	// GiveBacks are the runs that were stopped since the last batch to give room back.
 	GiveBacks []GiveBack
-	states    []State // states of the jobs of JobIDs, which State returns once the records are stored
+	// Moves are the runs that were stopped since the last batch to leave draining workers and drained zones.
+	Moves  []Move
+	states []State // states of the jobs of JobIDs, which State returns once the records are stored
 }
 
 // EndEvent describes the end of a job, or the end of a run with another ending than EndedDone, for logs and metrics.
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -91,6 +91,7 @@
 	batch.Hedges = planner.takeHedgeEvents()
 	batch.Calibrations = planner.learned.takeCalibrations()
 	batch.GiveBacks, planner.giveBacks = planner.giveBacks, nil
+	batch.Moves, planner.moves = planner.moves, nil
 	for _, id := range slices.Sorted(maps.Keys(planner.dirty)) {
 		entry := planner.jobs[id]
 		if entry == nil {
--- a/library/planner/plan.go
+++ b/library/planner/plan.go
@@ -10,8 +10,8 @@
 )
 
 // Plan brings the tables up to the current time and places tasks: it creates the occurrences that are due, closes
-// runs whose leases have expired, forgets old jobs, stops hung runs, evacuates draining workers, and starts the
-// waiting tasks.
+// runs whose leases have expired, forgets old jobs, stops hung runs, saves and moves runs of draining workers and zones, and
+// starts the waiting tasks.
 func (planner *Planner) Plan(now time.Time) {
 	planner.now = now
 	for _, id := range slices.Sorted(maps.Keys(planner.scheduled)) {
@@ -20,15 +20,22 @@
 	planner.closeExpiredRuns(now)
 	planner.forgetEndedJobs(now)
 	planner.checkRuns(now)
-	planner.evacuate(now)
+	planner.saveLeavingRuns(now)
 	planner.passCount++
 	pass := &pass{
 		number: planner.passCount, planner: planner, now: now, reserved: map[string]bool{},
 		queriedSize: map[string]sizer.Size{}, pools: map[string]*pool{}, starts: planner.startLimit,
 	}
-	pass.leaveDrainedZones()
+	pass.continueMoves()
 	all := planner.rankedSteps(now)
+	urgent := urgentSteps(all)
+	if len(urgent) == 0 {
+		pass.beginMoves(nil) // ahead of all other work, which would take the room as fast as it becomes free
+	}
 	pass.run(all)
+	if len(urgent) > 0 {
+		pass.beginMoves(urgent) // to room that is left
+	}
 	planner.rebuildBacklog(all, now)
 }
 
@@ -177,53 +184,3 @@
 		step.tasks[run.Key.Index].hangs++
 	}
 }
-
-// evacuate stops runs on draining workers so that their tasks start elsewhere: runs of standing steps, as far as
-// Step.MaxUnavailable allows, and runs with checkpoints that would not end before the worker leaves.
-func (planner *Planner) evacuate(now time.Time) {
-	for _, worker := range planner.workerList {
-		if !worker.Draining || !worker.Listed {
-			continue
-		}
-		timeLeft := worker.timeUntilLeaving(now) - planner.Settings.MaxStopTime
-		for _, run := range worker.sortedRuns() {
-			step := planner.steps[run.Key.step()]
-			if step == nil || run.Stopping || !run.Confirmed {
-				continue
-			}
-			if step.Standing && planner.mayStopStanding(step, now) || planner.shouldCheckpoint(step, run, timeLeft, now) {
-				planner.stopRun(run, now)
-			}
-		}
-	}
-}
-
-// shouldCheckpoint reports whether a run on a worker that leaves in timeLeft has to be stopped to save a checkpoint:
-// it is not expected to end in that time.
-func (planner *Planner) shouldCheckpoint(step *step, run *Run, timeLeft time.Duration, now time.Time) bool {
-	if step.Standing || !step.Checkpoints || timeLeft > evacuationLeadTime {
-		return false
-	}
-	return !planner.endsWithin(step, run, timeLeft, now)
-}
-
-// evacuationLeadTime is the time before a draining worker leaves at which runs with checkpoints that would not end
-// in time are stopped.
-const evacuationLeadTime = time.Second
-
-// mayStopStanding reports whether the planner may make one more task of a standing step unavailable. A task is
-// available if it has a confirmed run that is not being stopped, has reached 100 percent, and was ordered at least
-// minReadyTime ago.
-func (planner *Planner) mayStopStanding(step *step, now time.Time) bool {
-	unavailable := 0
-	for index := range step.tasks {
-		run := step.tasks[index].run
-		if run == nil || run.Stopping || !run.Confirmed || run.Percent < 100 || now.Sub(run.OrderedAt) < minReadyTime {
-			unavailable++
-		}
-	}
-	return unavailable < step.MaxUnavailable
-}
-
-// minReadyTime is how long a standing task has to run before it counts as available.
-const minReadyTime = 1500 * time.Millisecond
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -44,7 +44,7 @@
 
 	catalog      *Catalog
 	drainedZones map[string]bool // availability zones whose workers get no new runs
-	drainMoves   []drainMove     // standing tasks that leave these zones
+	drainMoves   []drainMove     // standing tasks that leave these zones, or draining workers
 	jobs         map[string]*jobEntry
 	scheduled    map[string]*jobEntry // jobs with occurrences that are not due yet
 	steps        map[StepKey]*step    // active steps, and steps with runs that may exist
@@ -86,6 +86,7 @@
 	crashes              []CrashEvent
 	hedging              hedging
 	giveBacks            []GiveBack
+	moves                []Move
 	counts               workCounts
 }
 
--- a/library/planner/upkeep_test.go
+++ b/library/planner/upkeep_test.go
@@ -59,13 +59,17 @@
 		fleet.submit(jobA, standing)
 		fleet.settle()
 		worker := fleet.workers[fleet.orders[0].Worker]
+		fleet.submit(jobB, newUnbudgeted(7)) // so that there is no room to move to before the worker leaves
+		fleet.settle()
 		fleet.setDraining(notice, worker.id)
 		for left := notice; left > 0; left -= 250 * time.Millisecond {
 			fleet.advance(250 * time.Millisecond)
 		}
 		worker.unresponsive = true
 		leftAt := fleet.now
-		for len(fleet.orders) == 1 && fleet.now.Sub(leftAt) < time.Minute {
+		ordered := len(fleet.orders)
+		fleet.planner.Cancel(jobB, fleet.time())
+		for len(fleet.orders) == ordered && fleet.now.Sub(leftAt) < time.Minute {
 			fleet.advance(50 * time.Millisecond)
 		}
 		if took := fleet.now.Sub(leftAt); took > bound {
--- a/tests/fleet_slow_links_test.go
+++ b/tests/fleet_slow_links_test.go
@@ -355,8 +355,14 @@
 	}
 }
 
-// assertLasting checks that each lasting task whose run ended ran again within lastingBound.
+// assertLasting checks that each lasting task had a run that ended, and ran again within lastingBound of each end.
 func (fleet *fleet) assertLasting() {
+	fleet.Helper()
+	fleet.assertLastingWithin(lastingBound, lastingTasks)
+}
+
+// assertLastingWithin checks that each lasting task whose run ended ran again within a bound, and that at least so many runs ended.
+func (fleet *fleet) assertLastingWithin(bound time.Duration, minEnds int) {
 	fleet.Helper()
 	tasks, ends := 0, 0
 	for task, runs := range fleet.runsByTask() {
@@ -373,13 +379,13 @@
 			if index+1 < len(runs) {
 				next = runs[index+1].At
 			}
-			if down := next.Sub(run.Ended); down > lastingBound {
-				fleet.Errorf("%s is down for %v or longer after its run %d, %s, want %v at most", task, down, run.Run, run.Outcome, lastingBound)
+			if down := next.Sub(run.Ended); down > bound {
+				fleet.Errorf("%s is down for %v or longer after its run %d, %s, want %v at most", task, down, run.Run, run.Outcome, bound)
 			}
 		}
 	}
-	if tasks < lastingTasks || ends < lastingTasks {
-		fleet.Errorf("%d lasting tasks began and %d runs of them ended, want %d of each", tasks, ends, lastingTasks)
+	if tasks < lastingTasks || ends < minEnds {
+		fleet.Errorf("%d lasting tasks began and %d runs of them ended, want %d and %d", tasks, ends, lastingTasks, minEnds)
 	}
 }
 
