planner: moves ask the policy ahead of work that waits

Cause: while urgent work waits, moves begin behind the whole pass, and the steps that wait, batch steps among them, take each place for a policy query as it becomes free.

Change: at most two steps with tasks on workers that leave ask before the pass. A query takes no room.

Measured: evacuate_test.go/askedBesideWorkThatWaits fails before.

--- a/library/planner/evacuate_test.go
+++ b/library/planner/evacuate_test.go
@@ -332,6 +332,26 @@
 			t.Error("the failed query is not repeated")
 		}
 	})
+	// Guards against tasks that stay since work that waits takes each place for a query as it becomes free.
+	t.Run("askedBesideWorkThatWaits", func(t *testing.T) {
+		fleet, from := newAskingFleet(t, time.Second, 1)
+		fleet.planner.SetSlots(planner.Slots{Short: 1})
+		for number := range 6 {
+			fleet.submit(jobID(number), newStep(1))
+		}
+		fleet.settle()
+		if len(fleet.queries) == 0 {
+			t.Fatal("no policy query of the work that waits")
+		}
+		fleet.setDraining(longNotice, from...)
+		fleet.advance(50 * time.Millisecond)
+		fleet.planner.HandlePolicyFailure(fleet.queries[0], fleet.time())
+		fleet.queries = nil
+		fleet.advance(50 * time.Millisecond)
+		if len(fleet.queries) != 1 || fleet.queries[0].Step.Job != jobA {
+			t.Errorf("policy queries %v, want one of the task that has to move", fleet.queries)
+		}
+	})
 	t.Run("noQueriesWithoutRoom", func(t *testing.T) {
 		fleet, from := newAskingFleet(t, time.Second, 1)
 		fleet.submitTo("batch", jobB, newUnbudgeted(23))
--- a/library/planner/moves.go
+++ b/library/planner/moves.go
@@ -16,6 +16,9 @@
 	// maxMoveSearches is the number of runs for which one pass looks for other workers, before and after it places the waiting
 	// tasks.
 	maxMoveSearches = 4
+	// maxMoveQueries bounds the steps that have asked the policy for the sake of moves ahead of work that waits, which needs the
+	// places for queries too.
+	maxMoveQueries = 2
 	// maxDrainMoves bounds the tasks that move at the same time, since a worker is kept free for each.
 	maxDrainMoves = 8
 	// moveMargin is how long a worker is kept free for a task that moves, in addition to the time that a stop takes: the request
@@ -165,9 +168,7 @@
 	}
 	target := pass.chooseTarget(movableRun, queue, urgent)
 	if target == nil {
-		if queue.Policy != nil && pass.needsPermission(step, queue) {
-			pass.queryPolicyFor(step, queue, 1)
-		}
+		pass.ask(movableRun)
 		return
 	}
 	if !movableRun.short && !movableRun.withinBudget(pass.now) {
@@ -182,6 +183,38 @@
 	})
 }
 
+// askForMoves asks the policy for permission for tasks on workers that leave, ahead of the work that waits: it would take each place
+// for a query as it becomes free.
+func (pass *pass) askForMoves() {
+	asking := map[StepKey]bool{}
+	var silent []movableRun
+	for _, movableRun := range pass.planner.runsOnLeavingWorkers(pass.now) {
+		if len(movableRun.step.policy.open) > 0 {
+			asking[movableRun.step.key] = true
+		} else {
+			silent = append(silent, movableRun)
+		}
+	}
+	for index := range min(len(silent), maxMoveSearches) {
+		if len(asking) >= maxMoveQueries {
+			return
+		}
+		movableRun := silent[(index+int(pass.number)*maxMoveSearches)%len(silent)]
+		if pass.ask(movableRun); len(movableRun.step.policy.open) > 0 {
+			asking[movableRun.step.key] = true
+		}
+	}
+}
+
+// ask asks the policy for permission for a task if that is what its move needs.
+func (pass *pass) ask(movableRun movableRun) {
+	step := movableRun.step
+	queue, found := pass.planner.catalog.Queue(step.job.Queue)
+	if found && queue.Policy != nil && pass.chooseTarget(movableRun, queue, nil) == nil && pass.needsPermission(step, queue) {
+		pass.queryPolicyFor(step, queue, 1)
+	}
+}
+
 // chooseTarget returns the worker that can take the task of a run once the run has stopped, or nil.
 func (pass *pass) chooseTarget(movableRun movableRun, queue Queue, urgent []*step) *Worker {
 	atRestart := *pass
--- a/library/planner/plan.go
+++ b/library/planner/plan.go
@@ -31,6 +31,8 @@
 	urgent := urgentSteps(all)
 	if len(urgent) == 0 {
 		pass.beginMoves(nil) // ahead of all other work, which would take the room as fast as it becomes free
+	} else {
+		pass.askForMoves()
 	}
 	pass.run(all)
 	if len(urgent) > 0 {
