planner: moves ask ahead of work that waits only shortly before the end

Cause, suspected only: each query ahead of the pass takes a place from urgent work, also while there are seconds left to wait for one.

Change: moves ask ahead from 2 s and the time of a stop before the end on.

--- a/library/planner/moves.go
+++ b/library/planner/moves.go
@@ -19,6 +19,9 @@
 	// maxMoveQueries bounds the steps that have asked the policy for the sake of moves ahead of work that waits, which needs the
 	// places for queries too.
 	maxMoveQueries = 2
+	// askAheadTime is the time before a worker leaves, in addition to the time that a stop takes, from which on they do: earlier, there
+	// is time to wait for a free place.
+	askAheadTime = 2 * time.Second
 	// maxDrainMoves bounds the tasks that move at the same time, since a worker is kept free for each.
 	maxDrainMoves = 8
 	// moveMargin is how long a worker is kept free for a task that moves, in addition to the time that a stop takes: the request
@@ -183,15 +186,16 @@
 	})
 }
 
-// askForMoves asks the policy for permission for tasks on workers that leave, ahead of the work that waits: it would take each place
-// for a query as it becomes free.
+// askForMoves asks the policy for permission for tasks on workers that leave soon, ahead of the work that waits: it would take each
+// place for a query as it becomes free.
 func (pass *pass) askForMoves() {
 	asking := map[StepKey]bool{}
 	var silent []movableRun
 	for _, movableRun := range pass.planner.runsOnLeavingWorkers(pass.now) {
-		if len(movableRun.step.policy.open) > 0 {
+		switch timeLeft := movableRun.worker.timeUntilLeaving(pass.now) - pass.planner.Settings.MaxStopTime; {
+		case len(movableRun.step.policy.open) > 0:
 			asking[movableRun.step.key] = true
-		} else {
+		case timeLeft <= askAheadTime:
 			silent = append(silent, movableRun)
 		}
 	}
