--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -44,7 +44,7 @@
 
 	catalog      *Catalog
 	drainedZones map[string]bool // availability zones whose workers get no new runs
-	drainMoves   []drainMove     // standing tasks that leave these zones
+	drainMoves   []drainMove     // standing tasks that leave these zones, or draining workers
 	standbys     []standby       // standing tasks that start again soon
 	jobs         map[string]*jobEntry
 	scheduled    map[string]*jobEntry // jobs with occurrences that are not due yet
@@ -88,6 +88,7 @@
 	crashes              []CrashEvent
 	hedging              hedging
 	giveBacks            []GiveBack
+	moves                []Move
 	counts               workCounts
 }
 
--- a/library/planner/standby.go
+++ b/library/planner/standby.go
@@ -175,7 +175,7 @@
 	}
 	later := pass.atLeaseEnd(standby, queue)
 	if !later.suits(standby.target, step, queue) {
-		standby.target = later.chooseTarget(standby, step, queue)
+		standby.target = later.standbyTarget(standby, step, queue)
 	}
 	if standby.target == "" {
 		return
@@ -211,9 +211,9 @@
 	return workers
 }
 
-// chooseTarget returns the ID of the worker to keep free for a standby: the best one with room, or else the one with the largest
+// standbyTarget returns the ID of the worker to keep free for a standby: the best one with room, or else the one with the largest
 // free share, or an empty string if the policy allows none.
-func (pass *pass) chooseTarget(standby *standby, step *step, queue Queue) string {
+func (pass *pass) standbyTarget(standby *standby, step *step, queue Queue) string {
 	best, mostFree := "", ""
 	bestCost, largest := 0.0, -1.0
 	for _, worker := range pass.ticketed(step, queue) {
--- a/tests/fleet_lasting_test.go
+++ b/tests/fleet_lasting_test.go
@@ -1,6 +1,7 @@
 package tests
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -18,6 +19,11 @@
 	shortTerm = 500 * time.Millisecond
 	// silentTime is how long a decider is silent that is replaced meanwhile.
 	silentTime = 700 * time.Millisecond
+	// leavingNotice is the time between a worker's notice and its end.
+	leavingNotice = 6 * time.Second
+	// movedBound bounds how long a task is down that moves before its worker leaves: a stop, a policy query and a start, each of which
+	// takes well below a second.
+	movedBound = 2 * time.Second
 )
 
 // TestFleetLastingTasks guards against lasting tasks that stay down for too long after their worker has ended, because deciders end at
@@ -70,6 +76,37 @@
 			fleet.killHost(fleet.decidingHost())
 		})
 	})
+	// Guards against a worker that takes lasting tasks along although it has said in time that it leaves.
+	t.Run("announcedEnd", func(t *testing.T) {
+		runFleetWith(t, lastingHosts, func(fleet *fleet) { fleet.maxLease = longLease }, func(fleet *fleet) {
+			fleet.submitLasting()
+			time.Sleep(20 * time.Second)
+			fleet.endLastingWorkers(leavingNotice)
+			fleet.killHost(fleet.decidingHost())
+			time.Sleep(20 * time.Second)
+			fleet.assertLastingWithin(movedBound, 2)
+		})
+	})
+}
+
+// endLastingWorkers lets two workers that run lasting tasks announce their end and leave after a time.
+func (fleet *fleet) endLastingWorkers(notice time.Duration) {
+	var leaving []int
+	for number, worker := range fleet.workers {
+		runs := worker.History()
+		if len(leaving) < 2 && slices.ContainsFunc(runs, func(run emulator.RunRecord) bool { return jobOf(run.Task) == jobID(lastingJob) && run.Ended.IsZero() }) {
+			leaving = append(leaving, number)
+			worker.Drain(notice)
+			fleet.store.Register(worker, workerAddress(number), false)
+		}
+	}
+	time.Sleep(notice)
+	for _, number := range leaving {
+		worker := fleet.workers[number]
+		worker.Leave()
+		fleet.fabric.Kill(worker.ID)
+		fleet.store.Put(emulator.WorkersTopic, worker.ID, nil)
+	}
 }
 
 // TestFleetLastingTasksOfTwoHosts guards against a decider that waits for the quorum of a former one that can have none without it.
