--- a/library/planner/preempt.go
+++ b/library/planner/preempt.go
@@ -13,7 +13,7 @@
 	// reserveDelay is how long a step has to be blocked before a worker is reserved for it.
 	reserveDelay = 150 * time.Millisecond
 	// maxReserved limits the workers that are reserved in one pass. Those reserved by preemption are counted, but not
-	// limited; those reserved for tasks that leave drained zones and for standbys are not counted.
+	// limited; those reserved for tasks that move and for standbys are not counted.
 	maxReserved = 4
 	// reservedDivisor gives the part of a service's workers that may be reserved in one pass instead, if that is more: a
 	// quarter, so that most of the service always takes small tasks.
