--- a/library/planner/clock_test.go
+++ b/library/planner/clock_test.go
@@ -57,6 +57,19 @@
 		fleet.advance(time.Second)
 		fleet.wantRunning(2)
 	})
+	// Guards against a planner that takes what it knows of its predecessors along when it ends.
+	t.Run("termSettlesOnceTheFormerOnesAreKnownNotToRenew", func(t *testing.T) {
+		fleet := newFleet(t, testStart, 1)
+		fleet.planner.EndFormerRenewals(fleet.time().Add(time.Second))
+		fleet.advance(900 * time.Millisecond)
+		if _, stored := fleet.journal["settled"]; stored {
+			t.Error("the term settled too early")
+		}
+		fleet.advance(200 * time.Millisecond)
+		if _, stored := fleet.journal["settled"]; !stored {
+			t.Error("the term did not settle at the end of the renewals")
+		}
+	})
 	t.Run("termSettlesOnlyAfterTheFormerOnesMayNotRenew", func(t *testing.T) {
 		fleet := newFleet(t, testStart, 1)
 		fleet.advance(testSettings.FormerRenewalWindow - time.Second)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -303,4 +303,29 @@
 	speed.usual = min(speed.usual, speed.least)' ./daemon/scheduler 'TestSpeed/oneFastSecond'
 try 'odd entries: addresses' platform/translator/registration.go 'if ip := parsed.Addr(); parsed.Port() == 0 ||' 'if ip := parsed.Addr(); false ||' ./platform/translator 'TestOddWorkerEntry'
 try 'odd entries: elections' daemon/scheduler/fleet.go 'if election.Term > end {' 'if false {' ./tests 'TestFleetOddRecords'
+try 'takeovers: a term settles once its predecessors are known' library/planner/settled.go 'planner.now.After(planner.formerRenewalsEnd)' 'planner.now.Sub(planner.startedAt) > planner.Settings.FormerRenewalWindow' ./library/planner 'TestClocks'
+try 'takeovers: elections name the ones before them' daemon/scheduler/fleet.go '	}.withFormer(previous)' '	}
+	_ = previous' ./tests 'TestFleetLastingTasks'
+try 'takeovers: leases count from proofs' daemon/scheduler/quorum.go 'tenure.planner.SetLeaseBase(tenure.leaseBase(now))' 'tenure.planner.SetLeaseBase(now)' ./tests 'TestFleetRefusingCut'
+try 'takeovers: the time of a lease is read first' daemon/scheduler/quorum.go '	return now
+}
+
+// leaseBase' '	return time.Now()
+}
+
+// leaseBase' ./daemon/scheduler 'TestLeaseTime'
+try 'takeovers: refused connections prove nothing' daemon/scheduler/former.go '		return "", false
+	case answer.BootID' '		return groundGone, true
+	case answer.BootID' ./tests 'TestFleetRefusingCut'
+try 'takeovers: released leases stay released' daemon/scheduler/quorum.go 'if tenure.releasedLeases() {' 'if false {' ./daemon/scheduler 'TestReleasedLeases'
+try 'standbys: permission before the lease ends' library/planner/place.go '	pass.queryForStandbys()
+	pass.limitShares = false' '	pass.limitShares = false' ./library/planner 'TestStandby'
+try 'standbys: room is kept free' library/planner/standby.go '	pass.reserved[standby.target] = true' '' ./library/planner 'TestStandby'
+try 'moves: off workers that leave' library/planner/moves.go '	pass.moveSome(pass.planner.runsOnLeavingWorkers(pass.now), urgent)' '' ./library/planner 'TestEvacuateStanding'
+try 'moves: a target first' library/planner/moves.go '	if target == nil {' '	if false {' ./library/planner 'TestEvacuateStays'
+try 'policy queries: through hosts that are present' daemon/scheduler/balancer.go 'case balancer.tenure.quorum.includes(member.Name):' 'case true:' ./daemon/scheduler 'TestQueriesAvoidAbsentHosts'
+try 'crashing tasks: orders without an answer' library/planner/crashes.go 'unanswered: !run.answered}' 'unanswered: false}' ./library/planner 'TestCrashNeighbors'
+try 'duplicate runs: answers to polls overtake each other' library/planner/runs.go '		if !run.Confirmed {
+			run.Confirmed, run.ConfirmedAt, run.ProgressAt = true, now, now' '		if !run.Confirmed {
+			run.Confirmed, run.ConfirmedAt, run.ProgressAt = true, listing.SentAt, now' ./library/planner 'TestOverlappingPolls'
 exit $failed
--- a/tests/fleet_lasting_test.go
+++ b/tests/fleet_lasting_test.go
@@ -52,6 +52,17 @@
 			fleet.killHost(fleet.decidingHost())
 		})
 	})
+	// Guards against a decider that does not know of the decider before its predecessor, which ended before it could store anything.
+	t.Run("twoTakeoversAtOnce", func(t *testing.T) {
+		runLasting(t, func(fleet *fleet) {
+			ending := fleet.workers
+			fleet.replacements()
+			fleet.silenceDecider()
+			fleet.awaitDecider()
+			fleet.leaveNow(ending)
+			fleet.killHost(fleet.decidingHost())
+		})
+	})
 	// Guards against a decider that waits for the renewals of a predecessor that runs and answers, but no longer decides.
 	t.Run("deciderWakes", func(t *testing.T) {
 		runLasting(t, func(fleet *fleet) {
@@ -187,7 +198,12 @@
 func (fleet *fleet) endWorkers() {
 	ending := fleet.workers
 	fleet.replacements()
-	for _, worker := range ending {
+	fleet.leaveNow(ending)
+}
+
+// leaveNow ends workers for good and without notice.
+func (fleet *fleet) leaveNow(workers []*emulator.Worker) {
+	for _, worker := range workers {
 		worker.Leave()
 		fleet.fabric.Kill(worker.ID)
 	}
