scheduler: only members support a decider

What callers saw: nothing yet; found by a test. A lasting task could run twice.

Cause: a decider counted the support of hosts that are in no list of hosts, but took the majority over the list. A host whose registration takes effect late could thus give a decider that is cut off from the store a quorum that its successor does not know of.

Evidence: TestFleetUnregisteredHost: four tasks run twice.

Change: the heartbeats of unknown hosts count towards no quorum.

TestFleetUnregisteredHost: fails before, passes now; the tests of leases and of daemon/scheduler pass.

--- a/daemon/scheduler/heartbeat.go
+++ b/daemon/scheduler/heartbeat.go
@@ -98,7 +98,8 @@
 		StoreOutage: host.storeOutage(), CatalogVersion: host.catalogVersion(), Drains: host.reportedDrains(heartbeat.Drains != nil),
 	}
 	host.learnDrains(heartbeat.Drains)
-	if sender, known := host.fleet.member(heartbeat.Host); known {
+	sender, known := host.fleet.member(heartbeat.Host)
+	if known {
 		host.catalogFetcher.report(heartbeat.CatalogVersion, sender.Address)
 	}
 	if host.fleet.size() > heartbeat.KnownHosts {
@@ -110,7 +111,9 @@
 		if heartbeat.EchoMS > 0 {
 			echo = host.started.Add(time.Duration(heartbeat.EchoMS) * time.Millisecond)
 		}
-		tenure.quorum.recordHeartbeat(heartbeat, echo)
+		if known { // the quorum is counted over the members
+			tenure.quorum.recordHeartbeat(heartbeat, echo)
+		}
 	} else {
 		answer.LeaseTerm = leaseTerm
 	}
