scheduler: a former decider may know fewer hosts than its successor counts

What callers saw: nothing yet; found by a test. A lasting task could run twice.

Cause: since, half of the hosts count as enough to keep every former decider from a quorum. A decider that is cut off when a host registers counts its majority over one host less, so that its half and that of its successor need have no host in common.

Evidence: TestFleetUnknownHost, with one, three and five hosts: four tasks run twice.

A decider counts its own quorum over no fewer hosts than the record names.

TestFleetUnknownHost: fails before, passes now. TestFleetLastingTasks, of two hosts too: within 9 s as before.

--- a/daemon/scheduler/quorum.go
+++ b/daemon/scheduler/quorum.go
@@ -21,8 +21,7 @@
 type quorum struct {
 	mu         sync.Mutex
 	heartbeats map[string]receivedHeartbeat // the last one, by host
-	// blocksSince is when half of the hosts, this host included, first belonged to the quorum, zero before: no other decider has more
-	// than half of them from then on.
+	// blocksSince is since when no former decider can hold a quorum, zero before.
 	blocksSince time.Time
 }
 
@@ -103,30 +102,50 @@
 	return len(quorum.heartbeats) > 0
 }
 
-// isHeld reports whether more than half of the given number of hosts belong to the quorum, this host included, and records when half of
-// them first do.
+// isHeld reports whether more than half of the given number of hosts belong to the quorum, this host included.
 func (quorum *quorum) isHeld(hostCount int) bool {
 	quorum.mu.Lock()
 	defer quorum.mu.Unlock()
-	now := time.Now()
+	return 2*quorum.count(time.Now()) > hostCount
+}
+
+// count returns how many hosts belong to the quorum, this host included. The caller holds quorum.mu.
+func (quorum *quorum) count(now time.Time) int {
 	count := 1
 	for _, received := range quorum.heartbeats {
 		if now.Sub(received.at) <= heartbeatValidity {
 			count++
 		}
 	}
-	if 2*count >= hostCount && quorum.blocksSince.IsZero() {
+	return count
+}
+
+// blocks returns since when no former decider can hold a quorum, or zero, given the number of hosts and how many of them each former
+// decider knew at least, 0 if that is not known: those that do not support this term are too few for a quorum over as many. A former
+// decider may not know hosts that this one counts.
+func (quorum *quorum) blocks(hostCount, formerHostCount int) time.Time {
+	quorum.mu.Lock()
+	defer quorum.mu.Unlock()
+	now := time.Now()
+	count := quorum.count(now)
+	blocked := 2*(hostCount-count) <= formerHostCount
+	if formerHostCount == 0 {
+		blocked = 2*count > hostCount
+	}
+	if blocked && quorum.blocksSince.IsZero() {
 		quorum.blocksSince = now
 	}
-	return 2*count > hostCount
+	return quorum.blocksSince
+}
+
+// hostCount returns the number of hosts over which this tenure counts its quorum: not less than those before it did.
+func (tenure *tenure) hostCount() int {
+	return max(tenure.host.fleet.size(), int(tenure.formerHostCount.Load()))
 }
 
-// quorumSince returns since when no other decider can hold a quorum, or zero.
+// quorumSince returns since when no former decider can hold a quorum, or zero. The planner has to be restored.
 func (tenure *tenure) quorumSince() time.Time {
-	tenure.quorum.isHeld(tenure.host.fleet.size())
-	tenure.quorum.mu.Lock()
-	defer tenure.quorum.mu.Unlock()
-	return tenure.quorum.blocksSince
+	return tenure.quorum.blocks(tenure.hostCount(), int(tenure.formerHostCount.Load()))
 }
 
 // formerRenewalsEnd returns the time from which on no leases of former deciders count, given the times since which this tenure keeps others
@@ -156,7 +175,7 @@
 		return false
 	}
 	unconfirmed := tenure.host.uptime() - time.Duration(tenure.confirmedAt.Load())
-	return unconfirmed <= renewalWindow || unconfirmed <= quorumRenewalWindow && tenure.quorum.isHeld(tenure.host.fleet.size())
+	return unconfirmed <= renewalWindow || unconfirmed <= quorumRenewalWindow && tenure.quorum.isHeld(tenure.hostCount())
 }
 
 // releasedLeases reports whether this host has told a peer that it gives no leases in the tenure's term any more.
@@ -177,7 +196,7 @@
 // decider waits for one lease and no longer.
 func (tenure *tenure) leaseBase(now time.Time) time.Time {
 	base := tenure.host.started.Add(time.Duration(tenure.confirmedAt.Load()))
-	if supportedAt := tenure.quorum.supportedAt(tenure.host.fleet.size(), now); supportedAt.After(base) {
+	if supportedAt := tenure.quorum.supportedAt(tenure.hostCount(), now); supportedAt.After(base) {
 		base = supportedAt
 	}
 	return base
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -52,7 +52,8 @@
 	stored      chan struct{} // closed and replaced when a batch is stored
 	ready       chan struct{} // closed once the planner is restored
 
-	confirmedAt atomic.Int64 // uptime in nanoseconds of the last store call that showed no later decider
+	formerHostCount atomic.Int64 // planner.FormerHostCount, once it is restored
+	confirmedAt     atomic.Int64 // uptime in nanoseconds of the last store call that showed no later decider
 }
 
 // waiter is a call that waits until a batch is stored.
@@ -197,6 +198,7 @@
 	}
 	tenure.mu.Lock()
 	tenure.planner = restored
+	tenure.formerHostCount.Store(int64(restored.FormerHostCount()))
 	tenure.planner.SetDrainedZones(tenure.host.drains.Zones())
 	tenure.logFormerWait(groundWindow)
 	tenure.mu.Unlock()
@@ -249,6 +251,7 @@
 		window := tenure.former.window(tenure.planner.SettledTerm())
 		tenure.shortenFormerWait(formerRenewalsEnd(quorumSince, tenure.fencedAt, window), groundQuorum)
 	}
+	tenure.planner.SetHostCount(tenure.hostCount())
 	tenure.planner.SetSlots(slots)
 	limit := tenure.startWindow.Limit()
 	tenure.planner.SetStartLimit(planner.StartLimit{Available: limit - int(tenure.startsInFlight.Load())})
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -78,7 +78,7 @@
 
 // Dirty reports whether Take would return any record, effect or start.
 func (planner *Planner) Dirty() bool {
-	return len(planner.dirty) > 0 || len(planner.effects) > 0 || len(planner.starts) > 0 || len(planner.forgottenJobs) > 0 || len(planner.changedExpiries) > 0 || planner.settles()
+	return len(planner.dirty) > 0 || len(planner.effects) > 0 || len(planner.starts) > 0 || len(planner.forgottenJobs) > 0 || len(planner.changedExpiries) > 0 || planner.settles() || planner.hostCountGrew()
 }
 
 // Take returns the records to store next, and the effects and starts in the order of the events that caused them.
@@ -113,6 +113,7 @@
 	}
 	batch.Records = append(batch.Records, expiries...)
 	batch.Records = append(batch.Records, planner.settledRecord()...)
+	batch.Records = append(batch.Records, planner.hostCountRecord()...)
 	if err := planner.appendEstimates(&batch); err != nil {
 		return batch, err
 	}
@@ -244,6 +245,7 @@
 	planner.now = now
 	jobs := map[string]Job{}
 	planner.restoreSettledTerm(records)
+	planner.restoreHostCount(records)
 	undecodable := append(planner.restoreExpiries(records), planner.restoreEstimates(records)...)
 	for _, record := range records {
 		id, isJob := strings.CutPrefix(record.Key, jobPrefix)
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -81,6 +81,9 @@
 	leaseBase            time.Time // from when on leases count, zero for the time at which they are given
 	settled              bool      // whether the record of settledKey names this term
 	settledTerm          int64     // term in the record of settledKey, 0 without a record
+	hostCount            int       // of hosts that the decider knows
+	storedHostCount      int       // hostCount in the journal
+	formerHostCount      int       // hostCount in the journal when this planner began
 	hangsCheckedAt       time.Time // when the last search for hung runs took place
 	effects              []Effect
 	starts               []Start
--- a/library/planner/settled.go
+++ b/library/planner/settled.go
@@ -35,3 +35,40 @@
 // SettledTerm returns the latest term before this one whose planner knew that no planner of a lower term renews leases any
 // more, 0 if none is known.
 func (planner *Planner) SettledTerm() int64 { return planner.settledTerm }
+
+// hostCountKey is the key of the journal record that names how many hosts the planner's decider knows, over which it counts quorums: a
+// later decider may know more of them.
+const hostCountKey = "hosts"
+
+// SetHostCount sets how many hosts the decider knows, which never falls.
+func (planner *Planner) SetHostCount(count int) { planner.hostCount = max(planner.hostCount, count) }
+
+// FormerHostCount returns how many hosts each decider since the settled term knew at least, 0 if that is not known.
+func (planner *Planner) FormerHostCount() int { return planner.formerHostCount }
+
+// hostCountGrew reports whether the record of hostCountKey has to be written. Before the term has settled, an earlier decider that knows
+// fewer hosts may still give leases.
+func (planner *Planner) hostCountGrew() bool {
+	return planner.settled && planner.hostCount > planner.storedHostCount
+}
+
+// hostCountRecord returns the record of hostCountKey if it has to be written.
+func (planner *Planner) hostCountRecord() []Record {
+	if !planner.hostCountGrew() {
+		return nil
+	}
+	planner.storedHostCount = planner.hostCount
+	return []Record{{Key: hostCountKey, Value: strconv.AppendInt(nil, int64(planner.hostCount), 10)}}
+}
+
+// restoreHostCount restores the record of hostCountKey. One that does not decode counts as none.
+func (planner *Planner) restoreHostCount(records []Record) {
+	for _, record := range records {
+		if record.Key != hostCountKey {
+			continue
+		}
+		if count, err := strconv.Atoi(string(record.Value)); err == nil && count > 0 {
+			planner.hostCount, planner.storedHostCount, planner.formerHostCount = count, count, count
+		}
+	}
+}
