scheduler: an append confirms the term as of its beginning, not of the attempt that was answered

What callers saw: nothing yet; found by the review. A task could run twice.

Cause: each attempt at an append confirmed the term from its own sending. The store answers a repeat of one of the last five appends with its first answer again.

Change: a stored append confirms the term from when it began.

TestRepeatedAppendConfirms: confirmed at 20.9 ms with attempts at 0.8 and 21.5 ms before; before the first of them now.

--- a/daemon/scheduler/attempts.go
+++ b/daemon/scheduler/attempts.go
@@ -14,6 +14,7 @@
 	ctx      context.Context
 	sequence int64
 	entries  []translator.Entry
+	begunAt  time.Duration // uptime of the host when the append began
 	started  int
 	inFlight int
 	// rejectedEarly is set when the store rejects an attempt because the preceding append is not stored yet. The attempt
@@ -51,7 +52,7 @@
 		attempts.directInFlight++
 	}
 	go func() {
-		err := attempts.journal.attemptAppend(attempts.ctx, peer, relayed, attempts.sequence, attempts.entries)
+		err := attempts.journal.attemptAppend(attempts, peer, relayed)
 		attempts.results <- attemptResult{relayed, err}
 	}()
 }
--- a/daemon/scheduler/journal.go
+++ b/daemon/scheduler/journal.go
@@ -266,7 +266,10 @@
 // further attempts are made.
 func (journal *journal) append(sequence int64, entries []translator.Entry) error {
 	ctx, cancel := context.WithTimeout(journal.tenure.ctx, appendTimeout)
-	attempts := &attempts{journal: journal, ctx: ctx, sequence: sequence, entries: entries, results: make(chan attemptResult, maxAttemptsInFlight)}
+	attempts := &attempts{
+		journal: journal, ctx: ctx, sequence: sequence, entries: entries, begunAt: journal.tenure.host.uptime(),
+		results: make(chan attemptResult, maxAttemptsInFlight),
+	}
 	err := journal.attemptUntilStored(attempts)
 	if err != nil {
 		cancel()
@@ -332,9 +335,10 @@
 	return journal.storedThrough >= sequence-1, journal.advanced
 }
 
-// attemptAppend makes one attempt at an append, through a peer if relayed is set, or else directly.
-func (journal *journal) attemptAppend(ctx context.Context, peer Member, relayed bool, sequence int64, entries []translator.Entry) error {
-	tenure := journal.tenure
+// attemptAppend makes one attempt at an append, through a peer if relayed is set, or else directly. Its success shows that there was no
+// later decider when the append began, and no more: the store may repeat the answer to an earlier attempt.
+func (journal *journal) attemptAppend(attempts *attempts, peer Member, relayed bool) error {
+	tenure, ctx, sequence, entries := journal.tenure, attempts.ctx, attempts.sequence, attempts.entries
 	sentAt := tenure.host.uptime()
 	tenure.meter.appendAttempts.Add(1)
 	tenure.meter.appendedBytes.Add(int64(sizeOf(entries)))
@@ -363,7 +367,7 @@
 		tenure.host.recordStoreAnswer()
 		journal.route.recordDirect()
 	}
-	tenure.confirmTerm(sentAt)
+	tenure.confirmTerm(attempts.begunAt)
 	journal.failingSince.Store(0)
 	journal.advance(sequence)
 	return nil
--- a/tests/fleet_lasting_test.go
+++ b/tests/fleet_lasting_test.go
@@ -19,6 +19,8 @@
 	shortTerm = 500 * time.Millisecond
 	// silentTime is how long a decider is silent that is replaced meanwhile.
 	silentTime = 700 * time.Millisecond
+	// unansweredTime is how long a worker does not answer before its decider is lost as well.
+	unansweredTime = 900 * time.Millisecond
 	// leavingNotice is the time between a worker's notice and its end.
 	leavingNotice = 6 * time.Second
 	// movedBound bounds how long a task is down that moves before its worker leaves: a stop, a policy query and a start, each of which
@@ -80,6 +82,14 @@
 			fleet.silenceDecider()
 		})
 	})
+	// Guards against waits that add up: the worker does not answer for nearly as long as it takes to record that, then its decider is silent.
+	t.Run("silentDeciderLater", func(t *testing.T) {
+		runLasting(t, func(fleet *fleet) {
+			fleet.endWorkers()
+			time.Sleep(unansweredTime)
+			fleet.silenceDecider()
+		})
+	})
 	// Guards against a decider that waits for renewals although its predecessor has ended.
 	t.Run("firstTakeover", func(t *testing.T) {
 		runLasting(t, func(fleet *fleet) {
