Reproduce: three planned stops of deciders keep lasting tasks down for 10.2 s

TestFleetLastingTasks/plannedStops: workers end, then the decider is stopped as by SIGTERM every 0.9 s, before it has recorded when the leases expire.

--- a/tests/fleet_lasting_test.go
+++ b/tests/fleet_lasting_test.go
@@ -21,6 +21,8 @@
 	silentTime = 700 * time.Millisecond
 	// unansweredTime is how long a worker does not answer before its decider is lost as well.
 	unansweredTime = 900 * time.Millisecond
+	// plannedStops is the number of deciders that are stopped one after the other.
+	plannedStops = 3
 	// leavingNotice is the time between a worker's notice and its end.
 	leavingNotice = 6 * time.Second
 	// movedBound bounds how long a task is down that moves before its worker leaves: a stop, a policy query and a start, each of which
@@ -97,6 +99,17 @@
 			fleet.killHost(fleet.decidingHost())
 		})
 	})
+	// Guards against planned stops that each cost a lease: the next decider waited for leases that its predecessor could name.
+	t.Run("plannedStops", func(t *testing.T) {
+		runLasting(t, func(fleet *fleet) {
+			fleet.endWorkers()
+			for range plannedStops {
+				time.Sleep(unansweredTime)
+				fleet.stopHost(fleet.decidingHost())
+				fleet.awaitDecider()
+			}
+		})
+	})
 	// Guards against a worker that takes lasting tasks along although it has said in time that it leaves.
 	t.Run("announcedEnd", func(t *testing.T) {
 		runFleetWith(t, lastingHosts, func(fleet *fleet) { fleet.maxLease = longLease }, func(fleet *fleet) {
@@ -219,6 +232,12 @@
 	}
 }
 
+// stopHost ends a host as SIGTERM does.
+func (fleet *fleet) stopHost(name string) {
+	fleet.hosts[name].Shutdown(fleet.Context())
+	delete(fleet.hosts, name)
+}
+
 // restartHost ends a host that is silent or runs, and starts it as a new process.
 func (fleet *fleet) restartHost(name string) {
 	fleet.Helper()
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -118,8 +118,7 @@
 	}},
 	{"deciderStops", func(fleet *fleet) func() {
 		name := fleet.decidingHost()
-		fleet.hosts[name].Shutdown(fleet.Context())
-		delete(fleet.hosts, name)
+		fleet.stopHost(name)
 		return func() { fleet.startHost(name) }
 	}},
 	{"allHostsKilled", func(fleet *fleet) func() {
