--- a/library/planner/handover_test.go
+++ b/library/planner/handover_test.go
@@ -56,7 +56,7 @@
 		fleet.flush(9)
 		fleet.wantRunning(1)
 	})
-	t.Run("cancelledHandover", func(t *testing.T) {
+	t.Run("canceledHandover", func(t *testing.T) {
 		fleet, worker := newFleetWithStandingTask(t)
 		fleet.beginHandover()
 		fleet.planner.CancelHandover()
@@ -68,7 +68,7 @@
 			fleet.advance(100 * time.Millisecond)
 		}
 		if len(fleet.orders) != 1 {
-			t.Errorf("%d orders, want 1: the lease was renewed after the handover was cancelled", len(fleet.orders))
+			t.Errorf("%d orders, want 1: the lease was renewed after the handover was canceled", len(fleet.orders))
 		}
 	})
 }
