--- a/tests/fleet_lasting_test.go
+++ b/tests/fleet_lasting_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -110,6 +111,22 @@
 			}
 		})
 	})
+	// Guards against a wait for a quorum that the hosts that were not stopped cannot form.
+	t.Run("mostHostsStop", func(t *testing.T) {
+		runLasting(t, func(fleet *fleet) {
+			fleet.endWorkers()
+			time.Sleep(unansweredTime)
+			fleet.stopHosts(fleet.hostNames[1:])
+		})
+	})
+	// Guards against a decider that is stopped before it has read the journal, and tells nothing of what its predecessor told.
+	t.Run("plannedStopsAtOnce", func(t *testing.T) {
+		runLasting(t, func(fleet *fleet) {
+			fleet.endWorkers()
+			time.Sleep(unansweredTime)
+			fleet.stopAtElections(slices.Sorted(slices.Values(fleet.hostNames))[:plannedStops])
+		})
+	})
 	// Guards against a worker that takes lasting tasks along although it has said in time that it leaves.
 	t.Run("announcedEnd", func(t *testing.T) {
 		runFleetWith(t, lastingHosts, func(fleet *fleet) { fleet.maxLease = longLease }, func(fleet *fleet) {
@@ -265,6 +282,34 @@
 	delete(fleet.hosts, name)
 }
 
+// stopHosts ends hosts at the same time as SIGTERM does.
+func (fleet *fleet) stopHosts(names []string) {
+	var stopping sync.WaitGroup
+	for _, name := range names {
+		stopping.Go(func() { fleet.hosts[name].Shutdown(fleet.Context()) })
+	}
+	stopping.Wait()
+	for _, name := range names {
+		delete(fleet.hosts, name)
+	}
+}
+
+// stopAtElections stops the decider and then the hosts that follow it, each as soon as it is elected.
+func (fleet *fleet) stopAtElections(names []string) {
+	var stopping sync.WaitGroup
+	for _, name := range names {
+		elections := fleet.elections()
+		stopping.Go(func() { fleet.hosts[name].Shutdown(fleet.Context()) })
+		for fleet.elections() == elections {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	stopping.Wait()
+	for _, name := range names {
+		delete(fleet.hosts, name)
+	}
+}
+
 // restartHost ends a host that is silent or runs, and starts it as a new process.
 func (fleet *fleet) restartHost(name string) {
 	fleet.Helper()
