blamer: the blame for crashes and failures leaves the planner

The tests of crashes and suspects play whole fleets and stay in the planner; blamer gets tests of its rules, TestOddJournalRecord three records with counts and lost runs out of range.

Measured: a record with all fields, written by the code before (a trial, not kept), is the text that TestRecords compares with. TestOddJournalRecord passes on the code before too.

--- a/library/planner/crashes.go
+++ b/library/planner/crashes.go
@@ -1,35 +1,9 @@
 package planner
 
-import (
-	"slices"
-	"time"
-)
+import "ebonyshunt.org/library/blamer"
 
-// A task may crash every worker that starts it. A crash is certain only once the worker is back as another incarnation,
-// or its machine as another worker. It counts against all tasks whose runs were lost in it, since nothing tells which of
-// them caused it. These suspects start again apart from each other (see quarantine.go), so that the next crash tells more.
-
-const (
-	// maxCrashes is the number of crashes of workers under a task after which it is given up.
-	maxCrashes = 3
-	// maxCrashesAlone is the same number if nothing else ran on the worker that crashed last.
-	maxCrashesAlone = 2
-	// maxUnansweredCrashes is the same number if crashes of workers that did not answer the task's order count too: such a worker may
-	// have crashed before the order arrived.
-	maxUnansweredCrashes = 5
-	// soundRunTime is the run time of a standing task after which a crash of its worker is no evidence against it.
-	soundRunTime = 30 * time.Second
-)
-
-// lostRun is a run that was on a worker that fell silent or crashed.
-type lostRun struct {
-	worker      string
-	incarnation int64 // Run.Incarnation
-	number      int
-	alone       bool // whether no run of another step, or of another task that is not in the same gang, was on the worker
-	unanswered  bool // whether the worker did not answer the order, and may never have had the run
-	sound       bool // whether its task is standing and had run for soundRunTime
-}
+// The rules about crashes of workers are in package blamer. Here is which runs were lost on which worker, and which workers
+// have crashed.
 
 // CrashEvent describes the crash of a worker, for logs.
 type CrashEvent struct {
@@ -57,8 +31,7 @@
 	highest := 0
 	suspects := step.suspects(index)
 	for position := range suspects {
-		answered, unanswered := suspects[position].crashCounts()
-		highest = max(highest, answered+unanswered)
+		highest = max(highest, suspects[position].evidence.Suspicion())
 	}
 	return highest
 }
@@ -71,20 +44,6 @@
 	return step.tasks[index : index+1]
 }
 
-// crashCounts returns the numbers of crashes that count against a task, or may do so: those of workers that answered the task's order,
-// and those of the others.
-func (task *task) crashCounts() (answered, unanswered int) {
-	answered, unanswered = task.crashes, task.unansweredCrashes
-	for _, lost := range task.lost {
-		if lost.unanswered {
-			unanswered++
-		} else {
-			answered++
-		}
-	}
-	return answered, unanswered
-}
-
 // markLosses notes what a worker ran when it fell silent or crashed. A worker that is draining leaves as planned.
 func (planner *Planner) markLosses(worker *Worker) {
 	if worker.Draining {
@@ -97,16 +56,16 @@
 	}
 }
 
-func (planner *Planner) lossOf(worker *Worker, run *Run) *lostRun {
-	loss := &lostRun{worker: worker.ID, incarnation: run.Incarnation, number: run.Number, alone: true, unanswered: !run.answered}
+func (planner *Planner) lossOf(worker *Worker, run *Run) *blamer.Loss {
+	loss := &blamer.Loss{Worker: worker.ID, Incarnation: run.Incarnation, Number: run.Number, Alone: true, Unanswered: !run.answered}
 	step := planner.steps[run.Key.step()]
 	if step != nil && step.Standing && run.Confirmed {
-		loss.sound = worker.AnsweredAt.Sub(run.ConfirmedAt) >= soundRunTime
+		loss.Sound = blamer.Sound(worker.AnsweredAt.Sub(run.ConfirmedAt))
 	}
 	for _, other := range worker.Runs {
 		sameGang := step != nil && step.Gang && other.Key.step() == run.Key.step()
 		if other != run && other.Sent && !sameGang {
-			loss.alone = false
+			loss.Alone = false
 		}
 	}
 	return loss
@@ -122,8 +81,8 @@
 	case EndedCrashed:
 		planner.countCrash(step, run.Key, *run.loss)
 	case Vanished:
-		task, worker := &step.tasks[run.Key.Index], planner.ensureWorker(run.Worker)
-		task.lost = append(task.lost, *run.loss)
+		evidence, worker := &step.tasks[run.Key.Index].evidence, planner.ensureWorker(run.Worker)
+		evidence.Lost = append(evidence.Lost, *run.loss)
 		worker.lostTasks = append(worker.lostTasks, run.Key)
 		step.suspected = true
 	case EndedDone, EndedFailed, EndedStopped, EndedLeaseExpired, EndedGangBroken, EndedGangIncomplete, NeverRan:
@@ -132,36 +91,26 @@
 
 // countCrash counts a crash against a task, and gives the task up if that is enough: its job has then failed. The crashes under
 // different tasks of a gang are not added up: each of these workers may have crashed by itself.
-func (planner *Planner) countCrash(step *step, key TaskKey, loss lostRun) {
+func (planner *Planner) countCrash(step *step, key TaskKey, loss blamer.Loss) {
 	task := &step.tasks[key.Index]
 	if step.job.state.Final() || task.done {
 		return
 	}
 	planner.markDirty(step.job)
-	if loss.sound {
-		task.crashes, task.unansweredCrashes = 0, 0
+	verdict := task.evidence.Count(loss)
+	if verdict == blamer.Cleared {
 		return
 	}
 	step.suspected = true
-	if loss.unanswered {
-		task.unansweredCrashes++
-	} else {
-		task.crashes++
-	}
-	givenUp := givesUp(task.crashes, task.unansweredCrashes) || loss.alone && !loss.unanswered && task.crashes >= maxCrashesAlone
-	planner.recordSuspect(loss.worker, Suspect{
-		Task: key, Number: loss.number, Crashes: task.crashes, Unanswered: task.unansweredCrashes, Alone: loss.alone, GivenUp: givenUp,
+	planner.recordSuspect(loss.Worker, Suspect{
+		Task: key, Number: loss.Number, Crashes: task.evidence.Crashes, Unanswered: task.evidence.Unanswered, Alone: loss.Alone,
+		GivenUp: verdict == blamer.GivenUp,
 	})
-	if givenUp {
+	if verdict == blamer.GivenUp {
 		planner.finishJob(step.job, Failed, planner.now)
 	}
 }
 
-// givesUp reports whether crashes are enough to give a task up, whatever else ran on the workers.
-func givesUp(answered, unanswered int) bool {
-	return answered >= maxCrashes || answered+unanswered >= maxUnansweredCrashes
-}
-
 // recordSuspect adds a suspect to the event of its worker's crash.
 func (planner *Planner) recordSuspect(worker string, suspect Suspect) {
 	for index := range planner.crashes {
@@ -174,7 +123,7 @@
 }
 
 // resolveLosses decides about the runs that were lost on a worker, now that it is known whether it crashed.
-func (planner *Planner) resolveLosses(worker *Worker, crashed func(lostRun) bool) {
+func (planner *Planner) resolveLosses(worker *Worker, crashed func(blamer.Loss) bool) {
 	keys := worker.lostTasks
 	worker.lostTasks = nil
 	for _, key := range keys {
@@ -182,13 +131,7 @@
 		if step == nil || key.Index >= len(step.tasks) {
 			continue
 		}
-		task := &step.tasks[key.Index]
-		resolved := slices.Clone(task.lost)
-		task.lost = slices.DeleteFunc(task.lost, func(lost lostRun) bool { return lost.worker == worker.ID })
-		for _, lost := range resolved {
-			if lost.worker != worker.ID {
-				continue
-			}
+		for _, lost := range step.tasks[key.Index].evidence.TakeLost(worker.ID) {
 			planner.markDirty(step.job)
 			if crashed(lost) {
 				planner.countCrash(step, key, lost)
@@ -201,8 +144,8 @@
 func (planner *Planner) resolveAnswered(worker *Worker) {
 	worker.replaced = false
 	if len(worker.lostTasks) > 0 {
-		planner.resolveLosses(worker, func(lost lostRun) bool {
-			return lost.incarnation != 0 && worker.Incarnation != 0 && lost.incarnation != worker.Incarnation
+		planner.resolveLosses(worker, func(lost blamer.Loss) bool {
+			return blamer.Restarted(lost.Incarnation, worker.Incarnation)
 		})
 	}
 }
@@ -212,30 +155,21 @@
 func (planner *Planner) resolveGone(worker *Worker) {
 	for _, key := range worker.lostTasks {
 		if step := planner.steps[key.step()]; step != nil && key.Index < len(step.tasks) {
-			step.tasks[key.Index].weakenLosses(worker.ID)
+			step.tasks[key.Index].evidence.Weaken(worker.ID)
 		}
 	}
 	planner.resolveReplaced(worker)
 }
 
-// weakenLosses marks the runs of a task that were lost on a worker as not alone there.
-func (task *task) weakenLosses(worker string) {
-	for index := range task.lost {
-		if task.lost[index].worker == worker {
-			task.lost[index].alone = false
-		}
-	}
-}
-
 // resolveReplaced counts the lost runs of a worker whose machine is back as another worker.
 func (planner *Planner) resolveReplaced(worker *Worker) {
-	planner.resolveLosses(worker, func(lostRun) bool { return true })
+	planner.resolveLosses(worker, func(blamer.Loss) bool { return true })
 }
 
 // markEarlierIncarnation notes which runs of a worker were placed on an incarnation before the one that answers.
 func (planner *Planner) markEarlierIncarnation(worker *Worker) {
 	for _, run := range worker.Runs {
-		if run.Sent && run.loss == nil && run.Incarnation != 0 && worker.Incarnation != 0 && run.Incarnation != worker.Incarnation {
+		if run.Sent && run.loss == nil && blamer.Restarted(run.Incarnation, worker.Incarnation) {
 			run.loss = planner.lossOf(worker, run)
 		}
 	}
--- a/library/planner/explain.go
+++ b/library/planner/explain.go
@@ -72,7 +72,7 @@
 		return "label"
 	case !step.chargedSize().Fits(worker.Capacity):
 		return "tooSmall"
-	case !worker.health.usable(pass.now):
+	case !worker.health.Usable(pass.now):
 		return "barred"
 	case !pass.planner.acceptsRuns(worker, pass.now):
 		return "unanswered"
@@ -89,7 +89,7 @@
 		return "cold"
 	case !pass.planner.belowWorkerLimit(step, worker, 0):
 		return "apart"
-	case worker.isolated(pass.now):
+	case worker.isolation.FromRuns(pass.now):
 		return "isolated"
 	case step.disturbedOn(worker):
 		return "disturbed"
--- a/library/planner/health.go
+++ b/library/planner/health.go
@@ -1,59 +1,24 @@
 package planner
 
-import "time"
+import (
+	"time"
 
-// health is the state of a worker as derived from the outcomes of its runs and orders. A barred worker gets no new
-// runs for a time.
+	"ebonyshunt.org/library/blamer"
+)
+
+// health is the state of a worker as derived from the outcomes of its runs and orders.
 type health struct {
-	failedJobs  map[string]bool // IDs of the jobs with failed runs since the last success
-	barredUntil time.Time
-	barTime     time.Duration // duration of the last bar for failures, 0 after a success
-	slowness    float64       // run times as a multiple of the average of other workers, 0 while unknown
-	speedRuns   int           // number of runs that slowness was learned from, counted with Settings.LearnRunTimes
+	blamer.Bar
+	slowness  float64 // run times as a multiple of the average of other workers, 0 while unknown
+	speedRuns int     // number of runs that slowness was learned from, counted with Settings.LearnRunTimes
 }
 
 const (
-	failuresToBar  = 3                      // failed jobs without a success in between that bar a worker
-	minBarTime     = 2 * time.Second        // duration of the first bar for failures; each further one lasts twice as long
-	maxBarTime     = 16 * time.Second       // maximum duration of a bar for failures
-	refusalBarTime = 200 * time.Millisecond // duration of a bar for a refused order
-	slownessWeight = 0.2                    // weight of the latest run in the moving average of a worker
-	ratioWeight    = 0.1                    // weight of the latest run in the moving average of a queue
-	minRatio       = 0.02                   // minimum ratio of a run time to its estimate in that average
+	slownessWeight = 0.2  // weight of the latest run in the moving average of a worker
+	ratioWeight    = 0.1  // weight of the latest run in the moving average of a queue
+	minRatio       = 0.02 // minimum ratio of a run time to its estimate in that average
 )
 
-// usable reports whether the worker is not barred.
-func (health *health) usable(now time.Time) bool { return !now.Before(health.barredUntil) }
-
-// recordFailure records a failed run of a job, and bars the worker once failuresToBar different jobs have failed on it
-// without a success.
-func (health *health) recordFailure(job string, now time.Time) {
-	if health.failedJobs == nil {
-		health.failedJobs = map[string]bool{}
-	}
-	health.failedJobs[job] = true
-	if len(health.failedJobs) < failuresToBar {
-		return
-	}
-	health.barTime = min(max(2*health.barTime, minBarTime), maxBarTime)
-	health.barredUntil = now.Add(health.barTime)
-	clear(health.failedJobs)
-	health.failedJobs[job] = true
-}
-
-// recordRefusal bars the worker for refusalBarTime because it did not accept an order.
-func (health *health) recordRefusal(now time.Time) {
-	if until := now.Add(refusalBarTime); until.After(health.barredUntil) {
-		health.barredUntil = until
-	}
-}
-
-// recordSuccess resets the counts of failures and the duration of the next bar.
-func (health *health) recordSuccess() {
-	clear(health.failedJobs)
-	health.barTime = 0
-}
-
 // queueStats holds moving averages of a queue.
 type queueStats struct {
 	ratio        float64 // run times of its tasks, as a multiple of their estimates
@@ -76,11 +41,11 @@
 	worker := planner.ensureWorker(run.Worker)
 	switch ending {
 	case EndedDone:
-		worker.health.recordSuccess()
+		worker.health.RecordSuccess()
 		planner.recordRunTime(step, worker, run, now)
 	case EndedFailed:
 		if !step.Standing {
-			worker.health.recordFailure(run.Key.Job, now)
+			worker.health.RecordFailure(run.Key.Job, now)
 		}
 	case EndedStopped:
 		planner.recordStopTime(step, run, now)
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"ebonyshunt.org/library/blamer"
 )
 
 // The journal holds two records for each job: the job as submitted, which is deleted once the job has ended, and its
@@ -46,10 +48,7 @@
 	Failures    []int          `json:"failures,omitempty"`
 	Checkpoints map[int]string `json:"checkpoints,omitempty"`
 	Open        []OpenRun      `json:"open,omitempty"`
-	Crashes     map[int]int    `json:"crashes,omitempty"` // numbers of crashes that count against tasks, by task index
-	Lost        []LostRun      `json:"lost,omitempty"`
-	// Unanswered holds the numbers of crashes of workers that did not answer the order, by task index.
-	Unanswered map[int]int `json:"unanswered,omitempty"`
+	blamer.Records
 }
 
 // OpenRun is a run that may exist.
--- a/library/planner/journal_check.go
+++ b/library/planner/journal_check.go
@@ -34,16 +34,8 @@
 
 // invalid reports whether an index, the number of a run, or a count is out of range.
 func (stepProgress StepProgress) invalid() bool {
-	for _, counts := range []map[int]int{stepProgress.Crashes, stepProgress.Unanswered} {
-		for index, crashes := range counts {
-			if !validNumbers(index, crashes) {
-				return true
-			}
-		}
-	}
-	return !validNumbers(stepProgress.Numbers...) || !validNumbers(stepProgress.Failures...) ||
-		slices.ContainsFunc(stepProgress.Open, func(open OpenRun) bool { return !validNumbers(open.Index, open.Number) }) ||
-		slices.ContainsFunc(stepProgress.Lost, func(lost LostRun) bool { return !validNumbers(lost.Index, lost.Number) })
+	return !stepProgress.Valid(maxStoredNumber) || !validNumbers(stepProgress.Numbers...) || !validNumbers(stepProgress.Failures...) ||
+		slices.ContainsFunc(stepProgress.Open, func(open OpenRun) bool { return !validNumbers(open.Index, open.Number) })
 }
 
 // validNumbers reports whether all numbers are from 0 to maxStoredNumber.
--- a/library/planner/place.go
+++ b/library/planner/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"ebonyshunt.org/library/blamer"
 	"ebonyshunt.org/library/sizer"
 )
 
@@ -223,7 +224,7 @@
 // which have no runs yet.
 func (pass *pass) eligible(step *step, queue Queue, worker *Worker, assigned int) bool {
 	planner := pass.planner
-	if !worker.hasLabel(step.Label) || pass.reserved[worker.ID] || worker.isolated(pass.now) {
+	if !worker.hasLabel(step.Label) || pass.reserved[worker.ID] || worker.isolation.FromRuns(pass.now) {
 		return false
 	}
 	if !step.chargedSize().Mul(int64(assigned+1)).Fits(worker.Free()) || !planner.belowWorkerLimit(step, worker, assigned) {
@@ -246,7 +247,7 @@
 // acceptsRuns reports whether a worker may get new runs: it may be given a lease, lists no unknown runs, has
 // answered recently enough, and is not barred.
 func (planner *Planner) acceptsRuns(worker *Worker, now time.Time) bool {
-	return planner.leasable(worker) && worker.unknownRuns == 0 && (worker.answeredRecently(now) || worker.idleWithinLimit(now)) && worker.health.usable(now)
+	return planner.leasable(worker) && worker.unknownRuns == 0 && (worker.answeredRecently(now) || worker.idleWithinLimit(now)) && worker.health.Usable(now)
 }
 
 // belowWorkerLimit reports whether a worker may get one more task of the step under Step.MaxPerWorker, in addition
@@ -301,7 +302,7 @@
 		cost += coldCost
 	}
 	if step.Gang && step.suspicion(0) > 0 {
-		cost += worker.neighborCost()
+		cost += blamer.NeighborCost(len(worker.Runs))
 	}
 	cost += pass.reservedCost(worker)
 	if task != nil {
--- a/library/planner/plan.go
+++ b/library/planner/plan.go
@@ -153,7 +153,7 @@
 			planner.observeRunning(worker, run, now)
 			if planner.hangs(run, now) {
 				planner.countHang(run)
-				worker.health.recordFailure(run.Key.Job, now)
+				worker.health.RecordFailure(run.Key.Job, now)
 				planner.stopRun(run, now)
 			}
 		}
--- a/library/planner/quarantine.go
+++ b/library/planner/quarantine.go
@@ -3,56 +3,33 @@
 import (
 	"slices"
 	"time"
-)
 
-const (
-	// suspectTime is how long after its start a run of a suspect is kept apart from others.
-	suspectTime = time.Second
-	// maxIsolationWait is how long a step waits for workers without suspects before its suspects start beside others.
-	maxIsolationWait = time.Second
-	// isolatedFrom is the suspicion from which on a task's worker takes no other runs for suspectTime.
-	isolatedFrom = 2
-	// neighborCost is added to the cost of a worker for a suspect, for each run that the next crash would take along.
-	neighborCost = 0.5
+	"ebonyshunt.org/library/blamer"
 )
 
-// hasSuspectBeside reports whether a run of a suspect of another job started on the worker less than suspectTime ago. Suspects
-// of one job are not kept apart: a crash under any of them counts against this job alone.
+// hasSuspectBeside reports whether a run of a suspect of another job is on trial on the worker. Suspects of one job are not
+// kept apart: a crash under any of them counts against this job alone.
 func (worker *Worker) hasSuspectBeside(job string, now time.Time) bool {
-	if !now.Before(worker.suspectUntil) {
+	if !worker.isolation.FromSuspects(now) {
 		return false
 	}
 	for key, run := range worker.Runs {
-		if key.Job != job && run.Suspicion > 0 && now.Before(run.OrderedAt.Add(suspectTime)) {
+		if key.Job != job && blamer.OnTrial(run.Suspicion, run.OrderedAt, now) {
 			return true
 		}
 	}
 	return false
 }
 
-// isolated reports whether the worker takes no runs beside the suspect that it has.
-func (worker *Worker) isolated(now time.Time) bool { return now.Before(worker.isolatedUntil) }
-
 // beginTrial keeps other suspects, or all other runs, off a worker that gets a run of a suspect.
-func (worker *Worker) beginTrial(run *Run) {
-	if run.Suspicion == 0 {
-		return
-	}
-	until := run.OrderedAt.Add(suspectTime)
-	if until.After(worker.suspectUntil) {
-		worker.suspectUntil = until
-	}
-	if run.Suspicion >= isolatedFrom && until.After(worker.isolatedUntil) {
-		worker.isolatedUntil = until
-	}
-}
+func (worker *Worker) beginTrial(run *Run) { worker.isolation.Begin(run.Suspicion, run.OrderedAt) }
 
 // endTrial undoes beginTrial for a run that was removed. Other suspects on the worker are kept apart as before.
 func (worker *Worker) endTrial(run *Run) {
 	if run.Suspicion == 0 {
 		return
 	}
-	worker.suspectUntil, worker.isolatedUntil = time.Time{}, time.Time{}
+	worker.isolation = blamer.Isolation{}
 	for _, other := range worker.Runs {
 		worker.beginTrial(other)
 	}
@@ -62,7 +39,7 @@
 // all of them had crashed.
 func (step *step) held(index int) bool {
 	suspects := step.suspects(index)
-	return step.suspected && slices.ContainsFunc(suspects, func(task task) bool { return givesUp(task.crashCounts()) })
+	return step.suspected && slices.ContainsFunc(suspects, func(task task) bool { return task.evidence.Holds() })
 }
 
 // sortWaiting puts the suspects among the waiting tasks last, so that the others do not wait for them.
@@ -77,7 +54,7 @@
 
 // mayJoinSuspects reports whether a step has waited so long that its suspects may start beside others.
 func (pass *pass) mayJoinSuspects(step *step) bool {
-	return !step.blockedSince.IsZero() && pass.now.Sub(step.blockedSince) >= maxIsolationWait
+	return !step.blockedSince.IsZero() && pass.now.Sub(step.blockedSince) >= blamer.MaxIsolationWait
 }
 
 // placeSuspects starts the waiting tasks of a step, all of which are suspects, as far as there are workers for them.
@@ -132,7 +109,7 @@
 		if !pass.eligible(step, queue, worker, 0) {
 			continue
 		}
-		cost := pass.cost(step, queue, &step.tasks[index], worker, 0) + worker.neighborCost()
+		cost := pass.cost(step, queue, &step.tasks[index], worker, 0) + blamer.NeighborCost(len(worker.Runs))
 		if best == nil || cost < bestCost {
 			best, bestCost = worker, cost
 		}
@@ -140,9 +117,6 @@
 	return best
 }
 
-// neighborCost returns the part of a worker's cost for a suspect that depends on the runs beside it.
-func (worker *Worker) neighborCost() float64 { return neighborCost * float64(len(worker.Runs)) }
-
 // withoutSuspects returns the workers on which the suspects of a step may start.
 func (pass *pass) withoutSuspects(step *step, workers []*Worker) []*Worker {
 	if pass.mayJoinSuspects(step) {
--- a/library/planner/runs.go
+++ b/library/planner/runs.go
@@ -74,7 +74,7 @@
 		planner.closeRun(step, run, NeverRan, "", now)
 	case NotSent, RefusedFence, RefusedExpired, RefusedCapacity:
 		if outcome != RefusedFence {
-			worker.health.recordRefusal(now)
+			worker.health.RecordRefusal(now)
 		}
 		planner.closeRun(step, run, NeverRan, "", now)
 	}
--- a/library/planner/standby.go
+++ b/library/planner/standby.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"ebonyshunt.org/library/blamer"
 	"ebonyshunt.org/library/sizer"
 )
 
@@ -144,7 +145,7 @@
 // restartsSoon reports whether a run is that of a standing task that starts elsewhere at expiresAt, which is soon.
 func (pass *pass) restartsSoon(run *Run, expiresAt time.Time) bool {
 	step := pass.planner.steps[run.Key.step()]
-	if step == nil || !run.Sent || !step.Standing || step.Gang || step.job.state.Final() || step.suspicion(run.Key.Index)+1 >= maxCrashes {
+	if step == nil || !run.Sent || !step.Standing || step.Gang || step.job.state.Final() || step.suspicion(run.Key.Index)+1 >= blamer.MaxCrashes {
 		return false
 	}
 	queue, found := pass.planner.catalog.Queue(step.job.Queue)
@@ -197,7 +198,7 @@
 func (pass *pass) suits(id string, step *step, queue Queue) bool {
 	worker := pass.planner.workers[id]
 	return worker != nil && worker.poolPass == pass.number && worker.Service == queue.Service && pass.reservable(step, queue, worker) &&
-		!worker.isolated(pass.now) && !step.disturbedOn(worker) &&
+		!worker.isolation.FromRuns(pass.now) && !step.disturbedOn(worker) &&
 		(queue.Policy == nil || step.policy.hasTicket(worker, pass.now))
 }
 
--- a/library/planner/tables.go
+++ b/library/planner/tables.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"ebonyshunt.org/library/blamer"
 )
 
 // jobEntry is a job with its progress, a row of the job table.
@@ -72,15 +74,11 @@
 	hangs         int // number of its runs that were stopped because they hung
 	done          bool
 	checkpoint    string
-	run           *Run     // open run, nil if none
-	copy          *Run     // open speculative second run, nil if none
-	failedOn      []string // IDs of the workers on which it failed, or from which it was moved for being late
-	crashes       int      // number of crashes of workers that count against it, see crashes.go
-	// unansweredCrashes is the number of crashes of workers that did not answer its order.
-	unansweredCrashes int
-	hedges            *taskHedges // copies and moves for being late, nil if none, see stragglers.go
-	// lost holds its runs on workers that fell silent and were not heard of since.
-	lost []lostRun
+	run           *Run            // open run, nil if none
+	copy          *Run            // open speculative second run, nil if none
+	failedOn      []string        // IDs of the workers on which it failed, or from which it was moved for being late
+	evidence      blamer.Evidence // crashes that count against it, or may do so
+	hedges        *taskHedges     // copies and moves for being late, nil if none, see stragglers.go
 }
 
 // policyCache holds the answers of the policy service for a step, by worker ID.
--- a/library/planner/worker.go
+++ b/library/planner/worker.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"ebonyshunt.org/library/blamer"
 	"ebonyshunt.org/library/sizer"
 )
 
@@ -74,13 +75,12 @@
 	standingSize    sizer.Size // total size of the runs of standing steps
 	servingRuns     int        // number of runs that serve requests of users
 	fillerRuns      int
-	replaced        bool      // whether its machine has started anew as another worker
-	lostTasks       []TaskKey // tasks with runs that were lost on it, and of which it is not known whether it crashed
-	suspectUntil    time.Time // until when it takes no other suspect, zero while it has none
-	isolatedUntil   time.Time // until when it takes no other run
-	readRequestedAt time.Time // when a Reading of it was last requested
-	reservedPass    int64     // number of the last placement pass in which it was reserved for a blocked step
-	poolPass        int64     // number of the last placement pass in which the worker accepted runs
+	replaced        bool             // whether its machine has started anew as another worker
+	lostTasks       []TaskKey        // tasks with runs that were lost on it, and of which it is not known whether it crashed
+	isolation       blamer.Isolation // until when it takes no others beside its suspects
+	readRequestedAt time.Time        // when a Reading of it was last requested
+	reservedPass    int64            // number of the last placement pass in which it was reserved for a blocked step
+	poolPass        int64            // number of the last placement pass in which the worker accepted runs
 }
 
 // pendingEnd is an ended run that is acknowledged once a batch is stored.
@@ -107,7 +107,7 @@
 	Standing    bool // whether its step is standing
 	Urgent      bool // whether its queue has the highest priority and its step is not standing
 	Suspicion   int  // suspicion of its task when it was placed
-	loss        *lostRun
+	loss        *blamer.Loss
 	// answered reports whether its worker accepted its order or listed it, on any incarnation. The journal does not tell it of restored
 	// runs.
 	answered bool
