--- a/library/blamer/evidence.go
+++ b/library/blamer/evidence.go
@@ -6,7 +6,10 @@
 // where, and which workers crashed, is known to the caller.
 package blamer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// MaxCrashes is the number of crashes of workers under a task after which it is given up.
@@ -16,6 +19,8 @@
 	// maxUnansweredCrashes is the same number if crashes of workers that did not answer the task's order count too: such a worker may
 	// have crashed before the order arrived.
 	maxUnansweredCrashes = 5
+	// maxHoldTime is how long a task is held after each run that was lost. Most workers that crash are back before.
+	maxHoldTime = 3 * time.Second
 	// soundRunTime is the run time of a standing task after which a crash of its worker is no evidence against it.
 	soundRunTime = 30 * time.Second
 )
@@ -29,6 +34,8 @@
 	Alone      bool `json:"alone,omitempty"`
 	Sound      bool `json:"sound,omitempty"`      // whether its task is standing and ran long enough, see Sound
 	Unanswered bool `json:"unanswered,omitempty"` // whether the worker did not answer the order, and may never have had the run
+	// ClosedAt is when the run was closed without it being known whether the worker crashed, or when it was restored.
+	ClosedAt time.Time `json:"-"`
 }
 
 // Sound reports whether a standing task has run for so long that a crash of its worker is no evidence against it.
@@ -84,8 +91,17 @@
 }
 
 // Holds reports whether a task waits until it is known what became of the workers that fell silent under it: it would be given
-// up if all of them had crashed.
-func (evidence *Evidence) Holds() bool { return givesUp(evidence.counts()) }
+// up if all of them had crashed. They may be cut off, so that it waits no longer than maxHoldTime for them, unless as many as
+// maxUnansweredCrashes may have crashed.
+func (evidence *Evidence) Holds(now time.Time) bool {
+	answered, unanswered := evidence.counts()
+	if !givesUp(answered, unanswered) {
+		return false
+	}
+	return answered+unanswered >= maxUnansweredCrashes || slices.ContainsFunc(evidence.Lost, func(loss Loss) bool {
+		return now.Sub(loss.ClosedAt) < maxHoldTime
+	})
+}
 
 // counts returns the numbers of crashes that count against a task, or may do so: those of workers that answered the task's order,
 // and those of the others.
--- a/library/blamer/evidence_test.go
+++ b/library/blamer/evidence_test.go
@@ -61,6 +61,16 @@
 		}
 		wantSuspicion(t, &evidence, 2, false)
 	})
+	t.Run("holdForAWhile", func(t *testing.T) {
+		evidence := blamer.Evidence{Lost: []blamer.Loss{beside, beside, beside}}
+		if !evidence.Holds(closedAt.Add(2900*time.Millisecond)) || evidence.Holds(closedAt.Add(3*time.Second)) {
+			t.Error("want the task to wait for 3 s after three lost runs")
+		}
+		evidence.Lost = append(evidence.Lost, unanswered, unanswered)
+		if !evidence.Holds(closedAt.Add(time.Hour)) {
+			t.Error("want the task to wait for as long as five lost runs are not resolved")
+		}
+	})
 	t.Run("ofAWorkerThatIsGoneAreNotAlone", func(t *testing.T) {
 		evidence := blamer.Evidence{Lost: []blamer.Loss{alone, unanswered}}
 		evidence.Weaken(alone.Worker)
@@ -70,12 +80,16 @@
 	})
 }
 
+// closedAt is when all lost runs of these tests were closed.
+var closedAt time.Time
+
+// wantSuspicion checks the suspicion of a task a second after its lost runs were closed.
 func wantSuspicion(t *testing.T, evidence *blamer.Evidence, want int, wantHolds bool) {
 	t.Helper()
 	if got := evidence.Suspicion(); got != want {
 		t.Errorf("suspicion %d, want %d", got, want)
 	}
-	if got := evidence.Holds(); got != wantHolds {
+	if got := evidence.Holds(closedAt.Add(time.Second)); got != wantHolds {
 		t.Errorf("the task waits: %t, want %t", got, wantHolds)
 	}
 }
--- a/library/blamer/records.go
+++ b/library/blamer/records.go
@@ -1,6 +1,9 @@
 package blamer
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Records is what a journal keeps of the evidence against the tasks of a step. The keys of the maps are task indexes.
 type Records struct {
@@ -38,12 +41,13 @@
 }
 
 // RestoreLost adds a stored lost run to the evidence unless it is there already, and reports whether it did: earlier releases
-// stored the runs of all tasks of a gang with the first one.
-func (evidence *Evidence) RestoreLost(stored Loss) bool {
+// stored the runs of all tasks of a gang with the first one. The run counts as closed now.
+func (evidence *Evidence) RestoreLost(stored Loss, now time.Time) bool {
 	sameRun := func(other Loss) bool { return other.Number == stored.Number }
 	if slices.ContainsFunc(evidence.Lost, sameRun) {
 		return false
 	}
+	stored.ClosedAt = now
 	evidence.Lost = append(evidence.Lost, stored)
 	return true
 }
--- a/library/blamer/records_test.go
+++ b/library/blamer/records_test.go
@@ -40,7 +40,7 @@
 	})
 	t.Run("runsThatAreThereAlready", func(t *testing.T) {
 		var evidence blamer.Evidence
-		if !evidence.RestoreLost(lost[0]) || evidence.RestoreLost(lost[0]) || !evidence.RestoreLost(lost[1]) || len(evidence.Lost) != 2 {
+		if !evidence.RestoreLost(lost[0], closedAt) || evidence.RestoreLost(lost[0], closedAt) || !evidence.RestoreLost(lost[1], closedAt) || len(evidence.Lost) != 2 {
 			t.Errorf("lost runs %v, want each run once", evidence.Lost)
 		}
 	})
--- a/library/planner/crash_records.go
+++ b/library/planner/crash_records.go
@@ -34,7 +34,7 @@
 			continue
 		}
 		task, worker := &step.tasks[lost.Index], planner.ensureWorker(lost.Worker)
-		if !task.evidence.RestoreLost(lost.Loss) {
+		if !task.evidence.RestoreLost(lost.Loss, planner.now) {
 			continue
 		}
 		key := TaskKey{Job: step.key.Job, Occurrence: step.key.Occurrence, Step: step.key.Step, Index: lost.Index}
--- a/library/planner/crashes.go
+++ b/library/planner/crashes.go
@@ -82,6 +82,7 @@
 		planner.countCrash(step, run.Key, *run.loss)
 	case Vanished:
 		evidence, worker := &step.tasks[run.Key.Index].evidence, planner.ensureWorker(run.Worker)
+		run.loss.ClosedAt = planner.now
 		evidence.Lost = append(evidence.Lost, *run.loss)
 		worker.lostTasks = append(worker.lostTasks, run.Key)
 		step.suspected = true
--- a/library/planner/quarantine.go
+++ b/library/planner/quarantine.go
@@ -35,11 +35,10 @@
 	}
 }
 
-// held reports whether a task waits until it is known what became of the workers that fell silent under it: it would be given up if
-// all of them had crashed.
-func (step *step) held(index int) bool {
+// held reports whether a task, or the gang that it is in, waits until it is known what became of the workers that fell silent under it.
+func (step *step) held(index int, now time.Time) bool {
 	suspects := step.suspects(index)
-	return step.suspected && slices.ContainsFunc(suspects, func(task task) bool { return task.evidence.Holds() })
+	return step.suspected && slices.ContainsFunc(suspects, func(task task) bool { return task.evidence.Holds(now) })
 }
 
 // sortWaiting puts the suspects among the waiting tasks last, so that the others do not wait for them.
@@ -61,7 +60,7 @@
 func (pass *pass) placeSuspects(step *step, queue Queue) {
 	missing := false
 	for _, index := range slices.Clone(step.waiting) {
-		if step.held(index) {
+		if step.held(index, pass.now) {
 			continue
 		}
 		if !pass.starts.allow() || !pass.planner.withinCap(step.job.Team, step.Step, 1) || !pass.withinShare(step) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -138,7 +138,7 @@
 try 'fleet: crashes of workers that never come back' library/planner/runs.go 'planner.resolveGone(worker)' '_ = worker' ./library/planner 'TestCrashingTask'
 try 'fleet: takeovers keep the counts of crashes' library/blamer/records.go 'records.Crashes = setCount(records.Crashes, index, evidence.Crashes)' '' ./library/planner 'TestCrashingTask'
 try 'fleet: takeovers keep the lost runs' library/blamer/records.go 'range evidence.Lost' 'range evidence.Lost[:0]' ./library/planner 'TestCrashingTask'
-try 'fleet: tasks wait for the workers that fell silent' library/planner/quarantine.go 'return step.suspected && slices.ContainsFunc(suspects, func(task task) bool { return task.evidence.Holds() })' 'return len(suspects) < 0 && slices.ContainsFunc(suspects, func(task) bool { return false })' ./library/planner 'TestCrashingTask'
+try 'fleet: tasks wait for the workers that fell silent' library/planner/quarantine.go 'return step.suspected && slices.ContainsFunc(suspects, func(task task) bool { return task.evidence.Holds(now) })' 'return len(suspects) < 0 && slices.ContainsFunc(suspects, func(task) bool { return false })' ./library/planner 'TestCrashingTask'
 try 'fleet: one suspect at a time on a worker' library/planner/quarantine.go 'if !worker.hasSuspectBeside(step.job.ID, pass.now) {' 'if true {' ./library/planner 'TestSuspectsStartApart'
 try 'fleet: suspects prefer empty workers' library/planner/quarantine.go ' + blamer.NeighborCost(len(worker.Runs))' '' ./library/planner 'TestSuspectsStartApart'
 try 'fleet: nothing new beside a suspect of two crashes' library/blamer/isolation.go 'isolation.runsUntil = until' '_ = until' ./library/planner 'TestSuspectsStartApart'
