planner: a worker's answer after a handover does not start the wait for its leases again

Cause: with the first answer of a worker the new decider takes a whole lease of its predecessor for possible, whatever the handover named.

The leases that were given before a worker's first answer now count as an absolute time, apart from those of this planner: a whole lease, or what the planner that handed over named, and at least until the next poll renews the lease.

The mutant of this wait follows the moved line; that of the planner's own leases is noticed by TestClocks, since in TestUnresponsiveWorker the time until the first answer now covers it.

--- a/library/planner/handover.go
+++ b/library/planner/handover.go
@@ -139,7 +139,9 @@
 	planner.formerLeasesExpireBy = planner.now.Add(time.Duration(handover.LeasesMS) * time.Millisecond)
 	for id, leasesMS := range handover.Workers {
 		wait := max(time.Duration(leasesMS)*time.Millisecond, minHandoverWait)
-		planner.ensureWorker(id).leasesExpireBy = planner.now.Add(wait)
+		worker := planner.ensureWorker(id)
+		worker.leasesExpireBy = planner.now.Add(wait)
+		worker.handoverExpireBy = worker.leasesExpireBy
 	}
 	planner.HandedOver = true
 }
--- a/library/planner/handover_test.go
+++ b/library/planner/handover_test.go
@@ -27,6 +27,16 @@
 			t.Errorf("the task starts again %v after its worker's last answer, want %v as without a handover", got, want)
 		}
 	})
+	t.Run("answersOnceMore", func(t *testing.T) {
+		want := leaverRestartTime(t, func(*fleet) {})
+		got := leaverRestartTime(t, func(fleet *fleet) {
+			fleet.beginHandover()
+			fleet.takeOver(2, testCatalog())
+		})
+		if got != want {
+			t.Errorf("the task starts again %v after its worker's last answer, want %v as without a handover", got, want)
+		}
+	})
 	t.Run("recordOfAnEarlierTerm", func(t *testing.T) {
 		want := restartTime(t, func(fleet *fleet) { fleet.takeOver(2, testCatalog()) })
 		got := restartTime(t, func(fleet *fleet) {
@@ -90,6 +100,32 @@
 	return fleet.now.Sub(since)
 }
 
+// leaverRestartTime returns the time from the last answer of a worker that is about to leave to the next start of its standing task, which
+// has no room elsewhere before. The worker answers the planner that takes over.
+func leaverRestartTime(t *testing.T, takeOver func(*fleet)) time.Duration {
+	t.Helper()
+	fleet, leaver := newFleetWithStandingTask(t)
+	for _, worker := range fleet.workers {
+		worker.gone = worker != leaver
+	}
+	leaver.draining = true
+	fleet.listWorkers()
+	for range (testSettings.FormerRenewalWindow + testSettings.MaxLease) / time.Second {
+		fleet.advance(time.Second)
+	}
+	takeOver(fleet)
+	since := fleet.now
+	leaver.unresponsive = true
+	for _, worker := range fleet.workers {
+		worker.gone = false
+	}
+	fleet.listWorkers()
+	for len(fleet.orders) < 2 && fleet.now.Sub(since) < time.Minute {
+		fleet.advance(100 * time.Millisecond)
+	}
+	return fleet.now.Sub(since)
+}
+
 // wantLease checks whether the only worker is given a lease with its next poll.
 func (fleet *fleet) wantLease(want bool) {
 	fleet.t.Helper()
--- a/library/planner/runs.go
+++ b/library/planner/runs.go
@@ -133,7 +133,7 @@
 		worker.leasesExpireBy = bound // a deadline on the former clock may give the longest lease on the new one
 	}
 	worker.Cursor, worker.AckCursor, worker.pendingEnds = 0, 0, nil
-	worker.leaseEndMS = 0
+	worker.leaseEndMS, worker.handoverExpireBy = 0, time.Time{}
 	if incarnation != 0 {
 		worker.Incarnation = incarnation
 	}
@@ -174,6 +174,23 @@
 	return taskKey.Index - other.Index
 }
 
+// earlierLeasesExpireBy returns the time by which the leases have expired that were given to a worker before it answered now, under a
+// raised token: it refuses the lower one from now on.
+func (planner *Planner) earlierLeasesExpireBy(worker *Worker) time.Time {
+	if worker.restarted { // a deadline on the former clock may have given the longest lease
+		return planner.now.Add(planner.Settings.maxLeaseDuration(planner.Settings.MaxLease))
+	}
+	expireBy := planner.now.Add(planner.Settings.maxLeaseDuration(planner.Settings.Lease)) // no earlier planner requested longer leases
+	if worker.handoverExpireBy.IsZero() || expireBy.Before(worker.handoverExpireBy) {
+		return expireBy
+	}
+	renewBy := planner.now.Add(minHandoverWait) // the next poll renews the lease
+	if worker.handoverExpireBy.Before(renewBy) {
+		return renewBy
+	}
+	return worker.handoverExpireBy
+}
+
 // HandleListing processes a worker's answer to a poll.
 func (planner *Planner) HandleListing(id string, listing Listing, now time.Time) {
 	planner.now = now
@@ -199,13 +216,8 @@
 		planner.closeMissing(worker, listing, now)
 	}
 	if listing.Token == worker.Token && !worker.RunsKnown {
-		// An earlier planner requested no longer lease than this, and the worker now refuses its lower token. On a
-		// restarted worker, a deadline on the former clock may have given the longest lease.
-		lease := planner.Settings.Lease
-		if worker.restarted {
-			lease = planner.Settings.MaxLease
-		}
-		worker.leaseEndMS = max(worker.leaseEndMS, listing.ClockMS+lease.Milliseconds())
+		worker.earlierLeasesExpireBy = planner.earlierLeasesExpireBy(worker)
+		worker.handoverExpireBy = time.Time{}
 		worker.RunsKnown, worker.restarted = true, false
 		if !worker.recordedExpiry.IsZero() {
 			planner.dropExpiry(worker)
--- a/library/planner/worker.go
+++ b/library/planner/worker.go
@@ -55,10 +55,14 @@
 	restarted     bool          // whether it restarted and its runs were not read since
 	clockMS       int64         // worker's clock at clockReadAt, in milliseconds
 	clockReadAt   time.Time     // when clockMS was received
-	leaseEndMS    int64         // latest lease end that was requested, in milliseconds of the worker's clock
+	leaseEndMS    int64         // latest lease end that this planner requested, in milliseconds of the worker's clock
 	// leasesExpireBy is the time by which every lease has expired; valid while the worker's runs are not known.
-	leasesExpireBy   time.Time
-	runsUnknownSince time.Time
+	leasesExpireBy time.Time
+	// handoverExpireBy is the same by the record of a planner that handed over, until the worker answers; zero without one.
+	handoverExpireBy time.Time
+	// earlierLeasesExpireBy is the time by which the leases have expired that were given before the worker's runs were known.
+	earlierLeasesExpireBy time.Time
+	runsUnknownSince      time.Time
 	// recordedExpiry is the lease expiry in the worker's journal record, zero without a record.
 	recordedExpiry   time.Time
 	expiryRecordedAt time.Time // when that record was written
@@ -143,7 +147,8 @@
 }
 
 // leasesExpireAt returns the time by which every lease on the worker has expired. While its runs are known, this
-// follows from the latest lease end that was requested, on a clock that runs slow by the maximum drift.
+// follows from the latest lease end that this planner requested, on a clock that runs slow by the maximum drift, and from
+// earlierLeasesExpireBy.
 func (worker *Worker) leasesExpireAt() time.Time {
 	switch {
 	case !worker.RunsKnown && !worker.restoredExpiry.IsZero() && worker.restoredExpiry.Before(worker.leasesExpireBy):
@@ -152,7 +157,11 @@
 		return worker.leasesExpireBy
 	}
 	leftMS := max(worker.leaseEndMS-worker.clockMS, 0)
-	return worker.clockReadAt.Add(time.Duration(leftMS+leftMS/(clockDriftDivisor-1)) * time.Millisecond).Add(leaseExpiryMargin)
+	expireAt := worker.clockReadAt.Add(time.Duration(leftMS+leftMS/(clockDriftDivisor-1)) * time.Millisecond).Add(leaseExpiryMargin)
+	if worker.earlierLeasesExpireBy.After(expireAt) {
+		return worker.earlierLeasesExpireBy
+	}
+	return expireAt
 }
 
 // invalidateRuns marks the worker's runs as unknown and raises its fencing token. Until the worker answers a poll
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -56,8 +56,8 @@
 try 'fleet: runs not yet ordered are not closed' library/planner/place.go 'Token: worker.Token,
 ' 'Token: 0,
 ' ./library/planner 'TestOrdersWithUnknownOutcome'
-try 'fleet: wait for the end of leases' library/planner/worker.go 'leftMS := max(worker.leaseEndMS-worker.clockMS, 0)' 'leftMS := int64(0)' ./library/planner 'TestUnresponsiveWorker'
-try 'fleet: wait for leases of the former decider' library/planner/runs.go 'worker.leaseEndMS = max(worker.leaseEndMS, listing.ClockMS+lease.Milliseconds())' '_ = lease' ./library/planner 'TestTakeover'
+try 'fleet: wait for the end of leases' library/planner/worker.go 'leftMS := max(worker.leaseEndMS-worker.clockMS, 0)' 'leftMS := int64(0)' ./library/planner 'TestClocks'
+try 'fleet: wait for leases of the former decider' library/planner/runs.go 'worker.earlierLeasesExpireBy = planner.earlierLeasesExpireBy(worker)' '' ./library/planner 'TestTakeover'
 try 'fleet: runs of restarted workers are confirmed' library/planner/runs.go 'run.Confirmed, run.Token, run.Incarnation = false, 0, worker.Incarnation' 'planner.closeVanished(run, planner.now)' ./library/planner 'TestRestartUndetected'
 try 'fleet: leases of restarted workers' library/planner/runs.go 'bound.After(worker.leasesExpireBy)' 'false' ./library/planner 'TestRestartThenUnresponsive'
 try 'fleet: runs of a lost worker still count' library/planner/worker.go 'worker.leasesExpireBy = worker.leasesExpireAt()' '' ./library/planner 'TestUnresponsiveWorker'
