mutants: the pattern of the lease expiry's mutant is found again

Cause: added a condition to Planner.leasable, so that the script ended with "pattern not found" at this mutant.

Change: the pattern has the condition; the mutant takes out the same part as before.

Measured: the mutant is red (TestLeaseExpiry).

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -96,7 +96,7 @@
 try 'fleet: lost answers of workers' daemon/scheduler/poller.go 'if tenure.answerLossRate.record(time.Since(poller.lostAt) < lossWindow, tenure.host.uptime()) {' 'if false {' ./tests 'TestFleetLostWorkerAnswers'
 try 'fleet: probe of the previous decider' daemon/scheduler/tenure.go '	tenure.probeFormerDeciders()' '' ./tests 'TestFleetAllLost|TestFleetFormerLeases'
 try 'fleet: lease expiries are recorded' library/planner/runs.go 'planner.updateExpiries(now)' '_ = now' ./library/planner 'TestLeaseExpiry'
-try 'fleet: no lease before the expiry is dropped' library/planner/expiry.go 'planner.mayLease && worker.RunsKnown && worker.expiryDropBatch <= planner.storedBatch' 'planner.mayLease && worker.RunsKnown' ./library/planner 'TestLeaseExpiry'
+try 'fleet: no lease before the expiry is dropped' library/planner/expiry.go 'planner.mayLease && planner.givesLeases() && worker.RunsKnown && worker.expiryDropBatch <= planner.storedBatch' 'planner.mayLease && planner.givesLeases() && worker.RunsKnown' ./library/planner 'TestLeaseExpiry'
 try 'fleet: tolerance of restart detection' library/planner/runs.go 'const clockToleranceMS = 10' 'const clockToleranceMS = 500' ./library/planner 'TestRestartTwice'
 try 'fleet: several policy queries of one step' library/planner/policy.go 'len(step.policy.open) < maxOpen &&' 'len(step.policy.open) < 1 &&' ./library/planner 'TestMixedLoad'
 try 'fleet: room that queries are expected to use' library/planner/policy.go 'expected := min(step.policy.expectedTasks(), float64(tasks))' 'expected := float64(tasks)' ./library/planner 'TestPolicy'
