server: a superseded decider does not take over its successor's records

Cause: a decider that returned from a pause was still in its term when its peers handed it the zone's records, those of its successor's term too. It restored their jobs: a queued task was queued, and a task that ran on a worker which the old tables still show as claimed counted as proven never to have run. It started them on a worker that the successor could not claim and that therefore still accepted the old term, where they ran a second time. Such a worker is what the pair of faults makes: the worker resumes 0.7 s after the host, and which held call it serves first decides.

Change: a record of a later term is not restored and makes the later term known, which ends the tenure. A term that finds such a record while it begins does not begin.

--- a/daemon/server/keep.go
+++ b/daemon/server/keep.go
@@ -181,7 +181,14 @@
 	return false
 }
 
+// restoreRecord restores a record of an earlier term. A record of a later term proves that this tenure was superseded, and is
+// left to the later decider: its work may run, or have run, on workers that this tenure wrongly believes to own, and may be
+// started again on those that the later decider could not claim yet.
 func (tenure *tenure) restoreRecord(record keeper.Record) {
+	if tenure.term.Less(record.Term) {
+		tenure.server.peers.ObserveTerm(tenure.zone, record.Term)
+		return
+	}
 	var err error
 	switch record.Kind {
 	case kindKey:
--- a/daemon/server/takeover.go
+++ b/daemon/server/takeover.go
@@ -11,7 +11,7 @@
 )
 
 // beginTerm claims the zone's workers under a new term and makes this host the decider. It stops if a later
-// term is seen, this host is shutting down, or no worker could be claimed.
+// term is seen, in a record too, this host is shutting down, or no worker could be claimed.
 func (server *Server) beginTerm(ctx context.Context) {
 	zone := server.settings.Zone
 	former := server.peers.Term(zone)
@@ -29,6 +29,10 @@
 	}
 	tenure.tick()
 	tenure.gatherRecords(ctx)
+	if server.peers.Term(zone) != term {
+		tenure.close()
+		return
+	}
 	server.mu.Lock()
 	server.tenure = tenure
 	server.mu.Unlock()
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -31,6 +31,7 @@
 try 'overcommitment: fencing by term on the worker' library/fencer/term.go 'case grant.Term != claim:' 'case false:' ./library/decider 'TestGrantIsFenced'
 try 'duplicate runs: latest start of a grant' library/fencer/term.go 'case clock > grant.NotAfter:' 'case false:' ./library/decider 'TestGrantIsFenced'
 try 'duplicate runs: starts without an answer' library/decider/report.go 'report.Clock > task.Grant.NotAfter' 'true' ./library/decider 'TestStartWithUnknownOutcome'
+try 'duplicate runs: records of a later term' daemon/server/keep.go 'if tenure.term.Less(record.Term) {' 'if false {' ./tests 'TestSupersededDecider'
 try 'duplicate runs: lost tasks kept until lease end' library/decider/report.go 'report.Clock > task.Grant.LeaseEnd+leaseGuardMS' 'true' ./library/decider 'TestRebootedWorker'
 try 'API keys: withdrawn keys' library/viewer/view.go 'view.Keys[body.Digest] = body' 'body.Withdrawn = false; view.Keys[body.Digest] = body' ./tests 'TestConfigurationInForce'
 try 'API keys: queues of other teams' daemon/server/check.go 'case queue.Team != team && !queue.Open:' 'case false:' ./tests 'TestScripts/badRequests'
--- a/tests/faults_test.go
+++ b/tests/faults_test.go
@@ -278,3 +278,30 @@
 		}
 	}
 }
+
+// TestSupersededDecider guards against a decider that returns from a pause, is given the records of its successor before its
+// term ends, and starts its successor's tasks again on a worker that the successor could not claim.
+func TestSupersededDecider(t *testing.T) {
+	runCellTest(t, 2, func(h *harness) {
+		heal := h.fabric.Cut([]string{"entry-a-1"}, []string{"w-a-01"})
+		h.fabric.Pause("entry-a-0")
+		time.Sleep(leaseExpiryWait)
+		job := h.submitJob("entry-a-1", server.JobSpec{Service: "work", Tasks: taskSpecs(12, "?workMS=3000")})
+		time.Sleep(time.Second)
+		h.fabric.Resume("entry-a-0")
+		time.Sleep(time.Second)
+		heal()
+		h.checkRanOnce(h.awaitJob("entry-a-1", job.ID, time.Minute))
+	})
+}
+
+// checkRanOnce fails the test unless each task of a job is done and ran once.
+func (harness *harness) checkRanOnce(job server.Job) {
+	harness.Helper()
+	for i, task := range job.Tasks {
+		ran := harness.observer.attemptCount(fmt.Sprintf("%s_%d", job.ID, i))
+		if task.State != server.JobDone || ran != 1 {
+			harness.Errorf("task %d is %s and ran %d times, want once and done", i, task.State, ran)
+		}
+	}
+}
