server: a gang that may not run again keeps the members that have ended

Cause: when a member of a gang was found never to have started, restartGang queued all members again, those that were done or had failed too, although their job is not idempotent. It only stopped at a member whose outcome is unknown, and then, as when the others ended later than the one that never ran, left the queued member waiting for ever.

Change: once no member runs, the members of a gang that may not run again and of which one has ended are canceled instead of queued; a member with a checkpoint has run in part and ends as unknown. Every end in a gang with a queued member leads there.

Found by reading the code for TestFaultPairs/hostPaused+workerPaused; not its cause. TestGangMemberNeverRan and TestGangMemberEndsLast fail without the change and pass with it; TestGangs, TestGangLosesAMember and TestScripts pass.

--- a/daemon/server/job_ends.go
+++ b/daemon/server/job_ends.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"ebonyshunt.org/library/decider"
@@ -37,7 +38,7 @@
 	if task.State == JobDone {
 		tenure.fetchAnswer(job, index, effect)
 	}
-	if task.State == JobQueued {
+	if task.State == JobQueued || job.Spec.Gang && job.has(JobQueued) {
 		tenure.requeue(job, index, effect.Ending)
 	}
 	tenure.publishVersion(job)
@@ -46,7 +47,7 @@
 // stateAfter returns the state of a task after an attempt ended. It adds the worker of a failed attempt to
 // task.Avoid.
 func (jobState *jobState) stateAfter(task *JobTask, effect decider.Ended) JobTaskState {
-	repeatable := jobState.Spec.Idempotent || jobState.Spec.Standing
+	repeatable := jobState.repeatable()
 	switch {
 	case jobState.Canceled && effect.Ending != decider.Completed && effect.Ending != decider.Failed:
 		return JobCanceled
@@ -70,6 +71,16 @@
 	return JobUnknown
 }
 
+// repeatable reports whether tasks that have run may run again.
+func (jobState *jobState) repeatable() bool {
+	return jobState.Spec.Idempotent || jobState.Spec.Standing
+}
+
+// has reports whether a task is in the given state.
+func (jobState *jobState) has(state JobTaskState) bool {
+	return slices.ContainsFunc(jobState.Tasks, func(task JobTask) bool { return task.State == state })
+}
+
 // requeue queues a task again: a member of a gang together with the other members after all have ended, a standing
 // task and a task with several attempts after a delay, and any other task at once.
 func (tenure *tenure) requeue(job *jobState, index int, ending decider.Ending) {
@@ -106,7 +117,7 @@
 }
 
 // restartGang cancels the running members of a gang of which one has ended, and queues all members once none is
-// running. A gang that is not idempotent is not restarted if the outcome of a member is unknown.
+// running. If a member that must not run again has ended, the members that have not run are canceled: a gang starts as a whole.
 func (tenure *tenure) restartGang(job *jobState) {
 	running := 0
 	for i := range job.Tasks {
@@ -118,10 +129,9 @@
 	if running > 0 {
 		return
 	}
-	for i := range job.Tasks {
-		if !job.Spec.Idempotent && job.Tasks[i].State == JobUnknown {
-			return
-		}
+	if !job.repeatable() && slices.ContainsFunc(job.Tasks, func(task JobTask) bool { return task.State.final() }) {
+		cancelQueued(job)
+		return
 	}
 	for i := range job.Tasks {
 		job.Tasks[i].State = JobQueued
@@ -129,6 +139,20 @@
 	}
 }
 
+// cancelQueued ends the queued members of a gang that cannot start again. One with a checkpoint has run in part.
+func cancelQueued(job *jobState) {
+	for i := range job.Tasks {
+		task := &job.Tasks[i]
+		switch {
+		case task.State != JobQueued:
+		case task.Resume != "":
+			task.State = JobUnknown
+		default:
+			task.State = JobCanceled
+		}
+	}
+}
+
 // fetchAnswer fetches the answer of a finished task from its worker, in the background, and stores its first
 // maxStoredAnswerBytes.
 func (tenure *tenure) fetchAnswer(job *jobState, index int, effect decider.Ended) {
--- /dev/null
+++ b/daemon/server/job_ends_test.go
@@ -0,0 +1,87 @@
+package server
+
+import (
+	"log/slog"
+	"testing"
+
+	"ebonyshunt.org/daemon/dialer"
+	"ebonyshunt.org/daemon/loader"
+	"ebonyshunt.org/library/decider"
+	"ebonyshunt.org/library/fencer"
+)
+
+// newTestTenure returns a tenure in term 2 of a server that has no peers and does not run.
+func newTestTenure(t *testing.T) *tenure {
+	t.Helper()
+	server := newServer(loader.Settings{Host: "a", Zone: "z"}.WithDefaults(), dialer.Network{}, slog.New(slog.DiscardHandler))
+	tenure := server.newTenure(fencer.Term{Number: 2, Holder: "a"})
+	t.Cleanup(tenure.close)
+	return tenure
+}
+
+// newTestJob returns job j with the given tasks.
+func newTestJob(spec JobSpec, tasks ...JobTask) *jobState {
+	spec.Service, spec.Tasks = "s", make([]TaskSpec, len(tasks))
+	return &jobState{Job: Job{ID: "j", Spec: spec, Tasks: tasks, Version: 1}, changed: make(chan struct{})}
+}
+
+func assertStates(t *testing.T, job *jobState, want ...JobTaskState) {
+	t.Helper()
+	for i, task := range job.Tasks {
+		if task.State != want[i] {
+			t.Errorf("task %d is %s, want %s", i, task.State, want[i])
+		}
+	}
+}
+
+// TestGangMemberNeverRan guards against a second run of a gang's members that have ended, when another member is found never to
+// have started: only a gang whose tasks may run again starts again.
+func TestGangMemberNeverRan(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		idempotent bool
+		other      JobTaskState
+		want       [2]JobTaskState
+	}{
+		{"idempotent", true, JobDone, [2]JobTaskState{JobQueued, JobQueued}},
+		{"otherIsDone", false, JobDone, [2]JobTaskState{JobDone, JobCanceled}},
+		{"otherFailed", false, JobFailed, [2]JobTaskState{JobFailed, JobCanceled}},
+		{"otherIsUnknown", false, JobUnknown, [2]JobTaskState{JobUnknown, JobCanceled}},
+		{"noneRan", false, JobQueued, [2]JobTaskState{JobQueued, JobQueued}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			tenure := newTestTenure(t)
+			job := newTestJob(JobSpec{Gang: true, Idempotent: test.idempotent}, JobTask{State: test.other, Task: "j_0~1.1"}, JobTask{State: JobRunning, Task: "j_1~1.1"})
+			tenure.mu.Lock()
+			defer tenure.mu.Unlock()
+			tenure.jobs["j"] = job
+			tenure.handleJobTaskEnd(decider.Ended{Work: job.work(1), Task: "j_1~1.1", Ending: decider.NeverRan})
+			assertStates(t, job, test.want[0], test.want[1])
+		})
+	}
+}
+
+// TestGangMemberEndsLast checks that the members of a gang that never ran do not wait for ever for those that have to end first.
+func TestGangMemberEndsLast(t *testing.T) {
+	for ending, want := range map[decider.Ending]JobTaskState{decider.Completed: JobDone, decider.Stopped: JobUnknown} {
+		t.Run(string(ending), func(t *testing.T) {
+			tenure := newTestTenure(t)
+			job := newTestJob(JobSpec{Gang: true}, JobTask{State: JobRunning, Task: "j_0~1.1"}, JobTask{State: JobRunning, Task: "j_1~1.1"})
+			tenure.mu.Lock()
+			defer tenure.mu.Unlock()
+			tenure.jobs["j"] = job
+			tenure.handleJobTaskEnd(decider.Ended{Work: job.work(1), Task: "j_1~1.1", Ending: decider.NeverRan})
+			tenure.handleJobTaskEnd(decider.Ended{Work: job.work(0), Task: "j_0~1.1", Ending: ending})
+			assertStates(t, job, want, JobCanceled)
+		})
+	}
+	t.Run("checkpoint", func(t *testing.T) {
+		tenure := newTestTenure(t)
+		job := newTestJob(JobSpec{Gang: true}, JobTask{State: JobDone, Task: "j_0~1.1"}, JobTask{State: JobRunning, Task: "j_1~1.1"})
+		tenure.mu.Lock()
+		defer tenure.mu.Unlock()
+		tenure.jobs["j"] = job
+		tenure.handleJobTaskEnd(decider.Ended{Work: job.work(1), Task: "j_1~1.1", Ending: decider.Stopped, Checkpoint: "c"})
+		assertStates(t, job, JobDone, JobUnknown)
+	})
+}
