decider, server: work held back does not run again when a worker reports that it has ended

Cause: work that an earlier term may have started on a worker not claimed yet is held back. When that worker then reported the attempt as stopped or failed, the work stayed among what is held back and was started in the same tick, although a task that is not idempotent had become unknown or failed. A superseded decider makes such attempts: its start of a queued task is accepted by a worker that only it has claimed. The end also counted as one before the current attempt, as the record named an earlier one.

Change: any reported end takes the work off what is held back; the tenure decides what follows. The end of an attempt later than the recorded one of a queued task is that of the task; after the end of an earlier attempt the task is held back or queued again. A grant for a task that is not queued any more is not started.

Found by reading the code for TestFaultPairs/hostPaused+workerPaused; not seen there.

--- a/daemon/server/job_ends.go
+++ b/daemon/server/job_ends.go
@@ -12,7 +12,7 @@
 )
 
 // handleJobTaskEnd applies the end of an attempt to its task. An end whose job is not known yet is stored in
-// tenure.unmatchedEnds. The end of an attempt that is not the current one changes nothing, and the worker may drop it.
+// tenure.unmatchedEnds. The end of an attempt before the current one changes nothing, and the worker may drop it.
 // The caller holds tenure.mu.
 func (tenure *tenure) handleJobTaskEnd(effect decider.Ended) {
 	id, index := splitWork(effect.Work.ID)
@@ -25,10 +25,14 @@
 		return
 	}
 	task := &job.Tasks[index]
-	if task.State.final() || (task.Task != "" && task.Task != effect.Task) {
+	if task.State.final() || !isLatestAttempt(task, effect) {
 		tenure.decider.ForgetEnded(effect.Worker, effect.Task)
+		if task.State == JobQueued {
+			tenure.restoreQueued(job, index)
+		}
 		return
 	}
+	task.Task, task.Attempts = effect.Task, max(task.Attempts, effect.Work.Attempt)
 	job.unreplicatedEnds = append(job.unreplicatedEnds, effect)
 	task.Status = effect.Status
 	if effect.Checkpoint != "" {
@@ -44,6 +48,12 @@
 	tenure.publishVersion(job)
 }
 
+// isLatestAttempt reports whether an end is that of the latest known attempt, or of a later one: a former decider may have
+// started a queued task again after this decider had read its record.
+func isLatestAttempt(task *JobTask, effect decider.Ended) bool {
+	return task.Task == "" || task.Task == effect.Task || task.State == JobQueued && effect.Work.Attempt > task.Attempts
+}
+
 // stateAfter returns the state of a task after an attempt ended. It adds the worker of a failed attempt to
 // task.Avoid.
 func (jobState *jobState) stateAfter(task *JobTask, effect decider.Ended) JobTaskState {
--- a/daemon/server/job_ends_test.go
+++ b/daemon/server/job_ends_test.go
@@ -85,3 +85,44 @@
 		assertStates(t, job, JobDone, JobUnknown)
 	})
 }
+
+// TestEndsOfFormerAttempts checks the ends that a worker reports under a new term, for a task that its record shows as queued
+// after one attempt: a former decider may have started it once more.
+func TestEndsOfFormerAttempts(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		task    string
+		attempt int
+		want    JobTaskState
+		queued  bool
+	}{
+		{"later", "j_0~1.2", 2, JobUnknown, false},
+		{"earlier", "j_0~1.0", 0, JobQueued, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			tenure := newTestTenure(t)
+			job := newTestJob(JobSpec{}, JobTask{State: JobQueued, Task: "j_0~1.1", Attempts: 1})
+			tenure.mu.Lock()
+			defer tenure.mu.Unlock()
+			tenure.jobs["j"] = job
+			work := job.work(0)
+			work.Attempt = test.attempt
+			tenure.handleJobTaskEnd(decider.Ended{Work: work, Task: test.task, Ending: decider.Stopped})
+			assertStates(t, job, test.want)
+			if _, queued := tenure.decider.Lookup("j_0"); queued != test.queued {
+				t.Errorf("queued: %v, want %v", queued, test.queued)
+			}
+		})
+	}
+}
+
+// TestGrantOfEndedTask guards against the start of a task that has ended since it was queued.
+func TestGrantOfEndedTask(t *testing.T) {
+	tenure := newTestTenure(t)
+	job := newTestJob(JobSpec{}, JobTask{State: JobDone, Task: "j_0~1.1", Attempts: 1})
+	tenure.mu.Lock()
+	defer tenure.mu.Unlock()
+	tenure.jobs["j"] = job
+	tenure.startJobTask(decider.Start{Work: job.work(0)})
+	assertStates(t, job, JobDone)
+}
--- a/daemon/server/jobs.go
+++ b/daemon/server/jobs.go
@@ -219,12 +219,20 @@
 		tenure.decider.AddUnconfirmed(job.work(index), task.Task, task.Worker, task.Boot, time.Now())
 	default:
 		task.State = JobQueued
-		if !tenure.decider.AllClaimed() {
-			tenure.decider.Defer(job.work(index))
-			return
-		}
-		tenure.enqueueTask(job, index)
+		tenure.restoreQueued(job, index)
+	}
+}
+
+// restoreQueued queues a task of an earlier term unless it is queued. It is held back while a worker that may run it is not claimed.
+func (tenure *tenure) restoreQueued(job *jobState, index int) {
+	if _, known := tenure.decider.Lookup(workID(job.ID, index)); known {
+		return
+	}
+	if !tenure.decider.AllClaimed() {
+		tenure.decider.Defer(job.work(index))
+		return
 	}
+	tenure.enqueueTask(job, index)
 }
 
 // publishVersion increments the version of a job, wakes the calls that wait for it and starts its replication to other
@@ -280,7 +288,7 @@
 func (tenure *tenure) startJobTask(effect decider.Start) {
 	id, index := splitWork(effect.Work.ID)
 	job := tenure.jobs[id]
-	if job == nil || index < 0 || index >= len(job.Tasks) || job.Canceled {
+	if job == nil || index < 0 || index >= len(job.Tasks) || job.Canceled || job.Tasks[index].State != JobQueued {
 		tenure.decider.EndAttempt(effect.Grant.Task, decider.NeverRan, 0, time.Now())
 		return
 	}
--- a/library/decider/report.go
+++ b/library/decider/report.go
@@ -174,16 +174,14 @@
 	}
 }
 
-// reportUnknownEnd emits the end of a task that is not in the tables, such as one of an earlier term. If it
-// completed, its work item does not run again.
+// reportUnknownEnd emits the end of a task that is not in the tables, such as one of an earlier term. Deferred work is
+// dropped: whether work that has run may run again is decided by who receives its end. Queued work is dropped if it completed.
 func (decider *Decider) reportUnknownEnd(worker *Worker, reported TaskReport) {
 	var work Work
 	if err := json.Unmarshal([]byte(reported.Label), &work); err != nil {
 		return
 	}
-	if reported.Ending == Completed {
-		decider.dropDeferred(work.ID)
-	}
+	decider.dropDeferred(work.ID)
 	if queued, known := decider.tasksByWork[work.ID]; known && queued.State == Queued && reported.Ending == Completed {
 		decider.dropQueued(queued)
 	}
--- a/library/decider/takeover.go
+++ b/library/decider/takeover.go
@@ -49,7 +49,7 @@
 }
 
 // enqueueDeferred queues the deferred work items once all workers are claimed. Those that a worker reported as
-// running or completed were dropped from the list before.
+// running or ended were dropped from the list before.
 func (decider *Decider) enqueueDeferred(now time.Time) {
 	if len(decider.deferred) == 0 || !decider.AllClaimed() {
 		return
