tests: a task that ran too often is shown with the begins and ends of its attempts

The failed check gave a count only. It now prints one line for each begin and end, with the time, the worker and the ID of the attempt, which ends with its term and number. No check is changed.

--- a/tests/cell_test.go
+++ b/tests/cell_test.go
@@ -53,6 +53,7 @@
 	attemptsByTarget map[string][]attempt // by path and query of the target
 	holdsLease       func(placement) bool // reports whether the lease of the task is still valid
 	attempts         map[string]int       // number of begun attempts, by work ID
+	runs             map[string][]string  // begins and ends of attempts as text, by work ID
 	teamMilliCores   map[string]int64     // running millicores, by team
 	peakMilliCores   map[string]int64
 	concurrentRuns   []string // descriptions of forbidden duplicate runs
@@ -94,6 +95,22 @@
 	return found
 }
 
+// history returns the begins and ends of the attempts of a work item, one a line. The ID of an attempt ends with its term and number.
+func (observer *observer) history(work string) string {
+	observer.mu.Lock()
+	defer observer.mu.Unlock()
+	return strings.Join(observer.runs[work], "\n")
+}
+
+// describe returns the begin or end of an attempt as text.
+func describe(event workerserver.Observation) string {
+	change := "ends as " + string(event.State)
+	if event.Began {
+		change = "begins"
+	}
+	return fmt.Sprintf("%s %s %s on %s", time.Now().Format("15:04:05.000000"), event.Task, change, event.Worker)
+}
+
 // placement is the worker that runs a task.
 type placement struct{ worker, task string }
 
@@ -104,6 +121,7 @@
 	}
 	observer.mu.Lock()
 	defer observer.mu.Unlock()
+	observer.runs[work.ID] = append(observer.runs[work.ID], describe(event))
 	if !event.Began {
 		if observer.running[work.ID].task == event.Task {
 			delete(observer.running, work.ID)
@@ -205,7 +223,7 @@
 func newHarness(t *testing.T, zones []string, hostsPerZone int) *harness {
 	t.Helper()
 	harness := &harness{T: t, fabric: connector.New(250 * time.Microsecond), ctx: context.Background()}
-	harness.observer = observer{running: map[string]placement{}, attemptsByTarget: map[string][]attempt{}, attempts: map[string]int{}, teamMilliCores: map[string]int64{}, peakMilliCores: map[string]int64{}}
+	harness.observer = observer{running: map[string]placement{}, attemptsByTarget: map[string][]attempt{}, attempts: map[string]int{}, runs: map[string][]string{}, teamMilliCores: map[string]int64{}, peakMilliCores: map[string]int64{}}
 	plan := builder.Plan{RootKey: rootKey, Fabric: harness.fabric}
 	if os.Getenv("EBONYSHUNT_TEST_LOG") != "" {
 		plan.Log, plan.Level = os.Stderr, slog.LevelDebug
--- a/tests/faults_test.go
+++ b/tests/faults_test.go
@@ -255,12 +255,13 @@
 			h.Errorf("accepted job %s has not ended: %+v", id, job.Tasks)
 		}
 		for i, task := range job.Tasks {
-			ran := h.observer.attemptCount(fmt.Sprintf("%s_%d", id, i))
+			work := fmt.Sprintf("%s_%d", id, i)
+			ran := h.observer.attemptCount(work)
 			if task.State == server.JobDone && ran == 0 {
 				h.Errorf("task %d of job %s is done but never ran", i, id)
 			}
 			if !job.Spec.Idempotent && ran > 1 {
-				h.Errorf("task %d of job %s, which is not idempotent, ran %d times", i, id, ran)
+				h.Errorf("task %d of job %s, which is not idempotent, ran %d times, and is %s after attempt %s:\n%s", i, id, ran, task.State, task.Task, h.observer.history(work))
 			}
 		}
 	}
@@ -299,9 +300,10 @@
 func (harness *harness) checkRanOnce(job server.Job) {
 	harness.Helper()
 	for i, task := range job.Tasks {
-		ran := harness.observer.attemptCount(fmt.Sprintf("%s_%d", job.ID, i))
+		work := fmt.Sprintf("%s_%d", job.ID, i)
+		ran := harness.observer.attemptCount(work)
 		if task.State != server.JobDone || ran != 1 {
-			harness.Errorf("task %d is %s and ran %d times, want once and done", i, task.State, ran)
+			harness.Errorf("task %d is %s and ran %d times, want once and done:\n%s", i, task.State, ran, harness.observer.history(work))
 		}
 	}
 }
