--- a/daemon/server/job_ends.go
+++ b/daemon/server/job_ends.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"ebonyshunt.org/library/decider"
@@ -11,7 +12,7 @@
 )
 
 // handleJobTaskEnd applies the end of an attempt to its task. An end whose job is not known yet is stored in
-// tenure.unmatchedEnds. The end of an attempt that is not the current one changes nothing, and the worker may drop it.
+// tenure.unmatchedEnds. The end of an attempt before the current one changes nothing, and the worker may drop it.
 // The caller holds tenure.mu.
 func (tenure *tenure) handleJobTaskEnd(effect decider.Ended) {
 	id, index := splitWork(effect.Work.ID)
@@ -24,10 +25,14 @@
 		return
 	}
 	task := &job.Tasks[index]
-	if task.State.final() || (task.Task != "" && task.Task != effect.Task) {
+	if task.State.final() || !isLatestAttempt(task, effect) {
 		tenure.decider.ForgetEnded(effect.Worker, effect.Task)
+		if task.State == JobQueued {
+			tenure.restoreQueued(job, index)
+		}
 		return
 	}
+	task.Task, task.Attempts = effect.Task, max(task.Attempts, effect.Work.Attempt)
 	job.unreplicatedEnds = append(job.unreplicatedEnds, effect)
 	task.Status = effect.Status
 	if effect.Checkpoint != "" {
@@ -37,16 +42,22 @@
 	if task.State == JobDone {
 		tenure.fetchAnswer(job, index, effect)
 	}
-	if task.State == JobQueued {
+	if task.State == JobQueued || job.Spec.Gang && job.has(JobQueued) {
 		tenure.requeue(job, index, effect.Ending)
 	}
 	tenure.publishVersion(job)
 }
 
+// isLatestAttempt reports whether an end is that of the latest known attempt, or of a later one: a former decider may have
+// started a queued task again after this decider had read its record.
+func isLatestAttempt(task *JobTask, effect decider.Ended) bool {
+	return task.Task == "" || task.Task == effect.Task || task.State == JobQueued && effect.Work.Attempt > task.Attempts
+}
+
 // stateAfter returns the state of a task after an attempt ended. It adds the worker of a failed attempt to
 // task.Avoid.
 func (jobState *jobState) stateAfter(task *JobTask, effect decider.Ended) JobTaskState {
-	repeatable := jobState.Spec.Idempotent || jobState.Spec.Standing
+	repeatable := jobState.repeatable()
 	switch {
 	case jobState.Canceled && effect.Ending != decider.Completed && effect.Ending != decider.Failed:
 		return JobCanceled
@@ -70,6 +81,16 @@
 	return JobUnknown
 }
 
+// repeatable reports whether tasks that have run may run again.
+func (jobState *jobState) repeatable() bool {
+	return jobState.Spec.Idempotent || jobState.Spec.Standing
+}
+
+// has reports whether a task is in the given state.
+func (jobState *jobState) has(state JobTaskState) bool {
+	return slices.ContainsFunc(jobState.Tasks, func(task JobTask) bool { return task.State == state })
+}
+
 // requeue queues a task again: a member of a gang together with the other members after all have ended, a standing
 // task and a task with several attempts after a delay, and any other task at once.
 func (tenure *tenure) requeue(job *jobState, index int, ending decider.Ending) {
@@ -106,7 +127,7 @@
 }
 
 // restartGang cancels the running members of a gang of which one has ended, and queues all members once none is
-// running. A gang that is not idempotent is not restarted if the outcome of a member is unknown.
+// running. If a member that must not run again has ended, the members that have not run are canceled: a gang starts as a whole.
 func (tenure *tenure) restartGang(job *jobState) {
 	running := 0
 	for i := range job.Tasks {
@@ -118,10 +139,9 @@
 	if running > 0 {
 		return
 	}
-	for i := range job.Tasks {
-		if !job.Spec.Idempotent && job.Tasks[i].State == JobUnknown {
-			return
-		}
+	if !job.repeatable() && slices.ContainsFunc(job.Tasks, func(task JobTask) bool { return task.State.final() }) {
+		cancelQueued(job)
+		return
 	}
 	for i := range job.Tasks {
 		job.Tasks[i].State = JobQueued
@@ -129,6 +149,20 @@
 	}
 }
 
+// cancelQueued ends the queued members of a gang that cannot start again. One with a checkpoint has run in part.
+func cancelQueued(job *jobState) {
+	for i := range job.Tasks {
+		task := &job.Tasks[i]
+		switch {
+		case task.State != JobQueued:
+		case task.Resume != "":
+			task.State = JobUnknown
+		default:
+			task.State = JobCanceled
+		}
+	}
+}
+
 // fetchAnswer fetches the answer of a finished task from its worker, in the background, and stores its first
 // maxStoredAnswerBytes.
 func (tenure *tenure) fetchAnswer(job *jobState, index int, effect decider.Ended) {
