planner: a task is held for 3 s after each lost run, not for as long as its workers are silent

A task under which three workers fell silent or crashed, one of them not heard of since, was held until it was known whether that one had crashed: without a bound while the worker is cut off, 20 s after it left the list if it is gone, and from the beginning with each takeover. The log had no line for it, since a held step does not count as blocked.

A held task starts again, apart from others as before, 3 s after its latest lost run was closed, unless five workers may have crashed under it. Most workers that crash are back before; a deadly task takes down two workers more at most, and only where they stay away. The line "waiting" names held tasks.

--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -403,7 +403,7 @@
 
 func (tenure *tenure) logBlocked(steps []planner.BlockedStep, now time.Time) {
 	for _, step := range steps {
-		tenure.host.log.Info("waiting", "step", step.Step.String(), "queue", step.Queue, "tasks", step.Tasks,
+		tenure.host.log.Info("waiting", "step", step.Step.String(), "queue", step.Queue, "tasks", step.Tasks, "held", step.Held,
 			"for", now.Sub(step.BlockedSince).String(), "workers", step.Workers, "capped", step.Capped, "asked", step.QueryOpen,
 			"team", step.Team, "share", step.Share, "usedShare", step.UsedShare)
 	}
--- a/library/planner/crash_records.go
+++ b/library/planner/crash_records.go
@@ -71,7 +71,7 @@
 		}
 		task.lost = append(task.lost, lostRun{
 			worker: lost.Worker, incarnation: lost.Incarnation, number: lost.Number, alone: lost.Alone, sound: lost.Sound,
-			unanswered: lost.Unanswered,
+			unanswered: lost.Unanswered, closedAt: planner.now,
 		})
 		key := TaskKey{Job: step.key.Job, Occurrence: step.key.Occurrence, Step: step.key.Step, Index: lost.Index}
 		if !slices.Contains(worker.lostTasks, key) {
--- a/library/planner/crashes.go
+++ b/library/planner/crashes.go
@@ -29,6 +29,8 @@
 	alone       bool // whether no run of another step, or of another task that is not in the same gang, was on the worker
 	unanswered  bool // whether the worker did not answer the order, and may never have had the run
 	sound       bool // whether its task is standing and had run for soundRunTime
+	// closedAt is when the run was closed without it being known whether the worker crashed.
+	closedAt time.Time
 }
 
 // CrashEvent describes the crash of a worker, for logs.
@@ -123,6 +125,7 @@
 		planner.countCrash(step, run.Key, *run.loss)
 	case Vanished:
 		task, worker := &step.tasks[run.Key.Index], planner.ensureWorker(run.Worker)
+		run.loss.closedAt = planner.now
 		task.lost = append(task.lost, *run.loss)
 		worker.lostTasks = append(worker.lostTasks, run.Key)
 		step.suspected = true
--- a/library/planner/evacuate.go
+++ b/library/planner/evacuate.go
@@ -104,7 +104,7 @@
 		return "unconfirmed"
 	case !movableRun.worker.answeredRecently(now):
 		return "unanswered"
-	case step.held(run.Key.Index):
+	case step.held(run.Key.Index, now):
 		return "held"
 	case len(step.waiting) > 0:
 		return "taskWaits"
--- a/library/planner/explain.go
+++ b/library/planner/explain.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -11,7 +12,8 @@
 	Step         StepKey
 	Queue        string
 	Tasks        int            // number of waiting tasks
-	BlockedSince time.Time      // when placement first found no room for the step
+	BlockedSince time.Time      // when placement first found no room for the step, or since when its tasks are held
+	Held         int            // number of waiting tasks that are held until it is known whether their workers crashed
 	Workers      map[string]int // number of the service's workers by the first obstacle, "free" for none
 	Capped       bool           // whether the team's cap keeps the tasks from starting
 	QueryOpen    bool           // whether a policy query for the step is open
@@ -22,23 +24,54 @@
 
 // Explain returns the steps that have been blocked for at least minWait, longest first, at most limit of them.
 func (planner *Planner) Explain(now time.Time, minWait time.Duration, limit int) []BlockedStep {
-	var blocked []*step
+	var blocked []BlockedStep
 	for _, step := range planner.steps {
-		if len(step.waiting) > 0 && !step.blockedSince.IsZero() && now.Sub(step.blockedSince) >= minWait {
-			blocked = append(blocked, step)
+		if since, held := step.waitsSince(now); !since.IsZero() && now.Sub(since) >= minWait {
+			blocked = append(blocked, BlockedStep{Step: step.key, BlockedSince: since, Held: held})
 		}
 	}
-	slices.SortFunc(blocked, func(a, b *step) int {
-		if order := a.blockedSince.Compare(b.blockedSince); order != 0 {
-			return order
-		}
-		return strings.Compare(a.key.Job, b.key.Job)
+	slices.SortFunc(blocked, func(a, b BlockedStep) int {
+		return cmp.Or(a.BlockedSince.Compare(b.BlockedSince), strings.Compare(a.Step.Job, b.Step.Job))
 	})
-	explained := make([]BlockedStep, 0, min(limit, len(blocked)))
-	for _, step := range blocked[:min(limit, len(blocked))] {
-		explained = append(explained, planner.explainStep(step, now))
+	blocked = blocked[:min(limit, len(blocked))]
+	for index := range blocked {
+		found := blocked[index]
+		blocked[index] = planner.explainStep(planner.steps[found.Step], now)
+		blocked[index].BlockedSince, blocked[index].Held = found.BlockedSince, found.Held
+	}
+	return blocked
+}
+
+// waitsSince returns since when placement has found no room for the step or tasks of it are held, zero if neither is the case, and how
+// many are held.
+func (step *step) waitsSince(now time.Time) (since time.Time, held int) {
+	if len(step.waiting) == 0 {
+		return time.Time{}, 0
+	}
+	since = step.blockedSince
+	for _, index := range step.waiting {
+		if !step.held(index, now) {
+			continue
+		}
+		held++
+		if closedAt := step.lastClosedAt(index); since.IsZero() || closedAt.Before(since) {
+			since = closedAt
+		}
+	}
+	return since, held
+}
+
+// lastClosedAt returns when the last of the lost runs of a task, or of the gang that it is in, was closed.
+func (step *step) lastClosedAt(index int) time.Time {
+	var last time.Time
+	for _, task := range step.suspects(index) {
+		for _, lost := range task.lost {
+			if lost.closedAt.After(last) {
+				last = lost.closedAt
+			}
+		}
 	}
-	return explained
+	return last
 }
 
 // explainStep collects the obstacles to a step on all workers of its service.
--- a/library/planner/moves.go
+++ b/library/planner/moves.go
@@ -70,7 +70,7 @@
 		}
 		for _, run := range worker.sortedRuns() {
 			step := planner.steps[run.Key.step()]
-			if step == nil || !step.Standing || step.Gang || len(step.waiting) > 0 || step.held(run.Key.Index) {
+			if step == nil || !step.Standing || step.Gang || len(step.waiting) > 0 || step.held(run.Key.Index, planner.now) {
 				continue
 			}
 			if run.Confirmed && !run.Stopping {
--- a/library/planner/place_gang.go
+++ b/library/planner/place_gang.go
@@ -12,7 +12,7 @@
 	if !pass.planner.withinCap(step.job.Team, step.Step, int64(step.Count)) {
 		return
 	}
-	if step.held(0) {
+	if step.held(0, pass.now) {
 		return
 	}
 	workers := pass.chooseGang(step, queue)
--- a/library/planner/quarantine.go
+++ b/library/planner/quarantine.go
@@ -14,6 +14,8 @@
 	isolatedFrom = 2
 	// neighborCost is added to the cost of a worker for a suspect, for each run that the next crash would take along.
 	neighborCost = 0.5
+	// maxHoldTime is how long a task is held after each run that was lost. Most workers that crash are back before.
+	maxHoldTime = 3 * time.Second
 )
 
 // hasSuspectBeside reports whether a run of a suspect of another job started on the worker less than suspectTime ago. Suspects
@@ -58,11 +60,21 @@
 	}
 }
 
-// held reports whether a task waits until it is known what became of the workers that fell silent under it: it would be given up if
-// all of them had crashed.
-func (step *step) held(index int) bool {
-	suspects := step.suspects(index)
-	return step.suspected && slices.ContainsFunc(suspects, func(task task) bool { return givesUp(task.crashCounts()) })
+// held reports whether a task, or the gang that it is in, waits until it is known what became of the workers that fell silent under it.
+func (step *step) held(index int, now time.Time) bool {
+	return step.suspected && slices.ContainsFunc(step.suspects(index), func(task task) bool { return task.held(now) })
+}
+
+// held reports whether the task would be given up if all workers that fell silent under it had crashed. They may be cut off, so that it
+// waits no longer than maxHoldTime for them, unless as many as maxUnansweredCrashes may have crashed.
+func (task *task) held(now time.Time) bool {
+	answered, unanswered := task.crashCounts()
+	if !givesUp(answered, unanswered) {
+		return false
+	}
+	return answered+unanswered >= maxUnansweredCrashes || slices.ContainsFunc(task.lost, func(lost lostRun) bool {
+		return now.Sub(lost.closedAt) < maxHoldTime
+	})
 }
 
 // sortWaiting puts the suspects among the waiting tasks last, so that the others do not wait for them.
@@ -84,7 +96,7 @@
 func (pass *pass) placeSuspects(step *step, queue Queue) {
 	missing := false
 	for _, index := range slices.Clone(step.waiting) {
-		if step.held(index) {
+		if step.held(index, pass.now) {
 			continue
 		}
 		if !pass.starts.allow() || !pass.planner.withinCap(step.job.Team, step.Step, 1) || !pass.withinShare(step) {
