--- a/library/planner/fleet_test.go
+++ b/library/planner/fleet_test.go
@@ -40,9 +40,13 @@
 	crashOn func(planner.TaskKey) bool
 	// crashBefore tells which orders get no answer since the worker has just crashed, nil if none does.
 	crashBefore func(planner.TaskKey) bool
-	missedTerm  bool                    // whether the next planner follows a term that had no planner
-	adjust      func(*planner.Settings) // changes the settings of the planners to come, nil to leave them
-	events      []planner.EndEvent
+	// losesListing tells whether the answer of a worker to a poll is lost, nil if none is.
+	losesListing func() bool
+	// takesOrder replaces a worker's answer to an order, nil if each order is accepted. It reports false for an answer as usual.
+	takesOrder func(planner.Order, *fakeWorker) (planner.Outcome, bool)
+	missedTerm bool                    // whether the next planner follows a term that had no planner
+	adjust     func(*planner.Settings) // changes the settings of the planners to come, nil to leave them
+	events     []planner.EndEvent
 	// calibrations are those of all batches.
 	calibrations []planner.Calibration
 }
@@ -202,6 +206,10 @@
 		}
 		listing.Running = append(listing.Running, planner.RunningRun{Key: key, Number: number, Percent: percent})
 	}
+	if fleet.losesListing != nil && fleet.losesListing() {
+		fleet.planner.HandlePollFailure(id, fleet.time())
+		return
+	}
 	fleet.planner.HandleListing(id, listing, fleet.time())
 }
 
@@ -328,16 +336,27 @@
 		fleet.planner.HandleOrderOutcome(order, planner.Unknown, 0, fleet.time())
 		return
 	}
-	worker.running[order.Key] = order.Number
-	if leaseEnd := worker.clockStart.Add(time.Duration(order.DeadlineMS) * time.Millisecond); leaseEnd.After(worker.leaseEnd) {
-		worker.leaseEnd = leaseEnd
+	if fleet.takesOrder != nil {
+		if outcome, instead := fleet.takesOrder(order, worker); instead {
+			fleet.planner.HandleOrderOutcome(order, outcome, 0, fleet.time())
+			return
+		}
 	}
+	fleet.accept(worker, order)
 	fleet.planner.HandleOrderOutcome(order, planner.Accepted, fleet.clockMS(worker), fleet.time())
 	if fleet.crashOn != nil && fleet.crashOn(order.Key) {
 		fleet.crash(worker)
 	}
 }
 
+// accept lets a worker carry out an order.
+func (fleet *fleet) accept(worker *fakeWorker, order planner.Order) {
+	worker.running[order.Key] = order.Number
+	if leaseEnd := worker.clockStart.Add(time.Duration(order.DeadlineMS) * time.Millisecond); leaseEnd.After(worker.leaseEnd) {
+		worker.leaseEnd = leaseEnd
+	}
+}
+
 func (fleet *fleet) clockMS(worker *fakeWorker) int64 {
 	return fleet.now.Sub(worker.clockStart).Milliseconds()
 }
