planner: the log says that a gang waits for its team's cap, and how much the team uses

"capped" is now about all of a gang, "teamSize" and "teamCap" say what counts. TestCappedGangIsExplained fails with the former comparison.

--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -405,7 +405,7 @@
 	for _, step := range steps {
 		tenure.host.log.Info("waiting", "step", step.Step.String(), "queue", step.Queue, "tasks", step.Tasks, "held", step.Held,
 			"for", now.Sub(step.BlockedSince).String(), "workers", step.Workers, "capped", step.Capped, "asked", step.QueryOpen,
-			"team", step.Team, "share", step.Share, "usedShare", step.UsedShare)
+			"team", step.Team, "teamSize", step.TeamSize.String(), "teamCap", step.TeamCap.String(), "share", step.Share, "usedShare", step.UsedShare)
 	}
 }
 
--- a/library/planner/explain.go
+++ b/library/planner/explain.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"ebonyshunt.org/library/sizer"
 )
 
 // BlockedStep describes why the waiting tasks of a step have not started.
@@ -15,7 +17,9 @@
 	BlockedSince time.Time      // when placement first found no room for the step, or since when its tasks are held
 	Held         int            // number of waiting tasks that are held until it is known whether their workers crashed
 	Workers      map[string]int // number of the service's workers by the first obstacle, "free" for none
-	Capped       bool           // whether the team's cap keeps the tasks from starting
+	Capped       bool           // whether the team's cap keeps a task, or all of a gang, from starting
+	TeamSize     sizer.Size     // total size of the team's runs, also of those that may exist
+	TeamCap      sizer.Size     // 0 means no limit
 	QueryOpen    bool           // whether a policy query for the step is open
 	Team         string
 	Share        float64 // dominant share of the service that the team should have now, 0 unless Settings.PoolShares
@@ -74,12 +78,20 @@
 	return last
 }
 
+// startCount returns how many tasks of the step start together.
+func (step *step) startCount() int64 {
+	if step.Gang {
+		return int64(step.Count)
+	}
+	return 1
+}
+
 // explainStep collects the obstacles to a step on all workers of its service.
 func (planner *Planner) explainStep(step *step, now time.Time) BlockedStep {
 	queue, _ := planner.catalog.Queue(step.job.Queue)
 	blockedStep := BlockedStep{
 		Step: step.key, Queue: queue.Name, Tasks: len(step.waiting), BlockedSince: step.blockedSince, Workers: map[string]int{},
-		Capped: !planner.withinCap(step.job.Team, step.Step, 1), QueryOpen: len(step.policy.open) > 0, Team: step.job.Team,
+		Capped: !planner.withinCap(step.job.Team, step.Step, step.startCount()), QueryOpen: len(step.policy.open) > 0, Team: step.job.Team, TeamSize: planner.ensureTeam(step.job.Team).used, TeamCap: planner.catalog.Teams[step.job.Team].Cap,
 	}
 	if planner.Settings.PoolShares {
 		account := planner.accountOf(step)
