server: the end of a former attempt does not hide the latest one when a term begins

Cause: workers keep ended tasks for a while and report all of them to a new decider. It applied any such end to the restored task: the stop of a first attempt, from whose checkpoint the task was resumed elsewhere, put the task back into the queue while the second attempt ran on a worker that did not answer yet. Of two ends of one task the one reported last counted, so that the stop could replace the completion of the later attempt.

Change: of several ends that of the latest attempt is kept, and one of an attempt before the recorded running one is left out.

TestRestoredWithEndOfFormerAttempt and TestEndsBeforeTheirJob fail without the change and pass with it; TestFaults, TestGangs, TestPreemption and TestSupersededDecider pass.

--- a/daemon/server/job_ends.go
+++ b/daemon/server/job_ends.go
@@ -18,7 +18,7 @@
 	id, index := splitWork(effect.Work.ID)
 	job := tenure.jobs[id]
 	if job == nil {
-		tenure.unmatchedEnds[effect.Work.ID] = unmatchedEnd{effect: effect, at: time.Now()}
+		tenure.keepUnmatched(effect)
 		return
 	}
 	if index < 0 || index >= len(job.Tasks) {
@@ -48,6 +48,16 @@
 	tenure.publishVersion(job)
 }
 
+// keepUnmatched keeps the end of a task whose job is not known yet, unless that of a later attempt is kept.
+func (tenure *tenure) keepUnmatched(effect decider.Ended) {
+	former, found := tenure.unmatchedEnds[effect.Work.ID]
+	if found && former.effect.Work.Attempt > effect.Work.Attempt {
+		tenure.decider.ForgetEnded(effect.Worker, effect.Task)
+		return
+	}
+	tenure.unmatchedEnds[effect.Work.ID] = unmatchedEnd{effect: effect, at: time.Now()}
+}
+
 // isLatestAttempt reports whether an end is that of the latest known attempt, or of a later one: a former decider may have
 // started a queued task again after this decider had read its record.
 func isLatestAttempt(task *JobTask, effect decider.Ended) bool {
--- a/daemon/server/job_ends_test.go
+++ b/daemon/server/job_ends_test.go
@@ -1,8 +1,10 @@
 package server
 
 import (
+	"fmt"
 	"log/slog"
 	"testing"
+	"time"
 
 	"ebonyshunt.org/daemon/dialer"
 	"ebonyshunt.org/daemon/loader"
@@ -126,3 +128,54 @@
 	tenure.startJobTask(decider.Start{Work: job.work(0)})
 	assertStates(t, job, JobDone)
 }
+
+// TestRestoredWithEndOfFormerAttempt guards against the loss of a running attempt when its decider is succeeded: a worker still
+// reports the end of an attempt before it, from whose checkpoint the task was resumed.
+func TestRestoredWithEndOfFormerAttempt(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		task JobTask
+		want JobTaskState
+	}{
+		{"runsAgain", JobTask{State: JobRunning, Task: "j_0~1.2", Worker: "w", Boot: "1", Attempts: 2, Resume: "c"}, JobRunning},
+		{"ended", JobTask{State: JobRunning, Task: "j_0~1.1", Worker: "v", Boot: "1", Attempts: 1}, JobQueued},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			tenure := newTestTenure(t)
+			tenure.decider.SetWorkers([]decider.WorkerInfo{{Name: "v", Address: "v"}, {Name: "w", Address: "w"}}, time.Now())
+			job := newTestJob(JobSpec{Resumable: true}, test.task)
+			job.Team = "t"
+			work := job.work(0)
+			work.Attempt = 1
+			tenure.mu.Lock()
+			defer tenure.mu.Unlock()
+			tenure.jobs["j"] = job
+			tenure.unmatchedEnds["j_0"] = unmatchedEnd{effect: decider.Ended{Work: work, Task: "j_0~1.1", Worker: "v", Ending: decider.Stopped, Checkpoint: "c"}}
+			tenure.restoreTask(job, 0)
+			assertStates(t, job, test.want)
+		})
+	}
+}
+
+// TestEndsBeforeTheirJob checks that of two ends of a task that are reported before its job is known, that of the later attempt
+// counts, in either order.
+func TestEndsBeforeTheirJob(t *testing.T) {
+	for _, attempts := range [][2]int{{1, 2}, {2, 1}} {
+		t.Run(fmt.Sprint(attempts), func(t *testing.T) {
+			tenure := newTestTenure(t)
+			job := newTestJob(JobSpec{Resumable: true}, JobTask{State: JobRunning, Task: "j_0~1.2", Attempts: 2, Resume: "c"})
+			ends := map[int]decider.Ended{1: {Ending: decider.Stopped, Checkpoint: "c"}, 2: {Ending: decider.Completed}}
+			tenure.mu.Lock()
+			defer tenure.mu.Unlock()
+			for _, attempt := range attempts {
+				end := ends[attempt]
+				end.Work = job.work(0)
+				end.Work.Attempt, end.Task = attempt, fmt.Sprintf("j_0~1.%d", attempt)
+				tenure.handleJobTaskEnd(end)
+			}
+			tenure.jobs["j"] = job
+			tenure.restoreTask(job, 0)
+			assertStates(t, job, JobDone)
+		})
+	}
+}
--- a/daemon/server/jobs.go
+++ b/daemon/server/jobs.go
@@ -184,8 +184,8 @@
 	return tenure.newRecord(job.ID, kindJob, job.Version, job.Expires, job.Job)
 }
 
-// restoreJob takes over a job of an earlier term. Tasks that a claimed worker reported are in the tables of the decider
-// already. A task that was started but that no worker reports is queued again if it is proven never to have run, and
+// restoreJob takes over a job of an earlier term. A task whose latest attempt a worker reported as ended ends so. Tasks
+// that a claimed worker reported are in the tables of the decider already. A task that was started but that no worker reports is queued again if it is proven never to have run, and
 // otherwise counts as running but unconfirmed.
 func (tenure *tenure) restoreJob(record keeper.Record) error {
 	var job Job
@@ -205,8 +205,13 @@
 	if task.State.final() {
 		return
 	}
-	if end, ended := tenure.unmatchedEnds[workID(job.ID, index)]; ended {
-		delete(tenure.unmatchedEnds, workID(job.ID, index))
+	end, ended := tenure.unmatchedEnds[workID(job.ID, index)]
+	delete(tenure.unmatchedEnds, workID(job.ID, index))
+	if ended && task.State == JobRunning && end.effect.Work.Attempt < task.Attempts {
+		tenure.decider.ForgetEnded(end.effect.Worker, end.effect.Task) // a later attempt was started since
+		ended = false
+	}
+	if ended {
 		task.Task = end.effect.Task
 		tenure.handleJobTaskEnd(end.effect)
 		return
