planner: overdue gangs give way too while starts are scarce

Cause: gangs kept their place, so that the oldest took the room, and the policy queries for them counted as all of it: from 16 to 32 s no logged policy query was for inscription-lift.

Change: gangs give way as other jobs do, unless single tasks of their priority can still be in time: these would take each place as it comes free (TestGangBesideSingleTasks).

--- a/library/planner/plan.go
+++ b/library/planner/plan.go
@@ -101,11 +101,8 @@
 	return tierRegular
 }
 
-// overtakable reports whether a step gives way, while starts are scarce, to others that can still be in time. A gang
-// does not: single tasks would take each place as it comes free.
-func (step *step) overtakable() bool {
-	return !step.Standing && !step.Gang && !step.occurrence.begun()
-}
+// overtakable reports whether a step gives way, while starts are scarce, to others that can still be in time.
+func (step *step) overtakable() bool { return !step.Standing && !step.occurrence.begun() }
 
 // begun reports whether runs of an occurrence exist or have been completed. What was spent on it would be lost if others overtook it.
 func (occurrence *occurrence) begun() bool {
@@ -152,6 +149,22 @@
 	rank rank
 }
 
+// keepOverdueGangs returns overdue gangs to the first tier if steps there have the same priority and are no gangs: single tasks would
+// take each place as it comes free, and the gangs would never start.
+func keepOverdueGangs(all []ranked) {
+	singles := map[int]bool{} // by priority
+	for _, ranked := range all {
+		if ranked.rank.tier == tierRegular && !ranked.step.Gang {
+			singles[ranked.rank.priority] = true
+		}
+	}
+	for index := range all {
+		if rank := &all[index].rank; rank.tier == tierOverdue && all[index].step.Gang && singles[rank.priority] {
+			rank.tier = tierRegular
+		}
+	}
+}
+
 // rankedSteps returns the steps that have tasks to start, sorted by rank and key. A gang waits until no run of
 // it is open.
 func (planner *Planner) rankedSteps(now time.Time) []ranked {
@@ -161,6 +174,7 @@
 			all = append(all, ranked{step, planner.rankOf(step, now)})
 		}
 	}
+	keepOverdueGangs(all)
 	slices.SortFunc(all, func(a, b ranked) int {
 		return cmp.Or(a.rank.compare(b.rank), cmp.Compare(a.step.key.Job, b.step.key.Job),
 			cmp.Compare(a.step.key.Occurrence, b.step.key.Occurrence), cmp.Compare(a.step.key.Step, b.step.key.Step))
--- a/library/planner/start_limit_test.go
+++ b/library/planner/start_limit_test.go
@@ -192,7 +192,7 @@
 	t.Error("the gang does not start")
 }
 
-// scarceLoad is a load that brings more starts than the planner's host carries. The workers have room for all of it.
+// scarceLoad is a load that brings more starts than the planner's host carries.
 type scarceLoad struct {
 	*simulation
 	prompt, gangs, batch *workload
@@ -202,17 +202,18 @@
 	carriedStarts = 200 // a second
 	scarceTime    = 30 * time.Second
 	minGoodput    = 0.8 // of what the host carries
+	ampleWorkers  = 400 // with room for all tasks
 )
 
-// newScarceLoad returns a load with a number of urgent jobs a second, beside gangs that need one start in twenty of those that the host
+// newScarceLoad returns a load on some workers with a number of urgent jobs a second, beside gangs that need one start in twenty of those that the host
 // carries, and batch jobs that need half of them.
-func newScarceLoad(t *testing.T, urgent float64) scarceLoad {
+func newScarceLoad(t *testing.T, urgent float64, workers int) scarceLoad {
 	t.Helper()
 	prompt, gangs, batch := mixedWorkloads()
 	prompt.perS = urgent
 	gangs.perS, gangs.step.Count = 1.3, 8
 	batch.perS, batch.runTime = 4.3, 2400*time.Millisecond
-	simulation := newSimulation(t, 400, 60, prompt, gangs, batch)
+	simulation := newSimulation(t, workers, 60, prompt, gangs, batch)
 	simulation.carried = int(carriedStarts * simulationTick.Seconds())
 	return scarceLoad{simulation, prompt, gangs, batch}
 }
@@ -221,7 +222,7 @@
 // Counted are the jobs that are submitted from 2 s after that on.
 func playOutage(t *testing.T) scarceLoad {
 	t.Helper()
-	load := newScarceLoad(t, 55)
+	load := newScarceLoad(t, 55, ampleWorkers)
 	load.outage = span{4 * time.Second, 9 * time.Second}
 	load.counted = span{load.outage.end + 2*time.Second, scarceTime}
 	load.play(scarceTime)
@@ -256,9 +257,18 @@
 		load.wantInTime(t, load.gangs, minGoodput)
 		load.wantInTime(t, load.batch, minGoodput*(0.3-0.05)/0.5) // of what the urgent jobs and the gangs leave
 	})
+	// Room is scarce too. Gangs that were late took it as fast as it became free, so that those after them were late.
+	t.Run("gangDomino", func(t *testing.T) {
+		load := newScarceLoad(t, 30, 85)
+		load.gangs.perS = 5
+		load.outage = span{4 * time.Second, 12 * time.Second}
+		load.counted = span{load.outage.end + 2*time.Second, scarceTime}
+		load.play(scarceTime)
+		load.wantInTime(t, load.gangs, minGoodput)
+	})
 	// Urgent jobs alone bring more than the host carries, so that all of them were late.
 	t.Run("lastingOverload", func(t *testing.T) {
-		load := newScarceLoad(t, 90)
+		load := newScarceLoad(t, 90, ampleWorkers)
 		load.counted = span{5 * time.Second, scarceTime}
 		load.play(scarceTime)
 		load.wantGoodput()
