--- a/daemon/scheduler/load_meter.go
+++ b/daemon/scheduler/load_meter.go
@@ -83,7 +83,7 @@
 			"lockWait", milliseconds(&meter.lockTime), "encoding", milliseconds(&meter.encodeTime),
 			"appending", milliseconds(&meter.appendTime), "appendAttempts", meter.appendAttempts.Swap(0), "appendedBytes", meter.appendedBytes.Swap(0),
 			"outOfTurn", meter.outOfTurn.Swap(0), "storeLossy", tenure.journal.lossRate.isHigh(), "workersLossy", tenure.answerLossRate.isHigh(),
-			"queriedWorkers", load.QueriedWorkers, "requeriedWorkers", load.RequeriedWorkers, "examinedSteps", load.ExaminedSteps,
+			"queriedWorkers", load.QueriedWorkers, "requeriedWorkers", load.RequeriedWorkers, "examinedSteps", load.ExaminedSteps, "cutPasses", load.CutPasses,
 			"wakeups", processor.wakeups, "medianWait", inMilliseconds(processor.medianWait), "highWait", inMilliseconds(processor.highWait),
 			"garbageCollection", inMilliseconds(processor.gcTime), "startsInFlight", tenure.startsInFlight.Load(), "startLimit", startLimit,
 			"probe", time.Duration(tenure.speed.latest.Load()).String(),
--- a/library/planner/load.go
+++ b/library/planner/load.go
@@ -14,10 +14,11 @@
 	QueriedWorkers   int // workers named in policy queries
 	RequeriedWorkers int // of these, those that the policy allowed before: their tickets expired
 	ExaminedSteps    int // steps that placement passes tried to place
+	CutPasses        int // passes that ended at the limit on starts
 }
 
 // workCounts counts work of the planner since the last call of Load.
-type workCounts struct{ queriedWorkers, requeriedWorkers, examinedSteps int }
+type workCounts struct{ queriedWorkers, requeriedWorkers, examinedSteps, cutPasses int }
 
 // Load returns the planner's current load, and resets the counts of its work.
 func (planner *Planner) Load() Load {
@@ -41,6 +42,7 @@
 	}
 	load.UsedShare = used.DominantShare(capacity)
 	load.QueriedWorkers, load.RequeriedWorkers, load.ExaminedSteps = planner.counts.queriedWorkers, planner.counts.requeriedWorkers, planner.counts.examinedSteps
+	load.CutPasses = planner.counts.cutPasses
 	planner.counts = workCounts{}
 	return load
 }
--- a/library/planner/start_limit.go
+++ b/library/planner/start_limit.go
@@ -35,6 +35,9 @@
 	if pass.starts.allow() {
 		return true
 	}
-	pass.planner.startsCutAt = pass.now
+	if !pass.planner.startsCutAt.Equal(pass.now) {
+		pass.planner.startsCutAt = pass.now
+		pass.planner.counts.cutPasses++
+	}
 	return false
 }
--- a/library/planner/start_limit_test.go
+++ b/library/planner/start_limit_test.go
@@ -140,6 +140,18 @@
 			}
 		}
 	})
+	t.Run("cutPasses", func(t *testing.T) {
+		fleet := newFleet(t, testStart, 5)
+		fleet.submit("u", step)
+		for _, available := range []int{4, 4, 4, 4} { // the third pass starts the last two tasks
+			fleet.planner.SetStartLimit(planner.StartLimit{Available: available})
+			fleet.planner.Plan(fleet.time())
+			fleet.now = fleet.now.Add(time.Millisecond)
+		}
+		if got := fleet.planner.Load().CutPasses; got != 2 {
+			t.Errorf("%d passes count as ended by the limit, want 2", got)
+		}
+	})
 	t.Run("noneAvailable", func(t *testing.T) {
 		fleet := newFleet(t, testStart, 5)
 		fleet.submit("u", step)
