scheduler: a decider that is stopped decides for 2 s before it hands over

Cause: what the policy answers, after 0.7 to 1.1 s, is known to the decider that asked and ends with it; no term lasted long enough to use an answer, so that tasks started 1.1 s after the last stop.

A host that is stopped hands over when its tenure is 2 s old at the earliest, within its grace. Terms of a planned series are then long enough to ask and to start, however many stops there are.

TestFleetLastingTasks/plannedStopsInARow: three deciders were replaced within 32 ms before, now 4 s at least.

--- a/daemon/scheduler/handover.go
+++ b/daemon/scheduler/handover.go
@@ -29,6 +29,20 @@
 	return host.requestCampaign(ctx, peer, election)
 }
 
+// minTerm is the least time for which a host decides before it hands over because it is stopped. What the policy answers is not handed
+// over, so that in shorter terms, one after the other, no task would start.
+const minTerm = 2 * time.Second
+
+// awaitMinTerm waits until the tenure has lasted for minTerm, at most until the context is done or the tenure has ended.
+func (tenure *tenure) awaitMinTerm(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, minTerm-(tenure.host.uptime()-tenure.beganAt))
+	defer cancel()
+	select {
+	case <-tenure.ctx.Done():
+	case <-ctx.Done():
+	}
+}
+
 // awaitPlanner waits for the planner to be restored: only then does this host know until when workers are leased.
 func (tenure *tenure) awaitPlanner(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, shutdownTransferTimeout/3)
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -212,6 +212,7 @@
 	host.shuttingDown.Store(true)
 	host.endCampaigns(ctx)
 	if tenure := host.currentTenure(); tenure != nil {
+		tenure.awaitMinTerm(ctx)
 		transferCtx, cancel := context.WithTimeout(ctx, shutdownTransferTimeout)
 		host.transferOnShutdown(transferCtx, tenure)
 		cancel()
--- a/tests/fleet_lasting_test.go
+++ b/tests/fleet_lasting_test.go
@@ -24,6 +24,8 @@
 	unansweredTime = 900 * time.Millisecond
 	// plannedStops is the number of deciders that are stopped one after the other.
 	plannedStops = 3
+	// minPlannedTerm is the least time for which a decider decides that is stopped meanwhile: a policy query and a start take a second.
+	minPlannedTerm = 2 * time.Second
 	// leavingNotice is the time between a worker's notice and its end.
 	leavingNotice = 6 * time.Second
 	// movedBound bounds how long a task is down that moves before its worker leaves: a stop, a policy query and a start, each of which
@@ -127,6 +129,18 @@
 			fleet.stopAtElections(slices.Sorted(slices.Values(fleet.hostNames))[:plannedStops])
 		})
 	})
+	// Guards against planned stops that leave no decider the time to ask the policy and to start tasks: each term has to last long enough.
+	t.Run("plannedStopsInARow", func(t *testing.T) {
+		runFleetWith(t, lastingHosts, func(fleet *fleet) { fleet.maxLease = longLease }, func(fleet *fleet) {
+			time.Sleep(20 * time.Second)
+			names := slices.Sorted(slices.Values(fleet.hostNames))[:plannedStops]
+			begun := time.Now()
+			fleet.stopAtElections(names)
+			if took, want := time.Since(begun), (plannedStops-1)*minPlannedTerm; took < want {
+				t.Errorf("%d deciders were replaced within %v, want %v at least", len(names), took, want)
+			}
+		})
+	})
 	// Guards against a worker that takes lasting tasks along although it has said in time that it leaves.
 	t.Run("announcedEnd", func(t *testing.T) {
 		runFleetWith(t, lastingHosts, func(fleet *fleet) { fleet.maxLease = longLease }, func(fleet *fleet) {
