--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -334,4 +334,14 @@
 try 'takeovers: only members support a decider' daemon/scheduler/heartbeat.go 'if known { // the quorum is counted over the members' 'if true {' ./tests 'TestFleetUnregisteredHost'
 try 'takeovers: former deciders may know fewer hosts' daemon/scheduler/quorum.go 'blocked := 2*(hostCount-count) <= formerHostCount' 'blocked := 2*count >= hostCount' ./tests 'TestFleetUnknownHost'
 try 'takeovers: appends confirm from their beginning' daemon/scheduler/journal.go 'tenure.confirmTerm(attempts.begunAt)' 'tenure.confirmTerm(sentAt)' ./daemon/scheduler 'TestRepeatedAppendConfirms'
+try 'handover: no leases after it began' library/planner/handover.go 'return !planner.handingOver.begun && planner.handingOver.resumeBatch' 'return planner.handingOver.resumeBatch' ./library/planner 'TestHandover'
+try 'handover: leases again only without the record' library/planner/handover.go ' && planner.handingOver.resumeBatch <= planner.storedBatch' '' ./library/planner 'TestHandover'
+try 'handover: record of the term before only' library/planner/handover.go 'if handover.Term == planner.Settings.FormerTerm {' 'if true {' ./library/planner 'TestHandover'
+try 'handover: times of the workers' library/planner/handover.go 'wait := max(time.Duration(leasesMS)*time.Millisecond, minHandoverWait)' 'wait := max(time.Duration(leasesMS)*time.Millisecond, time.Hour)' ./library/planner 'TestHandover'
+try 'handover: at shutdown' daemon/scheduler/handover.go '	tenure.awaitPlanner(ctx)
+	tenure.beginHandover(ctx)' '	tenure.awaitPlanner(ctx)' ./tests 'TestFleetHandover'
+try 'handover: a campaign under way' daemon/scheduler/host.go '	host.endCampaigns(ctx)
+' '' ./tests 'TestFleetLastingTasks/plannedStopsAtOnce'
+try 'handover: least term' daemon/scheduler/host.go '		tenure.awaitMinTerm(ctx)
+' '' ./tests 'TestFleetLastingTasks/plannedStopsInARow'
 exit $failed
