scheduler: a decider goes on while a stronger host does not reach the store

Callers saw: while the strongest host was cut off from the store, jobs of two steps of 100 ms took 1.24 s, every two seconds, as nothing was started meanwhile. Cause: a decider gives no leases from when it asks a peer to decide until that has failed. The stronger host still sends heartbeats and is asked every 2 s, and its campaign times out after 1.2 s. Change: before it hands over, a decider asks the peer by a heartbeat how long it has not reached the store, and leaves it at that from the outage on from which a host considers no campaign of its own. Measured: TestFleetStrongerHostWithoutStore failed before, with 9 of 40 jobs between 1.237 s and 1.259 s (bound 1 s), and passes now.

--- a/daemon/scheduler/handover.go
+++ b/daemon/scheduler/handover.go
@@ -21,9 +21,25 @@
 	return nil
 }
 
+// checkSuccessor returns an error unless a peer answers and reaches the store. One that does not cannot be elected, and would be waited for
+// in vain.
+func (host *Host) checkSuccessor(ctx context.Context, peer Member) error {
+	answer, err := host.sendHeartbeat(ctx, peer.Address)
+	switch {
+	case err != nil:
+		return fmt.Errorf("check whether %s can decide: %w", peer.Name, err)
+	case answer.StoreOutage >= maxStoreOutage:
+		return Error.New("%s has not reached the store for %v", peer.Name, answer.StoreOutage)
+	}
+	return nil
+}
+
 // handOver asks a peer to become the decider in place of this host. Until the peer is elected, and from when it was asked, no leases are
 // given, so that the peer need not wait for any that this host does not know.
 func (host *Host) handOver(ctx context.Context, tenure *tenure, peer Member, election Election) error {
+	if err := host.checkSuccessor(ctx, peer); err != nil {
+		return err
+	}
 	tenure.beginHandover(ctx)
 	defer tenure.cancelHandover()
 	return host.requestCampaign(ctx, peer, election)
--- /dev/null
+++ b/tests/fleet_handover_test.go
@@ -0,0 +1,37 @@
+package tests
+
+import (
+	"testing"
+	"time"
+)
+
+const (
+	// handoverJobs is the number of jobs that are submitted one after the other, over several intervals of requests to a stronger host.
+	handoverJobs = 40
+	// promptTime bounds how long a job of two short steps takes that nothing disturbs.
+	promptTime = time.Second
+)
+
+// TestFleetStrongerHostWithoutStore guards against a decider that stops starting tasks over and over, while it asks a stronger host to
+// decide that does not reach the store.
+func TestFleetStrongerHostWithoutStore(t *testing.T) {
+	strongest := "entry-a-0"
+	runFleetWith(t, lastingHosts, func(fleet *fleet) { fleet.shares = map[string]float64{strongest: 10} }, func(fleet *fleet) {
+		heal := fleet.fabric.Cut([]string{strongest}, []string{"store"})
+		time.Sleep(8 * time.Second)
+		decider := fleet.decidingHost()
+		if decider == strongest || decider == "" {
+			t.Fatalf("%q decides, want another host than %s", decider, strongest)
+		}
+		for number := range handoverJobs {
+			if took := fleet.measureJob(decider, number); took > promptTime {
+				t.Errorf("job %d takes %v, want %v at most", number, took, promptTime)
+			}
+		}
+		heal()
+		time.Sleep(5 * time.Second)
+		if decider := fleet.decidingHost(); decider != strongest {
+			t.Errorf("%q decides once the store is reached again, want %s", decider, strongest)
+		}
+	})
+}
