scheduler: a host that stops asks the peers first that have been heard of late

Callers saw: a planned stop of the decider cost a whole lease while two hosts stood still that come first in the order. Cause: peers were asked by capacity and name, each for up to 1.2 s of the 1.5 s that a stop waits for a successor, and the record of the handover was deleted at the end. Hosts stay in the list of members for good, so that ended ones are asked as well. Change: peers that have sent no heartbeat of late are asked after all others. Measured: TestFleetStopBesideLostHosts/silent failed before (grounds window instead of handover) and passes now; its subtests store and ended passed before as well.

--- a/daemon/scheduler/handover.go
+++ b/daemon/scheduler/handover.go
@@ -105,14 +105,27 @@
 	}
 }
 
-// transferOnShutdown asks the peers to become the decider in place of a tenure, those with the most capacity first, until one does. Each is
-// asked at most twice.
+// successors returns the peers that can replace a tenure's host, those with the most capacity first, and after all others those that have
+// sent no heartbeat of late: they may have ended.
+func (tenure *tenure) successors() []Member {
+	var heard, silent []Member
+	for _, peer := range tenure.host.fleet.others(tenure.host.settings.Host) {
+		if tenure.quorum.includes(peer.Name) {
+			heard = append(heard, peer)
+		} else {
+			silent = append(silent, peer)
+		}
+	}
+	return append(heard, silent...)
+}
+
+// transferOnShutdown asks the successors of a tenure to become the decider until one does. Each is asked at most twice.
 func (host *Host) transferOnShutdown(ctx context.Context, tenure *tenure) {
 	tenure.awaitPlanner(ctx)
 	tenure.beginHandover(ctx)
 	defer tenure.cancelHandover()
 	election, changed := host.fleet.currentElection()
-	peers := host.fleet.others(host.settings.Host)
+	peers := tenure.successors()
 	for _, peer := range slices.Insert(peers, len(peers), peers...) {
 		if ctx.Err() != nil {
 			return
--- a/tests/fleet_handover_test.go
+++ b/tests/fleet_handover_test.go
@@ -1,6 +1,7 @@
 package tests
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -35,3 +36,37 @@
 		}
 	})
 }
+
+// TestFleetStopBesideLostHosts guards against a planned stop without a successor, since the hosts that are asked first cannot decide.
+func TestFleetStopBesideLostHosts(t *testing.T) {
+	for name, lose := range map[string]func(fleet *fleet, lost []string){
+		"store": func(fleet *fleet, lost []string) { fleet.fabric.Cut(lost, []string{"store"}) },
+		"ended": func(fleet *fleet, lost []string) {
+			for _, host := range lost {
+				fleet.killHost(host)
+			}
+		},
+		"silent": func(fleet *fleet, lost []string) {
+			for _, host := range lost {
+				fleet.fabric.Pause(host)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFleetWith(t, lastingHosts, func(fleet *fleet) { fleet.maxLease = longLease }, func(fleet *fleet) {
+				fleet.submitLasting()
+				time.Sleep(20 * time.Second)
+				decider := fleet.decidingHost()
+				lose(fleet, slices.Sorted(slices.Values(fleet.others(decider)))[:2]) // they are asked first
+				time.Sleep(5 * time.Second)
+				before := fleet.formerLeaseLines()
+				fleet.stopHost(decider)
+				time.Sleep(5 * time.Second)
+				after := fleet.formerLeaseLines()
+				if handovers := after["handover"] - before["handover"]; handovers != 1 || after["window"] != before["window"] {
+					t.Errorf("%d lines with the grounds handover and %d with the grounds window, want 1 and none", handovers, after["window"]-before["window"])
+				}
+			})
+		})
+	}
+}
