server: a contested key is resolved in the zone that its holder confirmed last

Cause: the holder of a key was copied before the key was marked as contested. A holder that confirmed its key in between, for a grant of another zone, may start there; the zone of its former grant was asked and could prove that attempt never ran, so that the key went to another request and its work ran twice.

Change: the holder is read in the same step that marks the key; a holder that confirms later is refused.

TestContestedKey fails with the copy (on the extracted function) and passes without it; TestFaults and TestScripts/badRequests pass.

--- a/daemon/server/keys.go
+++ b/daemon/server/keys.go
@@ -183,13 +183,10 @@
 	if tenure.holderAlive(holder) {
 		return inProgress, nil
 	}
-	tenure.mu.Lock()
-	if state.Holder.Request != holder.Request || state.Outcome != "" {
-		tenure.mu.Unlock()
+	holder, contested := tenure.contestKey(state, holder)
+	if !contested {
 		return inProgress, nil
 	}
-	state.contested = true
-	tenure.mu.Unlock()
 	switch answer := tenure.resolveHolder(ctx, holder); {
 	case answer.Pending:
 		return inProgress, nil
@@ -199,6 +196,18 @@
 	return tenure.endKeyUnknown(ctx, state, inProgress), nil
 }
 
+// contestKey marks a key as contested, and returns its holder, whose zone may have changed since before. It returns false if
+// the key has another holder than before or an outcome.
+func (tenure *tenure) contestKey(state *keyState, holder TakeKeyCall) (TakeKeyCall, bool) {
+	tenure.mu.Lock()
+	defer tenure.mu.Unlock()
+	if state.Holder.Request != holder.Request || state.Outcome != "" {
+		return holder, false
+	}
+	state.contested = true
+	return state.Holder, true
+}
+
 // endKeyUnknown records the outcome of the request that holds a key as unknown, which is final, and returns the answer
 // to repeat. If the outcome cannot be replicated, it returns inProgress.
 func (tenure *tenure) endKeyUnknown(ctx context.Context, state *keyState, inProgress KeyAnswer) KeyAnswer {
