--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -139,7 +139,11 @@
 try 'fleet: crashes of workers that never come back' library/planner/runs.go 'planner.resolveGone(worker)' '_ = worker' ./library/planner 'TestCrashingTask'
 try 'fleet: takeovers keep the counts of crashes' library/blamer/records.go 'records.Crashes = setCount(records.Crashes, index, evidence.Crashes)' '' ./library/planner 'TestCrashingTask'
 try 'fleet: takeovers keep the lost runs' library/blamer/records.go 'range evidence.Lost' 'range evidence.Lost[:0]' ./library/planner 'TestCrashingTask'
-try 'fleet: tasks wait for the workers that fell silent' library/planner/quarantine.go 'return step.suspected && slices.ContainsFunc(suspects, func(task task) bool { return task.evidence.Holds(now) })' 'return len(suspects) < 0 && slices.ContainsFunc(suspects, func(task) bool { return false })' ./library/planner 'TestCrashingTask'
+try 'fleet: tasks wait for the workers that fell silent' library/blamer/evidence.go '	if !givesUp(answered, unanswered) {
+		return false' '	if !givesUp(answered, unanswered) || now.After(time.Time{}) {
+		return false' ./library/planner 'TestCrashingTask'
+try 'fleet: a held task starts after a time' library/blamer/evidence.go 'now.Sub(loss.ClosedAt) < maxHoldTime' 'now.After(loss.ClosedAt)' ./library/planner 'TestHeldTaskStarts'
+try 'fleet: as many lost runs hold a task as give it up' library/blamer/evidence.go 'answered+unanswered >= maxUnansweredCrashes || slices' 'slices' ./library/planner 'TestCrashingTask'
 try 'fleet: one suspect at a time on a worker' library/planner/quarantine.go 'if !worker.hasSuspectBeside(step.job.ID, pass.now) {' 'if true {' ./library/planner 'TestSuspectsStartApart'
 try 'fleet: suspects prefer empty workers' library/planner/quarantine.go ' + blamer.NeighborCost(len(worker.Runs))' '' ./library/planner 'TestSuspectsStartApart'
 try 'fleet: nothing new beside a suspect of two crashes' library/blamer/isolation.go 'isolation.runsUntil = until' '_ = until' ./library/planner 'TestSuspectsStartApart'
