scheduler: a decider that does not reach the store does not ask a stronger host to decide

Callers saw: all lasting tasks of a fleet ended 6.5 s after an outage of the store began just after a stronger host had started. Cause: the record of the handover was saved in the outage, which an idle decider has not noticed yet. The peer is not elected, and leases are given again only once the deletion of the record is stored, although most hosts support the decider. Change: a decider reads from the store that it still decides before it hands over to a stronger host, or since it is slowed.

--- a/daemon/scheduler/handover.go
+++ b/daemon/scheduler/handover.go
@@ -45,6 +45,15 @@
 	return host.requestCampaign(ctx, peer, election)
 }
 
+// handOverByStore is handOver while the store answers this host. In an outage of the store the peer is not elected, and leases would be given
+// again only after it.
+func (host *Host) handOverByStore(ctx context.Context, tenure *tenure, peer Member, election Election) error {
+	if !tenure.stillDecides(ctx) {
+		return Error.New("this host does not reach the store, or does not decide any more")
+	}
+	return host.handOver(ctx, tenure, peer, election)
+}
+
 // awaitPlanner waits for the planner to be restored: only then does this host know until when workers are leased.
 func (tenure *tenure) awaitPlanner(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, shutdownTransferTimeout/3)
--- a/daemon/scheduler/lag.go
+++ b/daemon/scheduler/lag.go
@@ -83,7 +83,7 @@
 		host.slowTransferAt.Store(int64(now))
 		ctx, cancel := context.WithTimeout(host.ctx, campaignTimeout)
 		defer cancel()
-		err := host.handOver(ctx, tenure, member, election)
+		err := host.handOverByStore(ctx, tenure, member, election)
 		host.log.Info("turns are late, asks a peer to decide", "term", tenure.term, "to", member.Name, "late", average.String(), "error", err)
 		return
 	}
--- a/daemon/scheduler/watch.go
+++ b/daemon/scheduler/watch.go
@@ -211,7 +211,7 @@
 		election, _ := host.fleet.currentElection()
 		ctx, cancel := context.WithTimeout(host.ctx, campaignTimeout)
 		defer cancel()
-		err := host.handOver(ctx, tenure, member, election)
+		err := host.handOverByStore(ctx, tenure, member, election)
 		host.log.Info("asked a stronger host to decide", "to", member.Name, "error", err)
 		return
 	}
