scheduler: a host that stops does not wait for peers without the store

Callers saw: a planned stop of the decider cost a whole lease while two hosts that come first did not reach the store. Cause: they still send heartbeats, and each was asked for up to 1.2 s of the 1.5 s that a stop waits for a successor. Change: a peer is asked by a heartbeat first, as in other handovers.

--- a/daemon/scheduler/handover.go
+++ b/daemon/scheduler/handover.go
@@ -140,7 +140,10 @@
 			return
 		}
 		callCtx, cancel := context.WithTimeout(ctx, campaignTimeout)
-		err := host.requestCampaign(callCtx, peer, election)
+		err := host.checkSuccessor(callCtx, peer)
+		if err == nil {
+			err = host.requestCampaign(callCtx, peer, election)
+		}
 		cancel()
 		if err != nil {
 			host.log.Info("peer did not take over, asking the next one", "peer", peer.Name, "error", err)
