--- a/daemon/scheduler/handover.go
+++ b/daemon/scheduler/handover.go
@@ -59,6 +59,15 @@
 	}
 }
 
+// handOverByStore is handOver while the store answers this host. In an outage of the store the peer is not elected, and leases would be given
+// again only after it.
+func (host *Host) handOverByStore(ctx context.Context, tenure *tenure, peer Member, election Election) error {
+	if !tenure.stillDecides(ctx) {
+		return Error.New("this host does not reach the store, or does not decide any more")
+	}
+	return host.handOver(ctx, tenure, peer, election)
+}
+
 // awaitPlanner waits for the planner to be restored: only then does this host know until when workers are leased.
 func (tenure *tenure) awaitPlanner(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, shutdownTransferTimeout/3)
@@ -145,7 +154,10 @@
 			return
 		}
 		callCtx, cancel := context.WithTimeout(ctx, campaignTimeout)
-		err := host.requestCampaign(callCtx, peer, election)
+		err := host.checkSuccessor(callCtx, peer)
+		if err == nil {
+			err = host.requestCampaign(callCtx, peer, election)
+		}
 		cancel()
 		if err != nil {
 			host.log.Info("peer did not take over, asking the next one", "peer", peer.Name, "error", err)
