planner: tests of the order while starts are scarce

Taken out alone, three parts of were noticed by no test: the newest overdue job first, jobs that have begun keep their place, and jobs that would be of no use any more count as late. TestScarceOrder fails without each of them, and without the order as a whole.

--- a/library/planner/start_limit_test.go
+++ b/library/planner/start_limit_test.go
@@ -286,3 +286,56 @@
 		load.wantGoodput()
 	})
 }
+
+// TestScarceOrder checks which of several jobs gets the only start while starts are scarce. They have 1 s of work and an objective of 1.75 s.
+func TestScarceOrder(t *testing.T) {
+	step := planner.Step{Count: 2, Size: sizer.Size{MilliCores: 1000}, EstimateMS: 1000}
+	// newScarceFleet returns a fleet in which job a has waited for a time, and in which a pass has just been ended by the limit.
+	newScarceFleet := func(t *testing.T, waited time.Duration, available int) *fleet {
+		fleet := newFleet(t, testStart, 5)
+		fleet.planner.SetStartLimit(planner.StartLimit{Available: available})
+		fleet.submit("a", step)
+		fleet.planner.Plan(fleet.time())
+		fleet.carryOut(fleet.take())
+		fleet.now = fleet.now.Add(waited)
+		fleet.planner.SetStartLimit(planner.StartLimit{})
+		fleet.planner.Plan(fleet.time())
+		return fleet
+	}
+	wantNext := func(t *testing.T, fleet *fleet, want string) {
+		t.Helper()
+		fleet.planner.SetStartLimit(planner.StartLimit{Available: 1})
+		fleet.planner.Plan(fleet.time())
+		starts := fleet.take().Starts
+		if len(starts) != 1 || starts[0].Key.Job != want {
+			t.Errorf("started %+v, want one task of %s", starts, want)
+		}
+	}
+	t.Run("inTimeFirst", func(t *testing.T) {
+		fleet := newScarceFleet(t, time.Second, 0)
+		fleet.submitTo("batch", "b", step)
+		wantNext(t, fleet, "b")
+	})
+	t.Run("begunKeepsItsPlace", func(t *testing.T) {
+		fleet := newScarceFleet(t, time.Second, 1)
+		fleet.submit("b", step)
+		wantNext(t, fleet, "a")
+	})
+	t.Run("newestOverdueFirst", func(t *testing.T) {
+		fleet := newScarceFleet(t, 500*time.Millisecond, 0)
+		fleet.submit("b", step)
+		fleet.now = fleet.now.Add(500 * time.Millisecond)
+		wantNext(t, fleet, "b")
+	})
+	t.Run("tooLateToBeOfUse", func(t *testing.T) {
+		fleet := newScarceFleet(t, 2500*time.Millisecond, 0)
+		batch := step
+		batch.EstimateMS = 100
+		fleet.submitTo("batch", "b", batch)
+		fleet.planner.Plan(fleet.time())
+		fleet.now = fleet.now.Add(950 * time.Millisecond)
+		fleet.planner.Plan(fleet.time())
+		fleet.now = fleet.now.Add(950 * time.Millisecond) // b is overdue, and of use
+		wantNext(t, fleet, "b")
+	})
+}
