scheduler: a host that is stopped without a successor leaves the record of its handover

A planned stop cost a whole lease where no peer was elected within 1.5 s: the record was deleted at the end of the attempt. The handover is begun once more before the host ends (TestFleetStopWithoutSuccessor, which failed before with the grounds window). A handover of the watch that fails does not end that of a shutdown. A campaign for a peer is bounded by campaignTimeout, since it keeps the host from others. A handover record without a term is refused (TestOddHandover).

--- a/daemon/scheduler/calls.go
+++ b/daemon/scheduler/calls.go
@@ -72,6 +72,8 @@
 		return Election{}, Error.New("host %s is shutting down", host.settings.Host)
 	}
 	host.slowTransferAt.Store(int64(host.uptime()))
+	ctx, cancel := context.WithTimeout(ctx, campaignTimeout) // a campaign keeps this host from others
+	defer cancel()
 	if err := host.campaign(ctx, after); err != nil {
 		return Election{}, err
 	}
--- a/daemon/scheduler/handover.go
+++ b/daemon/scheduler/handover.go
@@ -41,7 +41,11 @@
 		return err
 	}
 	tenure.beginHandover(ctx)
-	defer tenure.cancelHandover()
+	defer func() {
+		if !host.shuttingDown.Load() { // the shutdown has begun a handover of its own
+			tenure.cancelHandover()
+		}
+	}()
 	return host.requestCampaign(ctx, peer, election)
 }
 
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -220,6 +220,9 @@
 	if err := host.httpServer.Shutdown(ctx); err != nil {
 		host.log.Warn("shutdown cut off open requests", "error", err)
 	}
+	if tenure := host.currentTenure(); tenure != nil { // no peer was elected, but one will be after this host has ended
+		tenure.beginHandover(ctx)
+	}
 	host.Close()
 	host.log.Info("stopped", "host", host.settings.Host)
 }
--- a/library/planner/handover.go
+++ b/library/planner/handover.go
@@ -30,7 +30,7 @@
 	Workers map[string]int64 `json:"workers,omitempty"`
 }
 
-// UnmarshalJSON decodes a handover, and refuses times out of range and any other format version than handoverVersion.
+// UnmarshalJSON decodes a handover, and refuses a term or times out of range and any other format version than handoverVersion.
 func (handover *Handover) UnmarshalJSON(data []byte) error {
 	type plain Handover
 	var decoded plain
@@ -40,6 +40,9 @@
 	if decoded.Version != handoverVersion {
 		return Error.New("handover record has format version %d, this program reads version %d only", decoded.Version, handoverVersion)
 	}
+	if decoded.Term <= 0 {
+		return Error.New("handover record has term %d, which is not above 0", decoded.Term)
+	}
 	times := []int64{decoded.RenewalsMS, decoded.LeasesMS}
 	for _, leasesMS := range decoded.Workers {
 		times = append(times, leasesMS)
--- a/library/planner/handover_test.go
+++ b/library/planner/handover_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"ebonyshunt.org/library/planner"
 )
 
 // beginHandover ends the giving of leases.
@@ -133,3 +135,20 @@
 		fleet.t.Errorf("poll gives a lease until %d ms, want a lease: %v", poll.DeadlineMS, want)
 	}
 }
+
+// TestOddHandover guards against records of another writer that end the wait for leases, or prolong it without a bound.
+func TestOddHandover(t *testing.T) {
+	wantUndecodable(t, planner.Record{Key: "handover", Value: []byte(`{"version":1,"term":2,"workers":{"w-000":1000}}`)})
+	for name, text := range map[string]string{
+		"noTerm":      `{"version":1}`,
+		"version":     `{"version":2,"term":2}`,
+		"leasesEnded": `{"version":1,"term":2,"leasesMS":-1}`,
+		"renewals":    `{"version":1,"term":2,"renewalsMS":9000000000000000000}`,
+		"worker":      `{"version":1,"term":2,"workers":{"w-000":9000000000000000000}}`,
+		"workers":     `{"version":1,"term":2,"workers":["w-000"]}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			wantUndecodable(t, planner.Record{Key: "handover", Value: []byte(text)}, "handover")
+		})
+	}
+}
--- a/tests/fleet_handover_test.go
+++ b/tests/fleet_handover_test.go
@@ -11,6 +11,10 @@
 	handoverJobs = 40
 	// promptTime bounds how long a job of two short steps takes that nothing disturbs.
 	promptTime = time.Second
+	// joinTime is how long a stronger host has run when the store is lost: it has not been asked to decide yet.
+	joinTime = 100 * time.Millisecond
+	// survivedOutage is the duration of an outage of the store during which a quorum renews leases, and which is longer than a lease.
+	survivedOutage = 7500 * time.Millisecond
 )
 
 // TestFleetStrongerHostWithoutStore guards against a decider that stops starting tasks over and over, while it asks a stronger host to
@@ -70,3 +74,45 @@
 		})
 	}
 }
+
+// TestFleetStrongerHostInStoreOutage guards against a decider that lets all leases run out in an outage of the store, since it has begun to
+// hand over and cannot store that it goes on.
+func TestFleetStrongerHostInStoreOutage(t *testing.T) {
+	runFleetWith(t, lastingHosts, func(fleet *fleet) { fleet.maxLease = longLease }, func(fleet *fleet) {
+		fleet.submitLasting()
+		time.Sleep(20 * time.Second)
+		strongest := fleet.others(fleet.decidingHost())[0]
+		fleet.shares = map[string]float64{strongest: 10}
+		fleet.restartHost(strongest)
+		time.Sleep(joinTime)
+		heal := fleet.fabric.Cut(fleet.hostNames, []string{"store"})
+		time.Sleep(survivedOutage)
+		heal()
+		time.Sleep(10 * time.Second)
+		for task, runs := range fleet.runsByTask() {
+			if len(runs) != 1 || !runs[0].Ended.IsZero() {
+				t.Errorf("%s has the runs %v, want one that goes on", task, runs)
+			}
+		}
+	})
+}
+
+// TestFleetStopWithoutSuccessor guards against a planned stop that costs a whole lease since no host was elected in time: the record of the
+// handover has to outlast the host.
+func TestFleetStopWithoutSuccessor(t *testing.T) {
+	runFleetWith(t, lastingHosts, func(fleet *fleet) { fleet.maxLease = longLease }, func(fleet *fleet) {
+		fleet.submitLasting()
+		time.Sleep(20 * time.Second)
+		decider := fleet.decidingHost()
+		others := fleet.others(decider)
+		heal := fleet.fabric.Cut(others, []string{decider, "store"})
+		before := fleet.formerLeaseLines()
+		fleet.stopHost(decider)
+		heal()
+		time.Sleep(5 * time.Second)
+		after := fleet.formerLeaseLines()
+		if handovers := after["handover"] - before["handover"]; handovers != 1 || after["window"] != before["window"] {
+			t.Errorf("%d lines with the grounds handover and %d with the grounds window, want 1 and none", handovers, after["window"]-before["window"])
+		}
+	})
+}
