--- a/library/planner/start_limit_test.go
+++ b/library/planner/start_limit_test.go
@@ -242,16 +242,16 @@
 }
 
 // wantGoodput fails the test unless the jobs that are completed in time take most of the starts that the host carries.
-func (load scarceLoad) wantGoodput() {
-	load.t.Helper()
+func (scarceLoad scarceLoad) wantGoodput() {
+	scarceLoad.t.Helper()
 	starts := 0
-	for _, workload := range load.workloads {
-		load.t.Log(workload.summary())
+	for _, workload := range scarceLoad.workloads {
+		scarceLoad.t.Log(workload.summary())
 		starts += workload.fruitful
 	}
-	length := load.counted.end - load.counted.begin
+	length := scarceLoad.counted.end - scarceLoad.counted.begin
 	if share := float64(starts) / (carriedStarts * length.Seconds()); share < minGoodput {
-		load.t.Errorf("jobs completed in time take %.2f of the starts that the host carries, want %.2f", share, minGoodput)
+		scarceLoad.t.Errorf("jobs completed in time take %.2f of the starts that the host carries, want %.2f", share, minGoodput)
 	}
 }
 
