--- a/library/planner/start_limit_test.go
+++ b/library/planner/start_limit_test.go
@@ -339,3 +339,16 @@
 		wantNext(t, fleet, "b")
 	})
 }
+
+// TestBacklogAfterOverload guards against a host that accepts more than it can start, so that jobs are left at the end of the load: each has
+// to be at work within the users' bound after it.
+func TestBacklogAfterOverload(t *testing.T) {
+	const finishTime = 14 * time.Second
+	load := newScarceLoad(t, 90, ampleWorkers)
+	left := -1
+	load.after(scarceTime+finishTime, func() { left = load.planner.Load().WaitingTasks })
+	load.play(scarceTime)
+	if left != 0 {
+		t.Errorf("%d tasks wait %v after the end of the load, want none", left, finishTime)
+	}
+}
