--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -348,4 +348,6 @@
 ' '' ./tests 'TestFleetLastingTasks/plannedStopsAtOnce'
 try 'handover: least term' daemon/scheduler/host.go '		tenure.awaitMinTerm(ctx)
 ' '' ./tests 'TestFleetLastingTasks/plannedStopsInARow'
+try 'scarce: overdue jobs give way' library/planner/plan.go 'case left < (objective-remaining)/2:' 'case false:' ./library/planner 'TestScarceStarts'
+try 'scarce: the newest overdue job first' library/planner/plan.go 'byDeadline = -byDeadline' 'byDeadline *= 1' ./library/planner 'TestScarceStarts|TestScarceOrder'
 exit $failed
