--- a/review/standin/case_config.go
+++ b/review/standin/case_config.go
@@ -15,7 +15,7 @@
 		submitters    = 20
 		lowCap        = 2000
 		taskCPU       = 1000
-		tail          = 9 * time.Millisecond            // from the last page of the journal to the operator's change
+		tail          = 9 * time.Millisecond             // from the last page of the journal to the operator's change
 		bound         = (2000 + 5000) * time.Millisecond // configApplyMs and maxStretchMs
 	)
 	capped := team{Name: "hule930", APIKeys: []string{key}, Weight: 100}
--- a/review/standin/case_crashes.go
+++ b/review/standin/case_crashes.go
@@ -11,6 +11,7 @@
 	"pending": (*rig).playPending,
 	"large":   (*rig).playLarge,
 	"config":  (*rig).playConfig,
+	"delete":  (*rig).playDelete,
 }
 
 // playCrashes hands in a job with one task that lasts, and lets the worker that runs it crash, twice. Nobody cancels the job and no run of it
--- a/review/standin/rig.go
+++ b/review/standin/rig.go
@@ -26,6 +26,8 @@
 	requestHost   = "ficu95.example"
 	maxCallTries  = 5 // one attempt and four retries
 	retryInterval = 300 * time.Millisecond
+	// maxRecordedEvents is the number of starts and ends that are written to the record one by one.
+	maxRecordedEvents = 3000
 )
 
 // rig plays the platform, the operator, the workers and the clients around processes of the project.
@@ -64,7 +66,7 @@
 	}, nil
 }
 
-// close ends all processes and servers, and copies the hosts' logs of elections and ends of jobs into the record.
+// close ends all processes and servers.
 func (rig *rig) close() {
 	for _, host := range rig.hosts {
 		host.kill()
@@ -95,7 +97,7 @@
 func (rig *rig) note(noted event) {
 	rig.mu.Lock()
 	rig.events = append(rig.events, noted)
-	quiet := len(rig.events) > 3000
+	quiet := len(rig.events) > maxRecordedEvents
 	rig.mu.Unlock()
 	if !quiet {
 		rig.say("worker %s: %s run %d: %s", noted.worker, noted.task, noted.run, noted.how)
@@ -313,7 +315,7 @@
 	return nil
 }
 
-// logged returns the lines of all hosts' logs that contain one of the texts, for the record.
+// logged copies the lines of the hosts' logs that contain one of the texts to the record, at most a number of each host.
 func (rig *rig) logged(limit int, texts ...string) {
 	for _, host := range rig.hosts {
 		data, err := os.ReadFile(filepath.Clean(host.logPath))
