--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -24,23 +24,20 @@
 	storeAddress                      string
 }
 
-// The ports of the hosts are below those that the system gives to outgoing connections.
+// firstPort and portCount are the range of the rig's ports, below those that the system gives to outgoing connections.
 const (
 	firstPort = 20_000
-	portCount = 12_000
+	portCount = 10_000
 )
 
-// freeAddress returns a loopback address with a port that is free now.
-func freeAddress() (string, error) {
-	var err error
-	for range 100 {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
-		var listener net.Listener
-		if listener, err = net.Listen("tcp", address); err == nil {
-			return address, listener.Close()
-		}
-	}
-	return "", err
+// newNetwork returns the first three bytes of the rig's loopback addresses, and its port. Rigs that run side by side get others.
+func newNetwork() (network string, port int) {
+	return fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250)), firstPort + rand.IntN(portCount)
+}
+
+// address returns a loopback address of the rig: the last byte tells the machine, the service is added to the port.
+func (rig *rig) address(machine, service int) string {
+	return fmt.Sprintf("%s.%d:%d", rig.network, machine, rig.port+service)
 }
 
 // startHosts starts hosts in three zones, each with a listener of the store of its own.
@@ -48,18 +45,13 @@
 	zones := []string{"perth-a", "stirling-b", "dundee-c"}
 	for number := range count {
 		added := &host{name: fmt.Sprintf("frontend-%d", number+1), zone: zones[number%len(zones)]}
-		for _, address := range []*string{&added.http, &added.readiness, &added.control, &added.metrics} {
-			free, err := freeAddress()
-			if err != nil {
-				return err
-			}
-			*address = free
+		for service, address := range []*string{&added.http, &added.readiness, &added.control, &added.metrics, &added.storeAddress} {
+			*address = rig.address(number+1, service)
 		}
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", added.storeAddress)
 		if err != nil {
 			return err
 		}
-		added.storeAddress = listener.Addr().String()
 		added.storeServer = &http.Server{Handler: rig.store.handler(added.name), ReadHeaderTimeout: time.Minute}
 		go func() { _ = added.storeServer.Serve(listener) }()
 		rig.hosts = append(rig.hosts, added)
--- a/review/standin/rig.go
+++ b/review/standin/rig.go
@@ -26,6 +26,8 @@
 	requestHost   = "ficu95.example"
 	maxCallTries  = 5 // one attempt and four retries
 	retryInterval = 300 * time.Millisecond
+	// firstWorker is the last byte of the first worker's address.
+	firstWorker = 100
 	// maxRecordedEvents is the number of starts and ends that are written to the record one by one.
 	maxRecordedEvents = 3000
 )
@@ -33,6 +35,8 @@
 // rig plays the platform, the operator, the workers and the clients around processes of the project.
 type rig struct {
 	folder    string
+	network   string // see newNetwork
+	port      int
 	trouble   bool
 	store     *store
 	hosts     []*host
@@ -59,8 +63,9 @@
 	if err != nil {
 		return nil, err
 	}
+	network, port := newNetwork()
 	return &rig{
-		folder: folder, trouble: trouble, store: newStore(), record: record, began: time.Now(), stopTakes: 100 * time.Millisecond,
+		folder: folder, network: network, port: port, trouble: trouble, store: newStore(), record: record, began: time.Now(), stopTakes: 100 * time.Millisecond,
 		client:    &http.Client{Timeout: callDeadline},
 		durations: map[string]time.Duration{}, sizes: map[string]amount{}, teams: map[string]string{},
 	}, nil
@@ -142,7 +147,8 @@
 func (rig *rig) startWorkers(count int, capacity amount) error {
 	zones := []string{"perth-a", "stirling-b", "dundee-c"}
 	for number := range count {
-		added, err := rig.newWorker(fmt.Sprintf("i-%010x", 0xa000+number), zones[number%len(zones)], capacity)
+		id, address := fmt.Sprintf("i-%010x", 0xa000+number), rig.address(firstWorker+number, 0)
+		added, err := rig.newWorker(id, zones[number%len(zones)], address, capacity)
 		if err != nil {
 			return err
 		}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -38,7 +38,6 @@
 	id       string
 	zone     string
 	capacity amount
-	listener net.Listener
 	address  string
 
 	mu       sync.Mutex
@@ -62,8 +61,8 @@
 	timer  *time.Timer
 }
 
-func (rig *rig) newWorker(id, zone string, capacity amount) (*worker, error) {
-	worker := &worker{rig: rig, id: id, zone: zone, capacity: capacity, address: "127.0.0.1:0"}
+func (rig *rig) newWorker(id, zone, address string, capacity amount) (*worker, error) {
+	worker := &worker{rig: rig, id: id, zone: zone, capacity: capacity, address: address}
 	return worker, worker.boot()
 }
 
@@ -79,7 +78,7 @@
 	mux.HandleFunc("POST /-/hold", worker.serveHold)
 	server := &http.Server{Handler: worker.expecting(mux), ReadHeaderTimeout: time.Minute}
 	worker.mu.Lock()
-	worker.address, worker.server, worker.up, worker.born = listener.Addr().String(), server, true, time.Now()
+	worker.server, worker.up, worker.born = server, true, time.Now()
 	worker.token, worker.leaseEnd, worker.lastEnd = 0, 0, 0
 	worker.running, worker.highest, worker.ends = map[string]*run{}, map[string]int{}, nil
 	worker.changed, worker.dark = make(chan struct{}), closedChannel()
