--- a/review/standin/case_large.go
+++ b/review/standin/case_large.go
@@ -55,7 +55,11 @@
 		}
 		if rig.runningAt(job) == nil && time.Since(latest) > idleTime {
 			lost++
-			rig.say("client: GET job %s: %s; it has nothing running, and had nothing for %.1f s", job, state, min(time.Since(latest), time.Since(rig.began)).Seconds())
+			idle := "it has never begun"
+			if !latest.IsZero() {
+				idle = fmt.Sprintf("it has nothing running, and had nothing for %.1f s", time.Since(latest).Seconds())
+			}
+			rig.say("client: GET job %s: %s; %s", job, state, idle)
 		}
 		if lost >= 10 {
 			break
