Review: the killed hosts of two cases are back after 3 s

The site's largest dose of node_kill is 3.5 s; before, the host stayed away for good (case 3) and for 6 s (case 4).

--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -118,6 +118,18 @@
 	_ = host.logFile.Close()
 }
 
+// downTime is how long the process of a killed host is away.
+const downTime = 3 * time.Second
+
+// killAndRestart ends the process of a host that decides with SIGKILL, and starts it again after downTime.
+func (rig *rig) killAndRestart(host *host) error {
+	rig.say("trouble: %s, which decides, is killed", host.name)
+	host.kill()
+	time.Sleep(downTime)
+	rig.say("%s starts again", host.name)
+	return rig.start(host)
+}
+
 // leader returns the host that last made a conditional append to the store, which is how hosts are elected.
 func (rig *rig) leader() *host {
 	name := rig.store.lastConditional()
