Store the progress of large jobs in parts of a bounded size

All hosts became the decider in turn, every second.

Cause, found by a run with the store's refusals counted: the progress of a job was one record with an entry for each run that may exist. Above the store's recordBytes (262,144) the append is refused, with everything else in the batch; it was taken for an unknown outcome and repeated for ever, and a successor that restores the job builds the same record. Nothing related the sizes that Job.Check allows to that limit: 1,000 steps of 100,000 tasks.

Change: jobs that may have over 256 tasks in memory keep 128 tasks a record (part/ID/OCCURRENCE/PART), written when one of them changes; run/ID then only names the occurrences, in format version 2, which earlier releases refuse instead of starting all tasks again. A record of an earlier release is divided when it is restored. A job has at most 100,000 tasks in all and 240 KiB as stored; one beyond is refused with the field and the limit. Open occurrences together have as many tasks at most, and jobs are refused with 503 while the tasks in memory take more than 1 KB each of memoryMB. Jobs that have ended leave memory once nothing of them runs. A record that long checkpoints would make too large is stored without them.

TestLargeJobs, TestChangeOfLargeJob, TestJobLimits, TestDivideStored, TestLongCheckpoints failed before (records of up to 1.5 MB).

--- a/daemon/loader/scheduling.go
+++ b/daemon/loader/scheduling.go
@@ -22,6 +22,7 @@
 	MemoryMB          int64    // memory for the process, in MiB
 	MaxOpenFiles      int64    // maximum number of open file descriptors
 	StoreAddress      string
+	MaxRecordBytes    int64         // maximum size of a record that the store takes, with its key
 	PolicyAddress     string        // empty if queues have no policy
 	MaxLease          time.Duration // maximum lease that a worker accepts
 	MaxStopTime       time.Duration // maximum duration of stopping a task
@@ -46,6 +47,10 @@
 	defaultDelegateFrom = 200
 	maxWorkers          = 1 << 20
 
+	defaultRecordBytes = 256 << 10
+	minRecordBytes     = 4 << 10
+	maxRecordBytes     = 1 << 30
+
 	defaultFileLimit = 4096
 	minFileLimit     = 256
 	maxFileLimit     = 1 << 20
@@ -81,6 +86,7 @@
 		scheduling.parseHost(fields)
 	case "store":
 		scheduling.StoreAddress = fields.Address("address", "")
+		scheduling.MaxRecordBytes = fields.Integer("mostRecordBytes", defaultRecordBytes, minRecordBytes, maxRecordBytes)
 	case "policy":
 		scheduling.PolicyAddress = optionalAddress(fields, "address")
 	case "bounds":
--- a/daemon/scheduler/calls.go
+++ b/daemon/scheduler/calls.go
@@ -213,6 +213,9 @@
 // seconds at the earliest.
 const drainedRetryDelay = 5 * time.Second
 
+// fullRetryDelay is sent to callers while the memory is full of tasks, which takes until jobs have ended.
+const fullRetryDelay = 5 * time.Second
+
 // refuseSubmission returns a refusal and true if a job cannot be accepted now.
 func (tenure *tenure) refuseSubmission(job *planner.Job) (planner.Reply, bool) {
 	if tenure.storeOutage() > journalOutageTolerance {
@@ -222,6 +225,9 @@
 	if !found {
 		return planner.Reply{Verdict: planner.Refused, Reason: "the queue is not in the configuration of this host", RetryAfter: callerRetryDelay}, true
 	}
+	if !tenure.planner.HasRoomFor(job) {
+		return planner.Reply{Verdict: planner.Refused, Reason: "the accepted jobs have as many tasks as the host's memory allows: retry after the given time", RetryAfter: fullRetryDelay}, true
+	}
 	if tenure.planner.JobDrained(job, queue.Service) {
 		return planner.Reply{Verdict: planner.Refused, Reason: "all workers for the job are in zones that operators have drained: retry after the given time", RetryAfter: drainedRetryDelay}, true
 	}
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -66,6 +66,8 @@
 	// preferredLease outlasts most network partitions of a zone, so that its runs continue.
 	preferredLease = 7 * time.Second
 	planInterval   = 50 * time.Millisecond
+	// memoryPerTask is the part of the host's memory, in bytes, for each task of a job that has begun. Most of it is left to all else.
+	memoryPerTask = 1 << 10
 	// workerListInterval is the time between two reads of the platform's list of workers.
 	workerListInterval = 250 * time.Millisecond
 )
@@ -192,7 +194,7 @@
 		FormerTerm:      tenure.former.latestTerm(),
 		StatusRetention: settings.StatusRetention, MaxStopTime: settings.MaxStopTime, CrossRackFactor: settings.CrossRackFactor,
 		LearnRunTimes: settings.LearnRunTimes, PoolShares: settings.PoolShares, ForecastAdmission: settings.ForecastAdmission,
-		MoveStragglers: settings.MoveStragglers,
+		MoveStragglers: settings.MoveStragglers, MaxRecordBytes: int(settings.MaxRecordBytes), MaxTasks: int(settings.MemoryMB<<20) / memoryPerTask,
 	}, tenure.term, tenure.host.catalog.Load(), time.Now())
 	if undecodable := restored.Restore(records, time.Now()); len(undecodable) > 0 {
 		tenure.host.log.Error("cannot decode journal records", "count", len(undecodable), "keys", undecodable[:min(len(undecodable), maxUndecodableLines)])
--- a/library/planner/crash_records.go
+++ b/library/planner/crash_records.go
@@ -2,12 +2,13 @@
 
 import "slices"
 
-// addCrashes adds the crashes that count against the step's tasks, or may do so, to its stored progress.
-func (step *step) addCrashes(progress *StepProgress) {
+// addCrashes adds the crashes that count against the step's tasks from index first to before index end, or may do so, to their stored
+// progress.
+func (step *step) addCrashes(progress *StepProgress, first, end int) {
 	if !step.suspected {
 		return
 	}
-	for index := range step.tasks {
+	for index := first; index < end; index++ {
 		task := &step.tasks[index]
 		if !task.done {
 			progress.Add(index, &task.evidence)
--- a/library/planner/crashes.go
+++ b/library/planner/crashes.go
@@ -98,6 +98,7 @@
 		return
 	}
 	planner.markDirty(step.job)
+	step.touch(key.Index)
 	verdict := task.evidence.Count(loss)
 	if verdict == blamer.Cleared {
 		return
@@ -134,6 +135,7 @@
 		}
 		for _, lost := range step.tasks[key.Index].evidence.TakeLost(worker.ID) {
 			planner.markDirty(step.job)
+			step.touch(key.Index)
 			if crashed(lost) {
 				planner.countCrash(step, key, lost)
 			}
--- a/library/planner/endings.go
+++ b/library/planner/endings.go
@@ -30,7 +30,7 @@
 	}
 	if step.openCount == 0 && (step.job.state.Final() || step.completedTasks == step.Count) {
 		delete(planner.steps, step.key)
-		step.occurrence.dropCompleted(step.job)
+		planner.dropCompleted(step.occurrence, step.job)
 	}
 }
 
@@ -102,6 +102,7 @@
 	if step.tasks[0].lastRunNumber == number && step.gangNumber == number {
 		step.gangNumber = 0 // other members do not count this run again
 		step.tasks[0].failures++
+		step.touch(0)
 	}
 }
 
@@ -112,6 +113,7 @@
 		return
 	}
 	task.done = true
+	step.touch(index)
 	step.completedTasks++
 	step.waiting = slices.DeleteFunc(step.waiting, func(waiting int) bool { return waiting == index })
 	if step.completedTasks < step.Count {
@@ -132,19 +134,18 @@
 	if entry.completedOccurrences == entry.Job.occurrences() {
 		planner.finishJob(entry, Completed, now)
 	}
-	occurrence.dropCompleted(entry)
+	planner.dropCompleted(occurrence, entry)
 }
 
-// dropCompleted removes an occurrence that is completed once none of its runs is open: the end of another member of a
-// gang, or of a copy, may not have been listed yet.
-func (occurrence *occurrence) dropCompleted(entry *jobEntry) {
-	if occurrence.completedSteps < len(occurrence.steps) {
-		return
-	}
-	for _, step := range occurrence.steps {
-		if step.openCount > 0 {
-			return
-		}
+// dropCompleted removes an occurrence that is completed, or whose job has ended, once none of its runs is open: the end of another member
+// of a gang, or of a copy, may not have been listed yet.
+func (planner *Planner) dropCompleted(occurrence *occurrence, entry *jobEntry) {
+	if (entry.state.Final() || occurrence.completedSteps == len(occurrence.steps)) && !occurrence.hasOpenRuns() {
+		planner.removeOccurrence(occurrence, entry)
 	}
-	delete(entry.occurrences, occurrence.number)
+}
+
+// hasOpenRuns reports whether a run of the occurrence exists or may exist.
+func (occurrence *occurrence) hasOpenRuns() bool {
+	return slices.ContainsFunc(occurrence.steps, func(step *step) bool { return step.openCount > 0 })
 }
--- a/library/planner/job.go
+++ b/library/planner/job.go
@@ -43,8 +43,11 @@
 }
 
 const (
-	maxSteps = 1000    // per job
-	maxTasks = 100_000 // per step
+	maxSteps = 1000 // per job
+	// maxTasks is the maximum number of tasks of all steps of a job. An occurrence that begins is kept in memory with all of them.
+	maxTasks = 100_000
+	// maxStoredBytes is the maximum size of a job as it is stored: with its key, it has to fit into one record of the journal.
+	maxStoredBytes = 240 << 10
 )
 
 // UnmarshalJSON decodes a job, and refuses one that Check refuses.
@@ -78,9 +81,54 @@
 			return fmt.Errorf("job %s step %d: %w", job.ID, number, err)
 		}
 	}
+	if tasks := job.taskCount(); tasks > maxTasks {
+		return Error.New("job %s has %d tasks, the sum of count over its steps: at most %d are allowed", job.ID, tasks, maxTasks)
+	}
+	return job.checkStoredSize()
+}
+
+// taskCount returns the number of tasks of one occurrence.
+func (job *Job) taskCount() int {
+	tasks := 0
+	for number := range job.Steps {
+		tasks += job.Steps[number].Count
+	}
+	return tasks
+}
+
+// checkStoredSize returns an error for a job that is larger than maxStoredBytes when it is stored.
+func (job *Job) checkStoredSize() error {
+	if job.maxEncodedBytes() <= maxStoredBytes {
+		return nil
+	}
+	data, err := json.Marshal(job)
+	if err != nil {
+		return fmt.Errorf("encode job %s: %w", job.ID, err)
+	}
+	if len(data) > maxStoredBytes {
+		return Error.New("job %s takes %d bytes with its payload and all fields of its steps: at most %d are allowed", job.ID, len(data), maxStoredBytes)
+	}
 	return nil
 }
 
+// maxEncodedBytes returns a number of bytes that the encoded job does not exceed.
+func (job *Job) maxEncodedBytes() int {
+	const (
+		jobFields   = 1 << 10 // bytes of the job without texts and steps
+		stepFields  = 512     // bytes of a step without texts and dependencies
+		numberBytes = 8       // of the index of a step
+		escapeBytes = 6       // of one byte of a text
+	)
+	texts := len(job.ID) + len(job.Queue) + len(job.Team) + len(job.Payload)
+	size := jobFields
+	for number := range job.Steps {
+		step := &job.Steps[number]
+		texts += len(step.Label) + len(step.DataRack) + len(step.Image)
+		size += stepFields + numberBytes*len(step.DependsOn)
+	}
+	return size + escapeBytes*texts
+}
+
 func (job *Job) checkStep(number int) error {
 	step := &job.Steps[number]
 	switch {
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -37,7 +37,9 @@
 type OccurrenceProgress struct {
 	Number int            `json:"number"`
 	DueMS  int64          `json:"dueAtMS,omitempty"` // on the journal's clock
-	Steps  []StepProgress `json:"steps"`
+	Steps  []StepProgress `json:"steps,omitempty"`   // empty if the tasks are stored in parts
+	// Completed is set, if the tasks are stored in parts, once the occurrence counts in Progress.Ended.
+	Completed bool `json:"completed,omitempty"`
 }
 
 // StepProgress is the progress of one step. Done, Numbers and Failures have one entry for each task, or none if all
@@ -59,15 +61,15 @@
 	Number      int    `json:"number,omitempty"` // 0 for the task's last run number
 }
 
-// UnmarshalJSON decodes progress, and refuses values out of range and any other format version than journalVersion.
+// UnmarshalJSON decodes progress, and refuses values out of range and any other format version than journalVersion and partedVersion.
 func (progress *Progress) UnmarshalJSON(data []byte) error {
 	type plain Progress
 	var decoded plain
 	if err := json.Unmarshal(data, &decoded); err != nil {
 		return fmt.Errorf("decode progress: %w", err)
 	}
-	if decoded.Version != journalVersion {
-		return Error.New("progress record has format version %d, this program reads version %d only", decoded.Version, journalVersion)
+	if decoded.Version != journalVersion && decoded.Version != partedVersion {
+		return Error.New("progress record has format version %d, this program reads versions %d and %d only", decoded.Version, journalVersion, partedVersion)
 	}
 	if err := (*Progress)(&decoded).check(); err != nil {
 		return err
@@ -78,7 +80,7 @@
 
 // Dirty reports whether Take would return any record, effect or start.
 func (planner *Planner) Dirty() bool {
-	return len(planner.dirty) > 0 || len(planner.effects) > 0 || len(planner.starts) > 0 || len(planner.forgottenJobs) > 0 || len(planner.changedExpiries) > 0 || planner.settles() || planner.hostCountGrew() ||
+	return len(planner.dirty) > 0 || len(planner.effects) > 0 || len(planner.starts) > 0 || len(planner.forgottenJobs) > 0 || len(planner.staleKeys) > 0 || len(planner.changedExpiries) > 0 || planner.settles() || planner.hostCountGrew() ||
 		planner.handingOver.changed
 }
 
@@ -109,6 +111,10 @@
 		batch.Records = append(batch.Records, Record{Key: jobPrefix + id}, Record{Key: progressPrefix + id})
 	}
 	planner.forgottenJobs = nil
+	for _, key := range planner.staleKeys {
+		batch.Records = append(batch.Records, Record{Key: key})
+	}
+	planner.staleKeys = nil
 	expiries, err := planner.expiryRecords()
 	if err != nil {
 		return batch, err
@@ -142,12 +148,20 @@
 		}
 		batch.Records = append(batch.Records, Record{Key: jobPrefix + entry.ID, Value: data})
 	}
+	parts, deletedParts, err := planner.partRecords(entry)
+	if err != nil {
+		return err
+	}
 	progress := planner.progressOf(entry)
-	data, err := json.Marshal(&progress)
+	record, err := planner.encode(progressPrefix+entry.ID, &progress)
 	if err != nil {
-		return fmt.Errorf("encode progress of %s: %w", entry.ID, err)
+		return err
 	}
-	batch.Records = append(batch.Records, Record{Key: progressPrefix + entry.ID, Value: data})
+	// The parts that the progress refers to are stored before it, and those that it no longer refers to are deleted after it: an
+	// append to the store may end between any two records.
+	batch.Records = append(batch.Records, parts...)
+	batch.Records = append(batch.Records, record)
+	batch.Records = append(batch.Records, deletedParts...)
 	if entry.state.Final() {
 		batch.Records = append(batch.Records, Record{Key: jobPrefix + entry.ID})
 	}
@@ -194,30 +208,40 @@
 		EndedMS: jobEntry.endedAtMS, Next: jobEntry.nextOccurrence, Ended: jobEntry.completedOccurrences,
 		StoredAtMS: planner.journalMS(planner.now), AcceptedMS: planner.journalMS(jobEntry.acceptedAt),
 	}
+	if jobEntry.layout != nil {
+		progress.Version = partedVersion
+	}
 	for _, number := range slices.Sorted(maps.Keys(jobEntry.occurrences)) {
-		occurrence := OccurrenceProgress{Number: number, DueMS: planner.journalMS(jobEntry.occurrences[number].due)}
-		for _, step := range jobEntry.occurrences[number].steps {
-			occurrence.Steps = append(occurrence.Steps, step.progress())
+		occurrence := jobEntry.occurrences[number]
+		stored := OccurrenceProgress{Number: number, DueMS: planner.journalMS(occurrence.due)}
+		if jobEntry.layout != nil {
+			stored.Completed = occurrence.completedSteps == len(occurrence.steps)
+			progress.Occurrences = append(progress.Occurrences, stored)
+			continue
+		}
+		for _, step := range occurrence.steps {
+			stored.Steps = append(stored.Steps, step.progress(0, len(step.tasks)))
 		}
-		progress.Occurrences = append(progress.Occurrences, occurrence)
+		progress.Occurrences = append(progress.Occurrences, stored)
 	}
 	return progress
 }
 
-// progress returns the step's progress as it is stored.
-func (step *step) progress() StepProgress {
+// progress returns the progress of the step's tasks from index first to before index end as it is stored.
+func (step *step) progress(first, end int) StepProgress {
 	var progress StepProgress
-	var done strings.Builder
-	begun, failed := false, false
-	numbers, failures := make([]int, len(step.tasks)), make([]int, len(step.tasks))
-	for index := range step.tasks {
+	var marks strings.Builder
+	completed, begun, failed := false, false, false
+	numbers, failures := make([]int, end-first), make([]int, end-first)
+	for index := first; index < end; index++ {
 		task := &step.tasks[index]
 		mark := byte('0')
 		if task.done {
 			mark = '1'
 		}
-		done.WriteByte(mark)
-		numbers[index], failures[index] = task.lastRunNumber, task.failures
+		marks.WriteByte(mark)
+		numbers[index-first], failures[index-first] = task.lastRunNumber, task.failures
+		completed = completed || task.done
 		begun = begun || task.lastRunNumber > 0
 		failed = failed || task.failures > 0
 		if task.checkpoint != "" && !task.done {
@@ -234,8 +258,8 @@
 			progress.Open = append(progress.Open, open)
 		}
 	}
-	if step.completedTasks > 0 {
-		progress.Done = done.String()
+	if completed {
+		progress.Done = marks.String()
 	}
 	if begun {
 		progress.Numbers = numbers
@@ -243,7 +267,7 @@
 	if failed {
 		progress.Failures = failures
 	}
-	step.addCrashes(&progress)
+	step.addCrashes(&progress, first, end)
 	return progress
 }
 
@@ -282,14 +306,22 @@
 		progresses[id] = progress
 		planner.journalStartMS = max(planner.journalStartMS, progress.StoredAtMS)
 	}
+	parts, undecodableParts := decodeParts(records)
+	for _, key := range slices.Sorted(maps.Keys(undecodableParts)) {
+		undecodable = append(undecodable, key)
+		delete(progresses, undecodableParts[key]) // like a job whose progress does not decode: its tasks may be running
+		delete(parts, undecodableParts[key])
+	}
 	for _, id := range slices.Sorted(maps.Keys(progresses)) {
-		planner.restoreJob(id, jobs[id], progresses[id], now)
+		planner.restoreJob(id, jobs[id], progresses[id], parts[id], now)
+		delete(parts, id)
 	}
+	planner.dropStrayParts(parts)
 	return undecodable
 }
 
 // restoreJob rebuilds one job. Of a job that has ended, only the state is restored.
-func (planner *Planner) restoreJob(id string, job Job, progress Progress, now time.Time) {
+func (planner *Planner) restoreJob(id string, job Job, progress Progress, parts []storedPart, now time.Time) {
 	job.ID, job.Queue, job.Team = id, progress.Queue, progress.Team
 	entry := planner.addJob(job)
 	entry.state, entry.storedState = progress.State, progress.State
@@ -297,37 +329,60 @@
 	entry.endedAtMS, entry.nextOccurrence, entry.completedOccurrences = progress.EndedMS, progress.Next, progress.Ended
 	if entry.state.Final() {
 		planner.endedJobs = append(planner.endedJobs, endedJob{id: id, endedAt: now})
+		planner.dropStrayParts(map[string][]storedPart{id: parts})
 		return
 	}
 	for _, stored := range progress.Occurrences {
 		occurrence := planner.newOccurrence(entry, stored.Number, planner.journalTime(stored.DueMS))
 		for number := range min(len(stored.Steps), len(occurrence.steps)) {
-			planner.restoreStep(occurrence.steps[number], stored.Steps[number], now)
-			if occurrence.steps[number].completedTasks == occurrence.steps[number].Count {
-				occurrence.completedSteps++
-			}
+			planner.restoreStep(occurrence.steps[number], 0, stored.Steps[number], now)
 		}
-		planner.activateSteps(occurrence)
+	}
+	planner.restoreParts(entry, progress, parts, now)
+	for _, stored := range progress.Occurrences {
+		planner.resumeOccurrence(entry, stored, now)
 	}
 	planner.createDueOccurrences(entry, now)
 }
 
-// restoreStep rebuilds the tasks of a step and its runs that may exist.
-func (planner *Planner) restoreStep(step *step, stored StepProgress, now time.Time) {
-	for index := range step.tasks {
-		task := &step.tasks[index]
-		if index < len(stored.Done) && stored.Done[index] == '1' {
+// resumeOccurrence makes the tasks of a restored occurrence available to placement.
+func (planner *Planner) resumeOccurrence(entry *jobEntry, stored OccurrenceProgress, now time.Time) {
+	occurrence := entry.occurrences[stored.Number]
+	for _, step := range occurrence.steps {
+		if step.completedTasks == step.Count {
+			occurrence.completedSteps++
+		}
+	}
+	if entry.layout != nil && len(stored.Steps) == 0 && !stored.Completed && occurrence.completedSteps == len(occurrence.steps) {
+		planner.markDirty(entry)
+		planner.completeOccurrence(entry, occurrence, now) // the parts were stored, and the record that counts it was not
+		return
+	}
+	planner.activateSteps(occurrence)
+}
+
+// restoreStep rebuilds tasks of a step and their runs that may exist. The lists of the stored progress begin with the task with index
+// first.
+func (planner *Planner) restoreStep(step *step, first int, stored StepProgress, now time.Time) {
+	end := min(first+max(len(stored.Done), len(stored.Numbers), len(stored.Failures)), len(step.tasks))
+	for index := first; index < end; index++ {
+		task, position := &step.tasks[index], index-first
+		if position < len(stored.Done) && stored.Done[position] == '1' {
 			task.done = true
 			step.completedTasks++
 		}
-		if index < len(stored.Numbers) {
-			task.lastRunNumber = stored.Numbers[index]
+		if position < len(stored.Numbers) {
+			task.lastRunNumber = stored.Numbers[position]
 			step.gangNumber = max(step.gangNumber, task.lastRunNumber)
 		}
-		if index < len(stored.Failures) {
-			task.failures = stored.Failures[index]
+		if position < len(stored.Failures) {
+			task.failures = stored.Failures[position]
+		}
+	}
+	for index, checkpoint := range stored.Checkpoints {
+		if index >= 0 && index < len(step.tasks) {
+			step.tasks[index].checkpoint = checkpoint
 		}
-		task.checkpoint = stored.Checkpoints[index]
 	}
 	planner.restoreCrashes(step, stored)
 	for _, open := range stored.Open {
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -33,6 +33,8 @@
 	PoolShares          bool          // whether teams have shares of each service, rather than of the fleet
 	ForecastAdmission   bool          // whether jobs that cannot complete in time are refused
 	MoveStragglers      bool          // whether urgent runs that are late are started again on other workers
+	MaxRecordBytes      int           // maximum size of a record with its key, 0 for no limit
+	MaxTasks            int           // maximum number of tasks in memory, of all jobs, 0 for no limit
 	// TimeOfDay returns the time of day, which may be stepped at any moment. It only decides when occurrences are due;
 	// all else is measured on the steady clock of the event times. Nil stands for time.Now.
 	TimeOfDay func() time.Time
@@ -97,6 +99,8 @@
 	giveBacks            []GiveBack
 	moves                []Move
 	counts               workCounts
+	taskCount            int      // tasks of the occurrences in memory
+	staleKeys            []string // keys of records that the next batch deletes since nothing refers to them
 }
 
 // endedJob is a job whose state is kept for Settings.StatusRetention after it ended.
--- a/library/planner/property_test.go
+++ b/library/planner/property_test.go
@@ -16,22 +16,33 @@
 // TestProperty applies random events to a fleet, among them takeovers, lost answers, batches that are stored late,
 // and unresponsive or restarted workers, and checks the invariants against the runs on the workers after each event.
 func TestProperty(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) { checkEvents(t, false) })
+	rapid.Check(t, func(t *rapid.T) { checkEvents(t, eventKind{}) })
+}
+
+// TestLargeJobProperty is TestProperty for jobs whose progress is divided into parts.
+func TestLargeJobProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { checkEvents(t, eventKind{minTasks: 257, maxTasks: 400}) })
+}
+
+// eventKind is what fleet the events of checkEvents are drawn for.
+type eventKind struct {
+	poolShares         bool
+	minTasks, maxTasks int // of the first step of a job, 0 for 1 to 5
 }
 
 // TestPoolSharesProperty is TestProperty with shares of each service.
 func TestPoolSharesProperty(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) { checkEvents(t, true) })
+	rapid.Check(t, func(t *rapid.T) { checkEvents(t, eventKind{poolShares: true}) })
 }
 
-func checkEvents(t *rapid.T, poolShares bool) {
+func checkEvents(t *rapid.T, kind eventKind) {
 	fleet := newFleet(&rapidTB{TB: nil, T: t}, testStart, 4)
-	fleet.poolShares = poolShares
+	fleet.poolShares = kind.poolShares
 	// Planners with and without learned run times follow each other.
 	fleet.adjust = func(settings *planner.Settings) { settings.LearnRunTimes = rapid.Bool().Draw(t, "learn") }
 	fleet.takeOver(1, testCatalog())
 	fleet.deferStores = rapid.Bool().Draw(t, "late")
-	checkedFleet := &checkedFleet{fleet: fleet, term: 1, accepted: map[string]bool{}, lastRunNumbers: map[planner.TaskKey]int{}, speculativeJobs: map[string]bool{}, acknowledgedNumbers: map[planner.TaskKey]int{}}
+	checkedFleet := &checkedFleet{fleet: fleet, kind: kind, term: 1, accepted: map[string]bool{}, lastRunNumbers: map[planner.TaskKey]int{}, speculativeJobs: map[string]bool{}, acknowledgedNumbers: map[planner.TaskKey]int{}}
 	for range rapid.IntRange(10, 60).Draw(t, "events") {
 		checkedFleet.applyEvent(t)
 		checkedFleet.check(t)
@@ -56,6 +67,7 @@
 // checkedFleet is a fleet with the state that its invariants are checked against.
 type checkedFleet struct {
 	*fleet
+	kind            eventKind
 	term            int64
 	jobCount        int
 	accepted        map[string]bool         // IDs of the jobs that have been stored, which may be confirmed to callers
@@ -73,10 +85,13 @@
 	case 0, 1:
 		checkedFleet.jobCount++
 		step := planner.Step{
-			Count: rapid.IntRange(1, 5).Draw(t, "count"), EstimateMS: 500,
+			Count: rapid.IntRange(max(1, checkedFleet.kind.minTasks), max(5, checkedFleet.kind.maxTasks)).Draw(t, "count"), EstimateMS: 500,
 			Size: sizer.Size{MilliCores: int64(rapid.IntRange(1, 20).Draw(t, "cores") * 1000), MemoryMB: 100},
 			Gang: rapid.Bool().Draw(t, "gang"), Speculative: rapid.Bool().Draw(t, "speculative"),
 		}
+		if checkedFleet.kind.minTasks > 0 {
+			step.Size = sizer.Size{MilliCores: 50, MemoryMB: 10}
+		}
 		id := fmt.Sprintf("%016x", checkedFleet.jobCount)
 		checkedFleet.speculativeJobs[id] = step.Speculative && !step.Gang
 		checkedFleet.submit(id, step, dependent(newStep(1), 0))
--- a/library/planner/runs.go
+++ b/library/planner/runs.go
@@ -139,6 +139,9 @@
 	}
 	for _, run := range worker.Runs {
 		run.Confirmed, run.Token, run.Incarnation = false, 0, worker.Incarnation
+		if step := planner.steps[run.Key.step()]; step != nil {
+			step.touch(run.Key.Index)
+		}
 	}
 }
 
@@ -265,6 +268,7 @@
 		if running.Checkpoint != "" {
 			if step.tasks[running.Key.Index].checkpoint != running.Checkpoint {
 				run.savedAt = now
+				step.touch(running.Key.Index)
 			}
 			step.tasks[running.Key.Index].checkpoint = running.Checkpoint
 		}
--- a/library/planner/submission.go
+++ b/library/planner/submission.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"ebonyshunt.org/library/partitioner"
 )
 
 // Submit adds a job, and reports false if a job with its ID exists already.
@@ -38,6 +40,7 @@
 			delete(planner.steps, step.key)
 		}
 	}
+	planner.removeOccurrences(entry)
 	delete(planner.jobs, id)
 	delete(planner.newJobs, id)
 	delete(planner.dirty, id)
@@ -45,14 +48,29 @@
 	return true
 }
 
+// HasRoomFor reports whether the tasks of one occurrence of a job may be kept in memory beside those of the other jobs. There is always room
+// for one job alone.
+func (planner *Planner) HasRoomFor(job *Job) bool {
+	limit := planner.Settings.MaxTasks
+	return limit <= 0 || planner.taskCount == 0 || planner.taskCount+job.taskCount() <= limit
+}
+
 // addJob adds a job to the table.
 func (planner *Planner) addJob(job Job) *jobEntry {
 	planner.learned.initFacts(&job)
 	entry := &jobEntry{Job: job, state: Queued, storedState: Queued, occurrences: map[int]*occurrence{}}
+	entry.layout = entry.newLayout()
 	planner.jobs[job.ID] = entry
 	return entry
 }
 
+// removeOccurrences removes all occurrences of a job.
+func (planner *Planner) removeOccurrences(entry *jobEntry) {
+	for _, occurrence := range entry.occurrences {
+		planner.removeOccurrence(occurrence, entry)
+	}
+}
+
 // rateBurst is the burst size of a team's submission rate, as the time in which the rate allows that many jobs.
 const rateBurst = 3 * time.Second
 
@@ -90,7 +108,7 @@
 	}
 	for entry.nextOccurrence < entry.Runs {
 		late := planner.Settings.TimeOfDay().Sub(entry.dueAt(entry.nextOccurrence))
-		if late < 0 || len(entry.occurrences) >= maxOpenOccurrences {
+		if late < 0 || len(entry.occurrences) >= entry.maxOccurrences() || !planner.HasRoomFor(&entry.Job) {
 			planner.scheduled[entry.ID] = entry
 			return
 		}
@@ -102,12 +120,18 @@
 }
 
 const (
-	// maxOpenOccurrences limits the occurrences of a job that are not completed. Further ones are created as these are completed.
+	// maxOpenOccurrences limits the occurrences of a job that are not completed, and maxTasks their tasks. Further ones are created as
+	// these are completed.
 	maxOpenOccurrences = 1000
 	// maxDueMS is the latest due time, the end of the year 9999 in Unix milliseconds.
 	maxDueMS = 253_402_300_799_999
 )
 
+// maxOccurrences returns how many occurrences of the job may be in memory at the same time.
+func (job *Job) maxOccurrences() int {
+	return min(job.occurrences(), maxOpenOccurrences, max(1, maxTasks/max(1, job.taskCount())))
+}
+
 // dueAt returns when an occurrence is due, at most maxDueMS before or after 1970.
 func (job *Job) dueAt(number int) time.Time {
 	firstMS := min(max(job.FirstRunMS, -maxDueMS), maxDueMS)
@@ -144,6 +168,7 @@
 		Job: entry.ID, Queue: entry.Queue, Team: entry.Team, State: state, Duration: now.Sub(entry.acceptedAt), Expected: expected, ExpectedRuns: runs,
 	})
 	delete(planner.scheduled, entry.ID)
+	entry.parts.TouchStored(func(partitioner.Part) bool { return true })
 	for _, number := range slices.Sorted(maps.Keys(entry.occurrences)) {
 		for _, step := range entry.occurrences[number].steps {
 			step.waiting = nil
@@ -154,6 +179,7 @@
 				delete(planner.steps, step.key)
 			}
 		}
+		planner.dropCompleted(entry.occurrences[number], entry)
 	}
 	planner.endedJobs = append(planner.endedJobs, endedJob{id: entry.ID, endedAt: now})
 }
@@ -163,6 +189,7 @@
 	for len(planner.endedJobs) > 0 && now.Sub(planner.endedJobs[0].endedAt) > planner.Settings.StatusRetention {
 		id := planner.endedJobs[0].id
 		planner.endedJobs = planner.endedJobs[1:]
+		planner.removeOccurrences(planner.jobs[id])
 		delete(planner.jobs, id)
 		delete(planner.dirty, id)
 		planner.forgottenJobs = append(planner.forgottenJobs, id)
--- a/library/planner/tables.go
+++ b/library/planner/tables.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ebonyshunt.org/library/blamer"
+	"ebonyshunt.org/library/partitioner"
 )
 
 // jobEntry is a job with its progress, a row of the job table.
@@ -23,6 +24,10 @@
 	acceptedAt           time.Time
 	// lastChangeBatch is the number of the batch that stores the latest change of the job.
 	lastChangeBatch int64
+	// layout divides the tasks of each occurrence into parts with records of their own, see parts.go. It is nil for a job whose
+	// progress is one record.
+	layout *partitioner.Layout
+	parts  partitioner.Tracker
 }
 
 // occurrence is one execution of all steps of a job.
@@ -108,9 +113,20 @@
 		})
 	}
 	entry.occurrences[number] = occurrence
+	planner.taskCount += entry.taskCount()
 	return occurrence
 }
 
+// removeOccurrence removes an occurrence from memory, and its parts from the journal.
+func (planner *Planner) removeOccurrence(occurrence *occurrence, entry *jobEntry) {
+	if entry.occurrences[occurrence.number] != occurrence {
+		return
+	}
+	delete(entry.occurrences, occurrence.number)
+	planner.taskCount -= entry.taskCount()
+	entry.parts.TouchStored(func(part partitioner.Part) bool { return part.Occurrence == occurrence.number })
+}
+
 // activateSteps makes the steps whose dependencies are completed available to placement.
 func (planner *Planner) activateSteps(occurrence *occurrence) {
 	for _, step := range occurrence.steps {
@@ -181,6 +197,7 @@
 		task.copy = run
 	}
 	step.openCount++
+	step.touch(run.Key.Index)
 	planner.ensureWorker(run.Worker).addRun(run)
 	usage := planner.ensureTeam(step.job.Team)
 	usage.used = usage.used.Add(step.Size)
@@ -197,6 +214,7 @@
 	}
 	task.copy = nil
 	step.openCount--
+	step.touch(run.Key.Index)
 	planner.ensureWorker(run.Worker).removeRun(run)
 	usage := planner.ensureTeam(step.job.Team)
 	usage.used = usage.used.Sub(step.Size)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -51,6 +51,16 @@
 try 'configuration through peers' daemon/server/heartbeat.go 'if heartbeat.AsOf > server.register.AsOf()' 'if false' ./tests 'TestConfigurationInForce/logDownForOneZone'
 try 'fleet: ends acknowledged only once stored' library/planner/journal.go 'worker.pendingEnds[0].batch <= storedBatch' 'true' ./library/planner 'TestAcknowledgment'
 try 'fleet: batch without records has no number' library/planner/journal.go 'if len(batch.Records) > 0 {' 'if true {' ./library/planner 'TestUnstoredBatches'
+try 'large jobs: progress in parts' library/planner/parts.go 'if job.taskCount()*job.maxOccurrences() <= maxUndividedTasks {' 'if true {' ./library/planner 'TestLargeJobs'
+try 'large jobs: runs in parts' library/planner/tables.go '	step.touch(run.Key.Index)
+	planner.ensureWorker(run.Worker).addRun(run)' '	planner.ensureWorker(run.Worker).addRun(run)' ./library/planner 'TestLargeJobs|TestLargeJobProperty'
+try 'large jobs: one part for one change' library/planner/parts.go 'Number: entry.layout.PartOf(step.key.Step, index)' 'Number: 0*index' ./library/planner 'TestLargeJobs|TestLargeJobCompletes'
+try 'large jobs: checkpoints give way' library/planner/parts.go 'len(key)+len(data) > limit' 'false' ./library/planner 'TestLongCheckpoints'
+try 'large jobs: tasks of a job' library/planner/job.go 'tasks > maxTasks' 'false' ./library/planner 'TestJobLimits'
+try 'large jobs: size as stored' library/planner/job.go 'len(data) > maxStoredBytes' 'false' ./library/planner 'TestJobLimits'
+try 'large jobs: memory' library/planner/submission.go 'limit <= 0 || planner.taskCount == 0 ||' 'true ||' ./library/planner 'TestTasksInMemory'
+try 'large jobs: one record of an earlier release' library/planner/parts.go '		entry.touchAll()
+' '' ./library/planner 'TestDivideStored'
 try 'fleet: older state is not reported' library/planner/journal.go '&& batch.Number >= entry.storedStateBatch' '' ./library/planner 'TestUnstoredBatches'
 try 'fleet: only jobs not yet accepted are withdrawn' library/planner/submission.go 'entry == nil || !planner.newJobs[id]' 'entry == nil' ./library/planner 'TestUnstoredBatches'
 try 'fleet: fencing token raised with unknown runs' library/planner/worker.go 'worker.Token++' '' ./library/planner 'TestOrdersWithUnknownOutcome'
