--- a/daemon/scheduler/attempts.go
+++ b/daemon/scheduler/attempts.go
@@ -74,7 +74,7 @@
 	attempts.record(result)
 	var outOfTurn *translator.SequenceError
 	switch {
-	case result.err == nil, errors.Is(result.err, translator.ErrFenced):
+	case result.err == nil, errors.Is(result.err, translator.ErrFenced), errors.Is(result.err, translator.ErrRejected):
 		return true
 	case errors.As(result.err, &outOfTurn):
 		attempts.rejectedEarly = true
--- a/daemon/scheduler/calls.go
+++ b/daemon/scheduler/calls.go
@@ -196,6 +196,9 @@
 	if _, known := tenure.planner.State(id); !known {
 		return storeRefusal()
 	}
+	if tenure.planner.Unstorable(id) {
+		return planner.Reply{Verdict: planner.Refused, Reason: "the store does not take the job: submit a smaller one", RetryAfter: unstorableRetryDelay}
+	}
 	return planner.Reply{}
 }
 
@@ -205,6 +208,9 @@
 	return tenure.planner.Withdraw(id)
 }
 
+// unstorableRetryDelay is sent to callers whose job the store does not take.
+const unstorableRetryDelay = time.Minute
+
 func storeRefusal() planner.Reply {
 	return planner.Reply{Verdict: planner.Refused, Reason: "the store does not answer", RetryAfter: callerRetryDelay}
 }
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -103,6 +103,7 @@
 	host.peerPool = linker.NewPool(host.peerNetwork, settings.Host, clock)
 	host.peerPool.Allowance = host.linkAllowance
 	host.store = translator.NewStore(newHTTPClient(network.Metered(&host.traffic.store), maxStoreConns), settings.StoreAddress)
+	host.store.MaxRecordBytes = int(settings.MaxRecordBytes)
 	host.workers = translator.NewWorkerClient(newWorkerClient(network.Metered(&host.traffic.workers), int(settings.MaxOpenFiles)))
 	host.metrics = newMetrics(host)
 	host.catalogFetcher = newCatalogFetcher(host)
--- a/daemon/scheduler/journal.go
+++ b/daemon/scheduler/journal.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -96,8 +95,7 @@
 // because a term may start at any sequence number: until one is stored, the store could accept a later append
 // in place of an earlier one.
 func (journal *journal) open() error {
-	entry := translator.Entry{Key: termKey, Value: strconv.AppendInt(nil, journal.tenure.term, 10)}
-	err := journal.append(0, []translator.Entry{entry})
+	err := journal.append(0, []translator.Entry{termEntry(journal.tenure.term)})
 	if err == nil {
 		journal.nextSequence = 1
 	}
@@ -153,11 +151,15 @@
 func (journal *journal) saveParts(batch planner.Batch, first int64, parts [][]translator.Entry) {
 	tenure := journal.tenure
 	startedAt := time.Now()
+	var rejected []string
 	for index, part := range parts {
-		if !journal.savePart(first+int64(index), part) {
+		keys, stored := journal.savePart(first+int64(index), part)
+		if !stored {
 			return
 		}
+		rejected = append(rejected, keys...)
 	}
+	tenure.dropRejected(rejected)
 	journal.mu.Lock()
 	journal.inFlight--
 	journal.mu.Unlock()
@@ -189,19 +191,29 @@
 	return size
 }
 
-// savePart repeats one append until it is stored, and returns false if the tenure has ended.
-func (journal *journal) savePart(sequence int64, entries []translator.Entry) bool {
+// savePart repeats one append until it is stored, and returns false if the tenure has ended. Records that the store never takes are left
+// out, so that they keep no others from being stored; it returns their keys.
+func (journal *journal) savePart(sequence int64, entries []translator.Entry) (rejected []string, stored bool) {
 	tenure := journal.tenure
+	rejections := 0
 	for {
 		err := journal.append(sequence, entries)
 		switch {
 		case err == nil:
-			return true
+			return rejected, true
 		case tenure.ctx.Err() != nil:
-			return false
+			return nil, false
 		case errors.Is(err, translator.ErrFenced):
 			tenure.resign(err)
-			return false
+			return nil, false
+		case errors.Is(err, translator.ErrRejected):
+			rejections++
+			if index := journal.rejectedIndex(entries, rejections); index >= 0 {
+				tenure.host.log.Error("the store does not take a record, leaving it out", "key", entries[index].Key, "bytes", len(entries[index].Value), "error", err)
+				rejected = append(rejected, entries[index].Key)
+				entries = withoutEntry(entries, index, tenure.term)
+				rejections = 0
+			}
 		}
 		if journal.failingSince.CompareAndSwap(0, int64(journal.tenure.host.uptime())) {
 			tenure.host.log.Warn("journal lost", "sequence", sequence, "records", len(entries), "error", err)
--- a/daemon/scheduler/relay.go
+++ b/daemon/scheduler/relay.go
@@ -35,6 +35,7 @@
 	relayFenced    RelayOutcome = "fenced"    // a later term owns the journal
 	relayOutOfTurn RelayOutcome = "outOfTurn" // the store expects another sequence number
 	relayRefused   RelayOutcome = "refused"   // it was not stored
+	relayRejected  RelayOutcome = "rejected"  // it was not stored, and never will be
 	relayUnknown   RelayOutcome = "unknown"   // it may have been stored
 )
 
@@ -91,6 +92,8 @@
 		return RelayAnswer{Outcome: relayOutOfTurn, Expected: outOfTurn.Expected, Reason: outOfTurn.Answer}
 	case errors.Is(err, translator.ErrFenced):
 		return RelayAnswer{Outcome: relayFenced, Reason: err.Error()}
+	case errors.Is(err, translator.ErrRejected):
+		return RelayAnswer{Outcome: relayRejected, Reason: err.Error()}
 	case errors.Is(err, translator.ErrRefused):
 		return RelayAnswer{Outcome: relayRefused, Reason: err.Error()}
 	}
@@ -188,6 +191,8 @@
 		return fmt.Errorf("append through %s: %w", peer.Name, &translator.SequenceError{Expected: answer.Expected, Answer: answer.Reason})
 	case relayFenced:
 		return fmt.Errorf("append through %s: %s: %w", peer.Name, answer.Reason, translator.ErrFenced)
+	case relayRejected:
+		return fmt.Errorf("append through %s: %s: %w", peer.Name, answer.Reason, translator.ErrRejected)
 	case relayRefused:
 		journal.route.recordFailed(peer)
 		return fmt.Errorf("append through %s: %s: %w", peer.Name, answer.Reason, translator.ErrRefused)
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -208,6 +208,9 @@
 		EndedMS: jobEntry.endedAtMS, Next: jobEntry.nextOccurrence, Ended: jobEntry.completedOccurrences,
 		StoredAtMS: planner.journalMS(planner.now), AcceptedMS: planner.journalMS(jobEntry.acceptedAt),
 	}
+	if jobEntry.unstorable {
+		return progress
+	}
 	if jobEntry.layout != nil {
 		progress.Version = partedVersion
 	}
--- a/library/planner/tables.go
+++ b/library/planner/tables.go
@@ -24,6 +24,8 @@
 	acceptedAt           time.Time
 	// lastChangeBatch is the number of the batch that stores the latest change of the job.
 	lastChangeBatch int64
+	// unstorable reports whether the journal did not take a record of the job, which has therefore failed.
+	unstorable bool
 	// layout divides the tasks of each occurrence into parts with records of their own, see parts.go. It is nil for a job whose
 	// progress is one record.
 	layout *partitioner.Layout
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -61,6 +61,11 @@
 try 'large jobs: memory' library/planner/submission.go 'limit <= 0 || planner.taskCount == 0 ||' 'true ||' ./library/planner 'TestTasksInMemory'
 try 'large jobs: one record of an earlier release' library/planner/parts.go '		entry.touchAll()
 ' '' ./library/planner 'TestDivideStored'
+try 'rejected records: left out' daemon/scheduler/rejected.go 'if rejections < rejectionsToDrop {' 'if true {' ./tests 'TestFleetRejectedRecord/limitUnknown'
+try 'rejected records: told from unknown outcomes' platform/translator/store.go 'case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:' 'case http.StatusTeapot:' ./tests 'TestFleetRejectedRecord/limitUnknown'
+try 'rejected records: the job is refused' daemon/scheduler/calls.go 'if tenure.planner.Unstorable(id) {' 'if false {' ./tests 'TestFleetRejectedRecord'
+try 'rejected records: the job is given up' library/planner/unstorable.go '		entry.unstorable = true
+' '' ./tests 'TestFleetRejectedRecord'
 try 'fleet: older state is not reported' library/planner/journal.go '&& batch.Number >= entry.storedStateBatch' '' ./library/planner 'TestUnstoredBatches'
 try 'fleet: only jobs not yet accepted are withdrawn' library/planner/submission.go 'entry == nil || !planner.newJobs[id]' 'entry == nil' ./library/planner 'TestUnstoredBatches'
 try 'fleet: fencing token raised with unknown runs' library/planner/worker.go 'worker.Token++' '' ./library/planner 'TestOrdersWithUnknownOutcome'
--- a/standin/emulator/store.go
+++ b/standin/emulator/store.go
@@ -36,6 +36,8 @@
 	LateEvery int           // every LateEvery-th append takes effect after LateBy, without a response; 0 for none
 	LateShare float64       // share of appends, from 0 to 1, to which the same happens at random, with a fixed seed
 	LateBy    time.Duration
+	// RecordBytes is the maximum size of a record with its key, 0 for no limit. Appends with larger ones get status 413.
+	RecordBytes int
 }
 
 type topic struct {
@@ -50,6 +52,9 @@
 	value []byte
 }
 
+// size returns the size of the record in bytes: the length of the key, the key and the value.
+func (record record) size() int { return 1 + len(record.key) + len(record.value) }
+
 // producer is the state of one writer of a topic that numbers its appends. A higher epoch fences the lower ones.
 type producer struct {
 	epoch        int64
@@ -231,6 +236,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	time.Sleep(appendDelay)
+	if faults.RecordBytes > 0 && slices.ContainsFunc(decodeRecords(body), func(record record) bool { return record.size() > faults.RecordBytes }) {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
 	status, answer := store.applyAppend(query.Get, body)
 	if lost {
 		panic(http.ErrAbortHandler)
--- a/tests/fleet_harness_test.go
+++ b/tests/fleet_harness_test.go
@@ -46,6 +46,7 @@
 	moveStragglers bool               // loader.Scheduling.MoveStragglers of the hosts
 	forecast       bool               // loader.Scheduling.ForecastAdmission of the hosts
 	maxLease       time.Duration      // loader.Scheduling.MaxLease of the hosts
+	maxRecordBytes int64              // loader.Scheduling.MaxRecordBytes of the hosts, 0 if they do not know the store's limit
 }
 
 const (
@@ -182,7 +183,7 @@
 		MaxLease: fleet.maxLease, MaxStopTime: 200 * time.Millisecond, StatusRetention: 2 * time.Minute,
 		LearnRunTimes: fleet.learnRunTimes, PoolShares: fleet.poolShares, ForecastAdmission: fleet.forecast,
 		CrossRackFactor: 1.5, ShutdownGrace: 5 * time.Second, DelegateFrom: fleet.delegateFrom, Seeds: []string{hostAddress(fleet.hostNames[0], 82)},
-		MoveStragglers: fleet.moveStragglers,
+		MoveStragglers: fleet.moveStragglers, MaxRecordBytes: fleet.maxRecordBytes,
 	}, fleet.fabric.Host(name), log)
 	if err != nil {
 		fleet.Fatal(err)
