Read again what arrived while a decider restored its planner

Cause, shown with a restoring that is held while the configuration comes: setCatalog passes a version to the planner if there is one; the planner was created with the version before and set after, and nobody passed the newer one on until the next change or takeover. A request to hand over that came then was lost in the same way.

Change: adopt is the one place where a restored planner becomes that of the tenure. It reads the configuration, the drained zones and a handover under the lock under which later ones are passed on: each is seen by one or the other. The line "planner restored" names the version.

On TestFleetChangeWhileRestoring failed for a lower cap (12 tasks, 3 allowed) and an added route (503), after a kill and after a planned stop. Workers, calls, former deciders, heartbeats: by reading.

--- a/daemon/scheduler/drains.go
+++ b/daemon/scheduler/drains.go
@@ -59,7 +59,7 @@
 	}
 }
 
-// setDrainedZones passes the drained zones to the planner.
+// setDrainedZones passes the drained zones to the planner. Those that change while there is no planner are read by adopt.
 func (tenure *tenure) setDrainedZones() {
 	tenure.mu.Lock()
 	defer tenure.mu.Unlock()
--- a/daemon/scheduler/handover.go
+++ b/daemon/scheduler/handover.go
@@ -86,6 +86,7 @@
 // beginHandover ends the giving of leases and waits until it is stored until when each worker is leased.
 func (tenure *tenure) beginHandover(ctx context.Context) {
 	tenure.mu.Lock()
+	tenure.handsOver = true
 	if tenure.planner == nil || tenure.storeOutage() > 0 {
 		tenure.mu.Unlock()
 		return
@@ -115,6 +116,7 @@
 		return
 	}
 	tenure.mu.Lock()
+	tenure.handsOver = false
 	if tenure.planner != nil {
 		tenure.planner.CancelHandover()
 	}
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -46,6 +46,7 @@
 	planner     *planner.Planner // nil until it is restored from the journal
 	workerInfos map[string]planner.WorkerInfo
 	pollers     map[string]*poller
+	handsOver   bool // whether this host gives no leases any more, since a peer is asked to decide
 	waiters     []waiter
 	refusalLog  refusalLog
 	explainedAt time.Time     // when it was last logged why steps wait
@@ -199,18 +200,31 @@
 	if undecodable := restored.Restore(records, time.Now()); len(undecodable) > 0 {
 		tenure.host.log.Error("cannot decode journal records", "count", len(undecodable), "keys", undecodable[:min(len(undecodable), maxUndecodableLines)])
 	}
+	tenure.adopt(restored)
+	return nil
+}
+
+// adopt makes a restored planner the one of the tenure. What arrived for a planner while there was none was not passed on to one: each such
+// input is read again here, under the lock under which later ones are passed on.
+func (tenure *tenure) adopt(restored *planner.Planner) {
 	tenure.mu.Lock()
+	defer tenure.mu.Unlock()
+	if catalog := tenure.host.catalog.Load(); catalog != nil {
+		restored.SetCatalog(catalog)
+	}
+	restored.SetDrainedZones(tenure.host.drains.Zones())
+	if tenure.handsOver {
+		restored.BeginHandover(time.Now())
+	}
 	tenure.planner = restored
 	tenure.formerHostCount.Store(int64(restored.FormerHostCount()))
-	tenure.planner.SetDrainedZones(tenure.host.drains.Zones())
 	if restored.HandedOver {
 		tenure.logFormerWait(groundHandover)
 	} else {
 		tenure.logFormerWait(groundWindow)
 	}
-	tenure.mu.Unlock()
+	tenure.host.log.Info("planner restored", "term", tenure.term, "catalogVersion", restored.Catalog().Version)
 	close(tenure.ready)
-	return nil
 }
 
 // planOnce makes a placement pass if one is due, applies the resulting effects and stores the resulting batch. While the
@@ -425,7 +439,7 @@
 	}
 }
 
-// setCatalog passes a configuration to the planner.
+// setCatalog passes a configuration to the planner. One that arrives while there is no planner is read by adopt.
 func (tenure *tenure) setCatalog(catalog *planner.Catalog) {
 	tenure.mu.Lock()
 	defer tenure.mu.Unlock()
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -66,6 +66,12 @@
 try 'rejected records: the job is refused' daemon/scheduler/calls.go 'if tenure.planner.Unstorable(id) {' 'if false {' ./tests 'TestFleetRejectedRecord'
 try 'rejected records: the job is given up' library/planner/unstorable.go '		entry.unstorable = true
 ' '' ./tests 'TestFleetRejectedRecord'
+try 'restored planner: newest configuration' daemon/scheduler/tenure.go '		restored.SetCatalog(catalog)
+' '		_ = catalog
+' ./tests 'TestFleetChangeWhileRestoring'
+try 'restored planner: drained zones' daemon/scheduler/tenure.go '	restored.SetDrainedZones(tenure.host.drains.Zones())
+' '' ./tests 'TestFleetChangeWhileRestoring'
+try 'restored planner: handover' daemon/scheduler/tenure.go 'if tenure.handsOver {' 'if false {' ./daemon/scheduler 'TestAdoptWhileHandingOver'
 try 'fleet: older state is not reported' library/planner/journal.go '&& batch.Number >= entry.storedStateBatch' '' ./library/planner 'TestUnstoredBatches'
 try 'fleet: only jobs not yet accepted are withdrawn' library/planner/submission.go 'entry == nil || !planner.newJobs[id]' 'entry == nil' ./library/planner 'TestUnstoredBatches'
 try 'fleet: fencing token raised with unknown runs' library/planner/worker.go 'worker.Token++' '' ./library/planner 'TestOrdersWithUnknownOutcome'
--- a/tests/fleet_harness_test.go
+++ b/tests/fleet_harness_test.go
@@ -195,6 +195,15 @@
 type messageCounter struct {
 	mu     sync.Mutex
 	counts map[string]int
+	// hold is called with each message, by the goroutine that logs it, nil to call nothing.
+	hold func(message string)
+}
+
+// holdAt calls a function with each message from now on.
+func (messageCounter *messageCounter) holdAt(hold func(message string)) {
+	messageCounter.mu.Lock()
+	defer messageCounter.mu.Unlock()
+	messageCounter.hold = hold
 }
 
 // count returns how many records had a message.
@@ -211,6 +220,12 @@
 
 // Handle counts a record.
 func (messageCounter *messageCounter) Handle(_ context.Context, record slog.Record) error {
+	messageCounter.mu.Lock()
+	hold := messageCounter.hold
+	messageCounter.mu.Unlock()
+	if hold != nil {
+		hold(record.Message)
+	}
 	messageCounter.mu.Lock()
 	defer messageCounter.mu.Unlock()
 	messageCounter.counts[record.Message]++
