Count what still runs of ended jobs after a takeover

Cause: restoring took only the state of a job that has ended, although its record lists its open runs. What they take stands in the job's own record, which was deleted together with the end; and the state was forgotten after its retention, whether runs were open or not.

Change: both records stay until the last run has certainly ended. Restoring lays out what has open runs and marks them as being stopped; they count against worker, cap and share, and are asked to stop again. So is the other run of a task that is done, which was counted and ran on to its end.

--- a/library/planner/fleet_test.go
+++ b/library/planner/fleet_test.go
@@ -44,6 +44,8 @@
 	losesListing func() bool
 	// takesOrder replaces a worker's answer to an order, nil if each order is accepted. It reports false for an answer as usual.
 	takesOrder func(planner.Order, *fakeWorker) (planner.Outcome, bool)
+	jobs       map[string]planner.Job  // that were submitted and accepted, by ID
+	slowStops  bool                    // whether stops end no run, as if they took long
 	missedTerm bool                    // whether the next planner follows a term that had no planner
 	adjust     func(*planner.Settings) // changes the settings of the planners to come, nil to leave them
 	events     []planner.EndEvent
@@ -240,9 +242,22 @@
 		fleet.refusals = append(fleet.refusals, refusal)
 		return false
 	}
+	if fleet.jobs == nil {
+		fleet.jobs = map[string]planner.Job{}
+	}
+	fleet.jobs[job.ID] = job
 	return fleet.planner.Submit(job, fleet.time())
 }
 
+// sizeOf returns what a task takes of a worker.
+func (fleet *fleet) sizeOf(key planner.TaskKey) sizer.Size {
+	step := fleet.jobs[key.Job].Steps[key.Step]
+	if step.Filler {
+		step.Size.MilliCores = 0
+	}
+	return step.Size
+}
+
 // settle calls Plan and carries out the batches until there is none, at most 20 times.
 func (fleet *fleet) settle() {
 	for range 20 {
@@ -305,7 +320,9 @@
 		switch effect := effect.(type) {
 		case planner.Stop:
 			fleet.stops = append(fleet.stops, effect)
-			fleet.markEnded(effect.Key, planner.EndedStopped)
+			if !fleet.slowStops {
+				fleet.markEnded(effect.Key, planner.EndedStopped)
+			}
 		case planner.Fence:
 			fleet.sendPoll(effect.Worker)
 		case planner.Reading:
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -11,8 +11,8 @@
 	"ebonyshunt.org/library/blamer"
 )
 
-// The journal holds two records for each job: the job as submitted, which is deleted once the job has ended, and its
-// progress. These are their key prefixes, followed by the job's ID, and the format version of the values.
+// The journal holds two records for each job: the job as submitted, which is deleted once the job has ended and none of its runs is open, and
+// its progress. These are their key prefixes, followed by the job's ID, and the format version of the values.
 const (
 	jobPrefix      = "job/"
 	progressPrefix = "run/"
@@ -138,7 +138,7 @@
 }
 
 // appendRecords adds the records of a job to a batch: the job itself if it is new, its progress, and the deletion
-// of the job's record once it has ended.
+// of the job's record once a later planner does not need it any more.
 func (planner *Planner) appendRecords(batch *Batch, entry *jobEntry) error {
 	if planner.newJobs[entry.ID] {
 		delete(planner.newJobs, entry.ID)
@@ -162,7 +162,7 @@
 	batch.Records = append(batch.Records, parts...)
 	batch.Records = append(batch.Records, record)
 	batch.Records = append(batch.Records, deletedParts...)
-	if entry.state.Final() {
+	if entry.state.Final() && (!entry.hasOpenRuns() || entry.unstorable) {
 		batch.Records = append(batch.Records, Record{Key: jobPrefix + entry.ID})
 	}
 	return nil
@@ -323,7 +323,8 @@
 	return undecodable
 }
 
-// restoreJob rebuilds one job. Of a job that has ended, only the state is restored.
+// restoreJob rebuilds one job. Of a job that has ended, the state is restored and the runs that may still exist, which count against
+// workers and the team until they have certainly ended.
 func (planner *Planner) restoreJob(id string, job Job, progress Progress, parts []storedPart, now time.Time) {
 	job.ID, job.Queue, job.Team = id, progress.Queue, progress.Team
 	entry := planner.addJob(job)
@@ -332,8 +333,6 @@
 	entry.endedAtMS, entry.nextOccurrence, entry.completedOccurrences = progress.EndedMS, progress.Next, progress.Ended
 	if entry.state.Final() {
 		planner.endedJobs = append(planner.endedJobs, endedJob{id: id, endedAt: now})
-		planner.dropStrayParts(map[string][]storedPart{id: parts})
-		return
 	}
 	for _, stored := range progress.Occurrences {
 		occurrence := planner.newOccurrence(entry, stored.Number, planner.journalTime(stored.DueMS))
@@ -342,12 +341,38 @@
 		}
 	}
 	planner.restoreParts(entry, progress, parts, now)
+	if entry.state.Final() {
+		planner.stopRestored(entry, now)
+		return
+	}
 	for _, stored := range progress.Occurrences {
 		planner.resumeOccurrence(entry, stored, now)
 	}
 	planner.createDueOccurrences(entry, now)
 }
 
+// stopRestored marks the runs of an ended job as being stopped, but for the members of a completed gang, and drops what has no open run.
+func (planner *Planner) stopRestored(entry *jobEntry, now time.Time) {
+	for _, number := range slices.Sorted(maps.Keys(entry.occurrences)) {
+		occurrence := entry.occurrences[number]
+		for _, step := range occurrence.steps {
+			if !step.endsTogether() {
+				step.markStopping(now)
+			}
+		}
+		planner.dropCompleted(occurrence, entry)
+	}
+}
+
+// markStopping marks all runs of a step as being stopped. The stops are sent as their workers list them.
+func (step *step) markStopping(now time.Time) {
+	for index := range step.tasks {
+		for _, run := range step.tasks[index].openRuns() {
+			run.markStopping(now)
+		}
+	}
+}
+
 // resumeOccurrence makes the tasks of a restored occurrence available to placement.
 func (planner *Planner) resumeOccurrence(entry *jobEntry, stored OccurrenceProgress, now time.Time) {
 	occurrence := entry.occurrences[stored.Number]
@@ -402,6 +427,9 @@
 		run.learning.restored = true
 		run.Incarnation, run.Token, run.Sent = open.Incarnation, 0, true // token 0 is lower than every token of this term
 		planner.addRun(step, run)
+		if step.tasks[open.Index].done && !step.Gang {
+			run.markStopping(now) // a copy of a run that completed the task
+		}
 		planner.steps[step.key] = step
 	}
 }
--- a/library/planner/parts.go
+++ b/library/planner/parts.go
@@ -100,7 +100,7 @@
 	for _, part := range entry.parts.TakeChanged() {
 		key := partKey(entry.ID, part)
 		occurrence := entry.occurrences[part.Occurrence]
-		if entry.layout == nil || occurrence == nil || entry.state.Final() {
+		if entry.layout == nil || occurrence == nil || entry.unstorable || entry.state.Final() && !occurrence.hasOpenRunsIn(entry.layout.Spans(part.Number)) {
 			if entry.parts.RemoveRecord(part) {
 				deleted = append(deleted, Record{Key: key})
 			}
@@ -117,6 +117,14 @@
 	return written, deleted, nil
 }
 
+// hasOpenRunsIn reports whether a run of one of the tasks exists or may exist.
+func (occurrence *occurrence) hasOpenRunsIn(spans []partitioner.Span) bool {
+	return slices.ContainsFunc(spans, func(span partitioner.Span) bool {
+		tasks := occurrence.steps[span.Step].tasks[span.First:span.End]
+		return slices.ContainsFunc(tasks, func(task task) bool { return task.run != nil })
+	})
+}
+
 // partProgress returns the progress of the tasks of a part as it is stored.
 func (occurrence *occurrence) partProgress(spans []partitioner.Span) PartProgress {
 	progress := PartProgress{Version: partVersion}
--- a/library/planner/property_test.go
+++ b/library/planner/property_test.go
@@ -81,7 +81,7 @@
 // applyEvent draws one event and applies it.
 func (checkedFleet *checkedFleet) applyEvent(t *rapid.T) {
 	worker := checkedFleet.workers[fmt.Sprintf("w-%03d", rapid.IntRange(0, 3).Draw(t, "worker"))]
-	switch rapid.IntRange(0, 12).Draw(t, "event") {
+	switch rapid.IntRange(0, 13).Draw(t, "event") {
 	case 0, 1:
 		checkedFleet.jobCount++
 		step := planner.Step{
@@ -118,6 +118,8 @@
 	case 12:
 		checkedFleet.planner.CancelHandover()
 		checkedFleet.settle()
+	case 13:
+		checkedFleet.slowStops = !checkedFleet.slowStops
 	case 7:
 		checkedFleet.advance(time.Duration(rapid.IntRange(1, 3000).Draw(t, "pause")) * time.Millisecond)
 	case 9, 10:
@@ -162,6 +164,7 @@
 	checkedFleet.checkedOrders = len(checkedFleet.orders)
 	checkedFleet.checkStored(t)
 	checkedFleet.checkShares(t)
+	checkedFleet.checkCounted(t)
 	for _, worker := range checkedFleet.planner.Workers() {
 		if !worker.Used.Fits(worker.Capacity) {
 			t.Fatalf("%s has %v in use, more than its capacity %v", worker.ID, worker.Used, worker.Capacity)
@@ -169,6 +172,22 @@
 	}
 }
 
+// checkCounted checks that each worker has as much in use as its runs take, whatever became of their jobs and however often planners were
+// replaced.
+func (checkedFleet *checkedFleet) checkCounted(t *rapid.T) {
+	for _, row := range checkedFleet.planner.Workers() {
+		worker := checkedFleet.workers[row.ID]
+		checkedFleet.expireLease(worker)
+		var running sizer.Size
+		for key := range worker.running {
+			running = running.Add(checkedFleet.sizeOf(key))
+		}
+		if !running.Fits(row.Used) {
+			t.Fatalf("the runs of %s take %v, %v are counted", row.ID, running, row.Used)
+		}
+	}
+}
+
 // checkShares checks that the only team's use of the service is the total of its runs.
 func (checkedFleet *checkedFleet) checkShares(t *rapid.T) {
 	var used sizer.Size
--- a/library/planner/submission.go
+++ b/library/planner/submission.go
@@ -172,7 +172,7 @@
 	for _, number := range slices.Sorted(maps.Keys(entry.occurrences)) {
 		for _, step := range entry.occurrences[number].steps {
 			step.waiting = nil
-			if !step.Gang || step.completedTasks < step.Count {
+			if !step.endsTogether() {
 				planner.stopRuns(step, now)
 			}
 			if step.openCount == 0 {
@@ -184,11 +184,29 @@
 	planner.endedJobs = append(planner.endedJobs, endedJob{id: entry.ID, endedAt: now})
 }
 
-// forgetEndedJobs removes the jobs that ended more than Settings.StatusRetention ago.
+// endsTogether reports whether the step is a gang that is completed, whose members end without being stopped.
+func (step *step) endsTogether() bool { return step.Gang && step.completedTasks == step.Count }
+
+// hasOpenRuns reports whether a run of the job exists or may exist.
+func (jobEntry *jobEntry) hasOpenRuns() bool {
+	for _, occurrence := range jobEntry.occurrences {
+		if occurrence.hasOpenRuns() {
+			return true
+		}
+	}
+	return false
+}
+
+// forgetEndedJobs removes the jobs that ended more than Settings.StatusRetention ago. One with open runs is kept for that time again: a
+// later planner has to know of them.
 func (planner *Planner) forgetEndedJobs(now time.Time) {
 	for len(planner.endedJobs) > 0 && now.Sub(planner.endedJobs[0].endedAt) > planner.Settings.StatusRetention {
 		id := planner.endedJobs[0].id
 		planner.endedJobs = planner.endedJobs[1:]
+		if planner.jobs[id].hasOpenRuns() {
+			planner.endedJobs = append(planner.endedJobs, endedJob{id: id, endedAt: now})
+			continue
+		}
 		planner.removeOccurrences(planner.jobs[id])
 		delete(planner.jobs, id)
 		delete(planner.dirty, id)
@@ -208,12 +226,17 @@
 // stopRetryInterval is the minimum time between two stop requests for the same run.
 const stopRetryInterval = 400 * time.Millisecond
 
-// stopRun requests the end of a run, unless the last request for it is less than stopRetryInterval old.
-func (planner *Planner) stopRun(run *Run, now time.Time) {
+// markStopping records that a run is to be stopped.
+func (run *Run) markStopping(now time.Time) {
 	run.chargeStop()
 	if !run.Stopping {
 		run.Stopping, run.stopRequestedAt = true, now
 	}
+}
+
+// stopRun requests the end of a run, unless the last request for it is less than stopRetryInterval old.
+func (planner *Planner) stopRun(run *Run, now time.Time) {
+	run.markStopping(now)
 	if !run.StopSentAt.IsZero() && now.Sub(run.StopSentAt) < stopRetryInterval {
 		return
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -72,6 +72,13 @@
 try 'restored planner: drained zones' daemon/scheduler/tenure.go '	restored.SetDrainedZones(tenure.host.drains.Zones())
 ' '' ./tests 'TestFleetChangeWhileRestoring'
 try 'restored planner: handover' daemon/scheduler/tenure.go 'if tenure.handsOver {' 'if false {' ./daemon/scheduler 'TestAdoptWhileHandingOver'
+try 'ended jobs: runs are restored' library/planner/journal.go 'if entry.state.Final() && (!entry.hasOpenRuns() || entry.unstorable) {' 'if entry.state.Final() {' ./library/planner 'TestEndedJobsStillCount|TestProperty'
+try 'ended jobs: runs are stopped' library/planner/journal.go '				step.markStopping(now)
+' '				continue
+' ./library/planner 'TestEndedJobsAreStopped'
+try 'ended jobs: runs in parts' library/planner/parts.go 'entry.state.Final() && !occurrence.hasOpenRunsIn(entry.layout.Spans(part.Number))' 'entry.state.Final()' ./library/planner 'TestEndedJobsStillCount'
+try 'ended jobs: runs outlive the retention' library/planner/submission.go 'if planner.jobs[id].hasOpenRuns() {' 'if false {' ./library/planner 'TestRunsOutliveRetention'
+try 'ended jobs: copies of done tasks' library/planner/journal.go 'if step.tasks[open.Index].done && !step.Gang {' 'if false {' ./library/planner 'TestCopyOutlivesTask'
 try 'fleet: older state is not reported' library/planner/journal.go '&& batch.Number >= entry.storedStateBatch' '' ./library/planner 'TestUnstoredBatches'
 try 'fleet: only jobs not yet accepted are withdrawn' library/planner/submission.go 'entry == nil || !planner.newJobs[id]' 'entry == nil' ./library/planner 'TestUnstoredBatches'
 try 'fleet: fencing token raised with unknown runs' library/planner/worker.go 'worker.Token++' '' ./library/planner 'TestOrdersWithUnknownOutcome'
