Count a job as pending until a worker started a task of it

Cause: pending were the jobs in state queued, and a job leaves it as soon as a start is planned.

Change: a job counts until a worker accepts an order of it, lists a run or lists its end.

--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -28,6 +28,7 @@
 	EndedMS     int64                `json:"endedMS,omitempty"`      // Unix milliseconds
 	StoredAtMS  int64                `json:"storedAtMS,omitempty"`   // on the journal's clock
 	AcceptedMS  int64                `json:"acceptedAtMS,omitempty"` // on the journal's clock
+	Begun       bool                 `json:"begun,omitempty"`        // whether a worker told that it started a task
 	Next        int                  `json:"next,omitempty"`         // number of the next occurrence to create
 	Ended       int                  `json:"ended,omitempty"`        // number of completed occurrences
 	Occurrences []OccurrenceProgress `json:"occurrences,omitempty"`
@@ -207,6 +208,7 @@
 		Version: journalVersion, State: jobEntry.state, Queue: jobEntry.Queue, Team: jobEntry.Team,
 		EndedMS: jobEntry.endedAtMS, Next: jobEntry.nextOccurrence, Ended: jobEntry.completedOccurrences,
 		StoredAtMS: planner.journalMS(planner.now), AcceptedMS: planner.journalMS(jobEntry.acceptedAt),
+		Begun: jobEntry.begun,
 	}
 	if jobEntry.unstorable {
 		return progress
@@ -330,6 +332,7 @@
 	entry := planner.addJob(job)
 	entry.state, entry.storedState = progress.State, progress.State
 	entry.acceptedAt = planner.journalTime(progress.AcceptedMS)
+	entry.begun = progress.Begun
 	entry.endedAtMS, entry.nextOccurrence, entry.completedOccurrences = progress.EndedMS, progress.Next, progress.Ended
 	if entry.state.Final() {
 		planner.endedJobs = append(planner.endedJobs, endedJob{id: id, endedAt: now})
@@ -396,7 +399,7 @@
 	for index := first; index < end; index++ {
 		task, position := &step.tasks[index], index-first
 		if position < len(stored.Done) && stored.Done[position] == '1' {
-			task.done = true
+			task.done, step.job.begun = true, true
 			step.completedTasks++
 		}
 		if position < len(stored.Numbers) {
@@ -405,6 +408,7 @@
 		}
 		if position < len(stored.Failures) {
 			task.failures = stored.Failures[position]
+			step.job.begun = step.job.begun || task.failures > 0 // records of earlier releases do not tell
 		}
 	}
 	for index, checkpoint := range stored.Checkpoints {
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -303,11 +303,11 @@
 	return ""
 }
 
-// Pending returns the number of jobs of a queue whose stored state is Queued.
+// Pending returns the number of jobs of a queue that have not ended and of which no worker told that it started a task.
 func (planner *Planner) Pending(queue string) int {
 	count := 0
 	for _, entry := range planner.jobs {
-		if entry.Queue == queue && entry.storedState == Queued {
+		if entry.Queue == queue && !entry.begun && !entry.storedState.Final() {
 			count++
 		}
 	}
--- a/library/planner/runs.go
+++ b/library/planner/runs.go
@@ -54,6 +54,7 @@
 	}
 	switch outcome {
 	case Accepted:
+		step.job.begun = true
 		run.answered = true
 		if worker.RunsKnown && current {
 			run.Confirmed, run.ConfirmedAt, run.ProgressAt = true, now, now
@@ -241,6 +242,7 @@
 		return
 	}
 	worker.pendingEnds = append(worker.pendingEnds, pendingEnd{sequence: ended.Sequence, batch: planner.lastBatch + 1})
+	step.job.begun = true
 	planner.closeRun(step, run, ended.Ending, ended.Checkpoint, now)
 }
 
@@ -257,7 +259,7 @@
 			continue
 		}
 		run.loss = nil // it was started on the current incarnation
-		run.answered = true
+		run.answered, step.job.begun = true, true
 		run.recordReading(running.Percent, now)
 		if !run.Confirmed {
 			run.Confirmed, run.ConfirmedAt, run.ProgressAt = true, now, now
--- a/library/planner/tables.go
+++ b/library/planner/tables.go
@@ -12,6 +12,8 @@
 type jobEntry struct {
 	Job
 	state State
+	// begun reports whether a worker told that a task of the job was started there.
+	begun bool
 	// storedState is the state in the journal, written by the batch with number storedStateBatch.
 	storedState      State
 	storedStateBatch int64
