--- a/library/planner/crash_records.go
+++ b/library/planner/crash_records.go
@@ -1,10 +1,14 @@
 package planner
 
-import "slices"
+import (
+	"slices"
+
+	"ebonyshunt.org/library/encoder"
+)
 
 // addCrashes adds the crashes that count against the step's tasks from index first to before index end, or may do so, to their stored
 // progress.
-func (step *step) addCrashes(progress *StepProgress, first, end int) {
+func (step *step) addCrashes(progress *encoder.StepProgress, first, end int) {
 	if !step.suspected {
 		return
 	}
@@ -17,7 +21,7 @@
 }
 
 // restoreCrashes restores what addCrashes stored.
-func (planner *Planner) restoreCrashes(step *step, stored StepProgress) {
+func (planner *Planner) restoreCrashes(step *step, stored encoder.StepProgress) {
 	for index, crashes := range stored.Crashes {
 		if index >= 0 && index < len(step.tasks) {
 			step.tasks[index].evidence.Crashes = crashes
--- a/library/planner/expiry.go
+++ b/library/planner/expiry.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"ebonyshunt.org/library/encoder"
 )
 
 // The journal also holds the time by which all leases of an unresponsive worker with runs have expired, so that a later
@@ -20,32 +22,8 @@
 	// expiryRefreshInterval is the time after which the record is written again: a later planner counts the rest of the
 	// wait from when it reads the record, because the clocks of two hosts cannot be compared.
 	expiryRefreshInterval = 2 * time.Second
-	expiryVersion         = 2
 )
 
-// LeaseExpiry is the journal record of a worker with runs that does not answer polls.
-type LeaseExpiry struct {
-	Version     int   `json:"version"`
-	RemainingMS int64 `json:"remainingMS"` // time until every lease has expired, when this was stored
-}
-
-// UnmarshalJSON decodes a lease expiry, and refuses a time out of range and any other format version than expiryVersion.
-func (leaseExpiry *LeaseExpiry) UnmarshalJSON(data []byte) error {
-	type plain LeaseExpiry
-	var decoded plain
-	if err := json.Unmarshal(data, &decoded); err != nil {
-		return fmt.Errorf("decode lease expiry: %w", err)
-	}
-	if decoded.Version != expiryVersion {
-		return Error.New("lease expiry record has format version %d, this program reads version %d only", decoded.Version, expiryVersion)
-	}
-	if decoded.RemainingMS < 0 || decoded.RemainingMS > maxExpiryMS {
-		return Error.New("lease expiry record has %d ms left, which is not from 0 to %d", decoded.RemainingMS, maxExpiryMS)
-	}
-	*leaseExpiry = LeaseExpiry(decoded)
-	return nil
-}
-
 // updateExpiries marks the lease expiry records that have to be written or deleted.
 func (planner *Planner) updateExpiries(now time.Time) {
 	for _, worker := range planner.workerList {
@@ -88,7 +66,7 @@
 		if worker := planner.workers[id]; worker != nil && !worker.RunsKnown && len(worker.Runs) > 0 {
 			worker.recordedExpiry, worker.expiryRecordedAt = worker.leasesExpireAt(), planner.now
 			remaining := max(worker.recordedExpiry.Sub(planner.now), 0) + time.Millisecond // rounded up
-			data, err := json.Marshal(&LeaseExpiry{Version: expiryVersion, RemainingMS: remaining.Milliseconds()})
+			data, err := json.Marshal(&encoder.LeaseExpiry{Version: encoder.LeaseExpiryVersion, RemainingMS: remaining.Milliseconds()})
 			if err != nil {
 				return nil, fmt.Errorf("encode lease expiry of worker %s: %w", id, err)
 			}
@@ -109,7 +87,7 @@
 		if !isExpiry {
 			continue
 		}
-		var leaseExpiry LeaseExpiry
+		var leaseExpiry encoder.LeaseExpiry
 		if err := json.Unmarshal(record.Value, &leaseExpiry); err != nil {
 			undecodable = append(undecodable, record.Key)
 			continue
--- a/library/planner/handover.go
+++ b/library/planner/handover.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"time"
+
+	"ebonyshunt.org/library/encoder"
 )
 
 // A planner that is about to be replaced as planned stops giving leases and records when those on each worker have expired. The next
@@ -12,50 +14,11 @@
 const (
 	// handoverKey is the key of the journal record of a planner that gives no leases any more. The planner deletes it before it gives
 	// leases again.
-	handoverKey     = "handover"
-	handoverVersion = 1
+	handoverKey = "handover"
 	// minHandoverWait is the least wait for the leases of a worker with runs: if it answers, it tells what became of them.
 	minHandoverWait = 500 * time.Millisecond
 )
 
-// Handover is the journal record of a planner that gives no leases any more.
-type Handover struct {
-	Version int   `json:"version"`
-	Term    int64 `json:"term"` // of the planner
-	// RenewalsMS is the time, in milliseconds from when this was stored, until no earlier planner gives leases.
-	RenewalsMS int64 `json:"renewalsMS"`
-	// LeasesMS is the same until the leases of workers that are not in Workers have expired.
-	LeasesMS int64 `json:"leasesMS"`
-	// Workers is the same until the leases of workers with runs have expired, by the worker's ID.
-	Workers map[string]int64 `json:"workers,omitempty"`
-}
-
-// UnmarshalJSON decodes a handover, and refuses a term or times out of range and any other format version than handoverVersion.
-func (handover *Handover) UnmarshalJSON(data []byte) error {
-	type plain Handover
-	var decoded plain
-	if err := json.Unmarshal(data, &decoded); err != nil {
-		return fmt.Errorf("decode handover: %w", err)
-	}
-	if decoded.Version != handoverVersion {
-		return Error.New("handover record has format version %d, this program reads version %d only", decoded.Version, handoverVersion)
-	}
-	if decoded.Term <= 0 {
-		return Error.New("handover record has term %d, which is not above 0", decoded.Term)
-	}
-	times := []int64{decoded.RenewalsMS, decoded.LeasesMS}
-	for _, leasesMS := range decoded.Workers {
-		times = append(times, leasesMS)
-	}
-	for _, timeMS := range times {
-		if timeMS < 0 || timeMS > maxExpiryMS {
-			return Error.New("handover record has a time of %d ms, which is not from 0 to %d", timeMS, maxExpiryMS)
-		}
-	}
-	*handover = Handover(decoded)
-	return nil
-}
-
 // handingOver is the state of a planner that hands over, or did and was not replaced.
 type handingOver struct {
 	begun       bool  // whether no leases are given
@@ -94,8 +57,8 @@
 	if !planner.handingOver.begun {
 		return []Record{{Key: handoverKey}}, nil
 	}
-	handover := Handover{
-		Version: handoverVersion, Term: planner.Term, Workers: map[string]int64{},
+	handover := encoder.Handover{
+		Version: encoder.HandoverVersion, Term: planner.Term, Workers: map[string]int64{},
 		RenewalsMS: planner.untilMS(planner.formerRenewalsEnd), LeasesMS: planner.untilMS(planner.formerLeasesExpireBy),
 	}
 	for _, worker := range planner.workerList {
@@ -126,7 +89,7 @@
 		if record.Key != handoverKey {
 			continue
 		}
-		var handover Handover
+		var handover encoder.Handover
 		if err := json.Unmarshal(record.Value, &handover); err != nil {
 			return []string{record.Key}
 		}
@@ -137,7 +100,7 @@
 	return nil
 }
 
-func (planner *Planner) applyHandover(handover Handover) {
+func (planner *Planner) applyHandover(handover encoder.Handover) {
 	planner.formerRenewalsEnd = planner.now.Add(time.Duration(handover.RenewalsMS) * time.Millisecond)
 	planner.formerLeasesExpireBy = planner.now.Add(time.Duration(handover.LeasesMS) * time.Millisecond)
 	for id, leasesMS := range handover.Workers {
--- a/library/planner/job.go
+++ b/library/planner/job.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 
+	"ebonyshunt.org/library/encoder"
 	"ebonyshunt.org/library/sizer"
 )
 
@@ -178,22 +179,17 @@
 }
 
 // State is the state of a job.
-type State string
+type State = encoder.State
 
 // The states of a job.
 const (
-	Queued    State = "queued"
-	Running   State = "running"
-	Completed State = "completed"
-	Failed    State = "failed"
-	Canceled  State = "canceled"
+	Queued    = encoder.Queued
+	Running   = encoder.Running
+	Completed = encoder.Completed
+	Failed    = encoder.Failed
+	Canceled  = encoder.Canceled
 )
 
-// Final reports whether a job in this state has ended.
-func (state State) Final() bool {
-	return state == Completed || state == Failed || state == Canceled
-}
-
 // Ending is how a run of a task ended.
 type Ending string
 
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -8,77 +8,16 @@
 	"strings"
 	"time"
 
-	"ebonyshunt.org/library/blamer"
+	"ebonyshunt.org/library/encoder"
 )
 
 // The journal holds two records for each job: the job as submitted, which is deleted once the job has ended and none of its runs is open, and
-// its progress. These are their key prefixes, followed by the job's ID, and the format version of the values.
+// its progress. These are their key prefixes, followed by the job's ID. The values are in package encoder.
 const (
 	jobPrefix      = "job/"
 	progressPrefix = "run/"
-	journalVersion = 1
 )
 
-// Progress is the journal record of the progress of a job.
-type Progress struct {
-	Version     int                  `json:"version"`
-	State       State                `json:"state"`
-	Queue       string               `json:"queue"`
-	Team        string               `json:"team,omitempty"`
-	EndedMS     int64                `json:"endedMS,omitempty"`      // Unix milliseconds
-	StoredAtMS  int64                `json:"storedAtMS,omitempty"`   // on the journal's clock
-	AcceptedMS  int64                `json:"acceptedAtMS,omitempty"` // on the journal's clock
-	Begun       bool                 `json:"begun,omitempty"`        // whether a worker told that it started a task
-	Next        int                  `json:"next,omitempty"`         // number of the next occurrence to create
-	Ended       int                  `json:"ended,omitempty"`        // number of completed occurrences
-	Occurrences []OccurrenceProgress `json:"occurrences,omitempty"`
-}
-
-// OccurrenceProgress is the progress of one occurrence.
-type OccurrenceProgress struct {
-	Number int            `json:"number"`
-	DueMS  int64          `json:"dueAtMS,omitempty"` // on the journal's clock
-	Steps  []StepProgress `json:"steps,omitempty"`   // empty if the tasks are stored in parts
-	// Completed is set, if the tasks are stored in parts, once the occurrence counts in Progress.Ended.
-	Completed bool `json:"completed,omitempty"`
-}
-
-// StepProgress is the progress of one step. Done, Numbers and Failures have one entry for each task, or none if all
-// entries would be zero; Checkpoints is by task index.
-type StepProgress struct {
-	Done        string         `json:"done,omitempty"`    // 1 for each task that is done, 0 for the others
-	Numbers     []int          `json:"numbers,omitempty"` // last run numbers
-	Failures    []int          `json:"failures,omitempty"`
-	Checkpoints map[int]string `json:"checkpoints,omitempty"`
-	Open        []OpenRun      `json:"open,omitempty"`
-	blamer.Records
-}
-
-// OpenRun is a run that may exist.
-type OpenRun struct {
-	Index       int    `json:"index"`
-	Worker      string `json:"worker"`
-	Incarnation int64  `json:"born,omitempty"`   // Run.Incarnation
-	Number      int    `json:"number,omitempty"` // 0 for the task's last run number
-}
-
-// UnmarshalJSON decodes progress, and refuses values out of range and any other format version than journalVersion and partedVersion.
-func (progress *Progress) UnmarshalJSON(data []byte) error {
-	type plain Progress
-	var decoded plain
-	if err := json.Unmarshal(data, &decoded); err != nil {
-		return fmt.Errorf("decode progress: %w", err)
-	}
-	if decoded.Version != journalVersion && decoded.Version != partedVersion {
-		return Error.New("progress record has format version %d, this program reads versions %d and %d only", decoded.Version, journalVersion, partedVersion)
-	}
-	if err := (*Progress)(&decoded).check(); err != nil {
-		return err
-	}
-	*progress = Progress(decoded)
-	return nil
-}
-
 // Dirty reports whether Take would return any record, effect or start.
 func (planner *Planner) Dirty() bool {
 	return len(planner.dirty) > 0 || len(planner.effects) > 0 || len(planner.starts) > 0 || len(planner.forgottenJobs) > 0 || len(planner.staleKeys) > 0 || len(planner.changedExpiries) > 0 || planner.settles() || planner.hostCountGrew() ||
@@ -202,10 +141,17 @@
 	return planner.startedAt.Add(journalDuration(planner.journalStartMS, journalMS))
 }
 
-// progress returns the job's progress as it is stored.
-func (planner *Planner) progressOf(jobEntry *jobEntry) Progress {
-	progress := Progress{
-		Version: journalVersion, State: jobEntry.state, Queue: jobEntry.Queue, Team: jobEntry.Team,
+// journalDuration returns the time between two readings of the journal's clock. A client may ask for an occurrence that was due
+// before any clock of this program began: the second one counts as within encoder.MaxJournalMS of 0.
+func journalDuration(fromMS, toMS int64) time.Duration {
+	toMS = min(max(toMS, -encoder.MaxJournalMS), encoder.MaxJournalMS)
+	return time.Duration(toMS-fromMS) * time.Millisecond
+}
+
+// progressOf returns the job's progress as it is stored.
+func (planner *Planner) progressOf(jobEntry *jobEntry) encoder.Progress {
+	progress := encoder.Progress{
+		Version: encoder.ProgressVersion, State: jobEntry.state, Queue: jobEntry.Queue, Team: jobEntry.Team,
 		EndedMS: jobEntry.endedAtMS, Next: jobEntry.nextOccurrence, Ended: jobEntry.completedOccurrences,
 		StoredAtMS: planner.journalMS(planner.now), AcceptedMS: planner.journalMS(jobEntry.acceptedAt),
 		Begun: jobEntry.begun,
@@ -214,11 +160,11 @@
 		return progress
 	}
 	if jobEntry.layout != nil {
-		progress.Version = partedVersion
+		progress.Version = encoder.DividedVersion
 	}
 	for _, number := range slices.Sorted(maps.Keys(jobEntry.occurrences)) {
 		occurrence := jobEntry.occurrences[number]
-		stored := OccurrenceProgress{Number: number, DueMS: planner.journalMS(occurrence.due)}
+		stored := encoder.OccurrenceProgress{Number: number, DueMS: planner.journalMS(occurrence.due)}
 		if jobEntry.layout != nil {
 			stored.Completed = occurrence.completedSteps == len(occurrence.steps)
 			progress.Occurrences = append(progress.Occurrences, stored)
@@ -233,8 +179,8 @@
 }
 
 // progress returns the progress of the step's tasks from index first to before index end as it is stored.
-func (step *step) progress(first, end int) StepProgress {
-	var progress StepProgress
+func (step *step) progress(first, end int) encoder.StepProgress {
+	var progress encoder.StepProgress
 	var marks strings.Builder
 	completed, begun, failed := false, false, false
 	numbers, failures := make([]int, end-first), make([]int, end-first)
@@ -256,7 +202,7 @@
 			progress.Checkpoints[index] = task.checkpoint
 		}
 		for _, run := range task.openRuns() {
-			open := OpenRun{Index: index, Worker: run.Worker, Incarnation: run.Incarnation}
+			open := encoder.OpenRun{Index: index, Worker: run.Worker, Incarnation: run.Incarnation}
 			if run.Number != task.lastRunNumber {
 				open.Number = run.Number
 			}
@@ -297,13 +243,13 @@
 		}
 		jobs[id] = job
 	}
-	progresses := map[string]Progress{}
+	progresses := map[string]encoder.Progress{}
 	for _, record := range records {
 		id, isProgress := strings.CutPrefix(record.Key, progressPrefix)
 		if !isProgress {
 			continue
 		}
-		var progress Progress
+		var progress encoder.Progress
 		if err := json.Unmarshal(record.Value, &progress); err != nil {
 			undecodable = append(undecodable, record.Key)
 			continue
@@ -327,7 +273,7 @@
 
 // restoreJob rebuilds one job. Of a job that has ended, the state is restored and the runs that may still exist, which count against
 // workers and the team until they have certainly ended.
-func (planner *Planner) restoreJob(id string, job Job, progress Progress, parts []storedPart, now time.Time) {
+func (planner *Planner) restoreJob(id string, job Job, progress encoder.Progress, parts []storedPart, now time.Time) {
 	job.ID, job.Queue, job.Team = id, progress.Queue, progress.Team
 	entry := planner.addJob(job)
 	entry.state, entry.storedState = progress.State, progress.State
@@ -377,7 +323,7 @@
 }
 
 // resumeOccurrence makes the tasks of a restored occurrence available to placement.
-func (planner *Planner) resumeOccurrence(entry *jobEntry, stored OccurrenceProgress, now time.Time) {
+func (planner *Planner) resumeOccurrence(entry *jobEntry, stored encoder.OccurrenceProgress, now time.Time) {
 	occurrence := entry.occurrences[stored.Number]
 	for _, step := range occurrence.steps {
 		if step.completedTasks == step.Count {
@@ -394,7 +340,7 @@
 
 // restoreStep rebuilds tasks of a step and their runs that may exist. The lists of the stored progress begin with the task with index
 // first.
-func (planner *Planner) restoreStep(step *step, first int, stored StepProgress, now time.Time) {
+func (planner *Planner) restoreStep(step *step, first int, stored encoder.StepProgress, now time.Time) {
 	end := min(first+max(len(stored.Done), len(stored.Numbers), len(stored.Failures)), len(step.tasks))
 	for index := first; index < end; index++ {
 		task, position := &step.tasks[index], index-first
--- a/library/planner/parts.go
+++ b/library/planner/parts.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"ebonyshunt.org/library/encoder"
 	"ebonyshunt.org/library/partitioner"
 )
 
@@ -15,11 +16,7 @@
 // records of a bounded size, the parts. The key of a part is partPrefix, followed by the job's ID, the number of the occurrence and that of
 // the part.
 const (
-	partPrefix = "part/"
-	// partedVersion is the format version of a progress record whose tasks are in parts. Earlier releases refuse it: they would take
-	// the tasks for ones that have not begun.
-	partedVersion = 2
-	partVersion   = 1
+	partPrefix    = "part/"
 	partKeyFields = 3 // of a key after partPrefix
 	// partTasks is the number of tasks of a part. With two runs of each task on workers with long IDs, a part has some 80 KB.
 	partTasks = 128
@@ -27,38 +24,6 @@
 	maxUndividedTasks = 256
 )
 
-// PartProgress is the journal record of a part of an occurrence.
-type PartProgress struct {
-	Version int        `json:"version"`
-	Steps   []PartStep `json:"steps"`
-}
-
-// PartStep is the progress of consecutive tasks of a step. The lists of StepProgress begin with the task with index First.
-type PartStep struct {
-	Step  int `json:"step"` // number of the step
-	First int `json:"first,omitempty"`
-	StepProgress
-}
-
-// UnmarshalJSON decodes a part, and refuses values out of range and any other format version than partVersion.
-func (partProgress *PartProgress) UnmarshalJSON(data []byte) error {
-	type plain PartProgress
-	var decoded plain
-	if err := json.Unmarshal(data, &decoded); err != nil {
-		return fmt.Errorf("decode part of a job's progress: %w", err)
-	}
-	if decoded.Version != partVersion {
-		return Error.New("part of a job's progress has format version %d, this program reads version %d only", decoded.Version, partVersion)
-	}
-	for _, step := range decoded.Steps {
-		if !validNumbers(step.Step, step.First) || step.invalid() {
-			return Error.New("part of a job's progress has an index, a run or a count out of range in step %d", step.Step)
-		}
-	}
-	*partProgress = PartProgress(decoded)
-	return nil
-}
-
 // newLayout returns how the tasks of the job are divided into parts, nil if its progress is one record.
 func (job *Job) newLayout() *partitioner.Layout {
 	if job.taskCount()*job.maxOccurrences() <= maxUndividedTasks {
@@ -126,10 +91,10 @@
 }
 
 // partProgress returns the progress of the tasks of a part as it is stored.
-func (occurrence *occurrence) partProgress(spans []partitioner.Span) PartProgress {
-	progress := PartProgress{Version: partVersion}
+func (occurrence *occurrence) partProgress(spans []partitioner.Span) encoder.Part {
+	progress := encoder.Part{Version: encoder.PartVersion}
 	for _, span := range spans {
-		progress.Steps = append(progress.Steps, PartStep{
+		progress.Steps = append(progress.Steps, encoder.PartStep{
 			Step: span.Step, First: span.First, StepProgress: occurrence.steps[span.Step].progress(span.First, span.End),
 		})
 	}
@@ -137,30 +102,14 @@
 }
 
 // checkpointHolder is a record with checkpoints.
-type checkpointHolder interface{ dropCheckpoints() }
-
-// dropCheckpoints removes the checkpoints of all tasks.
-func (progress *Progress) dropCheckpoints() {
-	for _, occurrence := range progress.Occurrences {
-		for number := range occurrence.Steps {
-			occurrence.Steps[number].Checkpoints = nil
-		}
-	}
-}
-
-// dropCheckpoints removes the checkpoints of all tasks.
-func (partProgress *PartProgress) dropCheckpoints() {
-	for number := range partProgress.Steps {
-		partProgress.Steps[number].Checkpoints = nil
-	}
-}
+type checkpointHolder interface{ DropCheckpoints() }
 
 // encode returns a record with a value. The workers choose how long checkpoints are: if the record would be larger than
 // Settings.MaxRecordBytes with them, it has none, and after a takeover tasks that were stopped begin anew.
 func (planner *Planner) encode(key string, value checkpointHolder) (Record, error) {
 	data, err := json.Marshal(value)
 	if limit := planner.Settings.MaxRecordBytes; err == nil && limit > 0 && len(key)+len(data) > limit {
-		value.dropCheckpoints()
+		value.DropCheckpoints()
 		data, err = json.Marshal(value)
 	}
 	if err != nil {
@@ -173,7 +122,7 @@
 type storedPart struct {
 	key      string
 	part     partitioner.Part
-	progress PartProgress
+	progress encoder.Part
 }
 
 // decodeParts returns the parts among the records, by job, and the keys of those that do not decode, with the jobs that they name.
@@ -197,12 +146,12 @@
 
 // restoreParts rebuilds the tasks of a job from its parts. Parts of occurrences that its progress does not name are deleted. The progress
 // of a job that an earlier release stored in one record is divided with the next batch.
-func (planner *Planner) restoreParts(entry *jobEntry, progress Progress, parts []storedPart, now time.Time) {
+func (planner *Planner) restoreParts(entry *jobEntry, progress encoder.Progress, parts []storedPart, now time.Time) {
 	if entry.layout == nil {
 		planner.dropStrayParts(map[string][]storedPart{entry.ID: parts})
 		return
 	}
-	isDivided := progress.Version == partedVersion
+	isDivided := progress.Version == encoder.DividedVersion
 	for _, stored := range parts {
 		entry.parts.AddRecord(stored.part)
 		if occurrence := entry.occurrences[stored.part.Occurrence]; occurrence != nil && isDivided {
@@ -219,7 +168,7 @@
 	}
 }
 
-func (planner *Planner) restorePart(occurrence *occurrence, progress PartProgress, now time.Time) {
+func (planner *Planner) restorePart(occurrence *occurrence, progress encoder.Part, now time.Time) {
 	for _, step := range progress.Steps {
 		if step.Step < len(occurrence.steps) {
 			planner.restoreStep(occurrence.steps[step.Step], step.First, step.StepProgress, now)
