Do not end at a job that was withdrawn, or at parts newer than its progress

A decider that ends between the parts of an occurrence and the record that counts it left an occurrence that nothing drops.

TestWithdrawnJobIsForgotten failed before (nil pointer); TestPartsNewerThanProgress covers the cut between both records.

--- a/library/partitioner/layout.go
+++ b/library/partitioner/layout.go
@@ -40,10 +40,10 @@
 
 // Spans returns the tasks of a part, in the order of the steps, or none if there is no such part.
 func (layout *Layout) Spans(part int) []Span {
-	first, end := part*layout.partSize, min((part+1)*layout.partSize, layout.total)
-	if part < 0 || first >= end {
+	if part < 0 || part >= layout.Parts() {
 		return nil
 	}
+	first, end := part*layout.partSize, min((part+1)*layout.partSize, layout.total)
 	step, found := slices.BinarySearch(layout.offsets, first)
 	if !found {
 		step-- // the part begins within a step
--- a/library/partitioner/partitioner_test.go
+++ b/library/partitioner/partitioner_test.go
@@ -1,6 +1,7 @@
 package partitioner_test
 
 import (
+	"math"
 	"slices"
 	"testing"
 
@@ -37,7 +38,7 @@
 		if !slices.Equal(next, counts) {
 			t.Fatalf("the parts hold %v tasks, want %v", next, counts)
 		}
-		if len(layout.Spans(layout.Parts())) > 0 || len(layout.Spans(-1)) > 0 {
+		if len(layout.Spans(layout.Parts())) > 0 || len(layout.Spans(-1)) > 0 || len(layout.Spans(math.MaxInt/2)) > 0 {
 			t.Fatal("a part beyond the layout holds tasks")
 		}
 	})
--- a/library/planner/ended_jobs_test.go
+++ b/library/planner/ended_jobs_test.go
@@ -236,3 +236,28 @@
 		t.Errorf("%d runs, %v on the worker that answers again, want only that of the second step", running, worker.running)
 	}
 }
+
+// TestWithdrawnJobIsForgotten guards against a decider that ends, or forgets a job that runs, because a job was cancelled and withdrawn
+// before it was stored.
+func TestWithdrawnJobIsForgotten(t *testing.T) {
+	for name, again := range map[string]bool{"notSubmittedAgain": false, "submittedAgain": true} {
+		t.Run(name, func(t *testing.T) {
+			fleet := newFleet(t, testStart, 2)
+			fleet.submit(jobA, newStep(1))
+			fleet.planner.Cancel(jobA, fleet.now)
+			if !fleet.planner.Withdraw(jobA) {
+				t.Fatal("a job that is in no batch is not withdrawn")
+			}
+			if again {
+				fleet.submit(jobA, newStep(1))
+			}
+			fleet.settle()
+			for waited := time.Duration(0); waited <= testSettings.StatusRetention; waited += time.Second {
+				fleet.advance(time.Second)
+			}
+			if _, known := fleet.planner.State(jobA); known != again {
+				t.Errorf("the job is known: %t, want %t", known, again)
+			}
+		})
+	}
+}
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -325,17 +325,24 @@
 // resumeOccurrence makes the tasks of a restored occurrence available to placement.
 func (planner *Planner) resumeOccurrence(entry *jobEntry, stored encoder.OccurrenceProgress, now time.Time) {
 	occurrence := entry.occurrences[stored.Number]
+	if occurrence == nil {
+		return // the job was completed with an occurrence before it
+	}
 	for _, step := range occurrence.steps {
 		if step.completedTasks == step.Count {
 			occurrence.completedSteps++
 		}
 	}
-	if entry.layout != nil && len(stored.Steps) == 0 && !stored.Completed && occurrence.completedSteps == len(occurrence.steps) {
+	switch {
+	case occurrence.completedSteps < len(occurrence.steps) || entry.layout == nil || len(stored.Steps) > 0:
+		planner.activateSteps(occurrence)
+	case stored.Completed: // the parts may be newer than this record
 		planner.markDirty(entry)
-		planner.completeOccurrence(entry, occurrence, now) // the parts were stored, and the record that counts it was not
-		return
+		planner.dropCompleted(occurrence, entry)
+	default:
+		planner.markDirty(entry)
+		planner.completeOccurrence(entry, occurrence, now)
 	}
-	planner.activateSteps(occurrence)
 }
 
 // restoreStep rebuilds tasks of a step and their runs that may exist. The lists of the stored progress begin with the task with index
--- a/library/planner/large_job_test.go
+++ b/library/planner/large_job_test.go
@@ -271,3 +271,50 @@
 		})
 	}
 }
+
+// TestPartsNewerThanProgress checks that a large job goes on if a decider ends between the storing of parts and of the record that counts
+// them: a job whose tasks are all done would run for ever.
+func TestPartsNewerThanProgress(t *testing.T) {
+	for name, test := range map[string]struct {
+		runs int
+		end  func(fleet *fleet)
+	}{
+		"lastTasks":      {0, func(*fleet) {}},
+		"lastOccurrence": {2, func(*fleet) {}},
+		"canceled":       {0, func(fleet *fleet) { fleet.planner.Cancel(jobA, fleet.now) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fleet := newLargeFleet(t)
+			fleet.submitJob(planner.Job{
+				ID: jobA, Queue: testQueue, Team: testTeam, Payload: "p", Runs: test.runs, FirstRunMS: testStart.Add(-time.Hour).UnixMilli(), IntervalMS: 1,
+				Steps: []planner.Step{smallTasks(300)},
+			})
+			fleet.settle()
+			for _, worker := range fleet.workers {
+				for key := range worker.running {
+					fleet.markEnded(key, planner.EndedDone)
+				}
+			}
+			fleet.sendPolls()
+			test.end(fleet)
+			batch, err := fleet.planner.Take()
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, record := range batch.Records {
+				if record.Key == "run/"+jobA {
+					break
+				}
+				if record.Value != nil {
+					fleet.journal[record.Key] = record.Value
+				}
+			}
+			fleet.takeOver(3, testCatalog())
+			fleet.advance(time.Second)
+			fleet.advance(time.Second)
+			fleet.wantState(jobA, planner.Completed)
+			fleet.wantNotRestarted()
+			fleet.wantForgotten(jobA)
+		})
+	}
+}
--- a/library/planner/submission.go
+++ b/library/planner/submission.go
@@ -203,11 +203,15 @@
 	for len(planner.endedJobs) > 0 && now.Sub(planner.endedJobs[0].endedAt) > planner.Settings.StatusRetention {
 		id := planner.endedJobs[0].id
 		planner.endedJobs = planner.endedJobs[1:]
-		if planner.jobs[id].hasOpenRuns() {
+		entry := planner.jobs[id]
+		if entry == nil || !entry.state.Final() {
+			continue // it was withdrawn after it had ended, and may have been submitted again
+		}
+		if entry.hasOpenRuns() {
 			planner.endedJobs = append(planner.endedJobs, endedJob{id: id, endedAt: now})
 			continue
 		}
-		planner.removeOccurrences(planner.jobs[id])
+		planner.removeOccurrences(entry)
 		delete(planner.jobs, id)
 		delete(planner.dirty, id)
 		planner.forgottenJobs = append(planner.forgottenJobs, id)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -81,6 +81,11 @@
 try 'ended jobs: copies of done tasks' library/planner/journal.go 'if step.tasks[open.Index].done && !step.Gang {' 'if false {' ./library/planner 'TestCopyOutlivesTask'
 try 'pending jobs: until one has begun' library/planner/planner.go '!entry.begun && !entry.storedState.Final() {' 'entry.storedState == Queued {' ./library/planner 'TestPending'
 try 'pending jobs: begun by a listing' library/planner/runs.go 'run.answered, step.job.begun = true, true' 'run.answered = true' ./library/planner 'TestPending'
+try 'large jobs: parts newer than the progress' library/planner/journal.go '		planner.completeOccurrence(entry, occurrence, now)
+	}
+}' '	}
+}' ./library/planner 'TestPartsNewerThanProgress'
+try 'ended jobs: withdrawn before they were stored' library/planner/submission.go 'if entry == nil || !entry.state.Final() {' 'if entry == nil {' ./library/planner 'TestWithdrawnJobIsForgotten'
 try 'fleet: older state is not reported' library/planner/journal.go '&& batch.Number >= entry.storedStateBatch' '' ./library/planner 'TestUnstoredBatches'
 try 'fleet: only jobs not yet accepted are withdrawn' library/planner/submission.go 'entry == nil || !planner.newJobs[id]' 'entry == nil' ./library/planner 'TestUnstoredBatches'
 try 'fleet: fencing token raised with unknown runs' library/planner/worker.go 'worker.Token++' '' ./library/planner 'TestOrdersWithUnknownOutcome'
