--- a/library/planner/ended_jobs_test.go
+++ b/library/planner/ended_jobs_test.go
@@ -237,7 +237,7 @@
 	}
 }
 
-// TestWithdrawnJobIsForgotten guards against a decider that ends, or forgets a job that runs, because a job was cancelled and withdrawn
+// TestWithdrawnJobIsForgotten guards against a decider that ends, or forgets a job that runs, because a job was canceled and withdrawn
 // before it was stored.
 func TestWithdrawnJobIsForgotten(t *testing.T) {
 	for name, again := range map[string]bool{"notSubmittedAgain": false, "submittedAgain": true} {
