Test the cut between parts and progress with runs that outlive their tasks

The first form of the test passed without the mechanism: parts of a job that has ended are deleted, unless a run is open.

--- a/library/planner/copies_test.go
+++ b/library/planner/copies_test.go
@@ -131,15 +131,19 @@
 
 // endRunsOn ends all runs on a worker, and lets the planner process the ends.
 func (fleet *fleet) endRunsOn(id string, ending planner.Ending) {
-	worker := fleet.workers[id]
-	for key, number := range worker.running {
-		delete(worker.running, key)
-		worker.sequence++
-		worker.ended = append(worker.ended, planner.EndedRun{Sequence: worker.sequence, Key: key, Number: number, Ending: ending})
-	}
+	fleet.workers[id].endAs(ending)
 	fleet.advance(10 * time.Millisecond)
 }
 
+// endAs ends all runs of the worker. The planner processes the ends with the next poll.
+func (fakeWorker *fakeWorker) endAs(ending planner.Ending) {
+	for key, number := range fakeWorker.running {
+		delete(fakeWorker.running, key)
+		fakeWorker.sequence++
+		fakeWorker.ended = append(fakeWorker.ended, planner.EndedRun{Sequence: fakeWorker.sequence, Key: key, Number: number, Ending: ending})
+	}
+}
+
 // endTask ends all runs of a task, and lets the planner process the ends.
 func (fleet *fleet) endTask(key planner.TaskKey, ending planner.Ending) {
 	fleet.markEnded(key, ending)
--- a/library/planner/ended_jobs_test.go
+++ b/library/planner/ended_jobs_test.go
@@ -249,7 +249,9 @@
 				t.Fatal("a job that is in no batch is not withdrawn")
 			}
 			if again {
-				fleet.submit(jobA, newStep(1))
+				waiting := newStep(1)
+				waiting.Size.MilliCores = 64_000 // more than a worker has
+				fleet.submit(jobA, waiting)
 			}
 			fleet.settle()
 			for waited := time.Duration(0); waited <= testSettings.StatusRetention; waited += time.Second {
--- a/library/planner/large_job_test.go
+++ b/library/planner/large_job_test.go
@@ -275,28 +275,27 @@
 // TestPartsNewerThanProgress checks that a large job goes on if a decider ends between the storing of parts and of the record that counts
 // them: a job whose tasks are all done would run for ever.
 func TestPartsNewerThanProgress(t *testing.T) {
-	for name, test := range map[string]struct {
-		runs int
-		end  func(fleet *fleet)
-	}{
-		"lastTasks":      {0, func(*fleet) {}},
-		"lastOccurrence": {2, func(*fleet) {}},
-		"canceled":       {0, func(fleet *fleet) { fleet.planner.Cancel(jobA, fleet.now) }},
-	} {
+	for name, runs := range map[string]int{"once": 0, "occurrences": 2} {
 		t.Run(name, func(t *testing.T) {
+			step := smallTasks(300)
+			step.Speculative = true
 			fleet := newLargeFleet(t)
 			fleet.submitJob(planner.Job{
-				ID: jobA, Queue: testQueue, Team: testTeam, Payload: "p", Runs: test.runs, FirstRunMS: testStart.Add(-time.Hour).UnixMilli(), IntervalMS: 1,
-				Steps: []planner.Step{smallTasks(300)},
+				ID: jobA, Queue: testQueue, Team: testTeam, Payload: "p", Runs: runs, FirstRunMS: testStart.Add(-time.Hour).UnixMilli(), IntervalMS: 1,
+				Steps: []planner.Step{step},
 			})
 			fleet.settle()
+			silent := fleet.workers[fleet.orders[0].Worker]
+			silent.unresponsive, fleet.slowStops = true, true
+			for range 6 {
+				fleet.advance(100 * time.Millisecond) // its tasks get copies
+			}
 			for _, worker := range fleet.workers {
-				for key := range worker.running {
-					fleet.markEnded(key, planner.EndedDone)
+				if worker != silent {
+					worker.endAs(planner.EndedDone)
 				}
 			}
 			fleet.sendPolls()
-			test.end(fleet)
 			batch, err := fleet.planner.Take()
 			if err != nil {
 				t.Fatal(err)
@@ -310,10 +309,12 @@
 				}
 			}
 			fleet.takeOver(3, testCatalog())
-			fleet.advance(time.Second)
-			fleet.advance(time.Second)
+			silent.unresponsive, fleet.slowStops = false, false
+			for range 5 {
+				fleet.advance(time.Second)
+			}
 			fleet.wantState(jobA, planner.Completed)
-			fleet.wantNotRestarted()
+			fleet.wantRunning(0)
 			fleet.wantForgotten(jobA)
 		})
 	}
