--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -77,7 +77,7 @@
 ' '				continue
 ' ./library/planner 'TestEndedJobsAreStopped'
 try 'ended jobs: runs in parts' library/planner/parts.go 'entry.state.Final() && !occurrence.hasOpenRunsIn(entry.layout.Spans(part.Number))' 'entry.state.Final()' ./library/planner 'TestEndedJobsStillCount'
-try 'ended jobs: runs outlive the retention' library/planner/submission.go 'if planner.jobs[id].hasOpenRuns() {' 'if false {' ./library/planner 'TestRunsOutliveRetention'
+try 'ended jobs: runs outlive the retention' library/planner/submission.go 'if entry.hasOpenRuns() {' 'if false {' ./library/planner 'TestRunsOutliveRetention'
 try 'ended jobs: copies of done tasks' library/planner/journal.go 'if step.tasks[open.Index].done && !step.Gang {' 'if false {' ./library/planner 'TestCopyOutlivesTask'
 try 'pending jobs: until one has begun' library/planner/planner.go '!entry.begun && !entry.storedState.Final() {' 'entry.storedState == Queued {' ./library/planner 'TestPending'
 try 'pending jobs: begun by a listing' library/planner/runs.go 'run.answered, step.job.begun = true, true' 'run.answered = true' ./library/planner 'TestPending'
