--- a/library/planner/ended_jobs_test.go
+++ b/library/planner/ended_jobs_test.go
@@ -36,8 +36,6 @@
 // TestEndedJobsStillCount guards against runs of jobs that have ended and no new planner counts: it starts as much again beside them,
 // above the cap of the customer (QUOTA).
 func TestEndedJobsStillCount(t *testing.T) {
-	copied := cappedStep(cappedTasks / 2)
-	copied.Speculative = true
 	gang := cappedStep(cappedTasks)
 	gang.Gang = true
 	small := cappedStep(400)
