--- a/review/rig2/crashes.go
+++ b/review/rig2/crashes.go
@@ -15,7 +15,7 @@
 	work := func(string, int) (time.Duration, string) { return 5 * time.Second, "done" }
 	lasting := func(string, int) (time.Duration, string) { return time.Hour, "done" }
 	storeAddress := rig.serveStore()
-	rig.putConfig(3, "batch", "lasting")
+	rig.putConfig(7, 3, "batch", "lasting")
 	for number := range workersPerPool {
 		rig.newWorker(workerID("batch", number), "batch", "zone-1", "r-1", work)
 		rig.newWorker(workerID("lasting", number), "lasting", "zone-2", "r-2", lasting)
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -32,8 +32,9 @@
 	trouble bool
 	began   time.Time
 
-	mu  sync.Mutex
-	out *os.File
+	mu           sync.Mutex
+	out          *os.File
+	startedTasks map[string]bool // tasks of which a run was started
 }
 
 type host struct {
@@ -234,7 +235,7 @@
 }
 
 // putConfig writes a configuration with a queue for each service, named after it.
-func (rig *rig) putConfig(maxAttempts int, services ...string) {
+func (rig *rig) putConfig(version, maxAttempts int, services ...string) {
 	routes, entries := []any{}, []any{}
 	for _, service := range services {
 		routes = append(routes, map[string]any{
@@ -244,7 +245,7 @@
 		entries = append(entries, map[string]any{"name": service, "admissionCheck": false})
 	}
 	body, _ := json.Marshal(map[string]any{
-		"version": 7, "routes": routes, "services": entries,
+		"version": version, "routes": routes, "services": entries,
 		"tenants": []any{map[string]any{"name": "tenant-1", "apiKeys": []string{"key-1"}, "weight": 100}},
 		"limits":  map[string]any{"maxBodyBytes": 262144},
 	})
@@ -263,9 +264,9 @@
 	if err != nil {
 		fatal("open record: %v", err)
 	}
-	current = &rig{daemon: os.Args[2], folder: folder, store: newStore(), trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), out: out}
+	current = &rig{daemon: os.Args[2], folder: folder, store: newStore(), trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), out: out, startedTasks: map[string]bool{}}
 	time.AfterFunc(115*time.Second, func() { fatal("the case takes too long") })
-	cases := map[string]func(*rig) int{"crashes": crashes}
+	cases := map[string]func(*rig) int{"crashes": crashes, "removed": removed, "large": large}
 	play, found := cases[os.Args[1]]
 	if !found {
 		fatal("unknown case %q", os.Args[1])
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -216,6 +216,7 @@
 	})
 	worker.running[call.Task] = started
 	worker.rig.record("run %s.%d on %s started", call.Task, call.Run, worker.id)
+	worker.rig.noteStart(call.Task)
 	worker.reply(writer, http.StatusOK, "")
 }
 
@@ -270,6 +271,19 @@
 	return nil, 0
 }
 
+func (rig *rig) noteStart(task string) {
+	rig.mu.Lock()
+	defer rig.mu.Unlock()
+	rig.startedTasks[task] = true
+}
+
+// started reports whether any run of a task was started.
+func (rig *rig) started(task string) bool {
+	rig.mu.Lock()
+	defer rig.mu.Unlock()
+	return rig.startedTasks[task]
+}
+
 func listen() net.Listener {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
