--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -34,7 +34,8 @@
 
 	mu           sync.Mutex
 	out          *os.File
-	startedTasks map[string]bool // tasks of which a run was started
+	startedTasks map[string]int // highest run that was started, by task
+	gangs        *gangs         // nil unless all jobs are gangs
 }
 
 type host struct {
@@ -264,9 +265,9 @@
 	if err != nil {
 		fatal("open record: %v", err)
 	}
-	current = &rig{daemon: os.Args[2], folder: folder, store: newStore(), trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), out: out, startedTasks: map[string]bool{}}
+	current = &rig{daemon: os.Args[2], folder: folder, store: newStore(), trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), out: out, startedTasks: map[string]int{}}
 	time.AfterFunc(115*time.Second, func() { fatal("the case takes too long") })
-	cases := map[string]func(*rig) int{"crashes": crashes, "removed": removed, "large": large}
+	cases := map[string]func(*rig) int{"crashes": crashes, "removed": removed, "large": large, "gang": gang}
 	play, found := cases[os.Args[1]]
 	if !found {
 		fatal("unknown case %q", os.Args[1])
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -21,6 +21,7 @@
 
 	mu       sync.Mutex
 	down     bool
+	cut      bool // whether no call reaches it and no answer leaves it
 	born     time.Time
 	seq      int64
 	token    int64
@@ -112,6 +113,12 @@
 	}
 }
 
+func (worker *worker) finish(task string, run *run, how string) {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	worker.end(task, run, how)
+}
+
 // end records the end of a run. The caller holds the lock.
 func (worker *worker) end(task string, run *run, how string) {
 	if worker.running[task] != run {
@@ -142,6 +149,11 @@
 	worker.mu.Lock()
 	defer worker.mu.Unlock()
 	born := worker.born
+	if worker.cut {
+		worker.awaitHeal(request)
+		hangUp(writer)
+		return
+	}
 	if worker.down {
 		hangUp(writer)
 		return
@@ -172,6 +184,22 @@
 	}
 }
 
+// setCut cuts the worker off from all hosts, or ends that. What it runs goes on.
+func (worker *worker) setCut(cut bool) {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	worker.cut = cut
+}
+
+// awaitHeal waits until the worker is not cut off any more, or its caller has given up. The caller holds the lock.
+func (worker *worker) awaitHeal(request *http.Request) {
+	for worker.cut && request.Context().Err() == nil {
+		worker.mu.Unlock()
+		time.Sleep(20 * time.Millisecond)
+		worker.mu.Lock()
+	}
+}
+
 func hangUp(writer http.ResponseWriter) {
 	if conn, _, err := writer.(http.Hijacker).Hijack(); err == nil {
 		_ = conn.Close()
@@ -207,16 +235,18 @@
 		return
 	}
 	worker.extendLease(call.DeadlineMS)
-	length, how := worker.plan(call.Task, call.Run)
-	started := &run{number: call.Run, began: time.Now(), length: length}
-	started.timer = time.AfterFunc(length, func() {
-		worker.mu.Lock()
-		defer worker.mu.Unlock()
-		worker.end(call.Task, started, how)
-	})
+	started := &run{number: call.Run, began: time.Now(), length: gangWork}
+	if worker.rig.gangs != nil {
+		started.timer = time.NewTimer(time.Hour)
+		worker.rig.gangs.join(call.Run, func(how string) { worker.finish(call.Task, started, how) })
+	} else {
+		length, how := worker.plan(call.Task, call.Run)
+		started.length = length
+		started.timer = time.AfterFunc(length, func() { worker.finish(call.Task, started, how) })
+	}
 	worker.running[call.Task] = started
 	worker.rig.record("run %s.%d on %s started", call.Task, call.Run, worker.id)
-	worker.rig.noteStart(call.Task)
+	worker.rig.noteStart(call.Task, call.Run)
 	worker.reply(writer, http.StatusOK, "")
 }
 
@@ -236,6 +266,11 @@
 		case <-request.Context().Done():
 		}
 		worker.mu.Lock()
+		if worker.cut {
+			worker.awaitHeal(request)
+			hangUp(writer)
+			return
+		}
 		if worker.down || worker.born != born {
 			hangUp(writer)
 			return
@@ -271,17 +306,17 @@
 	return nil, 0
 }
 
-func (rig *rig) noteStart(task string) {
+func (rig *rig) noteStart(task string, number int) {
 	rig.mu.Lock()
 	defer rig.mu.Unlock()
-	rig.startedTasks[task] = true
+	rig.startedTasks[task] = max(rig.startedTasks[task], number)
 }
 
 // started reports whether any run of a task was started.
 func (rig *rig) started(task string) bool {
 	rig.mu.Lock()
 	defer rig.mu.Unlock()
-	return rig.startedTasks[task]
+	return rig.startedTasks[task] > 0
 }
 
 func listen() net.Listener {
