--- a/review/7/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 [ -x target/review2/rig ] && [ -x target/ebonyshuntd ] || exit 2
-exec target/review2/rig removed target/ebonyshuntd "$here"
+exec target/review2/rig gang target/ebonyshuntd "$here"
--- a/review/rig2/removed.go
+++ b/review/rig2/removed.go
@@ -6,6 +6,7 @@
 )
 
 const (
+	workersPerPool  = 8
 	removedTaskTime = 3 * time.Second
 	// removedWait is how long nothing of the job may run before the rule is broken: 3 s, after 4 s without a disruption, and 5 s more.
 	removedWait = 12 * time.Second
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -267,7 +267,7 @@
 	}
 	current = &rig{daemon: os.Args[2], folder: folder, store: newStore(), trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), out: out, startedTasks: map[string]int{}}
 	time.AfterFunc(115*time.Second, func() { fatal("the case takes too long") })
-	cases := map[string]func(*rig) int{"crashes": crashes, "removed": removed, "large": large, "gang": gang}
+	cases := map[string]func(*rig) int{"removed": removed, "large": large, "gang": gang}
 	play, found := cases[os.Args[1]]
 	if !found {
 		fatal("unknown case %q", os.Args[1])
