--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sort"
 	"strings"
 	"sync"
@@ -319,8 +320,14 @@
 	return rig.startedTasks[task] > 0
 }
 
+// loopback returns a loopback address that other rigs on the machine do not use.
+func loopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 16+(pid>>14)&63, 1+(pid>>7)&127, 1+pid&127)
+}
+
 func listen() net.Listener {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", loopback()+":0")
 	if err != nil {
 		fatal("listen: %v", err)
 	}
