Count a failed run of a gang once over all deciders

That a run's failure was counted was kept in memory only: a planner that restored its tables took the last run for uncounted, and each further member that failed with it counted it once more.

The number of the last run that counts as failed is now stored with the count. A failed end counts if its run has a higher number.

--- a/library/planner/endings.go
+++ b/library/planner/endings.go
@@ -61,12 +61,6 @@
 	step.enqueue(run.Key.Index)
 }
 
-// attemptsExhausted reports whether a task has failed as often as its queue allows.
-func (planner *Planner) attemptsExhausted(step *step, task *task) bool {
-	queue, found := planner.catalog.Queue(step.job.Queue)
-	return found && queue.MaxAttempts > 0 && task.failures >= queue.MaxAttempts
-}
-
 // closeGangMember updates a gang after the end of a member's run: a member that is done completes all tasks, and any
 // other ending stops the other members.
 func (planner *Planner) closeGangMember(step *step, run *Run, ending Ending, now time.Time) {
@@ -79,7 +73,7 @@
 		return
 	}
 	if ending == EndedFailed && !step.Standing {
-		planner.countGangFailure(step, run.Number)
+		step.countGangFailure(run.Number)
 		if step.job.state.Final() {
 			return
 		}
@@ -96,16 +90,6 @@
 	step.enqueue(run.Key.Index)
 }
 
-// countGangFailure counts the failure of a gang's run once, although every member that fails with it reports it.
-// The count is kept in the first task.
-func (planner *Planner) countGangFailure(step *step, number int) {
-	if step.tasks[0].lastRunNumber == number && step.gangNumber == number {
-		step.gangNumber = 0 // other members do not count this run again
-		step.tasks[0].failures++
-		step.touch(0)
-	}
-}
-
 // completeTask marks a task as done, and completes its step and occurrence with the last one.
 func (planner *Planner) completeTask(step *step, index int, now time.Time) {
 	task := &step.tasks[index]
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -218,6 +218,7 @@
 	if failed {
 		progress.Failures = failures
 	}
+	step.addFailedNumber(&progress, first)
 	step.addCrashes(&progress, first, end)
 	return progress
 }
@@ -290,6 +291,7 @@
 		}
 	}
 	planner.restoreParts(entry, progress, parts, now)
+	entry.restoreFailedNumbers()
 	if entry.state.Final() {
 		planner.stopRestored(entry, now)
 		return
@@ -357,7 +359,6 @@
 		}
 		if position < len(stored.Numbers) {
 			task.lastRunNumber = stored.Numbers[position]
-			step.gangNumber = max(step.gangNumber, task.lastRunNumber)
 		}
 		if position < len(stored.Failures) {
 			task.failures = stored.Failures[position]
@@ -369,6 +370,7 @@
 			step.tasks[index].checkpoint = checkpoint
 		}
 	}
+	step.failedNumber = max(step.failedNumber, stored.FailedNumber)
 	planner.restoreCrashes(step, stored)
 	for _, open := range stored.Open {
 		if open.Index >= len(step.tasks) {
--- a/library/planner/place_gang.go
+++ b/library/planner/place_gang.go
@@ -20,18 +20,16 @@
 		pass.handleBlocked(step, queue)
 		return
 	}
-	number := step.gangNumber
 	checkpoint := ""
 	for index := range step.tasks {
-		number = max(number, step.tasks[index].lastRunNumber)
 		checkpoint = laterCheckpoint(checkpoint, step.tasks[index].checkpoint)
 	}
-	step.gangNumber = number + 1
+	number := step.lastGangNumber() + 1
 	step.waiting = nil
 	step.blockedSince = time.Time{}
 	for index, worker := range workers {
 		step.tasks[index].checkpoint = checkpoint
-		pass.startRun(step, index, step.gangNumber, worker)
+		pass.startRun(step, index, number, worker)
 	}
 }
 
--- a/library/planner/tables.go
+++ b/library/planner/tables.go
@@ -54,9 +54,9 @@
 	openCount      int   // number of runs that exist or may exist
 	completedTasks int
 	active         bool // whether all steps that it depends on are completed
-	// gangNumber is the run number of the gang's last start, 0 once a failure of that start was counted.
-	gangNumber int
-	policy     policyCache
+	// failedNumber is the number of the gang's last run that counts as failed, 0 if none does.
+	failedNumber int
+	policy       policyCache
 	// suspected reports whether a worker crashed, or may have crashed, under one of its tasks.
 	suspected bool
 	// blockedSince is when placement first found no room for the step, zero while it is not blocked.
