Stop the members of a broken gang after a takeover too

A member of a gang has ended and the others are to be stopped, which was kept in memory only: after a takeover they ran on, and the gang, which waits for them, never started again.

Restoring now marks the open runs of a gang as being stopped if another member has ended. Of a gang in parts that is done, only some parts may be stored: one member that is done completes it.

--- a/library/planner/attempts_test.go
+++ b/library/planner/attempts_test.go
@@ -210,3 +210,37 @@
 
 // failedNumber matches the field of a journal record that earlier releases do not write.
 var failedNumber = regexp.MustCompile(`,"failedNumber":\d+`)
+
+// TestEndedGangIsStopped guards against members of a gang that run on alone since the planner that wanted to stop them was replaced: the
+// gang never starts again.
+func TestEndedGangIsStopped(t *testing.T) {
+	for size, workers := range map[int]int{2: 2, 5: 5, 300: 48} {
+		for _, standing := range []bool{false, true} {
+			for how, replace := range replacements {
+				t.Run(fmt.Sprintf("%d/%v/%s", size, standing, how), func(t *testing.T) {
+					fleet := newFleet(t, testStart, workers)
+					step := newGang(size, workers)
+					step.Standing = standing
+					fleet.submit(jobA, step)
+					fleet.settle()
+					fleet.slowStops = true // the stops do not arrive
+					fleet.markEnded(planner.TaskKey{Job: jobA}, planner.EndedLeaseExpired)
+					fleet.advance(50 * time.Millisecond)
+					replace(fleet, testCatalog())
+					fleet.slowStops = false
+					for range 5 {
+						fleet.advance(200 * time.Millisecond)
+					}
+					fleet.wantRunning(size)
+					for _, worker := range fleet.workers {
+						for key, number := range worker.running {
+							if number != 2 {
+								t.Errorf("%v runs with number %d, want 2", key, number)
+							}
+						}
+					}
+				})
+			}
+		}
+	}
+}
--- a/library/planner/endings.go
+++ b/library/planner/endings.go
@@ -61,33 +61,10 @@
 	step.enqueue(run.Key.Index)
 }
 
-// closeGangMember updates a gang after the end of a member's run: a member that is done completes all tasks, and any
-// other ending stops the other members.
-func (planner *Planner) closeGangMember(step *step, run *Run, ending Ending, now time.Time) {
-	if ending == EndedDone && !step.Standing {
-		for index := range step.tasks {
-			if !step.tasks[index].done {
-				planner.completeTask(step, index, now)
-			}
-		}
-		return
-	}
-	if ending == EndedFailed && !step.Standing {
-		step.countGangFailure(run.Number)
-		if step.job.state.Final() {
-			return
-		}
-		if planner.attemptsExhausted(step, &step.tasks[0]) {
-			planner.finishJob(step.job, Failed, now)
-			return
-		}
-	}
-	for index := range step.tasks {
-		if member := step.tasks[index].run; member != nil && !member.Stopping {
-			planner.stopRun(member, now)
-		}
-	}
-	step.enqueue(run.Key.Index)
+// attemptsExhausted reports whether a task has failed as often as its queue allows.
+func (planner *Planner) attemptsExhausted(step *step, task *task) bool {
+	queue, found := planner.catalog.Queue(step.job.Queue)
+	return found && queue.MaxAttempts > 0 && task.failures >= queue.MaxAttempts
 }
 
 // completeTask marks a task as done, and completes its step and occurrence with the last one.
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -291,7 +291,7 @@
 		}
 	}
 	planner.restoreParts(entry, progress, parts, now)
-	entry.restoreFailedNumbers()
+	planner.restoreGangs(entry, now)
 	if entry.state.Final() {
 		planner.stopRestored(entry, now)
 		return
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -385,7 +385,9 @@
 ' '' ./tests 'TestFleetLastingTasks/plannedStopsInARow'
 try 'scarce: overdue jobs give way' library/planner/plan.go 'case left < (objective-remaining)/2:' 'case false:' ./library/planner 'TestScarceStarts'
 try 'scarce: the newest overdue job first' library/planner/plan.go 'byDeadline = -byDeadline' 'byDeadline *= 1' ./library/planner 'TestScarceStarts|TestScarceOrder'
-try 'gangs: a counted failure is stored' library/planner/failures.go 'progress.FailedNumber = step.failedNumber' 'progress.FailedNumber = 0' ./library/planner 'TestGangFailureAfterOtherEnds'
-try 'gangs: failures of later runs count' library/planner/failures.go 'if number > step.failedNumber {' 'if step.failedNumber == 0 {' ./library/planner 'TestGangFailuresCountOnce'
-try 'gangs: failures of earlier releases' library/planner/failures.go 'step.failedNumber = step.lastGangNumber()' 'step.failedNumber = 0' ./library/planner 'TestGangFailuresOfEarlierRelease'
+try 'gangs: a counted failure is stored' library/planner/gangs.go 'progress.FailedNumber = step.failedNumber' 'progress.FailedNumber = 0' ./library/planner 'TestGangFailureAfterOtherEnds'
+try 'gangs: failures of later runs count' library/planner/gangs.go 'if number > step.failedNumber {' 'if step.failedNumber == 0 {' ./library/planner 'TestGangFailuresCountOnce'
+try 'gangs: failures of earlier releases' library/planner/gangs.go 'step.failedNumber = step.lastGangNumber()' 'step.failedNumber = 0' ./library/planner 'TestGangFailuresOfEarlierRelease'
+try 'gangs: broken ones are stopped after a takeover' library/planner/gangs.go '			step.stopBroken(now)' '			_ = now' ./library/planner 'TestEndedGangIsStopped'
+try 'gangs: done ones of which a part was stored' library/planner/gangs.go '				step.completeRestored()' '' ./library/planner 'TestHalfStoredGang'
 exit $failed
