Store the end of a large job before the ends of its runs

The progress of a large job is in several records, and an append to the store may end between any two of them. The parts went before the state: if the deciding host was killed in between, the failure of a task was stored, its run closed, and the job was running again. The task started although it had failed as often as it may.

The state of a job that has ended goes first now. The ends of the runs are listed again and change nothing.

--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -97,11 +97,14 @@
 	if err != nil {
 		return err
 	}
-	// The parts that the progress refers to are stored before it, and those that it no longer refers to are deleted after it: an
-	// append to the store may end between any two records.
-	batch.Records = append(batch.Records, parts...)
-	batch.Records = append(batch.Records, record)
-	batch.Records = append(batch.Records, deletedParts...)
+	// An append to the store may end between any two records. The parts that the progress refers to are stored before it, and those that
+	// it no longer refers to are deleted after it. The end of a job is stored before the ends of the runs that caused
+	// it: without them, the next planner reads them again and comes to the same end; without it, it would start the tasks again.
+	ordered := [][]Record{parts, {record}, deletedParts}
+	if entry.state.Final() {
+		ordered = [][]Record{{record}, parts, deletedParts}
+	}
+	batch.Records = append(batch.Records, slices.Concat(ordered...)...)
 	if entry.state.Final() && (!entry.hasOpenRuns() || entry.unstorable) {
 		batch.Records = append(batch.Records, Record{Key: jobPrefix + entry.ID})
 	}
--- a/library/planner/journal_prefix_test.go
+++ b/library/planner/journal_prefix_test.go
@@ -56,6 +56,7 @@
 		})
 	}
 }
+
 // TestHalfStoredEnd guards against a job whose last records are stored in part, and of which the next planner concludes something else: a
 // task that has failed as often as it may starts again (BUDGET), or one that is done does (TWICE).
 func TestHalfStoredEnd(t *testing.T) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -390,4 +390,7 @@
 try 'gangs: failures of earlier releases' library/planner/gangs.go 'step.failedNumber = step.lastGangNumber()' 'step.failedNumber = 0' ./library/planner 'TestGangFailuresOfEarlierRelease'
 try 'gangs: broken ones are stopped after a takeover' library/planner/gangs.go '			step.stopBroken(now)' '			_ = now' ./library/planner 'TestEndedGangIsStopped'
 try 'gangs: done ones of which a part was stored' library/planner/gangs.go '				step.completeRestored()' '' ./library/planner 'TestHalfStoredGang'
+try 'large jobs: the end of a job goes first' library/planner/journal.go '	if entry.state.Final() {
+		ordered' '	if false {
+		ordered' ./library/planner 'TestHalfStoredEnd'
 exit $failed
