Store how often a task hung

A run that hangs is stopped, and the next one may stand still for twice as long. The count was in memory only, so that each change of the decider began with the shortest time again: a task that takes much longer than estimated is stopped once more after each.

The count is part of the stored progress now.

--- a/library/encoder/encoder.go
+++ b/library/encoder/encoder.go
@@ -41,3 +41,13 @@
 func validNumbers(numbers ...int) bool {
 	return !slices.ContainsFunc(numbers, func(number int) bool { return number < 0 || number > maxNumber })
 }
+
+// validCounts reports whether all task indexes and counts are from 0 to maxNumber.
+func validCounts(counts map[int]int) bool {
+	for index, count := range counts {
+		if !validNumbers(index, count) {
+			return false
+		}
+	}
+	return true
+}
--- a/library/encoder/progress.go
+++ b/library/encoder/progress.go
@@ -50,6 +50,8 @@
 	Open        []OpenRun      `json:"open,omitempty"`
 	// FailedNumber is the number of a gang's last run that counts in Failures, with the progress of its first task.
 	FailedNumber int `json:"failedNumber,omitempty"`
+	// Hangs holds the numbers of runs that were stopped because they hung, by task index.
+	Hangs map[int]int `json:"hangs,omitempty"`
 	blamer.Records
 }
 
@@ -98,7 +100,7 @@
 
 // invalid reports whether an index, the number of a run, or a count is out of range.
 func (stepProgress StepProgress) invalid() bool {
-	return !stepProgress.Valid(maxNumber) || !validNumbers(stepProgress.FailedNumber) || !validNumbers(stepProgress.Numbers...) || !validNumbers(stepProgress.Failures...) ||
+	return !stepProgress.Valid(maxNumber) || !validNumbers(stepProgress.FailedNumber) || !validCounts(stepProgress.Hangs) || !validNumbers(stepProgress.Numbers...) || !validNumbers(stepProgress.Failures...) ||
 		slices.ContainsFunc(stepProgress.Open, func(open OpenRun) bool { return !validNumbers(open.Index, open.Number) })
 }
 
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -222,6 +222,7 @@
 		progress.Failures = failures
 	}
 	step.addFailedNumber(&progress, first)
+	step.addHistory(&progress, first, end)
 	step.addCrashes(&progress, first, end)
 	return progress
 }
@@ -374,6 +375,7 @@
 		}
 	}
 	step.failedNumber = max(step.failedNumber, stored.FailedNumber)
+	step.restoreHistory(stored)
 	planner.restoreCrashes(step, stored)
 	for _, open := range stored.Open {
 		if open.Index >= len(step.tasks) {
--- a/library/planner/journal_odd_test.go
+++ b/library/planner/journal_odd_test.go
@@ -43,19 +43,22 @@
 	wantUndecodable(t, progress("", ""))
 	wantUndecodable(t, expiry(storedExpiry))
 	for name, record := range map[string]planner.Record{
-		"openIndex":   progress(`"index":0`, `"index":-1`),
-		"openNumber":  progress(`"index":0`, `"index":0,"number":-1`),
-		"runNumber":   progress(`"numbers":[1,0]`, `"numbers":[9223372036854775807,0]`),
-		"failures":    progress(`"failures":[0,0]`, `"failures":[0,-1]`),
-		"crashes":     progress(`"failures":[0,0]`, `"crashes":{"0":-1}`),
-		"unanswered":  progress(`"failures":[0,0]`, `"unanswered":{"-1":1}`),
-		"lostRun":     progress(`"failures":[0,0]`, `"lost":[{"index":0,"worker":"w-000","number":-1}]`),
-		"occurrence":  progress(`"next":1`, `"next":-9000000000000000000`),
-		"ended":       progress(`"next":1`, `"next":1,"ended":-1`),
-		"storedAt":    progress(`"storedAtMS":5000`, `"storedAtMS":9000000000000000000`),
-		"storedEarly": progress(`"storedAtMS":5000`, `"storedAtMS":-1`),
-		"state":       progress(`"running"`, `"odd"`),
-		"nested":      progress(`"next":1`, `"next":`+strings.Repeat("[", 100_000)),
+		"openIndex":    progress(`"index":0`, `"index":-1`),
+		"openNumber":   progress(`"index":0`, `"index":0,"number":-1`),
+		"runNumber":    progress(`"numbers":[1,0]`, `"numbers":[9223372036854775807,0]`),
+		"failures":     progress(`"failures":[0,0]`, `"failures":[0,-1]`),
+		"hangs":        progress(`"failures":[0,0]`, `"hangs":{"0":-1}`),
+		"hangIndex":    progress(`"failures":[0,0]`, `"hangs":{"-1":1}`),
+		"failedNumber": progress(`"failures":[0,0]`, `"failedNumber":-1`),
+		"crashes":      progress(`"failures":[0,0]`, `"crashes":{"0":-1}`),
+		"unanswered":   progress(`"failures":[0,0]`, `"unanswered":{"-1":1}`),
+		"lostRun":      progress(`"failures":[0,0]`, `"lost":[{"index":0,"worker":"w-000","number":-1}]`),
+		"occurrence":   progress(`"next":1`, `"next":-9000000000000000000`),
+		"ended":        progress(`"next":1`, `"next":1,"ended":-1`),
+		"storedAt":     progress(`"storedAtMS":5000`, `"storedAtMS":9000000000000000000`),
+		"storedEarly":  progress(`"storedAtMS":5000`, `"storedAtMS":-1`),
+		"state":        progress(`"running"`, `"odd"`),
+		"nested":       progress(`"next":1`, `"next":`+strings.Repeat("[", 100_000)),
 	} {
 		t.Run(name, func(t *testing.T) { wantUndecodable(t, record, "run/"+jobA) })
 	}
--- a/library/planner/plan.go
+++ b/library/planner/plan.go
@@ -245,5 +245,7 @@
 func (planner *Planner) countHang(run *Run) {
 	if step := planner.steps[run.Key.step()]; step != nil {
 		step.tasks[run.Key.Index].hangs++
+		step.touch(run.Key.Index)
+		planner.markDirty(step.job)
 	}
 }
