Store on which workers a task has failed

A task avoids the workers on which it has failed, but only as long as the planner that saw it: the next one may start it there again, and on a worker that fails all that it starts the job uses up its attempts.

The latest eight of them are part of the stored progress now.

--- a/library/encoder/progress.go
+++ b/library/encoder/progress.go
@@ -52,6 +52,8 @@
 	FailedNumber int `json:"failedNumber,omitempty"`
 	// Hangs holds the numbers of runs that were stopped because they hung, by task index.
 	Hangs map[int]int `json:"hangs,omitempty"`
+	// Avoided holds the IDs of workers on which a task has failed, by task index.
+	Avoided map[int][]string `json:"avoided,omitempty"`
 	blamer.Records
 }
 
@@ -104,6 +106,28 @@
 		slices.ContainsFunc(stepProgress.Open, func(open OpenRun) bool { return !validNumbers(open.Index, open.Number) })
 }
 
+// AddHangs adds how many runs of a task were stopped because they hung.
+func (stepProgress *StepProgress) AddHangs(index, hangs int) {
+	if hangs == 0 {
+		return
+	}
+	if stepProgress.Hangs == nil {
+		stepProgress.Hangs = map[int]int{}
+	}
+	stepProgress.Hangs[index] = hangs
+}
+
+// AddAvoided adds the workers on which a task has failed.
+func (stepProgress *StepProgress) AddAvoided(index int, workers []string) {
+	if len(workers) == 0 {
+		return
+	}
+	if stepProgress.Avoided == nil {
+		stepProgress.Avoided = map[int][]string{}
+	}
+	stepProgress.Avoided[index] = workers
+}
+
 // DropCheckpoints removes the checkpoints of all tasks.
 func (progress *Progress) DropCheckpoints() {
 	for _, occurrence := range progress.Occurrences {
--- a/library/planner/attempts_test.go
+++ b/library/planner/attempts_test.go
@@ -244,3 +244,35 @@
 		}
 	}
 }
+
+// TestFailedWorkersAfterTakeover guards against a task that a planner starts where it has failed under an earlier one, although other
+// workers are free: a worker that fails all that it starts would use up its attempts (LOST).
+func TestFailedWorkersAfterTakeover(t *testing.T) {
+	const attempts = 4
+	catalog := attemptsCatalog(attempts)
+	for name, step := range map[string]planner.Step{"oneRecord": newStep(1), "parts": smallTasks(300)} {
+		for how, replace := range replacements {
+			t.Run(name+"/"+how, func(t *testing.T) {
+				fleet := newFleet(t, testStart, attempts)
+				fleet.takeOver(2, catalog)
+				fleet.submit(jobA, step)
+				fleet.settle()
+				for range attempts - 1 {
+					fleet.markEnded(planner.TaskKey{Job: jobA}, planner.EndedFailed)
+					fleet.advance(50 * time.Millisecond)
+					replace(fleet, catalog)
+					fleet.advance(50 * time.Millisecond)
+				}
+				used := map[string]bool{}
+				for _, order := range fleet.orders {
+					if order.Key.Index == 0 {
+						used[order.Worker] = true
+					}
+				}
+				if len(used) != attempts {
+					t.Errorf("the first task was started on %d workers, want each of %d attempts on another one", len(used), attempts)
+				}
+			})
+		}
+	}
+}
--- a/library/planner/endings.go
+++ b/library/planner/endings.go
@@ -50,13 +50,13 @@
 		return
 	case ending == EndedFailed && !step.Standing:
 		task.failures++
-		task.failedOn = append(task.failedOn, run.Worker)
+		task.avoid(run.Worker)
 		if planner.attemptsExhausted(step, task) {
 			planner.finishJob(step.job, Failed, now)
 			return
 		}
 	case ending == EndedFailed:
-		task.failedOn = []string{run.Worker}
+		task.avoided = []string{run.Worker}
 	}
 	step.enqueue(run.Key.Index)
 }
--- a/library/planner/history.go
+++ b/library/planner/history.go
@@ -1,20 +1,34 @@
 package planner
 
-import "ebonyshunt.org/library/encoder"
+import (
+	"slices"
+
+	"ebonyshunt.org/library/encoder"
+)
 
 // The journal also holds what became of the earlier runs of a task, as far as the planner decides by it.
 
+// maxAvoided bounds the workers that a task avoids, the latest ones, and thereby the size of their records.
+const maxAvoided = 8
+
+// avoid notes that a task is to start on another worker next time, if there is one.
+func (task *task) avoid(worker string) {
+	if slices.Contains(task.avoided, worker) {
+		return
+	}
+	task.avoided = append(task.avoided, worker)
+	task.avoided = task.avoided[max(len(task.avoided)-maxAvoided, 0):]
+}
+
 // addHistory adds the history of the step's tasks from index first to before index end to their stored progress.
 func (step *step) addHistory(progress *encoder.StepProgress, first, end int) {
 	for index := first; index < end; index++ {
 		task := &step.tasks[index]
-		if task.done || task.hangs == 0 {
+		if task.done {
 			continue
 		}
-		if progress.Hangs == nil {
-			progress.Hangs = map[int]int{}
-		}
-		progress.Hangs[index] = task.hangs
+		progress.AddHangs(index, task.hangs)
+		progress.AddAvoided(index, task.avoided)
 	}
 }
 
@@ -25,4 +39,12 @@
 			step.tasks[index].hangs = hangs
 		}
 	}
+	for index, workers := range stored.Avoided {
+		if index < 0 || index >= len(step.tasks) {
+			continue
+		}
+		for _, worker := range workers {
+			step.tasks[index].avoid(worker)
+		}
+	}
 }
--- a/library/planner/place.go
+++ b/library/planner/place.go
@@ -112,7 +112,7 @@
 			return
 		}
 		var worker *Worker
-		usesChooser := len(task.failedOn) == 0 && task.run == nil
+		usesChooser := len(task.avoided) == 0 && task.run == nil
 		if usesChooser {
 			if chooser == nil {
 				chooser = pass.newChooser(step, queue, pass.placeable(step, queue))
@@ -326,7 +326,7 @@
 // historyCost returns the part of cost that depends on the earlier runs of a task and on its open run.
 func (pass *pass) historyCost(task *task, worker *Worker) float64 {
 	cost := 0.0
-	if slices.Contains(task.failedOn, worker.ID) {
+	if slices.Contains(task.avoided, worker.ID) {
 		cost += failedBeforeCost
 	}
 	if task.run != nil && pass.planner.ensureWorker(task.run.Worker).Zone == worker.Zone {
--- a/library/planner/stragglers.go
+++ b/library/planner/stragglers.go
@@ -387,7 +387,7 @@
 		planner.startRun(step, index, task.lastRunNumber+1, worker, pass.now)
 		return true
 	}
-	task.failedOn = append(task.failedOn, task.run.Worker) // so that it starts elsewhere; this is no failed attempt
+	task.avoid(task.run.Worker) // so that it starts elsewhere; this is no failed attempt
 	planner.stopRun(task.run, pass.now)
 	pass.reserved[worker.ID] = true
 	return true
--- a/library/planner/tables.go
+++ b/library/planner/tables.go
@@ -85,7 +85,7 @@
 	checkpoint    string
 	run           *Run            // open run, nil if none
 	copy          *Run            // open speculative second run, nil if none
-	failedOn      []string        // IDs of the workers on which it failed, or from which it was moved for being late
+	avoided       []string        // IDs of the workers on which it failed last, or from which it was moved for being late
 	evidence      blamer.Evidence // crashes that count against it, or may do so
 	hedges        *taskHedges     // copies and moves for being late, nil if none, see stragglers.go
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -393,7 +393,8 @@
 try 'large jobs: the end of a job goes first' library/planner/journal.go '	if entry.state.Final() {
 		ordered' '	if false {
 		ordered' ./library/planner 'TestHalfStoredEnd'
-try 'hangs: their number is stored' library/planner/history.go 'progress.Hangs[index] = task.hangs' 'progress.Hangs[index] = 0' ./library/planner 'TestHangsAfterTakeover'
+try 'hangs: their number is stored' library/planner/history.go 'progress.AddHangs(index, task.hangs)' '' ./library/planner 'TestHangsAfterTakeover'
 try 'hangs: stored with their part' library/planner/plan.go '		step.touch(run.Key.Index)
 ' '' ./library/planner 'TestHangWithLostStop'
+try 'failed workers: stored' library/planner/history.go 'progress.AddAvoided(index, task.avoided)' '' ./library/planner 'TestFailedWorkersAfterTakeover'
 exit $failed
