Store which lasting runs are too old to be blamed for a crash

A task that has run for 30 s is not blamed when its worker crashes.

That a run has lasted for 30 s is stored with it once.

--- a/library/encoder/progress.go
+++ b/library/encoder/progress.go
@@ -63,6 +63,7 @@
 	Worker      string `json:"worker"`
 	Incarnation int64  `json:"born,omitempty"`   // Run.Incarnation
 	Number      int    `json:"number,omitempty"` // 0 for the task's last run number
+	Sound       bool   `json:"sound,omitempty"`  // whether it has run for so long that a crash is no evidence against its task, see blamer.Sound
 }
 
 // UnmarshalJSON decodes progress, and refuses values out of range and any other format version than ProgressVersion and DividedVersion.
--- a/library/planner/crashes.go
+++ b/library/planner/crashes.go
@@ -59,9 +59,7 @@
 func (planner *Planner) lossOf(worker *Worker, run *Run) *blamer.Loss {
 	loss := &blamer.Loss{Worker: worker.ID, Incarnation: run.Incarnation, Number: run.Number, Alone: true, Unanswered: !run.answered}
 	step := planner.steps[run.Key.step()]
-	if step != nil && step.Standing && run.Confirmed {
-		loss.Sound = blamer.Sound(worker.AnsweredAt.Sub(run.ConfirmedAt))
-	}
+	loss.Sound = run.sound || run.ranLong(worker)
 	for _, other := range worker.Runs {
 		sameGang := step != nil && step.Gang && other.Key.step() == run.Key.step()
 		if other != run && other.Sent && !sameGang {
@@ -71,6 +69,23 @@
 	return loss
 }
 
+// ranLong reports whether this planner saw the run, which is of a standing step, run for long enough. The worker is the run's.
+func (run *Run) ranLong(worker *Worker) bool {
+	return run.Standing && run.Confirmed && blamer.Sound(worker.AnsweredAt.Sub(run.ConfirmedAt))
+}
+
+// recordSound stores of a run that it has run long, since later planners do not know when it began.
+func (planner *Planner) recordSound(worker *Worker, run *Run) {
+	if run.sound || !run.ranLong(worker) {
+		return
+	}
+	if step := planner.steps[run.Key.step()]; step != nil {
+		run.sound = true
+		step.touch(run.Key.Index)
+		planner.markDirty(step.job)
+	}
+}
+
 // recordLoss counts the crash of a run's worker against its task, or keeps the loss of the run until it is known whether
 // the worker crashed.
 func (planner *Planner) recordLoss(step *step, run *Run, ending Ending) {
--- a/library/planner/crashes_test.go
+++ b/library/planner/crashes_test.go
@@ -300,6 +300,48 @@
 	})
 }
 
+// TestLongRunsAfterTakeover guards against jobs that last and are given up for crashes of their workers that each came soon after a takeover:
+// the new planner did not know how long they had run (LOST).
+func TestLongRunsAfterTakeover(t *testing.T) {
+	const crashes = 5
+	play := func(fleet *fleet, duration time.Duration) {
+		fleet.play(duration, fleet.reviveSame, noTask, func() bool { return false })
+	}
+	for how, replace := range replacements {
+		for name, test := range map[string]struct {
+			runTime, delay time.Duration // of the task before the takeover, and from there to the crash
+			count          int
+			want           planner.State
+		}{
+			"atOnce":     {time.Minute, 0, 1, planner.Running},
+			"soon":       {time.Minute, time.Second, 1, planner.Running},
+			"parts":      {time.Minute, time.Second, 300, planner.Running},
+			"tooShort":   {10 * time.Second, 0, 1, planner.Failed},
+			"shortAgain": {10 * time.Second, time.Second, 1, planner.Failed},
+		} {
+			t.Run(name+"/"+how, func(t *testing.T) {
+				fleet, step := newCrashFleet(t, 1), newStep(test.count)
+				step.Standing, step.Size = true, smallTasks(1).Size
+				fleet.submit(jobA, step)
+				fleet.settle()
+				for range crashes {
+					play(fleet, test.runTime)
+					if test.delay == 0 {
+						fleet.crash(fleet.workers["w-000"])
+					}
+					replace(fleet, testCatalog())
+					play(fleet, test.delay)
+					if test.delay > 0 {
+						fleet.crash(fleet.workers["w-000"])
+					}
+					play(fleet, crashDowntime+15*time.Second)
+				}
+				fleet.wantState(jobA, test.want)
+			})
+		}
+	}
+}
+
 // workerOf returns the ID of the worker that runs a task.
 func (fleet *fleet) workerOf(key planner.TaskKey) string {
 	for id, worker := range fleet.workers {
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -205,7 +205,7 @@
 			progress.Checkpoints[index] = task.checkpoint
 		}
 		for _, run := range task.openRuns() {
-			open := encoder.OpenRun{Index: index, Worker: run.Worker, Incarnation: run.Incarnation}
+			open := encoder.OpenRun{Index: index, Worker: run.Worker, Incarnation: run.Incarnation, Sound: run.sound}
 			if run.Number != task.lastRunNumber {
 				open.Number = run.Number
 			}
@@ -390,6 +390,7 @@
 		run := planner.newRun(step, key, number, worker, now)
 		run.learning.restored = true
 		run.Incarnation, run.Token, run.Sent = open.Incarnation, 0, true // token 0 is lower than every token of this term
+		run.sound, run.answered = open.Sound, open.Sound
 		planner.addRun(step, run)
 		if step.tasks[open.Index].done && !step.Gang {
 			run.markStopping(now) // a copy of a run that completed the task
--- a/library/planner/runs.go
+++ b/library/planner/runs.go
@@ -139,7 +139,7 @@
 		worker.Incarnation = incarnation
 	}
 	for _, run := range worker.Runs {
-		run.Confirmed, run.Token, run.Incarnation = false, 0, worker.Incarnation
+		run.Confirmed, run.Token, run.Incarnation, run.sound = false, 0, worker.Incarnation, false
 		if step := planner.steps[run.Key.step()]; step != nil {
 			step.touch(run.Key.Index)
 		}
--- a/library/planner/worker.go
+++ b/library/planner/worker.go
@@ -115,6 +115,8 @@
 	// answered reports whether its worker accepted its order or listed it, on any incarnation. The journal does not tell it of restored
 	// runs.
 	answered bool
+	// sound reports whether its step is standing and it ran long enough, see blamer.Sound. The journal tells it of restored runs.
+	sound bool
 
 	placedAt        time.Time   // when it was placed, or restored
 	stopRequestedAt time.Time   // when its stop was first requested, zero before
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -397,4 +397,17 @@
 try 'hangs: stored with their part' library/planner/plan.go '		step.touch(run.Key.Index)
 ' '' ./library/planner 'TestHangWithLostStop'
 try 'failed workers: stored' library/planner/history.go 'progress.AddAvoided(index, task.avoided)' '' ./library/planner 'TestFailedWorkersAfterTakeover'
+try 'crashes: long runs are stored' library/planner/crashes.go '		run.sound = true
+' '' ./library/planner 'TestLongRunsAfterTakeover'
+try 'crashes: long runs are restored' library/planner/journal.go 'run.sound, run.answered = open.Sound, open.Sound' '' ./library/planner 'TestLongRunsAfterTakeover'
+try 'crashes: long runs of parts' library/planner/crashes.go '		step.touch(run.Key.Index)
+		planner.markDirty(step.job)
+	}
+}
+
+// recordLoss' '		planner.markDirty(step.job)
+	}
+}
+
+// recordLoss' ./library/planner 'TestLongRunsAfterTakeover'
 exit $failed
