--- a/tests/fleet_lasting_test.go
+++ b/tests/fleet_lasting_test.go
@@ -28,6 +28,9 @@
 	minPlannedTerm = 2 * time.Second
 	// leavingNotice is the time between a worker's notice and its end.
 	leavingNotice = 6 * time.Second
+	// changesOfStorm is the number of changes of a configuration that changes all the time, changeInterval the time between two of them.
+	changesOfStorm = 100
+	changeInterval = 200 * time.Millisecond
 	// movedBound bounds how long a task is down that moves before its worker leaves: a stop, a policy query and a start, each of which
 	// takes well below a second.
 	movedBound = 2 * time.Second
@@ -46,6 +49,18 @@
 			fleet.killHost(fleet.decidingHost())
 		})
 	})
+	// The same while the configuration changes all the time, as in the operators' record: each version is read by the hosts and makes the
+	// decider plan again.
+	t.Run("secondTakeoverAmidChanges", func(t *testing.T) {
+		runLasting(t, func(fleet *fleet) {
+			go fleet.publishOften(changesOfStorm)
+			fleet.killHost(fleet.decidingHost())
+			fleet.awaitDecider()
+			time.Sleep(termBeforeLoss)
+			fleet.endWorkers()
+			fleet.killHost(fleet.decidingHost())
+		})
+	})
 	// Guards against a decider that waits for the renewals of two deciders although both have ended: the second one was lost before it
 	// knew of the end of the first one.
 	t.Run("twoTakeovers", func(t *testing.T) {
@@ -189,6 +204,14 @@
 	runLastingOn(t, lastingHosts, lose)
 }
 
+// publishOften stores a number of new versions of the configuration, one each changeInterval.
+func (fleet *fleet) publishOften(changes int) {
+	for range changes {
+		fleet.publishConfiguration()
+		time.Sleep(changeInterval)
+	}
+}
+
 // runLastingOn is runLasting on a number of hosts.
 func runLastingOn(t *testing.T, hosts int, lose func(fleet *fleet)) {
 	t.Helper()
