Go on with jobs that were accepted, whatever their size

The size is checked with the longest values of what acceptance adds, and a stored job is judged by the limits for new jobs no more.

--- a/library/planner/job.go
+++ b/library/planner/job.go
@@ -51,7 +51,7 @@
 	maxStoredBytes = 240 << 10
 )
 
-// UnmarshalJSON decodes a job, and refuses one that Check refuses.
+// UnmarshalJSON decodes a job that a caller submits, and refuses one that Check refuses.
 func (job *Job) UnmarshalJSON(data []byte) error {
 	type plain Job
 	var decoded plain
@@ -65,15 +65,56 @@
 	return nil
 }
 
+// maxStoredTasks bounds the tasks of one occurrence of a stored job, which are kept in memory.
+const maxStoredTasks = 10 * maxTasks
+
+// decodeStoredJob decodes a job as the journal holds it. It was accepted, so that the limits for new jobs do not apply: those of the
+// release that accepted it may have been larger. A job that no release can have accepted is refused: another writer may have stored it.
+func decodeStoredJob(data []byte) (Job, error) {
+	type plain Job
+	var decoded plain
+	if err := json.Unmarshal(data, &decoded); err != nil {
+		return Job{}, fmt.Errorf("decode stored job: %w", err)
+	}
+	job := Job(decoded)
+	if err := job.checkFields(); err != nil {
+		return Job{}, err
+	}
+	tasks := 0
+	for number := range job.Steps {
+		if tasks += min(job.Steps[number].Count, maxStoredTasks+1); tasks > maxStoredTasks {
+			return Job{}, Error.New("stored job %s has more than %d tasks", job.ID, maxStoredTasks)
+		}
+	}
+	return job, nil
+}
+
 // Check returns an error for the first mistake that would keep the job from completing.
 func (job *Job) Check() error {
+	if len(job.Steps) > maxSteps {
+		return Error.New("job %s has %d steps: at most %d are allowed", job.ID, len(job.Steps), maxSteps)
+	}
+	if err := job.checkFields(); err != nil {
+		return err
+	}
+	for number := range job.Steps {
+		if count := job.Steps[number].Count; count > maxTasks {
+			return Error.New("job %s step %d: count %d: a step may have at most %d tasks", job.ID, number, count, maxTasks)
+		}
+	}
+	if tasks := job.taskCount(); tasks > maxTasks {
+		return Error.New("job %s has %d tasks, the sum of count over its steps: at most %d are allowed", job.ID, tasks, maxTasks)
+	}
+	return job.checkStoredSize()
+}
+
+// checkFields returns an error for the first field that is missing or out of range, apart from limits of size.
+func (job *Job) checkFields() error {
 	switch {
 	case job.ID == "":
 		return Error.New("job has no id")
 	case len(job.Steps) == 0:
 		return Error.New("job %s has no steps: specify at least one", job.ID)
-	case len(job.Steps) > maxSteps:
-		return Error.New("job %s has %d steps: at most %d are allowed", job.ID, len(job.Steps), maxSteps)
 	case job.Runs < 0 || job.IntervalMS < 0:
 		return Error.New("job %s has a negative number of occurrences or a negative interval", job.ID)
 	}
@@ -82,10 +123,7 @@
 			return fmt.Errorf("job %s step %d: %w", job.ID, number, err)
 		}
 	}
-	if tasks := job.taskCount(); tasks > maxTasks {
-		return Error.New("job %s has %d tasks, the sum of count over its steps: at most %d are allowed", job.ID, tasks, maxTasks)
-	}
-	return job.checkStoredSize()
+	return nil
 }
 
 // taskCount returns the number of tasks of one occurrence.
@@ -97,12 +135,15 @@
 	return tasks
 }
 
-// checkStoredSize returns an error for a job that is larger than maxStoredBytes when it is stored.
+// checkStoredSize returns an error for a job that is larger than maxStoredBytes when it is stored, with the longest values of the fields that
+// acceptance sets.
 func (job *Job) checkStoredSize() error {
 	if job.maxEncodedBytes() <= maxStoredBytes {
 		return nil
 	}
-	data, err := json.Marshal(job)
+	accepted := *job
+	accepted.AcceptedMS, accepted.Excess = maxDueMS, true
+	data, err := json.Marshal(&accepted)
 	if err != nil {
 		return fmt.Errorf("encode job %s: %w", job.ID, err)
 	}
@@ -135,8 +176,6 @@
 	switch {
 	case step.Count <= 0:
 		return Error.New("count %d: a step needs at least one task", step.Count)
-	case step.Count > maxTasks:
-		return Error.New("count %d: a step may have at most %d tasks", step.Count, maxTasks)
 	case step.Size.MilliCores < 0 || step.Size.MemoryMB < 0 || step.Size.Accelerators < 0:
 		return Error.New("size %s has a negative resource", step.Size)
 	}
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -241,8 +241,8 @@
 		if !isJob {
 			continue
 		}
-		var job Job
-		if err := json.Unmarshal(record.Value, &job); err != nil {
+		job, err := decodeStoredJob(record.Value)
+		if err != nil {
 			undecodable = append(undecodable, record.Key)
 			continue
 		}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -414,4 +414,8 @@
 try 'successor: failures of tasks' library/planner/journal.go 'task.failures = stored.Failures[position]' '_ = task' ./library/planner 'TestSuccessorProperty'
 try 'successor: crashes' library/planner/crash_records.go 'step.tasks[index].evidence.Crashes = crashes' '_ = crashes' ./library/planner 'TestSuccessorProperty'
 try 'successor: runs of ended jobs' library/planner/journal.go '(!entry.hasOpenRuns() || entry.unstorable)' 'true' ./library/planner 'TestSuccessorProperty'
+try 'stored jobs: size with what acceptance adds' library/planner/job.go 'accepted.AcceptedMS, accepted.Excess = maxDueMS, true' '' ./library/planner 'TestLargestJobs'
+try 'stored jobs: no limits for new jobs' library/planner/job.go '	if err := job.checkFields(); err != nil {
+		return Job{}, err' '	if err := job.Check(); err != nil {
+		return Job{}, err' ./library/planner 'TestStoredJobsGoOn'
 exit $failed
