--- a/tests/soaker/bounds.go
+++ b/tests/soaker/bounds.go
@@ -19,3 +19,9 @@
 	standingFaultFree = 7 * time.Second // without faults, before standingWithin holds
 	capOverage        = 0.1             // of a team's cap
 )
+
+// The crashes of workers after which a task may be given up, and its job be shown as failed.
+const (
+	maxCrashes      = 3
+	maxCrashesAlone = 2 // if nothing else ran on the worker that crashed last
+)
