Move the progress of tasks into a package of its own

Package tracker holds these as plain structs, with one function that encodes them and one that restores them, so that a new count is stored where it is declared.

--- a/library/encoder/progress.go
+++ b/library/encoder/progress.go
@@ -107,6 +107,17 @@
 		slices.ContainsFunc(stepProgress.Open, func(open OpenRun) bool { return !validNumbers(open.Index, open.Number) })
 }
 
+// AddCheckpoint adds the checkpoint of a task.
+func (stepProgress *StepProgress) AddCheckpoint(index int, checkpoint string) {
+	if checkpoint == "" {
+		return
+	}
+	if stepProgress.Checkpoints == nil {
+		stepProgress.Checkpoints = map[int]string{}
+	}
+	stepProgress.Checkpoints[index] = checkpoint
+}
+
 // AddHangs adds how many runs of a task were stopped because they hung.
 func (stepProgress *StepProgress) AddHangs(index, hangs int) {
 	if hangs == 0 {
--- a/library/planner/admission.go
+++ b/library/planner/admission.go
@@ -220,7 +220,7 @@
 // those that resumed from a checkpoint, say nothing about them.
 func (planner *Planner) recordRunEnd(step *step, run *Run, ending Ending, now time.Time) {
 	pool, _ := planner.poolOf(step.job.Queue)
-	if pool == nil || step.Standing || run.Token == 0 || step.tasks[run.Key.Index].checkpoint != "" {
+	if pool == nil || step.Standing || run.Token == 0 || step.tasks[run.Key.Index].Checkpoint != "" {
 		return
 	}
 	share, seconds := run.Size.DominantShare(pool.capacity), now.Sub(run.OrderedAt).Seconds()
--- a/library/planner/copies.go
+++ b/library/planner/copies.go
@@ -44,7 +44,7 @@
 // much longer than expected and than the completed tasks of the step.
 func (pass *pass) needsCopy(step *step, task *task, queue Queue) bool {
 	run := task.run
-	if task.done || run == nil || task.copy != nil || run.Stopping {
+	if task.Done || run == nil || task.copy != nil || run.Stopping {
 		return false
 	}
 	worker := pass.planner.ensureWorker(run.Worker)
@@ -68,6 +68,6 @@
 		return
 	}
 	if worker := pass.chooseWorker(step, queue, task); worker != nil {
-		pass.startRun(step, index, task.lastRunNumber+1, worker)
+		pass.startRun(step, index, task.LastNumber+1, worker)
 	}
 }
--- a/library/planner/crashes.go
+++ b/library/planner/crashes.go
@@ -31,7 +31,7 @@
 	highest := 0
 	suspects := step.suspects(index)
 	for position := range suspects {
-		highest = max(highest, suspects[position].evidence.Suspicion())
+		highest = max(highest, suspects[position].Evidence.Suspicion())
 	}
 	return highest
 }
@@ -89,14 +89,14 @@
 // recordLoss counts the crash of a run's worker against its task, or keeps the loss of the run until it is known whether
 // the worker crashed.
 func (planner *Planner) recordLoss(step *step, run *Run, ending Ending) {
-	if run.loss == nil || step.job.state.Final() || step.tasks[run.Key.Index].done {
+	if run.loss == nil || step.job.state.Final() || step.tasks[run.Key.Index].Done {
 		return
 	}
 	switch ending {
 	case EndedCrashed:
 		planner.countCrash(step, run.Key, *run.loss)
 	case Vanished:
-		evidence, worker := &step.tasks[run.Key.Index].evidence, planner.ensureWorker(run.Worker)
+		evidence, worker := &step.tasks[run.Key.Index].Evidence, planner.ensureWorker(run.Worker)
 		run.loss.ClosedAt = planner.now
 		evidence.Lost = append(evidence.Lost, *run.loss)
 		worker.lostTasks = append(worker.lostTasks, run.Key)
@@ -109,18 +109,18 @@
 // different tasks of a gang are not added up: each of these workers may have crashed by itself.
 func (planner *Planner) countCrash(step *step, key TaskKey, loss blamer.Loss) {
 	task := &step.tasks[key.Index]
-	if step.job.state.Final() || task.done {
+	if step.job.state.Final() || task.Done {
 		return
 	}
 	planner.markDirty(step.job)
 	step.touch(key.Index)
-	verdict := task.evidence.Count(loss)
+	verdict := task.Evidence.Count(loss)
 	if verdict == blamer.Cleared {
 		return
 	}
 	step.suspected = true
 	planner.recordSuspect(loss.Worker, Suspect{
-		Task: key, Number: loss.Number, Crashes: task.evidence.Crashes, Unanswered: task.evidence.Unanswered, Alone: loss.Alone,
+		Task: key, Number: loss.Number, Crashes: task.Evidence.Crashes, Unanswered: task.Evidence.Unanswered, Alone: loss.Alone,
 		GivenUp: verdict == blamer.GivenUp,
 	})
 	if verdict == blamer.GivenUp {
@@ -148,7 +148,7 @@
 		if step == nil || key.Index >= len(step.tasks) {
 			continue
 		}
-		for _, lost := range step.tasks[key.Index].evidence.TakeLost(worker.ID) {
+		for _, lost := range step.tasks[key.Index].Evidence.TakeLost(worker.ID) {
 			planner.markDirty(step.job)
 			step.touch(key.Index)
 			if crashed(lost) {
@@ -173,7 +173,7 @@
 func (planner *Planner) resolveGone(worker *Worker) {
 	for _, key := range worker.lostTasks {
 		if step := planner.steps[key.step()]; step != nil && key.Index < len(step.tasks) {
-			step.tasks[key.Index].evidence.Weaken(worker.ID)
+			step.tasks[key.Index].Evidence.Weaken(worker.ID)
 		}
 	}
 	planner.resolveReplaced(worker)
--- a/library/planner/endings.go
+++ b/library/planner/endings.go
@@ -10,7 +10,7 @@
 	planner.removeRun(step, run)
 	planner.markDirty(step.job)
 	if checkpoint != "" {
-		step.tasks[run.Key.Index].checkpoint = checkpoint
+		step.tasks[run.Key.Index].Checkpoint = checkpoint
 	}
 	planner.recordOutcome(step, run, ending, now)
 	planner.recordRunEnd(step, run, ending, now)
@@ -39,7 +39,7 @@
 func (planner *Planner) closeTask(step *step, run *Run, ending Ending, now time.Time) {
 	task := &step.tasks[run.Key.Index]
 	switch {
-	case task.done: // its other run completed it
+	case task.Done: // its other run completed it
 		return
 	case ending == EndedDone && !step.Standing:
 		planner.recordHedgeOutcome(task, run, now)
@@ -49,14 +49,14 @@
 		}
 		return
 	case ending == EndedFailed && !step.Standing:
-		task.failures++
-		task.avoid(run.Worker)
+		task.Failures++
+		task.Avoid(run.Worker)
 		if planner.attemptsExhausted(step, task) {
 			planner.finishJob(step.job, Failed, now)
 			return
 		}
 	case ending == EndedFailed:
-		task.avoided = []string{run.Worker}
+		task.Avoided = []string{run.Worker}
 	}
 	step.enqueue(run.Key.Index)
 }
@@ -64,16 +64,16 @@
 // attemptsExhausted reports whether a task has failed as often as its queue allows.
 func (planner *Planner) attemptsExhausted(step *step, task *task) bool {
 	queue, found := planner.catalog.Queue(step.job.Queue)
-	return found && queue.MaxAttempts > 0 && task.failures >= queue.MaxAttempts
+	return found && queue.MaxAttempts > 0 && task.Failures >= queue.MaxAttempts
 }
 
 // completeTask marks a task as done, and completes its step and occurrence with the last one.
 func (planner *Planner) completeTask(step *step, index int, now time.Time) {
 	task := &step.tasks[index]
-	if task.done {
+	if task.Done {
 		return
 	}
-	task.done = true
+	task.Done = true
 	step.touch(index)
 	step.completedTasks++
 	step.waiting = slices.DeleteFunc(step.waiting, func(waiting int) bool { return waiting == index })
--- a/library/planner/explain.go
+++ b/library/planner/explain.go
@@ -69,7 +69,7 @@
 func (step *step) lastClosedAt(index int) time.Time {
 	var last time.Time
 	for _, task := range step.suspects(index) {
-		for _, lost := range task.evidence.Lost {
+		for _, lost := range task.Evidence.Lost {
 			if lost.ClosedAt.After(last) {
 				last = lost.ClosedAt
 			}
--- a/library/planner/gangs.go
+++ b/library/planner/gangs.go
@@ -1,10 +1,6 @@
 package planner
 
-import (
-	"time"
-
-	"ebonyshunt.org/library/encoder"
-)
+import "time"
 
 // The members of a gang run only together: what ends one of them ends all. The failures of a gang are those of its runs, whichever members
 // report them, and are counted in its first task.
@@ -14,7 +10,7 @@
 func (planner *Planner) closeGangMember(step *step, run *Run, ending Ending, now time.Time) {
 	if ending == EndedDone && !step.Standing {
 		for index := range step.tasks {
-			if !step.tasks[index].done {
+			if !step.tasks[index].Done {
 				planner.completeTask(step, index, now)
 			}
 		}
@@ -38,12 +34,10 @@
 	step.enqueue(run.Key.Index)
 }
 
-// countGangFailure counts the failure of a gang's run once, although every member that fails with it reports it. A gang starts again only
-// once none of its runs is open, so that the numbers of the runs that fail only grow.
+// countGangFailure counts the failure of a gang's run once, although every member that fails with it reports it.
 func (step *step) countGangFailure(number int) {
-	if number > step.failedNumber {
-		step.failedNumber = number
-		step.tasks[0].failures++
+	if step.gang.CountFailure(number) {
+		step.tasks[0].Failures++
 		step.touch(0)
 	}
 }
@@ -52,30 +46,11 @@
 func (step *step) lastGangNumber() int {
 	number := 0
 	for index := range step.tasks {
-		number = max(number, step.tasks[index].lastRunNumber)
+		number = max(number, step.tasks[index].LastNumber)
 	}
 	return number
 }
 
-// addFailedNumber adds the number of the gang's last failed run to the stored progress of its tasks from index first.
-func (step *step) addFailedNumber(progress *encoder.StepProgress, first int) {
-	if first == 0 {
-		progress.FailedNumber = step.failedNumber
-	}
-}
-
-// restoreFailedNumber restores the number of the gang's last failed run once all of its tasks are restored. Earlier releases did not store
-// it: of a gang that has failed before, they are taken to have counted a failure of its last run if a member of that run has ended.
-func (step *step) restoreFailedNumber() {
-	if step.failedNumber > 0 || step.tasks[0].failures == 0 {
-		return
-	}
-	step.failedNumber = step.lastGangNumber()
-	if step.openCount == step.Count {
-		step.failedNumber--
-	}
-}
-
 // restoreGangs completes the gangs of a job whose tasks are restored.
 func (planner *Planner) restoreGangs(entry *jobEntry, now time.Time) {
 	for _, occurrence := range entry.occurrences {
@@ -83,7 +58,7 @@
 			if !step.Gang {
 				continue
 			}
-			step.restoreFailedNumber()
+			step.gang.RestoreFailedNumber(step.tasks[0].Failures, step.lastGangNumber(), step.openCount < step.Count)
 			if step.completedTasks > 0 && step.completedTasks < step.Count {
 				step.completeRestored()
 				planner.markDirty(entry)
@@ -97,8 +72,8 @@
 // of which the former planner may have stored only the first ones.
 func (step *step) completeRestored() {
 	for index := range step.tasks {
-		if !step.tasks[index].done {
-			step.tasks[index].done = true
+		if !step.tasks[index].Done {
+			step.tasks[index].Done = true
 			step.touch(index)
 		}
 	}
--- a/library/planner/health.go
+++ b/library/planner/health.go
@@ -64,7 +64,7 @@
 		planner.learnRunTime(step, worker, run, now)
 		return
 	}
-	if step.EstimateMS <= 0 || step.Standing || step.tasks[run.Key.Index].checkpoint != "" {
+	if step.EstimateMS <= 0 || step.Standing || step.tasks[run.Key.Index].Checkpoint != "" {
 		return
 	}
 	seconds := max(now.Sub(run.OrderedAt).Seconds(), minRunSeconds)
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -3,12 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"iter"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"ebonyshunt.org/library/encoder"
+	"ebonyshunt.org/library/tracker"
 )
 
 // The journal holds two records for each job: the job as submitted, which is deleted once the job has ended and none of its runs is open, and
@@ -183,50 +184,33 @@
 
 // progress returns the progress of the step's tasks from index first to before index end as it is stored.
 func (step *step) progress(first, end int) encoder.StepProgress {
-	var progress encoder.StepProgress
-	var marks strings.Builder
-	completed, begun, failed := false, false, false
-	numbers, failures := make([]int, end-first), make([]int, end-first)
+	progress := tracker.Encode(step.tracked(first, end), end-first)
+	if first == 0 {
+		progress.FailedNumber = step.gang.FailedNumber
+	}
 	for index := first; index < end; index++ {
-		task := &step.tasks[index]
-		mark := byte('0')
-		if task.done {
-			mark = '1'
-		}
-		marks.WriteByte(mark)
-		numbers[index-first], failures[index-first] = task.lastRunNumber, task.failures
-		completed = completed || task.done
-		begun = begun || task.lastRunNumber > 0
-		failed = failed || task.failures > 0
-		if task.checkpoint != "" && !task.done {
-			if progress.Checkpoints == nil {
-				progress.Checkpoints = map[int]string{}
-			}
-			progress.Checkpoints[index] = task.checkpoint
-		}
-		for _, run := range task.openRuns() {
+		for _, run := range step.tasks[index].openRuns() {
 			open := encoder.OpenRun{Index: index, Worker: run.Worker, Incarnation: run.Incarnation, Sound: run.sound}
-			if run.Number != task.lastRunNumber {
+			if run.Number != step.tasks[index].LastNumber {
 				open.Number = run.Number
 			}
 			progress.Open = append(progress.Open, open)
 		}
 	}
-	if completed {
-		progress.Done = marks.String()
-	}
-	if begun {
-		progress.Numbers = numbers
-	}
-	if failed {
-		progress.Failures = failures
-	}
-	step.addFailedNumber(&progress, first)
-	step.addHistory(&progress, first, end)
-	step.addCrashes(&progress, first, end)
 	return progress
 }
 
+// tracked returns the progress of the step's tasks from index first to before index end, by index.
+func (step *step) tracked(first, end int) iter.Seq2[int, *tracker.Task] {
+	return func(yield func(int, *tracker.Task) bool) {
+		for index := first; index < end; index++ {
+			if !yield(index, &step.tasks[index].Task) {
+				return
+			}
+		}
+	}
+}
+
 // HasUnstoredChanges reports whether a job has changes that are not stored yet.
 func (planner *Planner) HasUnstoredChanges(id string) bool {
 	entry := planner.jobs[id]
--- a/library/planner/place.go
+++ b/library/planner/place.go
@@ -112,7 +112,7 @@
 			return
 		}
 		var worker *Worker
-		usesChooser := len(task.avoided) == 0 && task.run == nil
+		usesChooser := len(task.Avoided) == 0 && task.run == nil
 		if usesChooser {
 			if chooser == nil {
 				chooser = pass.newChooser(step, queue, pass.placeable(step, queue))
@@ -127,7 +127,7 @@
 		}
 		firstOfOccurrence := step.occurrence.zone == ""
 		step.waiting = step.waiting[1:]
-		pass.startRun(step, index, task.lastRunNumber+1, worker)
+		pass.startRun(step, index, task.LastNumber+1, worker)
 		if !usesChooser || firstOfOccurrence {
 			chooser = nil // the costs of other workers have changed
 		} else {
@@ -160,7 +160,7 @@
 // startRun adds a run of a task. Its order is sent once the run is stored.
 func (planner *Planner) startRun(step *step, index, number int, worker *Worker, now time.Time) {
 	key := TaskKey{Job: step.key.Job, Occurrence: step.key.Occurrence, Step: step.key.Step, Index: index}
-	step.tasks[index].lastRunNumber = number
+	step.tasks[index].LastNumber = number
 	if step.occurrence.zone == "" {
 		step.occurrence.zone = worker.Zone
 	}
@@ -326,7 +326,7 @@
 // historyCost returns the part of cost that depends on the earlier runs of a task and on its open run.
 func (pass *pass) historyCost(task *task, worker *Worker) float64 {
 	cost := 0.0
-	if slices.Contains(task.avoided, worker.ID) {
+	if slices.Contains(task.Avoided, worker.ID) {
 		cost += failedBeforeCost
 	}
 	if task.run != nil && pass.planner.ensureWorker(task.run.Worker).Zone == worker.Zone {
--- a/library/planner/place_gang.go
+++ b/library/planner/place_gang.go
@@ -22,13 +22,13 @@
 	}
 	checkpoint := ""
 	for index := range step.tasks {
-		checkpoint = laterCheckpoint(checkpoint, step.tasks[index].checkpoint)
+		checkpoint = laterCheckpoint(checkpoint, step.tasks[index].Checkpoint)
 	}
 	number := step.lastGangNumber() + 1
 	step.waiting = nil
 	step.blockedSince = time.Time{}
 	for index, worker := range workers {
-		step.tasks[index].checkpoint = checkpoint
+		step.tasks[index].Checkpoint = checkpoint
 		pass.startRun(step, index, number, worker)
 	}
 }
--- a/library/planner/plan.go
+++ b/library/planner/plan.go
@@ -231,7 +231,7 @@
 		return false
 	}
 	maxStall := time.Duration(hangTimeFactor * float64(planner.highRunTime(step, run)))
-	return now.Sub(run.ProgressAt) > doubled(max(minHangTime, maxStall), step.tasks[run.Key.Index].hangs)
+	return now.Sub(run.ProgressAt) > doubled(max(minHangTime, maxStall), step.tasks[run.Key.Index].Hangs)
 }
 
 // doubled returns a duration that is doubled a number of times, at most maxHangTime unless it was longer before.
@@ -245,7 +245,7 @@
 // countHang counts a run of a task that hangs.
 func (planner *Planner) countHang(run *Run) {
 	if step := planner.steps[run.Key.step()]; step != nil {
-		step.tasks[run.Key.Index].hangs++
+		step.tasks[run.Key.Index].Hangs++
 		step.touch(run.Key.Index)
 		planner.markDirty(step.job)
 	}
--- a/library/planner/quarantine.go
+++ b/library/planner/quarantine.go
@@ -38,7 +38,7 @@
 // held reports whether a task, or the gang that it is in, waits until it is known what became of the workers that fell silent under it.
 func (step *step) held(index int, now time.Time) bool {
 	suspects := step.suspects(index)
-	return step.suspected && slices.ContainsFunc(suspects, func(task task) bool { return task.evidence.Holds(now) })
+	return step.suspected && slices.ContainsFunc(suspects, func(task task) bool { return task.Evidence.Holds(now) })
 }
 
 // sortWaiting puts the suspects among the waiting tasks last, so that the others do not wait for them.
@@ -72,7 +72,7 @@
 			continue
 		}
 		step.waiting = slices.DeleteFunc(step.waiting, func(waiting int) bool { return waiting == index })
-		pass.startRun(step, index, step.tasks[index].lastRunNumber+1, worker)
+		pass.startRun(step, index, step.tasks[index].LastNumber+1, worker)
 	}
 	if !missing {
 		step.blockedSince = time.Time{}
--- a/library/planner/restore.go
+++ b/library/planner/restore.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ebonyshunt.org/library/encoder"
+	"ebonyshunt.org/library/tracker"
 )
 
 // Restore rebuilds the tables from the records of the journal, and returns the keys of those that do not decode.
@@ -137,28 +138,13 @@
 // restoreStep rebuilds tasks of a step and their runs that may exist. The lists of the stored progress begin with the task with index
 // first.
 func (planner *Planner) restoreStep(step *step, first int, stored encoder.StepProgress, now time.Time) {
-	end := min(first+max(len(stored.Done), len(stored.Numbers), len(stored.Failures)), len(step.tasks))
-	for index := first; index < end; index++ {
-		task, position := &step.tasks[index], index-first
-		if position < len(stored.Done) && stored.Done[position] == '1' {
-			task.done, step.job.begun = true, true
+	for _, task := range tracker.Restore(stored, first, step.trackedTask) {
+		if task.Done {
 			step.completedTasks++
 		}
-		if position < len(stored.Numbers) {
-			task.lastRunNumber = stored.Numbers[position]
-		}
-		if position < len(stored.Failures) {
-			task.failures = stored.Failures[position]
-			step.job.begun = step.job.begun || task.failures > 0 // records of earlier releases do not tell
-		}
-	}
-	for index, checkpoint := range stored.Checkpoints {
-		if index >= 0 && index < len(step.tasks) {
-			step.tasks[index].checkpoint = checkpoint
-		}
+		step.job.begun = step.job.begun || task.Done || task.Failures > 0 // records of earlier releases do not tell
 	}
-	step.failedNumber = max(step.failedNumber, stored.FailedNumber)
-	step.restoreHistory(stored)
+	step.gang.FailedNumber = max(step.gang.FailedNumber, stored.FailedNumber)
 	planner.restoreCrashes(step, stored)
 	for _, open := range stored.Open {
 		if open.Index >= len(step.tasks) {
@@ -168,16 +154,24 @@
 		worker := planner.ensureWorker(open.Worker)
 		number := open.Number
 		if number == 0 {
-			number = step.tasks[open.Index].lastRunNumber
+			number = step.tasks[open.Index].LastNumber
 		}
 		run := planner.newRun(step, key, number, worker, now)
 		run.learning.restored = true
 		run.Incarnation, run.Token, run.Sent = open.Incarnation, 0, true // token 0 is lower than every token of this term
 		run.sound, run.answered = open.Sound, open.Sound
 		planner.addRun(step, run)
-		if step.tasks[open.Index].done && !step.Gang {
+		if step.tasks[open.Index].Done && !step.Gang {
 			run.markStopping(now) // a copy of a run that completed the task
 		}
 		planner.steps[step.key] = step
 	}
 }
+
+// trackedTask returns the progress of the task with an index, nil if there is none.
+func (step *step) trackedTask(index int) *tracker.Task {
+	if index < 0 || index >= len(step.tasks) {
+		return nil
+	}
+	return &step.tasks[index].Task
+}
--- a/library/planner/runs.go
+++ b/library/planner/runs.go
@@ -22,7 +22,7 @@
 	run.Token, run.OrderedAt, run.Sent = worker.Token, now, true
 	order := Order{
 		Key: run.Key, Number: run.Number, Worker: worker.ID, Address: worker.Address,
-		Payload: step.job.Payload, Checkpoint: step.tasks[start.Key.Index].checkpoint,
+		Payload: step.job.Payload, Checkpoint: step.tasks[start.Key.Index].Checkpoint,
 		Ticket: step.policy.allowed[worker.ID].text, Token: worker.Token, SentAt: now,
 		DeadlineMS: planner.leaseEndMS(worker, now),
 	}
@@ -71,7 +71,7 @@
 		delete(step.policy.allowed, worker.ID)
 		planner.closeRun(step, run, NeverRan, "", now)
 	case RefusedRunNumber:
-		step.tasks[order.Key.Index].lastRunNumber = max(step.tasks[order.Key.Index].lastRunNumber, run.Number+runNumberSkip)
+		step.tasks[order.Key.Index].LastNumber = max(step.tasks[order.Key.Index].LastNumber, run.Number+runNumberSkip)
 		planner.closeRun(step, run, NeverRan, "", now)
 	case NotSent, RefusedFence, RefusedExpired, RefusedCapacity:
 		if outcome != RefusedFence {
@@ -268,11 +268,11 @@
 			run.Percent, run.ProgressAt = running.Percent, now
 		}
 		if running.Checkpoint != "" {
-			if step.tasks[running.Key.Index].checkpoint != running.Checkpoint {
+			if step.tasks[running.Key.Index].Checkpoint != running.Checkpoint {
 				run.savedAt = now
 				step.touch(running.Key.Index)
 			}
-			step.tasks[running.Key.Index].checkpoint = running.Checkpoint
+			step.tasks[running.Key.Index].Checkpoint = running.Checkpoint
 		}
 		if run.Stopping {
 			planner.stopRun(run, now)
--- a/library/planner/stragglers.go
+++ b/library/planner/stragglers.go
@@ -234,7 +234,7 @@
 // left alone.
 func (planner *Planner) mayHedge(step *step, index int) bool {
 	task := &step.tasks[index]
-	return !task.done && task.run != nil && task.copy == nil && !task.run.Stopping && task.run.Confirmed &&
+	return !task.Done && task.run != nil && task.copy == nil && !task.run.Stopping && task.run.Confirmed &&
 		planner.ensureWorker(task.run.Worker).RunsKnown && step.suspicion(index) == 0
 }
 
@@ -293,7 +293,7 @@
 	hedged.OnlyLateRunsLeft = true
 	for index := range step.tasks {
 		task := &step.tasks[index]
-		if task.done || task.run == run || task.run != nil && task.run.Stopping {
+		if task.Done || task.run == run || task.run != nil && task.run.Stopping {
 			continue
 		}
 		if task.run == nil {
@@ -384,10 +384,10 @@
 	}
 	planner.recordHedge(task, run, action, worker, pass.now)
 	if action.Kind == hedger.Copy {
-		planner.startRun(step, index, task.lastRunNumber+1, worker, pass.now)
+		planner.startRun(step, index, task.LastNumber+1, worker, pass.now)
 		return true
 	}
-	task.avoid(task.run.Worker) // so that it starts elsewhere; this is no failed attempt
+	task.Avoid(task.run.Worker) // so that it starts elsewhere; this is no failed attempt
 	planner.stopRun(task.run, pass.now)
 	pass.reserved[worker.ID] = true
 	return true
--- a/library/planner/tables.go
+++ b/library/planner/tables.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"ebonyshunt.org/library/blamer"
 	"ebonyshunt.org/library/partitioner"
+	"ebonyshunt.org/library/tracker"
 )
 
 // jobEntry is a job with its progress, a row of the job table.
@@ -54,9 +54,8 @@
 	openCount      int   // number of runs that exist or may exist
 	completedTasks int
 	active         bool // whether all steps that it depends on are completed
-	// failedNumber is the number of the gang's last run that counts as failed, 0 if none does.
-	failedNumber int
-	policy       policyCache
+	gang           tracker.Gang
+	policy         policyCache
 	// suspected reports whether a worker crashed, or may have crashed, under one of its tasks.
 	suspected bool
 	// blockedSince is when placement first found no room for the step, zero while it is not blocked.
@@ -78,16 +77,10 @@
 
 // task is one task of a step.
 type task struct {
-	lastRunNumber int
-	failures      int
-	hangs         int // number of its runs that were stopped because they hung
-	done          bool
-	checkpoint    string
-	run           *Run            // open run, nil if none
-	copy          *Run            // open speculative second run, nil if none
-	avoided       []string        // IDs of the workers on which it failed last, or from which it was moved for being late
-	evidence      blamer.Evidence // crashes that count against it, or may do so
-	hedges        *taskHedges     // copies and moves for being late, nil if none, see stragglers.go
+	tracker.Task
+	run    *Run        // open run, nil if none
+	copy   *Run        // open speculative second run, nil if none
+	hedges *taskHedges // copies and moves for being late, nil if none, see stragglers.go
 }
 
 // policyCache holds the answers of the policy service for a step, by worker ID.
@@ -140,7 +133,7 @@
 		step.active = true
 		step.waiting = step.waiting[:0]
 		for index := range step.tasks {
-			if !step.tasks[index].done && step.tasks[index].run == nil {
+			if !step.tasks[index].Done && step.tasks[index].run == nil {
 				step.waiting = append(step.waiting, index)
 			}
 		}
@@ -160,7 +153,7 @@
 
 // enqueue adds a task to those to start, unless its job has ended, it is done, or it runs or waits already.
 func (step *step) enqueue(index int) {
-	if step.job.state.Final() || step.tasks[index].done || step.tasks[index].run != nil || slices.Contains(step.waiting, index) {
+	if step.job.state.Final() || step.tasks[index].Done || step.tasks[index].run != nil || slices.Contains(step.waiting, index) {
 		return
 	}
 	step.waiting = append(step.waiting, index)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -78,7 +78,7 @@
 ' ./library/planner 'TestEndedJobsAreStopped'
 try 'ended jobs: runs in parts' library/planner/parts.go 'entry.state.Final() && !occurrence.hasOpenRunsIn(entry.layout.Spans(part.Number))' 'entry.state.Final()' ./library/planner 'TestEndedJobsStillCount'
 try 'ended jobs: runs outlive the retention' library/planner/submission.go 'if entry.hasOpenRuns() {' 'if false {' ./library/planner 'TestRunsOutliveRetention'
-try 'ended jobs: copies of done tasks' library/planner/restore.go 'if step.tasks[open.Index].done && !step.Gang {' 'if false {' ./library/planner 'TestCopyOutlivesTask'
+try 'ended jobs: copies of done tasks' library/planner/restore.go 'if step.tasks[open.Index].Done && !step.Gang {' 'if false {' ./library/planner 'TestCopyOutlivesTask'
 try 'pending jobs: until one has begun' library/planner/planner.go '!entry.begun && !entry.storedState.Final() {' 'entry.storedState == Queued {' ./library/planner 'TestPending'
 try 'pending jobs: begun by a listing' library/planner/runs.go 'run.answered, step.job.begun = true, true' 'run.answered = true' ./library/planner 'TestPending'
 try 'large jobs: parts newer than the progress' library/planner/restore.go '		planner.completeOccurrence(entry, occurrence, now)
@@ -94,16 +94,16 @@
 ' ./library/planner 'TestOrdersWithUnknownOutcome'
 try 'fleet: wait for the end of leases' library/planner/worker.go 'leftMS := max(worker.leaseEndMS-worker.clockMS, 0)' 'leftMS := int64(0)' ./library/planner 'TestClocks'
 try 'fleet: wait for leases of the former decider' library/planner/runs.go 'worker.earlierLeasesExpireBy = planner.earlierLeasesExpireBy(worker)' '' ./library/planner 'TestTakeover'
-try 'fleet: runs of restarted workers are confirmed' library/planner/runs.go 'run.Confirmed, run.Token, run.Incarnation = false, 0, worker.Incarnation' 'planner.closeVanished(run, planner.now)' ./library/planner 'TestRestartUndetected'
+try 'fleet: runs of restarted workers are confirmed' library/planner/runs.go 'run.Confirmed, run.Token, run.Incarnation, run.sound = false, 0, worker.Incarnation, false' 'planner.closeVanished(run, planner.now)' ./library/planner 'TestRestartUndetected'
 try 'fleet: leases of restarted workers' library/planner/runs.go 'bound.After(worker.leasesExpireBy)' 'false' ./library/planner 'TestRestartThenUnresponsive'
 try 'fleet: runs of a lost worker still count' library/planner/worker.go 'worker.leasesExpireBy = worker.leasesExpireAt()' '' ./library/planner 'TestUnresponsiveWorker'
 try 'fleet: restart detected by the clock' library/planner/runs.go 'clockMS+clockToleranceMS < worker.minClockMS(sentAt)' 'false' ./library/planner 'TestRestartAfterEnds'
-try 'fleet: run numbers are stored' library/planner/restore.go 'task.lastRunNumber = stored.Numbers[position]' '' ./library/planner 'TestTakeover'
+try 'fleet: run numbers are stored' library/tracker/tracker.go 'restored.LastNumber = stored.Numbers[position]' '' ./library/planner 'TestTakeover'
 try 'fleet: limit of a team' library/planner/place.go 'return limit == 0 || used <= limit' 'return true' ./library/planner 'TestPlacement'
 try 'fleet: free capacity of a worker' library/planner/place.go '.Fits(worker.Free()) || !planner.belowWorkerLimit' '.Fits(worker.Capacity) || !planner.belowWorkerLimit' ./library/planner 'TestPlacement'
 try 'fleet: shares limit placement' library/planner/shares.go 'if !pass.limitShares {' 'if true {' ./library/planner 'TestSchedulingOrder'
 try 'fleet: jobs in excess of the rate go last' library/planner/plan.go 'case step.job.Excess:' 'case false:' ./library/planner 'TestSchedulingOrder'
-try 'fleet: gang that loses a member is stopped' library/planner/endings.go 'member != nil && !member.Stopping' 'false' ./library/planner 'TestGang'
+try 'fleet: gang that loses a member is stopped' library/planner/gangs.go 'member != nil && !member.Stopping' 'false' ./library/planner 'TestGang'
 try 'fleet: policy queries bounded by slots' library/planner/policy.go 'return planner.openQueries.Long < planner.slots.Long' 'return true' ./library/planner 'TestPolicy'
 try 'fleet: cost of placement in another zone' library/planner/place.go 'cost += otherZoneCost' '' ./library/planner 'TestPlacement'
 try 'fleet: unavailable standing tasks are bounded' library/planner/moves.go 'return movableRun.unavailable(now) < movableRun.maxMissing()' 'return true' ./library/planner 'TestEvacuation|TestEvacuateStanding'
@@ -167,7 +167,8 @@
 try 'fleet: two crashes of a task alone are enough' library/blamer/evidence.go 'loss.Alone && !loss.Unanswered && evidence.Crashes >= maxCrashesAlone' 'false' ./library/planner 'TestCrashingTask'
 try 'fleet: neighbors need a third crash' library/blamer/evidence.go 'loss.Alone && !loss.Unanswered && evidence.Crashes >= maxCrashesAlone' 'evidence.Crashes >= maxCrashesAlone' ./library/planner 'TestCrashNeighbors'
 try 'fleet: a silent worker that answers again crashed nothing' library/planner/crashes.go 'blamer.Restarted(lost.Incarnation, worker.Incarnation)' 'lost.Incarnation != 0 && worker.Incarnation != 0' ./library/planner 'TestCrashNeighbors'
-try 'fleet: standing tasks that ran long are no suspects' library/planner/crashes.go 'loss.Sound = blamer.Sound(worker.AnsweredAt.Sub(run.ConfirmedAt))' '_ = worker' ./library/planner 'TestCrashNeighbors'
+try 'fleet: standing tasks that ran long are no suspects' library/planner/crashes.go 'return run.Standing && run.Confirmed && blamer.Sound(worker.AnsweredAt.Sub(run.ConfirmedAt))' '_ = worker
+	return false' ./library/planner 'TestCrashNeighbors'
 try 'fleet: each task of a gang has its own count' library/planner/crashes.go 'task := &step.tasks[key.Index]
 	if step.job.state.Final()' 'task := &step.tasks[0]
 	if step.job.state.Final()' ./library/planner 'TestCrashNeighbors'
@@ -201,7 +202,7 @@
 try 'stragglers: copies only where allowed' library/hedger/hedger.go 'if run.MayCopy {' 'if true {' ./library/hedger 'TestProperties|TestDecide'
 try 'stragglers: off without the setting' library/planner/stragglers.go 'if !planner.Settings.MoveStragglers {' 'if false {' ./library/planner 'TestStragglers/settingIsOff'
 try 'stragglers: late runs are moved' library/planner/stragglers.go 'planner.stopRun(task.run, pass.now)' '_ = task.run' ./library/planner 'TestStragglers'
-try 'stragglers: another worker than before' library/planner/stragglers.go 'task.failedOn = append(task.failedOn, task.run.Worker)' '_ = task.failedOn' ./library/planner 'TestStragglers'
+try 'stragglers: another worker than before' library/planner/stragglers.go 'task.Avoid(task.run.Worker)' '_ = task.Avoided' ./library/planner 'TestStragglers'
 try 'stragglers: siblings correct estimates' library/planner/stragglers.go 'if len(works) >= minComparedSiblings {' 'if false {' ./library/planner 'TestStragglers/wrongEstimate'
 try 'stragglers: the same room for one move' library/planner/stragglers.go 'pass.reserved[task.hedges.open.Target] = true' '_ = task' ./library/planner 'TestStragglers/sameRoom'
 try 'stragglers: slow workers are remembered' library/planner/stragglers.go 'planner.recordSlowRun(event, run, now)' '_ = event' ./library/planner 'TestStragglers/manyStragglers'
@@ -385,18 +386,18 @@
 ' '' ./tests 'TestFleetLastingTasks/plannedStopsInARow'
 try 'scarce: overdue jobs give way' library/planner/plan.go 'case left < (objective-remaining)/2:' 'case false:' ./library/planner 'TestScarceStarts'
 try 'scarce: the newest overdue job first' library/planner/plan.go 'byDeadline = -byDeadline' 'byDeadline *= 1' ./library/planner 'TestScarceStarts|TestScarceOrder'
-try 'gangs: a counted failure is stored' library/planner/gangs.go 'progress.FailedNumber = step.failedNumber' 'progress.FailedNumber = 0' ./library/planner 'TestGangFailureAfterOtherEnds'
-try 'gangs: failures of later runs count' library/planner/gangs.go 'if number > step.failedNumber {' 'if step.failedNumber == 0 {' ./library/planner 'TestGangFailuresCountOnce'
-try 'gangs: failures of earlier releases' library/planner/gangs.go 'step.failedNumber = step.lastGangNumber()' 'step.failedNumber = 0' ./library/planner 'TestGangFailuresOfEarlierRelease'
+try 'gangs: a counted failure is stored' library/planner/journal.go 'progress.FailedNumber = step.gang.FailedNumber' 'progress.FailedNumber = 0' ./library/planner 'TestGangFailureAfterOtherEnds'
+try 'gangs: failures of later runs count' library/tracker/tracker.go 'if number <= gang.FailedNumber {' 'if gang.FailedNumber > 0 {' ./library/planner 'TestGangFailuresCountOnce'
+try 'gangs: failures of earlier releases' library/tracker/tracker.go 'gang.FailedNumber = lastNumber' 'gang.FailedNumber = 0' ./library/planner 'TestGangFailuresOfEarlierRelease'
 try 'gangs: broken ones are stopped after a takeover' library/planner/gangs.go '			step.stopBroken(now)' '			_ = now' ./library/planner 'TestEndedGangIsStopped'
 try 'gangs: done ones of which a part was stored' library/planner/gangs.go '				step.completeRestored()' '' ./library/planner 'TestHalfStoredGang'
 try 'large jobs: the end of a job goes first' library/planner/journal.go '	if entry.state.Final() {
 		ordered' '	if false {
 		ordered' ./library/planner 'TestHalfStoredEnd'
-try 'hangs: their number is stored' library/planner/history.go 'progress.AddHangs(index, task.hangs)' '' ./library/planner 'TestHangsAfterTakeover'
+try 'hangs: their number is stored' library/tracker/tracker.go 'progress.AddHangs(index, task.Hangs)' '' ./library/planner 'TestHangsAfterTakeover'
 try 'hangs: stored with their part' library/planner/plan.go '		step.touch(run.Key.Index)
 ' '' ./library/planner 'TestHangWithLostStop'
-try 'failed workers: stored' library/planner/history.go 'progress.AddAvoided(index, task.avoided)' '' ./library/planner 'TestFailedWorkersAfterTakeover'
+try 'failed workers: stored' library/tracker/tracker.go 'progress.AddAvoided(index, task.Avoided)' '' ./library/planner 'TestFailedWorkersAfterTakeover'
 try 'crashes: long runs are stored' library/planner/crashes.go '		run.sound = true
 ' '' ./library/planner 'TestLongRunsAfterTakeover'
 try 'crashes: long runs are restored' library/planner/restore.go 'run.sound, run.answered = open.Sound, open.Sound' '' ./library/planner 'TestLongRunsAfterTakeover'
@@ -410,9 +411,10 @@
 }
 
 // recordLoss' ./library/planner 'TestLongRunsAfterTakeover'
-try 'successor: failed runs of gangs' library/planner/gangs.go '			step.restoreFailedNumber()' '			step.failedNumber = 0' ./library/planner 'TestSuccessorProperty'
-try 'successor: failures of tasks' library/planner/restore.go 'task.failures = stored.Failures[position]' '_ = task' ./library/planner 'TestSuccessorProperty'
-try 'successor: crashes' library/planner/crash_records.go 'step.tasks[index].evidence.Crashes = crashes' '_ = crashes' ./library/planner 'TestSuccessorProperty'
+try 'successor: failed runs of gangs' library/planner/gangs.go '			step.gang.RestoreFailedNumber(' '			step.gang.FailedNumber = 0
+			step.gang.RestoreFailedNumber(0*' ./library/planner 'TestSuccessorProperty'
+try 'successor: failures of tasks' library/tracker/tracker.go 'restored.Failures = stored.Failures[position]' '_ = restored' ./library/planner 'TestSuccessorProperty'
+try 'successor: crashes' library/tracker/tracker.go 'task.Evidence.Crashes = crashes' '_ = crashes' ./library/planner 'TestSuccessorProperty'
 try 'successor: runs of ended jobs' library/planner/journal.go '(!entry.hasOpenRuns() || entry.unstorable)' 'true' ./library/planner 'TestSuccessorProperty'
 try 'stored jobs: size with what acceptance adds' library/planner/job.go 'accepted.AcceptedMS, accepted.Excess = maxDueMS, true' '' ./library/planner 'TestLargestJobs'
 try 'stored jobs: no limits for new jobs' library/planner/job.go '	if err := job.checkFields(); err != nil {
