--- a/library/planner/attempts_test.go
+++ b/library/planner/attempts_test.go
@@ -133,7 +133,7 @@
 	}
 }
 
-// TestTaskFailuresCountOnce is the same for the tasks of a step that is no gang, and for a task with a copy.
+// TestTaskFailuresCountOnce is the same for the tasks of a step that is no gang.
 func TestTaskFailuresCountOnce(t *testing.T) {
 	const attempts = 3
 	for name, step := range map[string]planner.Step{"one": newStep(1), "many": newStep(3), "parts": smallTasks(300)} {
