Test the end of an occurrence in parts again

Since the end of a large job is stored before its parts, the test of parts that are newer than the progress did not reach the code that it is for: the mutant was green. Its second case now ends the first of two occurrences, whose end is stored after the parts, and the mutant is red.

--- a/library/planner/large_job_test.go
+++ b/library/planner/large_job_test.go
@@ -273,7 +273,8 @@
 }
 
 // TestPartsNewerThanProgress checks that a large job goes on if a decider ends between the storing of parts and of the record that counts
-// them: a job whose tasks are all done would run for ever.
+// them: a job whose tasks are all done would run for ever. The end of the job itself is stored before the parts, that of an occurrence after
+// them.
 func TestPartsNewerThanProgress(t *testing.T) {
 	for name, runs := range map[string]int{"once": 0, "occurrences": 2} {
 		t.Run(name, func(t *testing.T) {
@@ -292,7 +293,7 @@
 			}
 			for _, worker := range fleet.workers {
 				if worker != silent {
-					worker.endAs(planner.EndedDone)
+					worker.endOccurrence(0)
 				}
 			}
 			fleet.sendPolls()
@@ -313,9 +314,20 @@
 			for range 5 {
 				fleet.advance(time.Second)
 			}
+			fleet.endAll(planner.EndedDone) // those of the second occurrence
+			fleet.advance(time.Second)
 			fleet.wantState(jobA, planner.Completed)
 			fleet.wantRunning(0)
 			fleet.wantForgotten(jobA)
 		})
 	}
 }
+
+// endOccurrence ends all runs of an occurrence on the worker as done.
+func (fakeWorker *fakeWorker) endOccurrence(number int) {
+	for key := range fakeWorker.running {
+		if key.Occurrence == number {
+			fakeWorker.markEnded(key, planner.EndedDone)
+		}
+	}
+}
