--- a/library/encoder/progress.go
+++ b/library/encoder/progress.go
@@ -63,7 +63,7 @@
 	Worker      string `json:"worker"`
 	Incarnation int64  `json:"born,omitempty"`   // Run.Incarnation
 	Number      int    `json:"number,omitempty"` // 0 for the task's last run number
-	Sound       bool   `json:"sound,omitempty"`  // whether it has run for so long that a crash is no evidence against its task, see blamer.Sound
+	Sound       bool   `json:"sound,omitempty"`  // whether it ran too long for a crash to be its task's fault, see blamer.Sound
 }
 
 // UnmarshalJSON decodes progress, and refuses values out of range and any other format version than ProgressVersion and DividedVersion.
@@ -103,7 +103,8 @@
 
 // invalid reports whether an index, the number of a run, or a count is out of range.
 func (stepProgress StepProgress) invalid() bool {
-	return !stepProgress.Valid(maxNumber) || !validNumbers(stepProgress.FailedNumber) || !validCounts(stepProgress.Hangs) || !validNumbers(stepProgress.Numbers...) || !validNumbers(stepProgress.Failures...) ||
+	return !stepProgress.Valid(maxNumber) || !validNumbers(stepProgress.FailedNumber) || !validCounts(stepProgress.Hangs) ||
+		!validNumbers(stepProgress.Numbers...) || !validNumbers(stepProgress.Failures...) ||
 		slices.ContainsFunc(stepProgress.Open, func(open OpenRun) bool { return !validNumbers(open.Index, open.Number) })
 }
 
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -99,8 +99,8 @@
 		return err
 	}
 	// An append to the store may end between any two records. The parts that the progress refers to are stored before it, and those that
-	// it no longer refers to are deleted after it. The end of a job is stored before the ends of the runs that caused
-	// it: without them, the next planner reads them again and comes to the same end; without it, it would start the tasks again.
+	// it no longer refers to are deleted after it. The end of a job is stored before the ends of the runs that caused it: without them, the
+	// next planner reads them again and comes to the same end; without the end of the job, it would start the tasks again.
 	ordered := [][]Record{parts, {record}, deletedParts}
 	if entry.state.Final() {
 		ordered = [][]Record{{record}, parts, deletedParts}
--- a/library/planner/tables.go
+++ b/library/planner/tables.go
@@ -53,8 +53,8 @@
 	waiting        []int // indexes of the tasks to start, in order
 	openCount      int   // number of runs that exist or may exist
 	completedTasks int
-	active         bool // whether all steps that it depends on are completed
-	gang           tracker.Gang
+	active         bool         // whether all steps that it depends on are completed
+	gang           tracker.Gang // if it is a gang
 	policy         policyCache
 	// suspected reports whether a worker crashed, or may have crashed, under one of its tasks.
 	suspected bool
