--- a/Makefile
+++ b/Makefile
@@ -22,11 +22,12 @@
 	go test -race $(skip) $(packages)
 	go test $(skip) ./tests
 	go test $(skip) ./tests/soaker
+	go test $(skip) -timeout 30m ./tests/crowder
 
 known:
 	@for name in $$(sed -n 's/^test: //p' KNOWN-RED.txt); do \
 		echo "known red, does not count: $$name"; \
-		go test -count=1 -run "^$$(echo $$name | sed 's,/,$$/^,g')$$" ./tests ./library/planner | grep -v '^FAIL' || true; \
+		go test -count=1 -run "^$$(echo $$name | sed 's,/,$$/^,g')$$" ./tests ./tests/crowder ./library/planner | grep -v '^FAIL' || true; \
 	done
 
 soak:
--- /dev/null
+++ b/tests/crowder/crowder_test.go
@@ -0,0 +1,121 @@
+package crowder
+
+import (
+	"encoding/binary"
+	"fmt"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// descriptorShare is the part of the descriptors that a crowd may take in percent: the host's own calls need the others.
+const descriptorShare = 75
+
+// kinds are the kinds of crowds, by the name of the test.
+var kinds = []struct {
+	name  string
+	count int
+	files int
+	group int // the addresses that are called
+	send  client
+}{
+	{"wholeBodies", 400, manyFiles, httpGroup, stalledBody(knownKey, maxBodyBytes)},
+	{"bodiesInPieces", 400, manyFiles, httpGroup, stalledBody(knownKey, 4<<10)},
+	{"largeChunks", 400, manyFiles, httpGroup, stalledChunks(64 << 10)},
+	{"smallChunks", 400, manyFiles, httpGroup, stalledChunks(1)},
+	{"bodiesWithUnknownKey", 400, manyFiles, httpGroup, stalledBody("unknown", maxBodyBytes)},
+	{"manySteps", 40, manyFiles, httpGroup, wholeBody(repeated(`{"steps":[`, `{}`, `]}`))},
+	{"manyDependencies", 400, manyFiles, httpGroup, wholeBody(repeated(`{"steps":[{"count":1,"dependsOn":[`, `0`, `]}]}`))},
+	{"acceptedPayloads", 500, manyFiles, httpGroup, wholeBody(`{"spec":"` + strings.Repeat("x", 200<<10) + `","steps":[{"count":1,"cpu":500,"memMb":10}]}`)},
+	{"largeJobs", 200, manyFiles, httpGroup, wholeBody(repeated(`{"steps":[`, `{"count":1,"cpu":1}`, `]}`))},
+	{"headsWithoutEnd", 1200, manyFiles, httpGroup, stalledHead("X-Line: "+strings.Repeat("x", 90)+"\r\n", 60<<10)},
+	{"headsOfShortLines", 200, manyFiles, httpGroup, distinctLines(60 << 10)},
+	{"headsOverLimit", 800, manyFiles, httpGroup, stalledHead("X-Line: "+strings.Repeat("x", 90)+"\r\n", 200<<10)},
+	{"emptyLines", 400, manyFiles, httpGroup, endless("", []byte(strings.Repeat("\r\n", 2048)), 1<<20)},
+	{"requestsInARow", 200, manyFiles, httpGroup, endless("", []byte(strings.Repeat(fmt.Sprintf("GET %s HTTP/1.1\r\nHost: crowd\r\nX-Ebonyshunt-Key: %s\r\n\r\n", prefix, knownKey), 64)), 2<<20)},
+	{"silentConnections", 800, fewFiles, httpGroup, silent},
+	{"readinessHeads", 1200, manyFiles, readinessGroup, stalledHead("X-Line: "+strings.Repeat("x", 90)+"\r\n", 60<<10)},
+	{"readinessConnections", 800, fewFiles, readinessGroup, silent},
+	{"metricsHeads", 1200, manyFiles, metricsGroup, stalledHead("X-Line: "+strings.Repeat("x", 90)+"\r\n", 60<<10)},
+	{"metricsConnections", 800, fewFiles, metricsGroup, silent},
+	{"peerMessages", 60, manyFiles, peerGroup, endless(string(binary.AppendUvarint(nil, 60<<20)), make([]byte, 64<<10), 3<<20)},
+	{"peerConnections", 800, fewFiles, peerGroup, silent},
+}
+
+// TestCrowds sends each kind of crowd to the decider of two hosts, and an ordinary job while the crowd is there.
+func TestCrowds(t *testing.T) {
+	if raceDetector {
+		t.Skip("make test plays the crowds one at a time and without the race detector")
+	}
+	for number, kind := range kinds {
+		t.Run(kind.name, func(t *testing.T) {
+			cluster := startCluster(t, 2, kind.files)
+			decider := cluster.hosts[0]
+			stop := make(chan struct{})
+			seen := watch(t, decider.process, decider.addresses(), stop)
+			crowd := sendCrowd(t, decider.address(kind.group), kind.count, kind.send)
+			time.Sleep(settleTime)
+			assertAnswered(t, decider, fmt.Sprintf("%016x", number), ordinaryBody)
+			crowd.close()
+			assertAnswered(t, decider, fmt.Sprintf("%016x", 100+number), ordinaryBody)
+			close(stop)
+			assertBounded(t, <-seen, kind.files*descriptorShare/100)
+			for _, host := range cluster.hosts {
+				if host.hasEnded() {
+					t.Errorf("host %d has ended: %v", host.number, host.err)
+				}
+			}
+		})
+	}
+}
+
+// TestLargestBody checks that a job of the largest legal size is accepted while no other client calls.
+func TestLargestBody(t *testing.T) {
+	if raceDetector {
+		t.Skip("as TestCrowds")
+	}
+	cluster := startCluster(t, 1, manyFiles)
+	const most = 240 << 10 // as stored, docs/API.md
+	body := `{"spec":"` + strings.Repeat("x", most-1024) + `","steps":[{"count":1,"cpu":500,"memMb":10}]}`
+	assertAnswered(t, cluster.hosts[0], fmt.Sprintf("%016x", 1), body)
+}
+
+// TestStopAmidCrowd checks that open bodies do not hold up a planned stop, and that the other host decides after it.
+func TestStopAmidCrowd(t *testing.T) {
+	if raceDetector {
+		t.Skip("as TestCrowds")
+	}
+	cluster := startCluster(t, 2, manyFiles)
+	decider := cluster.hosts[0]
+	sendCrowd(t, decider.address(httpGroup), 200, stalledBody(knownKey, maxBodyBytes))
+	_ = decider.command.Process.Signal(syscall.SIGTERM)
+	<-decider.ended
+	if decider.err != nil || decider.logged(t, "shutdown cut off open requests") {
+		t.Errorf("the host ended with %v, or waited until the end of its grace", decider.err)
+	}
+	assertAnswered(t, cluster.hosts[1], fmt.Sprintf("%016x", 1), ordinaryBody)
+}
+
+// TestTakeoverAmidCrowd checks that a host to which a crowd is connected takes over when the decider is killed.
+func TestTakeoverAmidCrowd(t *testing.T) {
+	if raceDetector {
+		t.Skip("as TestCrowds")
+	}
+	cluster := startCluster(t, 2, manyFiles)
+	former, successor := cluster.hosts[0], cluster.hosts[1]
+	stop := make(chan struct{})
+	seen := watch(t, successor.process, successor.addresses(), stop)
+	sendCrowd(t, successor.address(httpGroup), 400, stalledBody(knownKey, maxBodyBytes))
+	_ = former.command.Process.Kill()
+	<-former.ended
+	if !former.wasKilled() {
+		t.Errorf("the decider had ended before: %v", former.err)
+	}
+	assertAnswered(t, successor, fmt.Sprintf("%016x", 1), ordinaryBody)
+	close(stop)
+	assertBounded(t, <-seen, manyFiles*descriptorShare/100)
+	if successor.hasEnded() {
+		t.Errorf("the successor has ended: %v", successor.err)
+	}
+}
