Bound the connections to each address of a host

Callers saw no answer while other clients held idle connections: all descriptors were in use, also those that the host needs for its store, workers and peers. Cause: nothing bounded the connections to the four addresses.

The new package acceptor bounds them. At the limit it closes the connection that has been waiting longest for a whole request, so that a newcomer that sends its request is answered; connections whose requests are served stay open. Answers that are not read end their connection after a minute. Two fifths of mostFiles for callers by default, mostConnections sets it.

--- /dev/null
+++ b/daemon/acceptor/acceptor_test.go
@@ -0,0 +1,197 @@
+package acceptor
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+const testTimeout = 10 * time.Second
+
+// testServer is an HTTP server behind a Listener.
+type testServer struct {
+	*Listener
+	address string
+	closed  chan Reason
+	served  chan struct{} // receives an element when a request begins
+	proceed chan struct{} // an element lets a request end
+}
+
+// newServer starts a server whose requests to /wait end when proceed is sent to. Other requests are answered once their body was read.
+func newServer(t *testing.T, limits Limits) *testServer {
+	t.Helper()
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &testServer{address: raw.Addr().String(), closed: make(chan Reason, 100), served: make(chan struct{}, 100), proceed: make(chan struct{})}
+	limits.Closed = func(reason Reason) { server.closed <- reason }
+	server.Listener = Wrap(raw, limits)
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		server.served <- struct{}{}
+		if request.URL.Path == "/wait" {
+			<-server.proceed
+		}
+		writer.WriteHeader(http.StatusNoContent)
+	})
+	httpServer := &http.Server{Handler: Handle(handler), ConnContext: WithConn, ReadHeaderTimeout: testTimeout}
+	go func() { _ = httpServer.Serve(server) }()
+	t.Cleanup(func() { _ = httpServer.Close() })
+	return server
+}
+
+// dial opens a connection and sends text.
+func (testServer *testServer) dial(t *testing.T, text string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", testServer.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(testTimeout))
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+// awaitConns waits until the listener has so many connections.
+func (testServer *testServer) awaitConns(t *testing.T, count int) {
+	t.Helper()
+	for range 1000 {
+		if testServer.Conns() == count {
+			return
+		}
+		time.Sleep(testTimeout / 1000)
+	}
+	t.Fatalf("%d connections, want %d", testServer.Conns(), count)
+}
+
+func assertStatus(t *testing.T, conn net.Conn, status int) {
+	t.Helper()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != status {
+		t.Errorf("status %d, want %d", response.StatusCode, status)
+	}
+}
+
+// assertClosed checks that the other side has closed a connection without an answer.
+func assertClosed(t *testing.T, conn net.Conn) {
+	t.Helper()
+	data, err := io.ReadAll(conn)
+	if netErr, ok := err.(net.Error); ok && netErr.Timeout() || len(data) > 0 { //nolint:errorlint // set by the connection itself
+		t.Errorf("read %q, %v; want a closed connection", data, err)
+	}
+}
+
+func request(path string) string { return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: x\r\n\r\n", path) }
+
+// TestOldestIsClosed checks which connection is closed when there are too many.
+func TestOldestIsClosed(t *testing.T) {
+	t.Run("silent", func(t *testing.T) {
+		server := newServer(t, Limits{Conns: 2})
+		first := server.dial(t, "")
+		server.awaitConns(t, 1)
+		second := server.dial(t, "")
+		server.awaitConns(t, 2)
+		third := server.dial(t, request("/"))
+		assertClosed(t, first)
+		assertStatus(t, third, http.StatusNoContent)
+		if _, err := io.WriteString(second, request("/")); err != nil {
+			t.Error(err)
+		}
+		assertStatus(t, second, http.StatusNoContent)
+		if reason := <-server.closed; reason != TooManyConnections {
+			t.Errorf("reason %q", reason)
+		}
+	})
+	t.Run("stalledBody", func(t *testing.T) {
+		server := newServer(t, Limits{Conns: 1})
+		first := server.dial(t, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nx")
+		server.awaitConns(t, 1)
+		assertStatus(t, server.dial(t, request("/")), http.StatusNoContent)
+		assertClosed(t, first)
+	})
+	t.Run("notServed", func(t *testing.T) {
+		server := newServer(t, Limits{Conns: 2})
+		served := server.dial(t, request("/wait"))
+		<-server.served
+		idle := server.dial(t, "")
+		server.awaitConns(t, 2)
+		assertStatus(t, server.dial(t, request("/")), http.StatusNoContent)
+		assertClosed(t, idle)
+		server.proceed <- struct{}{}
+		assertStatus(t, served, http.StatusNoContent)
+	})
+	t.Run("allServed", func(t *testing.T) {
+		server := newServer(t, Limits{Conns: 1})
+		served := server.dial(t, request("/wait"))
+		<-server.served
+		assertClosed(t, server.dial(t, ""))
+		server.proceed <- struct{}{}
+		assertStatus(t, served, http.StatusNoContent)
+	})
+	t.Run("afterAnswer", func(t *testing.T) { // a connection whose request was answered counts anew
+		server := newServer(t, Limits{Conns: 2})
+		first := server.dial(t, "")
+		server.awaitConns(t, 1)
+		second := server.dial(t, "")
+		server.awaitConns(t, 2)
+		if _, err := io.WriteString(first, request("/")); err != nil {
+			t.Fatal(err)
+		}
+		assertStatus(t, first, http.StatusNoContent)
+		assertStatus(t, server.dial(t, request("/")), http.StatusNoContent)
+		assertClosed(t, second)
+	})
+}
+
+// TestLatestRead checks that the connection that sent nothing for the longest time is closed where each read counts.
+func TestLatestRead(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := Wrap(raw, Limits{Conns: 2, ByLatestRead: true})
+	defer listener.Close()
+	var accepted []net.Conn
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", raw.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		_ = conn.SetDeadline(time.Now().Add(testTimeout))
+		other, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { other.Close() })
+		accepted = append(accepted, other)
+		return conn
+	}
+	first, second := dial(), dial()
+	if _, err := io.WriteString(first, "x"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := accepted[0].Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	dial()
+	assertClosed(t, second)
+	if _, err := io.WriteString(first, "x"); err != nil {
+		t.Error(err)
+	}
+	if _, err := accepted[0].Read(make([]byte, 1)); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/daemon/acceptor/conn.go
@@ -0,0 +1,84 @@
+package acceptor
+
+import (
+	"container/list"
+	"net"
+)
+
+// Conn is a connection that a Listener accepted. The fields are guarded by the listener's mutex.
+type Conn struct {
+	net.Conn
+	listener *Listener
+	open     bool          // counted by the listener
+	element  *list.Element // in listener.receiving, nil while a request is served
+}
+
+// Read reads from the connection.
+func (conn *Conn) Read(data []byte) (int, error) {
+	count, err := conn.Conn.Read(data)
+	if count > 0 && conn.listener.limits.ByLatestRead {
+		conn.moveToEnd()
+	}
+	return count, err //nolint:wrapcheck // http.Server compares it
+}
+
+// moveToEnd makes the connection the one that has been receiving for the shortest time.
+func (conn *Conn) moveToEnd() {
+	conn.listener.mu.Lock()
+	defer conn.listener.mu.Unlock()
+	if conn.element != nil {
+		conn.listener.receiving.MoveToBack(conn.element)
+	}
+}
+
+// Close closes the connection.
+func (conn *Conn) Close() error {
+	conn.listener.mu.Lock()
+	conn.remove()
+	conn.listener.mu.Unlock()
+	return conn.Conn.Close() //nolint:wrapcheck // http.Server compares it
+}
+
+// remove removes the connection from the listener's counts.
+func (conn *Conn) remove() {
+	if !conn.open {
+		return
+	}
+	conn.open = false
+	conn.listener.conns--
+	conn.stopReceiving()
+}
+
+func (conn *Conn) stopReceiving() {
+	if conn.element != nil {
+		conn.listener.receiving.Remove(conn.element)
+		conn.element = nil
+	}
+}
+
+// beginRequest records that a whole request was received. The connection stays open until it was answered.
+func (conn *Conn) beginRequest() {
+	conn.listener.mu.Lock()
+	defer conn.listener.mu.Unlock()
+	conn.stopReceiving()
+}
+
+// endRequest records that a request was answered.
+func (conn *Conn) endRequest() {
+	listener := conn.listener
+	listener.mu.Lock()
+	defer listener.mu.Unlock()
+	conn.stopReceiving()
+	if !conn.open {
+		return
+	}
+	conn.element = listener.receiving.PushBack(conn)
+}
+
+// CloseWrite ends the answers on the connection. http.Server calls it before it closes a connection from which it has not read all.
+func (conn *Conn) CloseWrite() error {
+	if closer, ok := conn.Conn.(interface{ CloseWrite() error }); ok {
+		return closer.CloseWrite() //nolint:wrapcheck // http.Server ignores it
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/acceptor/handler.go
@@ -0,0 +1,50 @@
+package acceptor
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+)
+
+// connKey is the key of a connection in the context of its requests.
+type connKey struct{}
+
+// WithConn adds a connection to the context of its requests. It is the ConnContext of an http.Server.
+func WithConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// Handle returns a handler that tells the connection of each request when the request was received and when it was answered.
+func Handle(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		conn, ok := request.Context().Value(connKey{}).(*Conn)
+		if !ok {
+			next.ServeHTTP(writer, request)
+			return
+		}
+		defer conn.endRequest()
+		if request.Body == nil || request.Body == http.NoBody {
+			conn.beginRequest()
+		} else {
+			request.Body = &body{ReadCloser: request.Body, conn: conn}
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
+
+// body is the body of a request, which tells its connection when it was received.
+type body struct {
+	io.ReadCloser
+	conn *Conn
+}
+
+// Read reads from the body.
+func (body *body) Read(data []byte) (int, error) {
+	count, err := body.ReadCloser.Read(data)
+	if errors.Is(err, io.EOF) {
+		body.conn.beginRequest()
+	}
+	return count, err //nolint:wrapcheck // io.EOF is compared
+}
--- /dev/null
+++ b/daemon/acceptor/listener.go
@@ -0,0 +1,102 @@
+// Package acceptor accepts the connections of clients within limits that hold for all of them together.
+package acceptor
+
+import (
+	"container/list"
+	"net"
+	"sync"
+)
+
+// Reason is a reason for which a connection was closed.
+type Reason string
+
+// The reasons for which connections are closed.
+const (
+	TooManyConnections Reason = "connections"
+)
+
+// Limits are what all connections of a listener may take together.
+type Limits struct {
+	Conns int // maximum number of connections
+	// ByLatestRead is set for protocols other than HTTP, on whose connections requests do not follow each other: each read counts as
+	// the end of a request.
+	ByLatestRead bool
+	// Closed is called for each connection that is closed because of a limit, nil for no call.
+	Closed func(Reason)
+}
+
+// Listener is a net.Listener that accepts connections within limits. A connection is receiving until a whole request was read from it,
+// and again after the request was answered. At a limit, the connection that has been receiving for the longest time is closed: a
+// client that sends its request soon is not closed, and neither is one whose request is being served.
+type Listener struct {
+	net.Listener
+	limits Limits
+
+	mu        sync.Mutex
+	conns     int
+	receiving list.List // of *Conn, the one that has been receiving for the longest time first
+}
+
+// Wrap returns a listener that accepts the connections of another one within limits.
+func Wrap(listener net.Listener, limits Limits) *Listener {
+	return &Listener{Listener: listener, limits: limits}
+}
+
+// Accept waits for the next connection. It closes another one if there are too many.
+func (listener *Listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := listener.Listener.Accept()
+		if err != nil {
+			return nil, err //nolint:wrapcheck // http.Server compares it
+		}
+		if conn := listener.add(raw); conn != nil {
+			return conn, nil
+		}
+		_ = raw.Close()
+		listener.report(TooManyConnections)
+	}
+}
+
+// add adds a connection, and closes another one if there are too many. It returns nil if all others are being served.
+func (listener *Listener) add(raw net.Conn) *Conn {
+	conn := &Conn{Conn: raw, listener: listener}
+	listener.mu.Lock()
+	var oldest *Conn
+	if listener.conns >= listener.limits.Conns {
+		if oldest = listener.oldest(); oldest == nil {
+			listener.mu.Unlock()
+			return nil
+		}
+		oldest.remove()
+	}
+	listener.conns++
+	conn.open = true
+	conn.element = listener.receiving.PushBack(conn)
+	listener.mu.Unlock()
+	if oldest != nil {
+		_ = oldest.Conn.Close()
+		listener.report(TooManyConnections)
+	}
+	return conn
+}
+
+// oldest returns the connection that has been receiving for the longest time, or nil if there is none.
+func (listener *Listener) oldest() *Conn {
+	if element := listener.receiving.Front(); element != nil {
+		return element.Value.(*Conn)
+	}
+	return nil
+}
+
+func (listener *Listener) report(reason Reason) {
+	if listener.limits.Closed != nil {
+		listener.limits.Closed(reason)
+	}
+}
+
+// Conns returns the number of open connections.
+func (listener *Listener) Conns() int {
+	listener.mu.Lock()
+	defer listener.mu.Unlock()
+	return listener.conns
+}
--- a/daemon/loader/scheduling.go
+++ b/daemon/loader/scheduling.go
@@ -21,6 +21,7 @@
 	ProcessorShare    float64  // processor capacity, compared with that of other hosts in elections
 	MemoryMB          int64    // memory for the process, in MiB
 	MaxOpenFiles      int64    // maximum number of open file descriptors
+	MaxConnections    int64    // maximum number of connections of callers, 0 for a part of MaxOpenFiles and MemoryMB
 	StoreAddress      string
 	MaxRecordBytes    int64         // maximum size of a record that the store takes, with its key
 	PolicyAddress     string        // empty if queues have no policy
@@ -118,6 +119,7 @@
 	scheduling.ProcessorShare = fields.Number("processorShare", 1, MaxProcessorShare)
 	scheduling.MemoryMB = fields.Integer("memoryMB", 256, 16, maxMemoryMB)
 	scheduling.MaxOpenFiles = fields.Integer("mostFiles", defaultFileLimit, minFileLimit, maxFileLimit)
+	scheduling.MaxConnections = fields.Integer("mostConnections", 0, 0, maxFileLimit)
 	scheduling.LogLevel = fields.Choice("logLevel", "info", "debug", "info", "warn", "error")
 }
 
--- /dev/null
+++ b/daemon/scheduler/client_limits.go
@@ -0,0 +1,115 @@
+package scheduler
+
+import (
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"ebonyshunt.org/daemon/acceptor"
+	"ebonyshunt.org/daemon/loader"
+)
+
+// listenerName is the setting with the address of a listener, in logs and metrics.
+type listenerName string
+
+// The listeners of a host.
+const (
+	httpListener      listenerName = "httpAddress"
+	readinessListener listenerName = "readinessAddress"
+	metricsListener   listenerName = "metricsAddress"
+	peerListener      listenerName = "peerAddress"
+)
+
+const (
+	// The parts of the descriptors that the connections to each address may take, in percent. The host needs the others for its own
+	// calls to the store, to workers and to peers.
+	httpFilesPercent      = 40
+	readinessFilesPercent = 3
+	metricsFilesPercent   = 2
+	peerFilesPercent      = 20
+	// connMemoryShare is the inverse of the part of the memory that connections of clients may take.
+	connMemoryShare = 8
+	// connBytes is the memory of a connection without a request: its goroutine and the buffers for reading and writing.
+	connBytes = 16 << 10
+)
+
+// maxConns returns the maximum number of connections that a listener keeps open.
+func maxConns(settings loader.Scheduling, name listenerName) int {
+	files := settings.MaxOpenFiles
+	switch name {
+	case readinessListener:
+		return int(files * readinessFilesPercent / 100)
+	case metricsListener:
+		return int(files * metricsFilesPercent / 100)
+	case peerListener:
+		return int(files * peerFilesPercent / 100)
+	case httpListener:
+	}
+	if settings.MaxConnections > 0 {
+		return int(settings.MaxConnections)
+	}
+	return int(min(files*httpFilesPercent/100, settings.MemoryMB<<20/connMemoryShare/connBytes))
+}
+
+// listenWithin listens on an address of the host within the limits for clients.
+func (host *Host) listenWithin(name listenerName, address string) (net.Listener, error) {
+	network := host.network
+	if name == peerListener {
+		network = host.peerNetwork
+	}
+	listener, err := network.Listen(address)
+	if err != nil {
+		return nil, err //nolint:wrapcheck // the caller names the address
+	}
+	return acceptor.Wrap(listener, acceptor.Limits{
+		Conns:        maxConns(host.settings, name),
+		ByLatestRead: name == peerListener,
+		Closed:       func(reason acceptor.Reason) { host.recordLimit(name, string(reason)) },
+	}), nil
+}
+
+// recordLimit counts and logs that a limit closed a connection or refused a request.
+func (host *Host) recordLimit(name listenerName, limit string) {
+	host.metrics.limits.WithLabelValues(string(name), limit).Inc()
+	host.limitLog.record(host.log, name, limit)
+}
+
+// limitLogInterval is the minimum time between two log lines about a limit.
+const limitLogInterval = 5 * time.Second
+
+// limitLog logs which limits were met, one line for many events.
+type limitLog struct {
+	mu      sync.Mutex
+	entries map[limitKey]*limitEntry
+}
+
+type limitKey struct {
+	name  listenerName
+	limit string
+}
+
+// limitEntry holds what was logged about one limit.
+type limitEntry struct {
+	loggedAt time.Time
+	unlogged int // events since then
+}
+
+func (limitLog *limitLog) record(log *slog.Logger, name listenerName, limit string) {
+	limitLog.mu.Lock()
+	defer limitLog.mu.Unlock()
+	key := limitKey{name, limit}
+	entry := limitLog.entries[key]
+	if entry == nil {
+		entry = &limitEntry{}
+		if limitLog.entries == nil {
+			limitLog.entries = map[limitKey]*limitEntry{}
+		}
+		limitLog.entries[key] = entry
+	}
+	entry.unlogged++
+	if now := time.Now(); now.Sub(entry.loggedAt) >= limitLogInterval {
+		log.Warn("limit for clients met", "listener", name, "limit", limit, "times", entry.unlogged)
+		entry.loggedAt, entry.unlogged = now, 0
+	}
+}
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"ebonyshunt.org/daemon/acceptor"
 	"ebonyshunt.org/daemon/dialer"
 	"ebonyshunt.org/daemon/linker"
 	"ebonyshunt.org/daemon/loader"
@@ -40,6 +41,7 @@
 	started  time.Time
 	clock    *recorder.Clock
 	metrics  *metrics
+	limitLog limitLog
 
 	store           *translator.Store
 	workers         *translator.WorkerClient
@@ -84,7 +86,9 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = time.Minute
-	maxHeaderBytes    = 64 << 10
+	// writeTimeout ends connections whose clients do not read their answers, from the end of the head on.
+	writeTimeout   = time.Minute
+	maxHeaderBytes = 64 << 10
 	// memoryLimitFraction is the part of the host's memory above which the Go runtime collects garbage more often.
 	memoryLimitFraction = 0.7
 	gcPercent           = 200
@@ -154,22 +158,22 @@
 }
 
 func (host *Host) listen() error {
-	peers, err := host.peerNetwork.Listen(host.settings.PeerAddress)
+	peers, err := host.listenWithin(peerListener, host.settings.PeerAddress)
 	if err != nil {
 		return fmt.Errorf("listen on peerAddress %s: %w", host.settings.PeerAddress, err)
 	}
 	host.peerServer = linker.Serve(peers, host.settings.Host, host.clock, host.log, host.handlePeerCall)
 	ingress := &translator.Ingress{Gateway: &gateway{host: host}}
-	host.httpServer, err = host.serve(host.settings.HTTPAddress, ingress)
+	host.httpServer, err = host.serve(httpListener, host.settings.HTTPAddress, ingress)
 	if err != nil {
 		return fmt.Errorf("listen on httpAddress %s: %w", host.settings.HTTPAddress, err)
 	}
-	host.readinessServer, err = host.serve(host.settings.ReadinessAddress, http.HandlerFunc(host.handleReadiness))
+	host.readinessServer, err = host.serve(readinessListener, host.settings.ReadinessAddress, http.HandlerFunc(host.handleReadiness))
 	if err != nil {
 		return fmt.Errorf("listen on readinessAddress %s: %w", host.settings.ReadinessAddress, err)
 	}
 	if host.settings.MetricsAddress != "" {
-		host.metricsServer, err = host.serve(host.settings.MetricsAddress, host.routes())
+		host.metricsServer, err = host.serve(metricsListener, host.settings.MetricsAddress, host.routes())
 		if err != nil {
 			return fmt.Errorf("listen on metricsAddress %s: %w", host.settings.MetricsAddress, err)
 		}
@@ -177,13 +181,14 @@
 	return nil
 }
 
-func (host *Host) serve(address string, handler http.Handler) (*http.Server, error) {
-	listener, err := host.network.Listen(address)
+func (host *Host) serve(name listenerName, address string, handler http.Handler) (*http.Server, error) {
+	listener, err := host.listenWithin(name, address)
 	if err != nil {
 		return nil, err
 	}
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: acceptor.Handle(handler), ConnContext: acceptor.WithConn,
+		ReadHeaderTimeout: readHeaderTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(host.log.Handler(), slog.LevelDebug),
 	}
 	host.wait.Go(func() {
