Bound the memory of the heads of all requests together

A crowd of heads that never end took the memory of its machine: the limit of 64 KB for each head does not limit their sum, and a head of short lines takes up to 40 times its bytes when its lines are decoded.

Connections count what they read for heads, 3 for each byte and 160 for each line; at the limit the connection whose head has been incomplete for longest is closed. A complete head keeps its memory until its request was answered.

--- a/daemon/acceptor/acceptor_test.go
+++ b/daemon/acceptor/acceptor_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -195,3 +196,77 @@
 		t.Error(err)
 	}
 }
+
+// heads returns the memory of the heads that a listener counts.
+func (testServer *testServer) heads() int64 {
+	testServer.mu.Lock()
+	defer testServer.mu.Unlock()
+	return testServer.headBytes
+}
+
+// TestHeads checks that the oldest head that is not complete gives its memory to others, and that complete ones return theirs.
+func TestHeads(t *testing.T) {
+	line := "X-Line: " + strings.Repeat("x", 990) + "\r\n"
+	begin := "GET / HTTP/1.1\r\nHost: x\r\n"
+	const limit = 32 << 10
+	t.Run("oldest", func(t *testing.T) {
+		server := newServer(t, Limits{Conns: 10, HeadBytes: limit})
+		silent := server.dial(t, "")
+		server.awaitConns(t, 1)
+		first := server.dial(t, begin+strings.Repeat(line, 6))
+		server.awaitHeads(t, 6*costPerHeadByte*int64(len(line)))
+		second := server.dial(t, begin+strings.Repeat(line, 6)+"\r\n")
+		assertClosed(t, first)
+		assertStatus(t, second, http.StatusNoContent)
+		if _, err := io.WriteString(silent, request("/")); err != nil {
+			t.Error(err)
+		}
+		assertStatus(t, silent, http.StatusNoContent)
+		if reason := <-server.closed; reason != TooManyHeads {
+			t.Errorf("reason %q", reason)
+		}
+	})
+	t.Run("shortLines", func(t *testing.T) { // each takes more memory than its bytes
+		server := newServer(t, Limits{Conns: 10, HeadBytes: limit})
+		first := server.dial(t, begin+strings.Repeat("a:\n", 150))
+		server.awaitHeads(t, 150*costPerHeadLine)
+		server.dial(t, begin+strings.Repeat("a:\n", 150))
+		assertClosed(t, first)
+	})
+	t.Run("inARow", func(t *testing.T) { // the end of what was read for one head may be the beginning of the next
+		server := newServer(t, Limits{Conns: 10, HeadBytes: limit})
+		server.dial(t, request("/")+begin+strings.Repeat("a:\n", 100))
+		<-server.served
+		server.awaitHeads(t, 100*costPerHeadLine)
+	})
+	t.Run("returned", func(t *testing.T) {
+		server := newServer(t, Limits{Conns: 10, HeadBytes: limit})
+		conn := server.dial(t, "")
+		reader := bufio.NewReader(conn)
+		for range 20 {
+			if _, err := io.WriteString(conn, begin+strings.Repeat(line, 3)+"\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := http.ReadResponse(reader, nil); err != nil { // no body follows
+				t.Fatal(err)
+			}
+		}
+		conn.Close()
+		server.awaitConns(t, 0)
+		if heads := server.heads(); heads != 0 {
+			t.Errorf("%d bytes of heads without a connection", heads)
+		}
+	})
+}
+
+// awaitHeads waits until the heads take a number of bytes at least.
+func (testServer *testServer) awaitHeads(t *testing.T, bytes int64) {
+	t.Helper()
+	for range 1000 {
+		if testServer.heads() >= bytes {
+			return
+		}
+		time.Sleep(testTimeout / 1000)
+	}
+	t.Fatalf("%d bytes of heads, want %d", testServer.heads(), bytes)
+}
--- a/daemon/acceptor/conn.go
+++ b/daemon/acceptor/conn.go
@@ -11,13 +11,19 @@
 	listener *Listener
 	open     bool          // counted by the listener
 	element  *list.Element // in listener.receiving, nil while a request is served
+	head     head
 }
 
-// Read reads from the connection.
+// Read reads from the connection and counts what may belong to the heads of requests.
 func (conn *Conn) Read(data []byte) (int, error) {
 	count, err := conn.Conn.Read(data)
-	if count > 0 && conn.listener.limits.ByLatestRead {
+	limits := &conn.listener.limits
+	switch {
+	case count == 0:
+	case limits.ByLatestRead:
 		conn.moveToEnd()
+	case limits.HeadBytes > 0 && len(data) <= httpBufferBytes && !conn.charge(data[:count]):
+		return 0, errClosed
 	}
 	return count, err //nolint:wrapcheck // http.Server compares it
 }
@@ -46,6 +52,7 @@
 	}
 	conn.open = false
 	conn.listener.conns--
+	conn.releaseHead(conn.head.cost)
 	conn.stopReceiving()
 }
 
@@ -56,6 +63,13 @@
 	}
 }
 
+// beginBody records that the head of a request was received.
+func (conn *Conn) beginBody() {
+	conn.listener.mu.Lock()
+	defer conn.listener.mu.Unlock()
+	conn.head.inBody = true
+}
+
 // beginRequest records that a whole request was received. The connection stays open until it was answered.
 func (conn *Conn) beginRequest() {
 	conn.listener.mu.Lock()
@@ -63,15 +77,17 @@
 	conn.stopReceiving()
 }
 
-// endRequest records that a request was answered.
+// endRequest records that a request was answered. What was read last may belong to the next one.
 func (conn *Conn) endRequest() {
 	listener := conn.listener
 	listener.mu.Lock()
 	defer listener.mu.Unlock()
 	conn.stopReceiving()
+	conn.head.inBody = false
 	if !conn.open {
 		return
 	}
+	conn.releaseHead(conn.head.cost - conn.head.latest)
 	conn.element = listener.receiving.PushBack(conn)
 }
 
--- a/daemon/acceptor/handler.go
+++ b/daemon/acceptor/handler.go
@@ -28,6 +28,7 @@
 		if request.Body == nil || request.Body == http.NoBody {
 			conn.beginRequest()
 		} else {
+			conn.beginBody()
 			request.Body = &body{ReadCloser: request.Body, conn: conn}
 		}
 		next.ServeHTTP(writer, request)
--- a/daemon/acceptor/listener.go
+++ b/daemon/acceptor/listener.go
@@ -13,11 +13,15 @@
 // The reasons for which connections are closed.
 const (
 	TooManyConnections Reason = "connections"
+	TooManyHeads       Reason = "heads" // the heads of all requests together take too much memory
 )
 
 // Limits are what all connections of a listener may take together.
 type Limits struct {
 	Conns int // maximum number of connections
+	// HeadBytes is the memory for the heads of requests, which the connection with the oldest head that is not complete gives back
+	// at the limit, 0 for no limit.
+	HeadBytes int64
 	// ByLatestRead is set for protocols other than HTTP, on whose connections requests do not follow each other: each read counts as
 	// the end of a request.
 	ByLatestRead bool
@@ -34,6 +38,7 @@
 
 	mu        sync.Mutex
 	conns     int
+	headBytes int64
 	receiving list.List // of *Conn, the one that has been receiving for the longest time first
 }
 
--- a/daemon/scheduler/client_limits.go
+++ b/daemon/scheduler/client_limits.go
@@ -32,8 +32,24 @@
 	connMemoryShare = 8
 	// connBytes is the memory of a connection without a request: its goroutine and the buffers for reading and writing.
 	connBytes = 16 << 10
+	// The inverses of the parts of the memory that the heads of requests may take, for callers and for each other address.
+	httpHeadShare  = 16
+	otherHeadShare = 64
 )
 
+// maxHeadBytes returns the memory that the heads of all requests to a listener may take.
+func maxHeadBytes(settings loader.Scheduling, name listenerName) int64 {
+	memory := settings.MemoryMB << 20
+	switch name {
+	case httpListener:
+		return memory / httpHeadShare
+	case readinessListener, metricsListener:
+		return memory / otherHeadShare
+	case peerListener: // its protocol has no heads
+	}
+	return 0
+}
+
 // maxConns returns the maximum number of connections that a listener keeps open.
 func maxConns(settings loader.Scheduling, name listenerName) int {
 	files := settings.MaxOpenFiles
@@ -64,6 +80,7 @@
 	}
 	return acceptor.Wrap(listener, acceptor.Limits{
 		Conns:        maxConns(host.settings, name),
+		HeadBytes:    maxHeadBytes(host.settings, name),
 		ByLatestRead: name == peerListener,
 		Closed:       func(reason acceptor.Reason) { host.recordLimit(name, string(reason)) },
 	}), nil
