Bound the memory of the bodies of all submissions together

Clients that sent large bodies and stopped just short of their end ended a process by memory: each body kept its buffer for as long as its connection, the request's deadline did not end a read, and the limit for each body does not limit their sum.

The new package budgeter is a budget of memory for all submissions of a host, from the first byte until they are answered; receiver reads bodies within it and within a time. A declared length is claimed before the body is read, a chunked body claims as it grows. Large bodies cannot take the room of small ones; a body that had a second gives way to new ones before these are refused with 503. A decider claims memory for its peers' submissions too: without any it changes nothing and says so, which counts as not sent, so that a repeated attempt of the same submission that was carried out is not called refused.

--- a/daemon/acceptor/conn.go
+++ b/daemon/acceptor/conn.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"net"
+	"time"
 )
 
 // Conn is a connection that a Listener accepted. The fields are guarded by the listener's mutex.
@@ -63,13 +64,22 @@
 	}
 }
 
-// beginBody records that the head of a request was received.
+// beginBody records that the head of a request was received, and limits the time for its body.
 func (conn *Conn) beginBody() {
+	if timeout := conn.listener.limits.BodyTimeout; timeout > 0 {
+		_ = conn.SetReadDeadline(time.Now().Add(timeout)) // fails only if the connection is closed
+	}
 	conn.listener.mu.Lock()
 	defer conn.listener.mu.Unlock()
 	conn.head.inBody = true
 }
 
+// endBody records that the body of a request was received.
+func (conn *Conn) endBody() {
+	_ = conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
+	conn.beginRequest()
+}
+
 // beginRequest records that a whole request was received. The connection stays open until it was answered.
 func (conn *Conn) beginRequest() {
 	conn.listener.mu.Lock()
--- a/daemon/acceptor/handler.go
+++ b/daemon/acceptor/handler.go
@@ -38,14 +38,16 @@
 // body is the body of a request, which tells its connection when it was received.
 type body struct {
 	io.ReadCloser
-	conn *Conn
+	conn     *Conn
+	received bool
 }
 
 // Read reads from the body.
 func (body *body) Read(data []byte) (int, error) {
 	count, err := body.ReadCloser.Read(data)
-	if errors.Is(err, io.EOF) {
-		body.conn.beginRequest()
+	if errors.Is(err, io.EOF) && !body.received {
+		body.received = true
+		body.conn.endBody()
 	}
 	return count, err //nolint:wrapcheck // io.EOF is compared
 }
--- a/daemon/acceptor/listener.go
+++ b/daemon/acceptor/listener.go
@@ -5,6 +5,7 @@
 	"container/list"
 	"net"
 	"sync"
+	"time"
 )
 
 // Reason is a reason for which a connection was closed.
@@ -22,6 +23,8 @@
 	// HeadBytes is the memory for the heads of requests, which the connection with the oldest head that is not complete gives back
 	// at the limit, 0 for no limit.
 	HeadBytes int64
+	// BodyTimeout is the maximum duration of receiving a body, also of one that is not read by the handler, 0 for no limit.
+	BodyTimeout time.Duration
 	// ByLatestRead is set for protocols other than HTTP, on whose connections requests do not follow each other: each read counts as
 	// the end of a request.
 	ByLatestRead bool
--- a/daemon/loader/scheduling.go
+++ b/daemon/loader/scheduling.go
@@ -30,6 +30,7 @@
 	StatusRetention   time.Duration // retention of the state of an ended job
 	CrossRackFactor   float64       // run time away from the data's rack or across racks, as a multiple of that within the rack
 	ShutdownGrace     time.Duration // maximum duration of a graceful shutdown
+	BodyTimeout       time.Duration // maximum duration of receiving the body of a call
 	DelegateFrom      int64         // number of workers from which on the decider reaches them through other hosts
 	LogLevel          string
 	LearnRunTimes     bool // whether run times are learned from finished runs, rather than one average per queue
@@ -48,6 +49,8 @@
 	defaultDelegateFrom = 200
 	maxWorkers          = 1 << 20
 
+	defaultBodyTimeout = 30 * time.Second
+
 	defaultRecordBytes = 256 << 10
 	minRecordBytes     = 4 << 10
 	maxRecordBytes     = 1 << 30
@@ -129,6 +132,7 @@
 	scheduling.StatusRetention = fields.Duration("statusFor", 2*time.Minute, time.Second, maxDuration)
 	scheduling.CrossRackFactor = fields.Number("spread", 1.5, maxCrossRackFactor)
 	scheduling.DelegateFrom = fields.Integer("delegateFrom", defaultDelegateFrom, 1, maxWorkers)
+	scheduling.BodyTimeout = fields.Duration("bodyTimeout", defaultBodyTimeout, time.Second, maxDuration)
 	scheduling.ShutdownGrace = fields.Duration("shutdownGrace", 5*time.Second, time.Second, maxDuration)
 }
 
--- a/daemon/scheduler/calls.go
+++ b/daemon/scheduler/calls.go
@@ -30,6 +30,9 @@
 // errNotDeciding reports that a call changed nothing because this host is not the decider. Peers compare its text.
 var errNotDeciding = errors.New("this host does not decide")
 
+// errBusy reports that a call changed nothing because the decider has no memory for it now. Peers compare its text.
+var errBusy = errors.New("the deciding host serves as many calls as its memory allows")
+
 // handlePeerCall answers a call from a peer.
 func (host *Host) handlePeerCall(ctx context.Context, _, method string, body json.RawMessage) (any, error) {
 	switch method {
@@ -48,6 +51,15 @@
 	case methodCollect:
 		return decodeAndHandle(body, func(call CollectCall) (any, error) { return host.collectResults(ctx, call), nil })
 	}
+	claim, err := host.requestBudget.Claim(int64(len(body)), func() {})
+	if err != nil {
+		host.recordLimit(peerListener, string(translator.RequestMemory))
+		return nil, errBusy
+	}
+	defer claim.Release()
+	if err := claim.Arrived(); err != nil {
+		return nil, errBusy
+	}
 	return decodeAndHandle(body, func(call Call) (any, error) {
 		tenure := host.currentTenure()
 		if tenure == nil {
--- a/daemon/scheduler/client_limits.go
+++ b/daemon/scheduler/client_limits.go
@@ -32,6 +32,8 @@
 	connMemoryShare = 8
 	// connBytes is the memory of a connection without a request: its goroutine and the buffers for reading and writing.
 	connBytes = 16 << 10
+	// requestMemoryShare is the inverse of the part of the memory that submissions may take from their first byte until they are answered.
+	requestMemoryShare = 8
 	// The inverses of the parts of the memory that the heads of requests may take, for callers and for each other address.
 	httpHeadShare  = 16
 	otherHeadShare = 64
@@ -81,6 +83,7 @@
 	return acceptor.Wrap(listener, acceptor.Limits{
 		Conns:        maxConns(host.settings, name),
 		HeadBytes:    maxHeadBytes(host.settings, name),
+		BodyTimeout:  host.settings.BodyTimeout,
 		ByLatestRead: name == peerListener,
 		Closed:       func(reason acceptor.Reason) { host.recordLimit(name, string(reason)) },
 	}), nil
--- a/daemon/scheduler/gateway.go
+++ b/daemon/scheduler/gateway.go
@@ -78,6 +78,10 @@
 			return reply
 		}
 		sent = sent || !linker.ErrUnsent.Has(err)
+		if isBusy(err) && !sent {
+			host.metrics.calls.WithLabelValues(method, planner.Refused.String()).Observe(time.Since(startedAt).Seconds())
+			return planner.Reply{Verdict: planner.Refused, Reason: errBusy.Error() + ": retry after the given time", RetryAfter: callerRetryDelay}
+		}
 		host.log.Info("decider does not answer", "method", method, "job", call.ID, "decider", election.Host, "error", err)
 		pause(ctx, changed, deciderRetryDelay)
 		if ctx.Err() != nil {
--- a/daemon/scheduler/hedged_calls.go
+++ b/daemon/scheduler/hedged_calls.go
@@ -68,6 +68,9 @@
 	attempt := func(pool *linker.Pool) {
 		answer := attemptAnswer{pool: pool}
 		answer.err = pool.Call(ctx, address, method, body, &answer.body)
+		if isBusy(answer.err) { // another attempt at the same call may have been carried out
+			answer.err = linker.ErrUnsent.Wrap(answer.err)
+		}
 		answers <- answer
 	}
 	first, second := hedgedCaller.order(address)
@@ -99,6 +102,12 @@
 	}
 }
 
+// isBusy reports whether a call failed because the peer had no memory for it.
+func isBusy(err error) bool {
+	text, refused := linker.RemoteError(err)
+	return refused && text == errBusy.Error()
+}
+
 func decodeAnswer(method string, body json.RawMessage, result any) error {
 	if result == nil {
 		return nil
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -20,8 +20,10 @@
 	"ebonyshunt.org/daemon/dialer"
 	"ebonyshunt.org/daemon/linker"
 	"ebonyshunt.org/daemon/loader"
+	"ebonyshunt.org/library/budgeter"
 	"ebonyshunt.org/library/drainer"
 	"ebonyshunt.org/library/planner"
+	"ebonyshunt.org/library/receiver"
 	"ebonyshunt.org/library/recorder"
 	"ebonyshunt.org/platform/translator"
 	"github.com/google/uuid"
@@ -42,6 +44,8 @@
 	clock    *recorder.Clock
 	metrics  *metrics
 	limitLog limitLog
+	// requestBudget is the memory for the submissions that this host receives, forwards and, as the decider, gets from peers.
+	requestBudget *budgeter.Budget
 
 	store           *translator.Store
 	workers         *translator.WorkerClient
@@ -101,7 +105,8 @@
 	clock := &recorder.Clock{}
 	host := &Host{
 		settings: settings, network: network, log: log, bootID: uuid.NewString(), started: time.Now(), campaignBackoff: minCampaignBackoff, campaigning: make(chan struct{}, 1), clock: clock,
-		fleet: newFleet(), sessions: newSessions(), undecodable: newUndecodable(),
+		requestBudget: budgeter.New(settings.MemoryMB << 20 / requestMemoryShare),
+		fleet:         newFleet(), sessions: newSessions(), undecodable: newUndecodable(),
 	}
 	host.peerNetwork = network.Metered(&host.traffic.peers)
 	host.peerPool = linker.NewPool(host.peerNetwork, settings.Host, clock)
@@ -163,7 +168,11 @@
 		return fmt.Errorf("listen on peerAddress %s: %w", host.settings.PeerAddress, err)
 	}
 	host.peerServer = linker.Serve(peers, host.settings.Host, host.clock, host.log, host.handlePeerCall)
-	ingress := &translator.Ingress{Gateway: &gateway{host: host}}
+	ingress := &translator.Ingress{
+		Gateway:  &gateway{host: host},
+		Bodies:   &receiver.Receiver{Budget: host.requestBudget, Timeout: host.settings.BodyTimeout},
+		LimitMet: func(limit translator.Limit) { host.recordLimit(httpListener, string(limit)) },
+	}
 	host.httpServer, err = host.serve(httpListener, host.settings.HTTPAddress, ingress)
 	if err != nil {
 		return fmt.Errorf("listen on httpAddress %s: %w", host.settings.HTTPAddress, err)
