--- a/library/planner/job.go
+++ b/library/planner/job.go
@@ -44,7 +44,8 @@
 }
 
 const (
-	maxSteps = 1000 // per job
+	// MaxSteps is the maximum number of steps of a job.
+	MaxSteps = 1000
 	// maxTasks is the maximum number of tasks of all steps of a job. An occurrence that begins is kept in memory with all of them.
 	maxTasks = 100_000
 	// maxStoredBytes is the maximum size of a job as it is stored: with its key, it has to fit into one record of the journal.
@@ -91,8 +92,8 @@
 
 // Check returns an error for the first mistake that would keep the job from completing.
 func (job *Job) Check() error {
-	if len(job.Steps) > maxSteps {
-		return Error.New("job %s has %d steps: at most %d are allowed", job.ID, len(job.Steps), maxSteps)
+	if len(job.Steps) > MaxSteps {
+		return Error.New("job %s has %d steps: at most %d are allowed", job.ID, len(job.Steps), MaxSteps)
 	}
 	if err := job.checkFields(); err != nil {
 		return err
