Bound the memory of accepted jobs, and drop the payloads of ended ones

A decider accepted jobs of full size without end: only their tasks counted against its memory (1 KB each), not their payloads, which it also kept for statusFor after their ends. 1,500 such jobs exceed the memory of a host, and of its successor.

The planner counts the memory of its jobs; a submission beyond an eighth of memoryMB gets 503.

--- a/daemon/scheduler/calls.go
+++ b/daemon/scheduler/calls.go
@@ -246,6 +246,10 @@
 	if !tenure.planner.HasRoomFor(job) {
 		return planner.Reply{Verdict: planner.Refused, Reason: "the accepted jobs have as many tasks as the host's memory allows: retry after the given time", RetryAfter: fullRetryDelay}, true
 	}
+	if !tenure.planner.HasMemoryFor(job) {
+		tenure.host.recordLimit(httpListener, "jobMemory")
+		return planner.Reply{Verdict: planner.Refused, Reason: "the accepted jobs take the memory that the host has for them: retry after the given time", RetryAfter: fullRetryDelay}, true
+	}
 	if tenure.planner.JobDrained(job, queue.Service) {
 		return planner.Reply{Verdict: planner.Refused, Reason: "all workers for the job are in zones that operators have drained: retry after the given time", RetryAfter: drainedRetryDelay}, true
 	}
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -69,6 +69,8 @@
 	planInterval   = 50 * time.Millisecond
 	// memoryPerTask is the part of the host's memory, in bytes, for each task of a job that has begun. Most of it is left to all else.
 	memoryPerTask = 1 << 10
+	// jobMemoryShare is the inverse of the part of the host's memory that the accepted jobs may take, apart from their tasks.
+	jobMemoryShare = 8
 	// workerListInterval is the time between two reads of the platform's list of workers.
 	workerListInterval = 250 * time.Millisecond
 )
@@ -195,7 +197,7 @@
 		FormerTerm:      tenure.former.latestTerm(),
 		StatusRetention: settings.StatusRetention, MaxStopTime: settings.MaxStopTime, CrossRackFactor: settings.CrossRackFactor,
 		LearnRunTimes: settings.LearnRunTimes, PoolShares: settings.PoolShares, ForecastAdmission: settings.ForecastAdmission,
-		MoveStragglers: settings.MoveStragglers, MaxRecordBytes: int(settings.MaxRecordBytes), MaxTasks: int(settings.MemoryMB<<20) / memoryPerTask,
+		MoveStragglers: settings.MoveStragglers, MaxRecordBytes: int(settings.MaxRecordBytes), MaxTasks: int(settings.MemoryMB<<20) / memoryPerTask, MaxJobBytes: int(settings.MemoryMB<<20) / jobMemoryShare,
 	}, tenure.term, tenure.host.catalog.Load(), time.Now())
 	if undecodable := restored.Restore(records, time.Now()); len(undecodable) > 0 {
 		tenure.host.log.Error("cannot decode journal records", "count", len(undecodable), "keys", undecodable[:min(len(undecodable), maxUndecodableLines)])
--- a/library/planner/job.go
+++ b/library/planner/job.go
@@ -154,6 +154,21 @@
 	return nil
 }
 
+// memory returns the bytes of memory that the job takes, apart from its tasks.
+func (job *Job) memory() int {
+	const (
+		jobBytes   = 1 << 10 // without texts and steps
+		stepBytes  = 256     // without texts and dependencies
+		indexBytes = 8       // of a dependency
+	)
+	size := jobBytes + len(job.Payload)
+	for number := range job.Steps {
+		step := &job.Steps[number]
+		size += stepBytes + len(step.Label) + len(step.DataRack) + len(step.Image) + indexBytes*len(step.DependsOn)
+	}
+	return size
+}
+
 // maxEncodedBytes returns a number of bytes that the encoded job does not exceed.
 func (job *Job) maxEncodedBytes() int {
 	const (
--- a/library/planner/journal.go
+++ b/library/planner/journal.go
@@ -108,6 +108,7 @@
 	batch.Records = append(batch.Records, slices.Concat(ordered...)...)
 	if entry.state.Final() && (!entry.hasOpenRuns() || entry.unstorable) {
 		batch.Records = append(batch.Records, Record{Key: jobPrefix + entry.ID})
+		planner.dropPayload(entry)
 	}
 	return nil
 }
--- a/library/planner/large_job_test.go
+++ b/library/planner/large_job_test.go
@@ -196,6 +196,39 @@
 	fleet.wantRunning(400)
 }
 
+// TestJobsInMemory checks that the memory of the accepted jobs is bounded, and that a job that has ended returns that of its payload, also
+// after a takeover.
+func TestJobsInMemory(t *testing.T) {
+	const limit = 100 << 10
+	fleet := newFleet(t, testStart, 3)
+	fleet.adjust = func(settings *planner.Settings) { settings.MaxJobBytes = limit }
+	fleet.takeOver(2, testCatalog())
+	large := planner.Job{Payload: strings.Repeat("x", 90<<10), Steps: []planner.Step{smallTasks(1)}}
+	assertMemory := func(t *testing.T, job planner.Job, found bool) {
+		t.Helper()
+		if fleet.planner.HasMemoryFor(&job) != found {
+			t.Errorf("memory for a job of %d bytes: %t, want %t", len(job.Payload), !found, found)
+		}
+	}
+	assertMemory(t, large, true)
+	assertMemory(t, planner.Job{Payload: strings.Repeat("x", limit), Steps: []planner.Step{smallTasks(1)}}, true) // alone
+	accepted := large
+	accepted.ID, accepted.Queue, accepted.Team = jobA, testQueue, testTeam
+	fleet.submitJob(accepted)
+	assertMemory(t, large, false)
+	assertMemory(t, planner.Job{Steps: []planner.Step{smallTasks(1)}}, true)
+	fleet.settle()
+	fleet.takeOver(3, testCatalog())
+	assertMemory(t, large, false)
+	fleet.planner.Cancel(jobA, fleet.now)
+	fleet.settle()
+	fleet.advance(time.Second)
+	fleet.settle()
+	assertMemory(t, large, true)
+	fleet.takeOver(4, testCatalog())
+	assertMemory(t, large, true)
+}
+
 // TestDivideStored checks that a job that an earlier release stored in one record goes on, and is stored in parts from then on.
 func TestDivideStored(t *testing.T) {
 	const tasks = 300
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -35,6 +35,7 @@
 	MoveStragglers      bool          // whether urgent runs that are late are started again on other workers
 	MaxRecordBytes      int           // maximum size of a record with its key, 0 for no limit
 	MaxTasks            int           // maximum number of tasks in memory, of all jobs, 0 for no limit
+	MaxJobBytes         int           // maximum memory of all jobs apart from their tasks, 0 for no limit
 	// TimeOfDay returns the time of day, which may be stepped at any moment. It only decides when occurrences are due;
 	// all else is measured on the steady clock of the event times. Nil stands for time.Now.
 	TimeOfDay func() time.Time
@@ -100,6 +101,7 @@
 	moves                []Move
 	counts               workCounts
 	taskCount            int      // tasks of the occurrences in memory
+	jobBytes             int      // memory of the jobs, apart from their tasks
 	staleKeys            []string // keys of records that the next batch deletes since nothing refers to them
 }
 
--- a/library/planner/submission.go
+++ b/library/planner/submission.go
@@ -41,13 +41,18 @@
 		}
 	}
 	planner.removeOccurrences(entry)
-	delete(planner.jobs, id)
+	planner.removeJob(entry)
 	delete(planner.newJobs, id)
-	delete(planner.dirty, id)
 	delete(planner.scheduled, id)
 	return true
 }
 
+// HasMemoryFor reports whether a job may be kept in memory beside the others. There is always room for one job alone.
+func (planner *Planner) HasMemoryFor(job *Job) bool {
+	limit := planner.Settings.MaxJobBytes
+	return limit <= 0 || planner.jobBytes == 0 || planner.jobBytes+job.memory() <= limit
+}
+
 // HasRoomFor reports whether the tasks of one occurrence of a job may be kept in memory beside those of the other jobs. There is always room
 // for one job alone.
 func (planner *Planner) HasRoomFor(job *Job) bool {
@@ -61,9 +66,31 @@
 	entry := &jobEntry{Job: job, state: Queued, storedState: Queued, occurrences: map[int]*occurrence{}}
 	entry.layout = entry.newLayout()
 	planner.jobs[job.ID] = entry
+	planner.countMemory(entry)
 	return entry
 }
 
+// countMemory counts the memory of a job anew.
+func (planner *Planner) countMemory(entry *jobEntry) {
+	memory := entry.memory()
+	planner.jobBytes += memory - entry.countedBytes
+	entry.countedBytes = memory
+}
+
+// dropPayload removes the payload of an ended job that has no runs any more: no task of it starts again.
+func (planner *Planner) dropPayload(entry *jobEntry) {
+	entry.Payload = ""
+	planner.countMemory(entry)
+}
+
+// removeJob removes a job from the table.
+func (planner *Planner) removeJob(entry *jobEntry) {
+	delete(planner.jobs, entry.ID)
+	delete(planner.dirty, entry.ID)
+	planner.jobBytes -= entry.countedBytes
+	entry.countedBytes = 0
+}
+
 // removeOccurrences removes all occurrences of a job.
 func (planner *Planner) removeOccurrences(entry *jobEntry) {
 	for _, occurrence := range entry.occurrences {
@@ -212,8 +239,7 @@
 			continue
 		}
 		planner.removeOccurrences(entry)
-		delete(planner.jobs, id)
-		delete(planner.dirty, id)
+		planner.removeJob(entry)
 		planner.forgottenJobs = append(planner.forgottenJobs, id)
 	}
 }
--- a/library/planner/tables.go
+++ b/library/planner/tables.go
@@ -28,6 +28,8 @@
 	lastChangeBatch int64
 	// unstorable reports whether the journal did not take a record of the job, which has therefore failed.
 	unstorable bool
+	// countedBytes is the memory of the job that Planner.jobBytes contains.
+	countedBytes int
 	// layout divides the tasks of each occurrence into parts with records of their own, see parts.go. It is nil for a job whose
 	// progress is one record.
 	layout *partitioner.Layout
--- a/tests/crowder/cluster_test.go
+++ b/tests/crowder/cluster_test.go
@@ -100,13 +100,23 @@
 	os.Exit(code)
 }
 
+// defaultRunTime is how long a task runs.
+const defaultRunTime = 100 * time.Millisecond
+
 // startCluster starts hosts one after the other, so that the first one is the decider. Each may open so many files.
 func startCluster(t *testing.T, hosts, files int) *cluster {
+	t.Helper()
+	return startClusterWith(t, hosts, files, defaultRunTime)
+}
+
+// startClusterWith starts hosts as startCluster does, with tasks that run for a time.
+func startClusterWith(t *testing.T, hosts, files int, runTime time.Duration) *cluster {
 	t.Helper()
 	cluster := &cluster{t: t, store: emulator.NewStore(), program: buildDaemon(t), files: files}
 	storeAddress, port := serve(t, cluster.store.Handler())
 	cluster.port = port
 	worker := emulator.NewWorker("w-1", service, "a", emulator.Amount{CPU: 1 << 20, MemMB: 1 << 20})
+	worker.RunTime = runTime
 	workerAddress, _ := serve(t, worker.Handler())
 	cluster.keepRegistered(worker, workerAddress)
 	cluster.store.PutConfiguration(emulator.Configuration{
--- a/tests/crowder/crowder_test.go
+++ b/tests/crowder/crowder_test.go
@@ -3,10 +3,13 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"net/http"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"ebonyshunt.org/standin/caller"
 )
 
 // descriptorShare is the part of the descriptors that a crowd may take in percent: the host's own calls need the others.
@@ -119,3 +122,67 @@
 		t.Errorf("the successor has ended: %v", successor.err)
 	}
 }
+
+// TestAcceptedPayloads checks that the jobs that a decider accepts one after the other do not fill its memory with their payloads.
+func TestAcceptedPayloads(t *testing.T) {
+	if raceDetector {
+		t.Skip("as TestCrowds")
+	}
+	for name, runTime := range map[string]time.Duration{"ending": defaultRunTime, "running": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			cluster := startClusterWith(t, 2, manyFiles, runTime)
+			decider, other := cluster.hosts[0], cluster.hosts[1]
+			stop := make(chan struct{})
+			seen := watch(t, decider.process, decider.addresses(), stop)
+			submitPayloads(t, other)
+			close(stop)
+			assertBounded(t, <-seen, manyFiles*descriptorShare/100)
+			for _, host := range cluster.hosts {
+				if host.hasEnded() {
+					t.Errorf("host %d has ended: %v", host.number, host.err)
+				}
+			}
+			_ = decider.command.Process.Kill()
+			<-decider.ended
+			stop = make(chan struct{})
+			seen = watch(t, other.process, other.addresses(), stop)
+			assertKnown(t, other, payloadID(0))
+			close(stop)
+			assertBounded(t, <-seen, manyFiles*descriptorShare/100)
+		})
+	}
+}
+
+// payloadID returns the ID of one of the jobs of submitPayloads.
+func payloadID(number int) string { return fmt.Sprintf("%016x", 0xa0<<32+number) }
+
+// submitPayloads submits 500 jobs of 200 KB, each after the answer to the one before.
+func submitPayloads(t *testing.T, host *host) {
+	t.Helper()
+	const submissions = 500
+	body := `{"spec":"` + strings.Repeat("x", 200<<10) + `","steps":[{"count":1,"cpu":500,"memMb":10}]}`
+	client := caller.New(host.address(httpGroup))
+	defer client.Close()
+	answers := map[int]int{}
+	for number := range submissions {
+		answers[client.Call(caller.Submit, prefix+payloadID(number), knownKey, body).Status]++
+	}
+	t.Logf("answers by status: %v", answers)
+	if answers[http.StatusOK] == 0 {
+		t.Error("no job was accepted")
+	}
+}
+
+// assertKnown checks that a host knows a job, at the latest once it has taken over.
+func assertKnown(t *testing.T, host *host, id string) {
+	t.Helper()
+	client := caller.New(host.address(httpGroup))
+	defer client.Close()
+	for range ordinaryAttempts {
+		if answer := client.Call(caller.Query, prefix+id, knownKey, ""); answer.Status == http.StatusOK {
+			return
+		}
+		time.Sleep(ordinaryInterval)
+	}
+	t.Errorf("host %d does not know job %s", host.number, id)
+}
