Let no open body hold up a planned stop

A decider that was stopped amid stalled bodies took its whole grace until it was killed: http.Server.Shutdown waits for every request whose head was read, and for heads that were begun.

The listener is drained first: requests that are not received completely within a second end, those whose bodies are read with 503, which says that they were not accepted. Requests that were received completely are served as before.

--- a/daemon/acceptor/acceptor_test.go
+++ b/daemon/acceptor/acceptor_test.go
@@ -270,3 +270,21 @@
 	}
 	t.Fatalf("%d bytes of heads, want %d", testServer.heads(), bytes)
 }
+
+// TestDrain checks that a drained listener ends requests that are not received completely, and serves the others.
+func TestDrain(t *testing.T) {
+	const body = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nx"
+	server := newServer(t, Limits{Conns: 10, BodyTimeout: time.Hour})
+	served := server.dial(t, request("/wait"))
+	<-server.served
+	server.dial(t, body)
+	server.dial(t, "GET / HTTP/1.1\r\n")
+	server.dial(t, "")
+	server.awaitConns(t, 4)
+	server.Drain(0)
+	server.awaitConns(t, 1)
+	server.dial(t, body)
+	server.awaitConns(t, 1)
+	server.proceed <- struct{}{}
+	assertStatus(t, served, http.StatusNoContent)
+}
--- a/daemon/acceptor/conn.go
+++ b/daemon/acceptor/conn.go
@@ -38,6 +38,18 @@
 	}
 }
 
+// SetReadDeadline sets the deadline of reads. While the listener is drained, a request that was not received completely has none after the
+// end of that.
+func (conn *Conn) SetReadDeadline(deadline time.Time) error {
+	conn.listener.mu.Lock()
+	defer conn.listener.mu.Unlock()
+	drainEnd := conn.listener.drainEnd
+	if conn.element != nil && !drainEnd.IsZero() && (deadline.IsZero() || deadline.After(drainEnd)) {
+		deadline = drainEnd
+	}
+	return conn.Conn.SetReadDeadline(deadline) //nolint:wrapcheck // http.Server compares it
+}
+
 // Close closes the connection.
 func (conn *Conn) Close() error {
 	conn.listener.mu.Lock()
@@ -76,8 +88,8 @@
 
 // endBody records that the body of a request was received.
 func (conn *Conn) endBody() {
-	_ = conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
 	conn.beginRequest()
+	_ = conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
 }
 
 // beginRequest records that a whole request was received. The connection stays open until it was answered.
--- a/daemon/acceptor/listener.go
+++ b/daemon/acceptor/listener.go
@@ -43,6 +43,7 @@
 	conns     int
 	headBytes int64
 	receiving list.List // of *Conn, the one that has been receiving for the longest time first
+	drainEnd  time.Time // deadline of requests that are not received completely, zero before Drain
 }
 
 // Wrap returns a listener that accepts the connections of another one within limits.
@@ -102,6 +103,17 @@
 	}
 }
 
+// Drain ends the requests that are not received completely within a time, also those that begin later. Those that were received
+// completely are served.
+func (listener *Listener) Drain(timeout time.Duration) {
+	listener.mu.Lock()
+	defer listener.mu.Unlock()
+	listener.drainEnd = time.Now().Add(timeout)
+	for element := listener.receiving.Front(); element != nil; element = element.Next() {
+		_ = element.Value.(*Conn).Conn.SetReadDeadline(listener.drainEnd) // fails only if the connection is closed
+	}
+}
+
 // Conns returns the number of open connections.
 func (listener *Listener) Conns() int {
 	listener.mu.Lock()
--- a/daemon/scheduler/client_limits.go
+++ b/daemon/scheduler/client_limits.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"net"
 	"sync"
 	"time"
 
@@ -71,7 +70,7 @@
 }
 
 // listenWithin listens on an address of the host within the limits for clients.
-func (host *Host) listenWithin(name listenerName, address string) (net.Listener, error) {
+func (host *Host) listenWithin(name listenerName, address string) (*acceptor.Listener, error) {
 	network := host.network
 	if name == peerListener {
 		network = host.peerNetwork
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -53,6 +53,7 @@
 	peerPool        *linker.Pool
 	peerServer      *linker.Server
 	httpServer      *http.Server
+	httpListener    *acceptor.Listener
 	readinessServer *http.Server
 	metricsServer   *http.Server
 
@@ -173,10 +174,11 @@
 		Bodies:   &receiver.Receiver{Budget: host.requestBudget, Timeout: host.settings.BodyTimeout},
 		LimitMet: func(limit translator.Limit) { host.recordLimit(httpListener, string(limit)) },
 	}
-	host.httpServer, err = host.serve(httpListener, host.settings.HTTPAddress, ingress)
+	host.httpListener, err = host.listenWithin(httpListener, host.settings.HTTPAddress)
 	if err != nil {
 		return fmt.Errorf("listen on httpAddress %s: %w", host.settings.HTTPAddress, err)
 	}
+	host.httpServer = host.serveOn(host.httpListener, ingress)
 	host.readinessServer, err = host.serve(readinessListener, host.settings.ReadinessAddress, http.HandlerFunc(host.handleReadiness))
 	if err != nil {
 		return fmt.Errorf("listen on readinessAddress %s: %w", host.settings.ReadinessAddress, err)
@@ -195,6 +197,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return host.serveOn(listener, handler), nil
+}
+
+// serveOn serves HTTP on a listener until the host is closed.
+func (host *Host) serveOn(listener *acceptor.Listener, handler http.Handler) *http.Server {
 	server := &http.Server{
 		Handler: acceptor.Handle(handler), ConnContext: acceptor.WithConn,
 		ReadHeaderTimeout: readHeaderTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -202,10 +209,10 @@
 	}
 	host.wait.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			host.log.Error("http server stopped unexpectedly", "address", address, "error", err)
+			host.log.Error("http server stopped unexpectedly", "address", listener.Addr().String(), "error", err)
 		}
 	})
-	return server, nil
+	return server
 }
 
 // handleReadiness reports to the load balancer whether to send new connections to this host: 200 if so, 503 if not.
@@ -217,6 +224,9 @@
 	writer.WriteHeader(http.StatusOK)
 }
 
+// drainTimeout is how long a host that shuts down waits for requests that it has not received completely.
+const drainTimeout = time.Second
+
 // shutdownTransferTimeout is how long a decider that shuts down waits for its successor.
 const shutdownTransferTimeout = 1500 * time.Millisecond
 
@@ -232,6 +242,7 @@
 		host.transferOnShutdown(transferCtx, tenure)
 		cancel()
 	}
+	host.httpListener.Drain(drainTimeout)
 	if err := host.httpServer.Shutdown(ctx); err != nil {
 		host.log.Warn("shutdown cut off open requests", "error", err)
 	}
