Let announced messages of peers take no memory before they arrive

A connection to peerAddress that announced a message of up to 64 MB took that much at once, and kept it without sending the rest.

The budget counts bytes of memory now; the factor for bodies is the receiver's.

TestLargeMessages is new.

--- a/daemon/linker/codec_test.go
+++ b/daemon/linker/codec_test.go
@@ -8,8 +8,10 @@
 	"errors"
 	"io"
 	"reflect"
+	"runtime"
 	"testing"
 
+	"ebonyshunt.org/library/budgeter"
 	"github.com/sourcegraph/jsonrpc2"
 )
 
@@ -63,3 +65,39 @@
 		})
 	}
 }
+
+// TestLargeMessages checks that a large message claims memory as it arrives, that it is read whole, and that one without memory ends.
+func TestLargeMessages(t *testing.T) {
+	const size = 1 << 20
+	text := append([]byte{'"'}, bytes.Repeat([]byte{'x'}, size-2)...)
+	message := append(binary.AppendUvarint(nil, size), append(text, '"')...)
+	read := func(memory *budgeter.Budget, message []byte) (string, error) {
+		var value string
+		err := codec{memory: memory, close: func() {}}.ReadObject(bufio.NewReader(bytes.NewReader(message)), &value)
+		return value, err
+	}
+	t.Run("whole", func(t *testing.T) {
+		memory := budgeter.New(4 * size)
+		value, err := read(memory, message)
+		if err != nil || len(value) != size-2 || memory.Used() != 0 {
+			t.Errorf("read %d bytes, error %v, %d bytes claimed afterwards", len(value), err, memory.Used())
+		}
+	})
+	t.Run("noMemory", func(t *testing.T) {
+		memory := budgeter.New(size)
+		if _, err := read(memory, message); !budgeter.ErrFull.Has(err) || memory.Used() != 0 {
+			t.Errorf("error %v, %d bytes claimed afterwards", err, memory.Used())
+		}
+	})
+	t.Run("onlyAnnounced", func(t *testing.T) {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		if _, err := read(budgeter.New(size), binary.AppendUvarint(nil, maxMessageBytes)); err == nil || budgeter.ErrFull.Has(err) {
+			t.Errorf("error %v, want the end of the stream", err)
+		}
+		runtime.ReadMemStats(&after)
+		if allocated := after.TotalAlloc - before.TotalAlloc; allocated > size {
+			t.Errorf("%d bytes allocated for an announced message", allocated)
+		}
+	})
+}
--- a/daemon/linker/linker_test.go
+++ b/daemon/linker/linker_test.go
@@ -31,7 +31,7 @@
 // serveEcho starts a server that answers each call with an empty object.
 func serveEcho(t *testing.T, listener net.Listener) {
 	t.Helper()
-	server := Serve(listener, "b", &recorder.Clock{}, slog.New(slog.DiscardHandler), func(context.Context, string, string, json.RawMessage) (any, error) {
+	server := Serve(listener, "b", &recorder.Clock{}, nil, slog.New(slog.DiscardHandler), func(context.Context, string, string, json.RawMessage) (any, error) {
 		return struct{}{}, nil
 	})
 	t.Cleanup(server.Close)
@@ -120,7 +120,7 @@
 func TestReplacedConnection(t *testing.T) {
 	listener := listen(t)
 	arrived, proceed := make(chan struct{}), make(chan struct{})
-	server := Serve(listener, "b", &recorder.Clock{}, slog.New(slog.DiscardHandler), func(_ context.Context, _, method string, _ json.RawMessage) (any, error) {
+	server := Serve(listener, "b", &recorder.Clock{}, nil, slog.New(slog.DiscardHandler), func(_ context.Context, _, method string, _ json.RawMessage) (any, error) {
 		if method == "slow" {
 			close(arrived)
 			<-proceed
--- a/daemon/linker/server.go
+++ b/daemon/linker/server.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"ebonyshunt.org/library/budgeter"
 	"ebonyshunt.org/library/recorder"
 	"ebonyshunt.org/library/retrier"
 	"github.com/sourcegraph/jsonrpc2"
@@ -23,6 +24,7 @@
 	host    string
 	clock   *recorder.Clock
 	handler Handler
+	memory  *budgeter.Budget
 	log     *slog.Logger
 	cancel  context.CancelFunc
 	wait    sync.WaitGroup
@@ -38,10 +40,11 @@
 // use.
 const acceptRetryDelay = 100 * time.Millisecond
 
-// Serve starts a server that accepts connections on the listener and answers their calls until Close.
-func Serve(listener net.Listener, host string, clock *recorder.Clock, log *slog.Logger, handler Handler) *Server {
+// Serve starts a server that accepts connections on the listener and answers their calls until Close. Large messages claim memory
+// while they arrive; without any, their connection is closed.
+func Serve(listener net.Listener, host string, clock *recorder.Clock, memory *budgeter.Budget, log *slog.Logger, handler Handler) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
-	server := &Server{host: host, clock: clock, handler: handler, log: log, cancel: cancel, listener: listener, conns: map[*jsonrpc2.Conn]bool{}}
+	server := &Server{host: host, clock: clock, handler: handler, memory: memory, log: log, cancel: cancel, listener: listener, conns: map[*jsonrpc2.Conn]bool{}}
 	server.wait.Go(func() { server.accept(ctx) })
 	return server
 }
@@ -60,7 +63,7 @@
 			retrier.Sleep(ctx, acceptRetryDelay)
 			continue
 		}
-		stream := jsonrpc2.NewBufferedStream(server.bytes.Wrap(raw), codec{})
+		stream := jsonrpc2.NewBufferedStream(server.bytes.Wrap(raw), codec{memory: server.memory, close: func() { _ = raw.Close() }})
 		conn := jsonrpc2.NewConn(ctx, stream, server, discardLogs)
 		if !server.addConn(conn) {
 			_ = conn.Close()
--- a/daemon/scheduler/calls.go
+++ b/daemon/scheduler/calls.go
@@ -9,6 +9,7 @@
 
 	"ebonyshunt.org/daemon/linker"
 	"ebonyshunt.org/library/planner"
+	"ebonyshunt.org/library/receiver"
 	"ebonyshunt.org/platform/translator"
 )
 
@@ -51,7 +52,7 @@
 	case methodCollect:
 		return decodeAndHandle(body, func(call CollectCall) (any, error) { return host.collectResults(ctx, call), nil })
 	}
-	claim, err := host.requestBudget.Claim(int64(len(body)), func() {})
+	claim, err := host.requestBudget.Claim(int64(len(body))*receiver.CostPerByte, func() {})
 	if err != nil {
 		host.recordLimit(peerListener, string(translator.RequestMemory))
 		return nil, errBusy
--- a/daemon/scheduler/client_limits.go
+++ b/daemon/scheduler/client_limits.go
@@ -33,6 +33,8 @@
 	connBytes = 16 << 10
 	// requestMemoryShare is the inverse of the part of the memory that submissions may take from their first byte until they are answered.
 	requestMemoryShare = 8
+	// peerMemoryShare is the inverse of the part of the memory that messages of peers may take until they have arrived.
+	peerMemoryShare = 8
 	// The inverses of the parts of the memory that the heads of requests may take, for callers and for each other address.
 	httpHeadShare  = 16
 	otherHeadShare = 64
--- a/daemon/scheduler/hedged_calls_test.go
+++ b/daemon/scheduler/hedged_calls_test.go
@@ -41,7 +41,7 @@
 			}
 			var attempts atomic.Int32
 			release := make(chan struct{})
-			server := linker.Serve(listener, "b", &recorder.Clock{}, slog.New(slog.DiscardHandler), func(context.Context, string, string, json.RawMessage) (any, error) {
+			server := linker.Serve(listener, "b", &recorder.Clock{}, nil, slog.New(slog.DiscardHandler), func(context.Context, string, string, json.RawMessage) (any, error) {
 				attempt := attempts.Add(1)
 				if attempt == 2 {
 					defer close(release)
--- a/daemon/server/server.go
+++ b/daemon/server/server.go
@@ -159,7 +159,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	server.cancel = cancel
 	server.tailer = tailer.Start(server.logClient, server.register, server.log, server.applyChanges)
-	server.peerServer = linker.Serve(peerListener, server.settings.Host, server.Timeline.Clock, server.log, server.handlePeerCall)
+	server.peerServer = linker.Serve(peerListener, server.settings.Host, server.Timeline.Clock, nil, server.log, server.handlePeerCall)
 	server.httpServer = &http.Server{
 		Handler:           server.routes(),
 		ReadHeaderTimeout: headerTimeout,
--- a/library/budgeter/budget.go
+++ b/library/budgeter/budget.go
@@ -16,12 +16,9 @@
 var ErrEvicted = errs.Class("memory of a slow request was given to others")
 
 const (
-	// CostPerByte is the memory that a request takes for each byte of its body: the body, its decoded form, and the messages in
-	// which it is passed on.
-	CostPerByte = 6
-	// smallBytes is the size of the largest body that takes its memory from the part for small ones.
-	smallBytes = 16 << 10
-	// smallShare is the inverse of the part of the budget that is kept for small bodies.
+	// smallBytes is the memory of the largest request that takes it from the part for small ones.
+	smallBytes = 96 << 10
+	// smallShare is the inverse of the part of the budget that is kept for small requests.
 	smallShare = 3
 	// minEvictionAge is the time that each request has to arrive before it gives its memory to others.
 	minEvictionAge = time.Second
@@ -45,7 +42,7 @@
 type Claim struct {
 	budget  *Budget
 	room    *room
-	cost    int64 // bytes
+	bytes   int64
 	since   time.Time
 	element *list.Element // in room.arriving, nil once the request has arrived completely
 	evict   func()
@@ -60,8 +57,8 @@
 	return budget
 }
 
-// MaxBytes returns the size of the largest body for which there can be memory.
-func (budget *Budget) MaxBytes() int64 { return budget.large.capacity / CostPerByte }
+// MaxBytes returns the largest number of bytes of memory that one request can have.
+func (budget *Budget) MaxBytes() int64 { return budget.large.capacity }
 
 // Used returns the bytes of memory that are claimed.
 func (budget *Budget) Used() int64 {
@@ -70,82 +67,84 @@
 	return budget.small.used + budget.large.used
 }
 
-// Claim claims the memory for a request with a body of a size in bytes. It returns an error of class ErrFull if there is none. The
-// request is arriving until Arrived is called; until then evict may be called, from another goroutine, to end it. The claim has
-// to be released.
-func (budget *Budget) Claim(size int64, evict func()) (*Claim, error) {
-	claim := &Claim{budget: budget, since: time.Now(), evict: evict}
-	if err := claim.Grow(size); err != nil {
+// NewClaim returns a claim without any memory yet, see Claim.
+func (budget *Budget) NewClaim(evict func()) *Claim {
+	return &Claim{budget: budget, since: time.Now(), evict: evict}
+}
+
+// Claim claims a number of bytes of memory for a request. It returns an error of class ErrFull if there are not as many. The request is
+// arriving until Arrived is called; until then evict may be called, from another goroutine, to end it. The claim has to be
+// released.
+func (budget *Budget) Claim(bytes int64, evict func()) (*Claim, error) {
+	claim := budget.NewClaim(evict)
+	if err := claim.Grow(bytes); err != nil {
 		return nil, err
 	}
 	return claim, nil
 }
 
-// roomsFor returns the parts of the budget from which a body of a size may take its memory, the preferred one first. Small bodies may
-// also take what large ones leave.
-func (budget *Budget) roomsFor(size int64) []*room {
-	if size <= smallBytes {
+// roomsFor returns the parts of the budget from which a request may take its memory, the preferred one first. Small ones may also take
+// what large ones leave.
+func (budget *Budget) roomsFor(bytes int64) []*room {
+	if bytes <= smallBytes {
 		return []*room{&budget.small, &budget.large}
 	}
 	return []*room{&budget.large}
 }
 
-// Grow changes the claim to the memory for a body of a larger size in bytes. After an error of class ErrFull the claim is as it was
-// before, after one of class ErrEvicted it is empty.
-func (claim *Claim) Grow(size int64) error { return claim.resize(size, size*CostPerByte) }
-
 // Add adds a number of bytes of memory to the claim. The errors are those of Grow.
 func (claim *Claim) Add(bytes int64) error {
 	claim.budget.mu.Lock()
-	cost := claim.cost + bytes
+	total := claim.bytes + bytes
 	claim.budget.mu.Unlock()
-	return claim.resize(cost/CostPerByte, cost)
+	return claim.Grow(total)
 }
 
-// resize changes the claim to that of a body of a size, at a cost in bytes of memory.
-func (claim *Claim) resize(size, cost int64) error {
+// Grow changes the claim to a larger number of bytes of memory. After an error of class ErrFull the claim is as it was before, after one
+// of class ErrEvicted it is empty.
+func (claim *Claim) Grow(bytes int64) error {
 	budget := claim.budget
 	budget.mu.Lock()
 	if claim.evicted {
 		budget.mu.Unlock()
-		return ErrEvicted.New("body of %d bytes", size)
+		return ErrEvicted.New("%d bytes", bytes)
 	}
-	target, evicted := budget.findRoom(size, cost, claim)
+	target, evicted := budget.findRoom(bytes, claim)
 	if target != nil {
-		claim.moveTo(target, cost)
+		claim.moveTo(target, bytes)
 	}
 	budget.mu.Unlock()
 	for _, other := range evicted {
 		other.evict()
 	}
 	if target == nil {
-		return ErrFull.New("body of %d bytes", size)
+		return ErrFull.New("%d bytes", bytes)
 	}
 	return nil
 }
 
 // findRoom returns a part of the budget that has the memory for a claim, and the claims that were evicted from it. It returns nil if
 // there is none.
-func (budget *Budget) findRoom(size, cost int64, claim *Claim) (*room, []*Claim) {
-	rooms := budget.roomsFor(size)
+func (budget *Budget) findRoom(bytes int64, claim *Claim) (*room, []*Claim) {
+	rooms := budget.roomsFor(bytes)
 	for _, room := range rooms {
-		if room.used+room.needed(cost, claim) <= room.capacity {
+		if room.used+room.needed(bytes, claim) <= room.capacity {
 			return room, nil
 		}
 	}
-	evicted, found := rooms[0].makeRoom(rooms[0].needed(cost, claim), claim)
+	evicted, found := rooms[0].makeRoom(rooms[0].needed(bytes, claim), claim)
 	if !found {
 		return nil, nil
 	}
 	return rooms[0], evicted
 }
 
-// needed returns what a claim with a cost needs beyond what it holds of this part.
-func (room *room) needed(cost int64, claim *Claim) int64 {
+// needed returns how many bytes a claim needs beyond what it holds of this part.
+func (room *room) needed(bytes int64, claim *Claim) int64 {
 	if claim.room == room {
-		return cost - claim.cost
+		return bytes - claim.bytes
 	}
-	return cost
+	return bytes
 }
 
 // makeRoom evicts as many of the oldest claims as have to give way for a number of bytes, and returns them. It evicts none and
@@ -162,7 +161,7 @@
 		if now.Sub(claim.since) < minEvictionAge {
 			break
 		}
-		free += claim.cost
+		free += claim.bytes
 		evicted = append(evicted, claim)
 	}
 	if free < needed {
@@ -175,8 +174,8 @@
 	return evicted, true
 }
 
-// moveTo makes the claim one of a part of the budget with a cost.
-func (claim *Claim) moveTo(target *room, cost int64) {
+// moveTo makes the claim one of a part of the budget with a number of bytes.
+func (claim *Claim) moveTo(target *room, bytes int64) {
 	if target != claim.room {
 		arriving := claim.room == nil || claim.element != nil
 		claim.leave()
@@ -185,8 +184,8 @@
 			claim.element = target.insert(claim)
 		}
 	}
-	target.used += cost - claim.cost
-	claim.cost = cost
+	target.used += bytes - claim.bytes
+	claim.bytes = bytes
 }
 
 // insert adds a claim to those that are arriving, by its age.
@@ -204,8 +203,8 @@
 	if claim.room == nil {
 		return
 	}
-	claim.room.used -= claim.cost
-	claim.cost = 0
+	claim.room.used -= claim.bytes
+	claim.bytes = 0
 	if claim.element != nil {
 		claim.room.arriving.Remove(claim.element)
 		claim.element = nil
@@ -219,7 +218,7 @@
 	claim.budget.mu.Lock()
 	defer claim.budget.mu.Unlock()
 	if claim.evicted {
-		return ErrEvicted.New("the body had arrived")
+		return ErrEvicted.New("the request had arrived")
 	}
 	if claim.element != nil {
 		claim.room.arriving.Remove(claim.element)
--- a/library/budgeter/budget_test.go
+++ b/library/budgeter/budget_test.go
@@ -6,7 +6,10 @@
 	"time"
 )
 
-const testBytes = 12 << 20
+const (
+	testBytes  = 12 << 20
+	largeBytes = 1536 << 10
+)
 
 // assertClaim claims memory and checks whether there is some. evicted counts the evictions of the claim.
 func assertClaim(t *testing.T, budget *Budget, size int64, found bool, evicted *int) *Claim {
@@ -22,8 +25,8 @@
 func fill(t *testing.T, budget *Budget, evicted *int) []*Claim {
 	t.Helper()
 	var claims []*Claim
-	const size = 256 << 10
-	for range budget.large.capacity / (size * CostPerByte) {
+	const size = largeBytes
+	for range budget.large.capacity / size {
 		claims = append(claims, assertClaim(t, budget, size, true, evicted))
 	}
 	assertClaim(t, budget, size, false, evicted)
@@ -37,7 +40,7 @@
 		evicted := 0
 		budget := New(testBytes)
 		fill(t, budget, &evicted)
-		for range budget.small.capacity / (smallBytes * CostPerByte) {
+		for range budget.small.capacity / smallBytes {
 			assertClaim(t, budget, smallBytes, true, &evicted)
 		}
 		if evicted > 0 {
@@ -48,19 +51,19 @@
 		synctest.Test(t, func(t *testing.T) {
 			first, others := 0, 0
 			budget := New(testBytes)
-			late := assertClaim(t, budget, 256<<10, true, &first)
+			late := assertClaim(t, budget, largeBytes, true, &first)
 			time.Sleep(minEvictionAge)
-			for range budget.large.capacity/(256<<10*CostPerByte) - 1 {
-				assertClaim(t, budget, 256<<10, true, &others)
+			for range budget.large.capacity/largeBytes - 1 {
+				assertClaim(t, budget, largeBytes, true, &others)
 			}
-			assertClaim(t, budget, 256<<10, true, &others)
+			assertClaim(t, budget, largeBytes, true, &others)
 			if first != 1 || others != 0 {
 				t.Errorf("the late one was evicted %d times, others %d times", first, others)
 			}
 			if err := late.Arrived(); !ErrEvicted.Has(err) {
 				t.Errorf("arrived after its eviction: %v", err)
 			}
-			if err := late.Grow(300 << 10); !ErrEvicted.Has(err) {
+			if err := late.Grow(2 * largeBytes); !ErrEvicted.Has(err) {
 				t.Errorf("grew after its eviction: %v", err)
 			}
 			late.Release()
@@ -76,7 +79,7 @@
 				}
 			}
 			time.Sleep(time.Hour)
-			assertClaim(t, budget, 256<<10, false, &evicted)
+			assertClaim(t, budget, largeBytes, false, &evicted)
 			if evicted > 0 {
 				t.Errorf("%d evicted", evicted)
 			}
@@ -94,16 +97,16 @@
 func TestGrowing(t *testing.T) {
 	evicted := 0
 	budget := New(testBytes)
-	claim := assertClaim(t, budget, 4<<10, true, &evicted)
-	for size := int64(8 << 10); size <= 256<<10; size *= 2 {
+	claim := assertClaim(t, budget, 24<<10, true, &evicted)
+	for size := int64(48 << 10); size <= largeBytes; size *= 2 {
 		if err := claim.Grow(size); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if budget.small.used != 0 || budget.large.used != 256<<10*CostPerByte {
+	if budget.small.used != 0 || budget.large.used != largeBytes {
 		t.Errorf("in use: %d of the small room, %d of the large one", budget.small.used, budget.large.used)
 	}
-	if err := claim.Add(1000); err != nil || budget.Used() != 256<<10*CostPerByte+1000 {
+	if err := claim.Add(1000); err != nil || budget.Used() != largeBytes+1000 {
 		t.Errorf("%d in use after 1000 more: %v", budget.Used(), err)
 	}
 	if err := claim.Add(testBytes); !ErrFull.Has(err) {
@@ -120,7 +123,7 @@
 func TestSmallBodies(t *testing.T) {
 	evicted := 0
 	budget := New(testBytes)
-	for range budget.small.capacity/(smallBytes*CostPerByte) + budget.large.capacity/(smallBytes*CostPerByte) {
+	for range budget.small.capacity/smallBytes + budget.large.capacity/smallBytes {
 		assertClaim(t, budget, smallBytes, true, &evicted)
 	}
 	assertClaim(t, budget, smallBytes, false, &evicted)
--- a/library/receiver/receiver.go
+++ b/library/receiver/receiver.go
@@ -40,14 +40,19 @@
 // Close returns the memory of the body, and of what was made from it, to the budget.
 func (body *Body) Close() { body.claim.Release() }
 
-// firstBytes is the memory that is claimed first for a body of unknown length.
-const firstBytes = 4 << 10
+const (
+	// CostPerByte is the memory that a request takes for each byte of its body: the body, its decoded form, and the messages in which it
+	// is passed on.
+	CostPerByte = 6
+	// firstBytes is the size for which memory is claimed first for a body of unknown length.
+	firstBytes = 4 << 10
+)
 
 // Receive reads the body of a request of at most maxBytes within a time. The error is a *http.MaxBytesError for a larger body, of
 // class ErrLate or budgeter.ErrEvicted for one that took too long, and of class budgeter.ErrFull if there is no memory for it now.
 // Without reading a body to its end, it lets the connection be closed after the answer.
 func (receiver *Receiver) Receive(writer http.ResponseWriter, request *http.Request, maxBytes int64, timeout time.Duration) (*Body, error) {
-	maxBytes = min(maxBytes, receiver.Budget.MaxBytes())
+	maxBytes = min(maxBytes, receiver.Budget.MaxBytes()/CostPerByte)
 	body, err := receiver.receive(writer, request, maxBytes, min(timeout, receiver.Timeout))
 	if err != nil {
 		writer.Header().Set("Connection", "close")
@@ -66,7 +71,7 @@
 	controller := http.NewResponseController(writer)
 	// Without a deadline, which an http.ResponseWriter of a test may not have, the read ends with the connection.
 	_ = controller.SetReadDeadline(time.Now().Add(timeout))
-	claim, err := receiver.Budget.Claim(size, func() { _ = controller.SetReadDeadline(time.Now()) })
+	claim, err := receiver.Budget.Claim(size*CostPerByte, func() { _ = controller.SetReadDeadline(time.Now()) })
 	if err != nil {
 		return nil, fmt.Errorf("claim memory: %w", err)
 	}
@@ -100,7 +105,7 @@
 			continue
 		}
 		size = min(2*size, maxBytes)
-		if err := claim.Grow(size); err != nil {
+		if err := claim.Grow(size * CostPerByte); err != nil {
 			return nil, fmt.Errorf("claim memory: %w", err)
 		}
 		data = append(make([]byte, 0, size+1), data...)
--- a/library/receiver/receiver_test.go
+++ b/library/receiver/receiver_test.go
@@ -115,9 +115,9 @@
 
 // TestNoMemory checks that a body for which there is no memory is refused before it is sent.
 func TestNoMemory(t *testing.T) {
-	receiver := &Receiver{Budget: budgeter.New(2 * testMaxBytes * budgeter.CostPerByte), Timeout: testTimeout}
+	receiver := &Receiver{Budget: budgeter.New(2 * testMaxBytes * CostPerByte), Timeout: testTimeout}
 	address := serve(t, receiver)
-	claim, err := receiver.Budget.Claim(testMaxBytes, func() {})
+	claim, err := receiver.Budget.Claim(testMaxBytes*CostPerByte, func() {})
 	if err != nil {
 		t.Fatal(err)
 	}
