Emulator: give pages of at most 1 MB, as the protocol says; flags for larger crowds by hand

The stand-in of the store put up to 500 records into a page of the newest ones, whatever their size, so that a successor never restored 36 MB of accepted jobs: the host takes no answer above 16 MB. The platform's pages have at most 1 MB.

TestAcceptedPayloads/running with -memoryMB 284: before, the successor did not answer within 40 attempts; after, it answers (93 MB). The flags -memoryMB, -files and -factor play the crowds by hand at other sizes; the defaults are those of before.

--- a/standin/emulator/store.go
+++ b/standin/emulator/store.go
@@ -66,7 +66,8 @@
 	appendDelay       = 2 * time.Millisecond
 	maxRequestBytes   = 2 << 20
 	maxItems          = 500 // in a page of the newest records
-	maxKeptAnswers    = 5   // per producer
+	maxPageBytes      = 1 << 20
+	maxKeptAnswers    = 5 // per producer
 	maxReadWait       = 30 * time.Second
 	lengthPrefixBytes = 4
 	randomSeed        = 1
@@ -400,15 +401,16 @@
 	newest := topic.newest()
 	store.mu.Unlock()
 	items := []item{}
-	more := false
+	more, size := false, 0
 	for _, record := range rewriteRecords(newest, rewrite) {
 		if record.key <= after && after != "" {
 			continue
 		}
-		if len(items) == maxItems {
+		if len(items) == maxItems || len(items) > 0 && size+record.size() > maxPageBytes {
 			more = true
 			break
 		}
+		size += record.size()
 		items = append(items, item{record.key, base64.StdEncoding.EncodeToString(record.value)})
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/tests/crowder/cluster_test.go
+++ b/tests/crowder/cluster_test.go
@@ -1,6 +1,7 @@
 package crowder
 
 import (
+	"flag"
 	"fmt"
 	"log/slog"
 	"net"
@@ -17,8 +18,13 @@
 	"ebonyshunt.org/standin/emulator"
 )
 
+var (
+	memoryMB = flag.Int64("memoryMB", 96, "memory of each host's machine")
+	factor   = flag.Int("factor", 1, "by how much crowds are larger than in CI")
+	files    = flag.Int("files", 0, "descriptors of each host, 0 for those of the tests")
+)
+
 const (
-	memoryMB     = 96   // of each host's machine
 	manyFiles    = 2000 // descriptors, more than a crowd takes
 	fewFiles     = 600  // descriptors, fewer than a crowd would take
 	maxBodyBytes = 262144
@@ -177,7 +183,7 @@
 		"peerAddress = " + added.address(peerGroup),
 		"metricsAddress = " + added.address(metricsGroup),
 		"seeds = " + first.address(peerGroup),
-		fmt.Sprintf("memoryMB = %d", memoryMB),
+		fmt.Sprintf("memoryMB = %d", *memoryMB),
 		fmt.Sprintf("mostFiles = %d", cluster.files),
 		"[store]",
 		"address = " + storeAddress,
--- a/tests/crowder/crowd_test.go
+++ b/tests/crowder/crowd_test.go
@@ -207,8 +207,8 @@
 func assertBounded(t *testing.T, most usage, maxDescriptors int) {
 	t.Helper()
 	t.Logf("at most %d MB and %d descriptors", most.memory>>20, most.descriptors)
-	if most.memory > memoryMB<<20 {
-		t.Errorf("%d MB of memory in use, the machine has %d", most.memory>>20, memoryMB)
+	if most.memory > *memoryMB<<20 {
+		t.Errorf("%d MB of memory in use, the machine has %d", most.memory>>20, *memoryMB)
 	}
 	if most.descriptors > maxDescriptors {
 		t.Errorf("%d descriptors in use, at most %d leave some for the host's own calls", most.descriptors, maxDescriptors)
--- a/tests/crowder/crowder_test.go
+++ b/tests/crowder/crowder_test.go
@@ -46,6 +46,14 @@
 	{"peerConnections", 800, fewFiles, peerGroup, silent},
 }
 
+// limitOr returns the number of descriptors that the flags set, or else the default.
+func limitOr(defaultFiles int) int {
+	if *files > 0 {
+		return *files
+	}
+	return defaultFiles
+}
+
 // TestCrowds sends each kind of crowd to the decider of two hosts, and an ordinary job while the crowd is there.
 func TestCrowds(t *testing.T) {
 	if raceDetector {
@@ -53,17 +61,17 @@
 	}
 	for number, kind := range kinds {
 		t.Run(kind.name, func(t *testing.T) {
-			cluster := startCluster(t, 2, kind.files)
+			cluster := startCluster(t, 2, limitOr(kind.files))
 			decider := cluster.hosts[0]
 			stop := make(chan struct{})
 			seen := watch(t, decider.process, decider.addresses(), stop)
-			crowd := sendCrowd(t, decider.address(kind.group), kind.count, kind.send)
+			crowd := sendCrowd(t, decider.address(kind.group), kind.count**factor, kind.send)
 			time.Sleep(settleTime)
 			assertAnswered(t, decider, fmt.Sprintf("%016x", number), ordinaryBody)
 			crowd.close()
 			assertAnswered(t, decider, fmt.Sprintf("%016x", 100+number), ordinaryBody)
 			close(stop)
-			assertBounded(t, <-seen, kind.files*descriptorShare/100)
+			assertBounded(t, <-seen, limitOr(kind.files)*descriptorShare/100)
 			for _, host := range cluster.hosts {
 				if host.hasEnded() {
 					t.Errorf("host %d has ended: %v", host.number, host.err)
@@ -89,9 +97,9 @@
 	if raceDetector {
 		t.Skip("as TestCrowds")
 	}
-	cluster := startCluster(t, 2, manyFiles)
+	cluster := startCluster(t, 2, limitOr(manyFiles))
 	decider := cluster.hosts[0]
-	sendCrowd(t, decider.address(httpGroup), 200, stalledBody(knownKey, maxBodyBytes))
+	sendCrowd(t, decider.address(httpGroup), 200**factor, stalledBody(knownKey, maxBodyBytes))
 	_ = decider.command.Process.Signal(syscall.SIGTERM)
 	<-decider.ended
 	if decider.err != nil || decider.logged(t, "shutdown cut off open requests") {
@@ -105,11 +113,11 @@
 	if raceDetector {
 		t.Skip("as TestCrowds")
 	}
-	cluster := startCluster(t, 2, manyFiles)
+	cluster := startCluster(t, 2, limitOr(manyFiles))
 	former, successor := cluster.hosts[0], cluster.hosts[1]
 	stop := make(chan struct{})
 	seen := watch(t, successor.process, successor.addresses(), stop)
-	sendCrowd(t, successor.address(httpGroup), 400, stalledBody(knownKey, maxBodyBytes))
+	sendCrowd(t, successor.address(httpGroup), 400**factor, stalledBody(knownKey, maxBodyBytes))
 	_ = former.command.Process.Kill()
 	<-former.ended
 	if !former.wasKilled() {
@@ -117,7 +125,7 @@
 	}
 	assertAnswered(t, successor, fmt.Sprintf("%016x", 1), ordinaryBody)
 	close(stop)
-	assertBounded(t, <-seen, manyFiles*descriptorShare/100)
+	assertBounded(t, <-seen, limitOr(manyFiles)*descriptorShare/100)
 	if successor.hasEnded() {
 		t.Errorf("the successor has ended: %v", successor.err)
 	}
@@ -130,13 +138,13 @@
 	}
 	for name, runTime := range map[string]time.Duration{"ending": defaultRunTime, "running": time.Hour} {
 		t.Run(name, func(t *testing.T) {
-			cluster := startClusterWith(t, 2, manyFiles, runTime)
+			cluster := startClusterWith(t, 2, limitOr(manyFiles), runTime)
 			decider, other := cluster.hosts[0], cluster.hosts[1]
 			stop := make(chan struct{})
 			seen := watch(t, decider.process, decider.addresses(), stop)
 			submitPayloads(t, other)
 			close(stop)
-			assertBounded(t, <-seen, manyFiles*descriptorShare/100)
+			assertBounded(t, <-seen, limitOr(manyFiles)*descriptorShare/100)
 			for _, host := range cluster.hosts {
 				if host.hasEnded() {
 					t.Errorf("host %d has ended: %v", host.number, host.err)
@@ -148,7 +156,7 @@
 			seen = watch(t, other.process, other.addresses(), stop)
 			assertKnown(t, other, payloadID(0))
 			close(stop)
-			assertBounded(t, <-seen, manyFiles*descriptorShare/100)
+			assertBounded(t, <-seen, limitOr(manyFiles)*descriptorShare/100)
 		})
 	}
 }
