Bound what the kernel keeps of unread requests

Bytes that the kernel has received and a host has not read count towards its machine's memory; connections to refused or waiting requests kept up to megabytes each. The receive buffer of each connection is a part of a quarter of memoryMB now.

TestReceiveBuffer checks the buffer.

--- a/daemon/acceptor/acceptor_test.go
+++ b/daemon/acceptor/acceptor_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -288,3 +289,36 @@
 	server.proceed <- struct{}{}
 	assertStatus(t, served, http.StatusNoContent)
 }
+
+// TestReceiveBuffer checks that the kernel keeps few bytes for a connection that is not read.
+func TestReceiveBuffer(t *testing.T) {
+	const limit = 16 << 10
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := Wrap(raw, Limits{Conns: 1, ReceiveBuffer: limit})
+	defer listener.Close()
+	conn, err := net.Dial("tcp", raw.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	socket, err := accepted.(*Conn).Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := socket.Control(func(descriptor uintptr) {
+		size, err := syscall.GetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF)
+		if err != nil || size > 2*limit { // the kernel doubles it for its own use
+			t.Errorf("receive buffer of %d bytes, error %v, want at most %d", size, err, 2*limit)
+		}
+	}); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/daemon/acceptor/listener.go
+++ b/daemon/acceptor/listener.go
@@ -5,6 +5,7 @@
 	"container/list"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -23,6 +24,8 @@
 	// HeadBytes is the memory for the heads of requests, which the connection with the oldest head that is not complete gives back
 	// at the limit, 0 for no limit.
 	HeadBytes int64
+	// ReceiveBuffer is the number of bytes that the kernel keeps for each connection until they are read, 0 for its default.
+	ReceiveBuffer int
 	// BodyTimeout is the maximum duration of receiving a body, also of one that is not read by the handler, 0 for no limit.
 	BodyTimeout time.Duration
 	// ByLatestRead is set for protocols other than HTTP, on whose connections requests do not follow each other: each read counts as
@@ -48,9 +51,28 @@
 
 // Wrap returns a listener that accepts the connections of another one within limits.
 func Wrap(listener net.Listener, limits Limits) *Listener {
+	if limits.ReceiveBuffer > 0 {
+		setReceiveBuffer(listener, limits.ReceiveBuffer)
+	}
 	return &Listener{Listener: listener, limits: limits}
 }
 
+// setReceiveBuffer bounds the receive buffers of the connections that a listener accepts, which inherit its own. The listener of a network in
+// memory has none.
+func setReceiveBuffer(listener net.Listener, bytes int) {
+	socket, ok := listener.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(descriptor uintptr) { // without it, the kernel's own bounds hold
+		_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
+	})
+}
+
 // Accept waits for the next connection. It closes another one if there are too many.
 func (listener *Listener) Accept() (net.Conn, error) {
 	for {
--- a/daemon/scheduler/client_limits.go
+++ b/daemon/scheduler/client_limits.go
@@ -31,6 +31,10 @@
 	connMemoryShare = 8
 	// connBytes is the memory of a connection without a request: its goroutine and the buffers for reading and writing.
 	connBytes = 16 << 10
+	// unreadMemoryShare is the inverse of the part of the memory that the kernel may take for what callers sent and the host has not read.
+	unreadMemoryShare = 4
+	minReceiveBuffer  = 8 << 10
+	maxReceiveBuffer  = 128 << 10
 	// requestMemoryShare is the inverse of the part of the memory that submissions may take from their first byte until they are answered.
 	requestMemoryShare = 8
 	// peerMemoryShare is the inverse of the part of the memory that messages of peers may take until they have arrived.
@@ -40,6 +44,20 @@
 	otherHeadShare = 64
 )
 
+// receiveBuffer returns the number of bytes that the kernel keeps for each connection until they are read, of which it may take twice as
+// many. Messages of peers are read at once.
+func receiveBuffer(settings loader.Scheduling, name listenerName) int {
+	switch name {
+	case httpListener:
+		perConn := settings.MemoryMB << 20 / unreadMemoryShare / int64(maxConns(settings, name))
+		return int(min(max(perConn/2, minReceiveBuffer), maxReceiveBuffer))
+	case readinessListener, metricsListener:
+		return minReceiveBuffer
+	case peerListener:
+	}
+	return 0
+}
+
 // maxHeadBytes returns the memory that the heads of all requests to a listener may take.
 func maxHeadBytes(settings loader.Scheduling, name listenerName) int64 {
 	memory := settings.MemoryMB << 20
@@ -82,11 +100,12 @@
 		return nil, err //nolint:wrapcheck // the caller names the address
 	}
 	return acceptor.Wrap(listener, acceptor.Limits{
-		Conns:        maxConns(host.settings, name),
-		HeadBytes:    maxHeadBytes(host.settings, name),
-		BodyTimeout:  host.settings.BodyTimeout,
-		ByLatestRead: name == peerListener,
-		Closed:       func(reason acceptor.Reason) { host.recordLimit(name, string(reason)) },
+		Conns:         maxConns(host.settings, name),
+		HeadBytes:     maxHeadBytes(host.settings, name),
+		ReceiveBuffer: receiveBuffer(host.settings, name),
+		BodyTimeout:   host.settings.BodyTimeout,
+		ByLatestRead:  name == peerListener,
+		Closed:        func(reason acceptor.Reason) { host.recordLimit(name, string(reason)) },
 	}), nil
 }
 
