Guard the product's own interface as the scheduler's: connections, heads, bodies

A host of ebonyshuntd took what clients sent: bodies of jobs and sections of up to 1 MB, 64 KB of each request with an idempotency key, heads, and all descriptors. mostRequests bounds requests, not what they take before they are admitted.

It uses acceptor, budgeter and receiver as the scheduler does, by its settings memoryMB (new, 1024) and mostConnections (new). The reporter of limits moved into acceptor, so that both have one.

--- a/daemon/acceptor/handler.go
+++ b/daemon/acceptor/handler.go
@@ -29,7 +29,9 @@
 			conn.beginRequest()
 		} else {
 			conn.beginBody()
-			request.Body = &body{ReadCloser: request.Body, conn: conn}
+			received := *request // http.Server decides by the type of the body of its own request what it does with an unread one
+			received.Body = &body{ReadCloser: request.Body, conn: conn}
+			request = &received
 		}
 		next.ServeHTTP(writer, request)
 	})
--- a/daemon/loader/scheduling.go
+++ b/daemon/loader/scheduling.go
@@ -42,6 +42,7 @@
 const (
 	// MaxProcessorShare is the maximum of ProcessorShare.
 	MaxProcessorShare  = 1024
+	minMemoryMB        = 16
 	maxMemoryMB        = 1 << 30
 	maxCrossRackFactor = 100
 	maxDuration        = 24 * time.Hour
@@ -57,7 +58,8 @@
 
 	defaultFileLimit = 4096
 	minFileLimit     = 256
-	maxFileLimit     = 1 << 20
+	// MaxFileLimit is the largest limit on descriptors that is taken into account.
+	MaxFileLimit = 1 << 20
 )
 
 // LoadScheduling reads the settings file of a scheduling host. Mistakes in the file are returned together,
@@ -120,9 +122,9 @@
 	scheduling.PeerAddress = fields.Address("peerAddress", "")
 	scheduling.Seeds = fields.Addresses("seeds")
 	scheduling.ProcessorShare = fields.Number("processorShare", 1, MaxProcessorShare)
-	scheduling.MemoryMB = fields.Integer("memoryMB", 256, 16, maxMemoryMB)
-	scheduling.MaxOpenFiles = fields.Integer("mostFiles", defaultFileLimit, minFileLimit, maxFileLimit)
-	scheduling.MaxConnections = fields.Integer("mostConnections", 0, 0, maxFileLimit)
+	scheduling.MemoryMB = fields.Integer("memoryMB", 256, minMemoryMB, maxMemoryMB)
+	scheduling.MaxOpenFiles = fields.Integer("mostFiles", defaultFileLimit, minFileLimit, MaxFileLimit)
+	scheduling.MaxConnections = fields.Integer("mostConnections", 0, 0, MaxFileLimit)
 	scheduling.LogLevel = fields.Choice("logLevel", "info", "debug", "info", "warn", "error")
 }
 
--- a/daemon/loader/settings.go
+++ b/daemon/loader/settings.go
@@ -24,6 +24,8 @@
 	Peers               []string      // peer addresses to contact, also while the platform's list is unavailable
 	RootKeyDigest       string        // SHA-256 of the root key, which may change every section
 	MaxRequestsInFlight int           // maximum number of requests in flight
+	MaxConnections      int64         // maximum number of connections of callers, 0 for a part of the descriptors and of MemoryMB
+	MemoryMB            int64         // memory for the process, in MiB, of which clients may take parts
 	TimelineSize        int           // maximum number of events in the timeline
 	ShutdownGrace       time.Duration // maximum duration of a graceful shutdown
 	LogLevel            string
@@ -31,6 +33,7 @@
 
 const (
 	defaultRequestLimit  = 4096
+	defaultMemoryMB      = 1024
 	defaultTimelineSize  = 8192
 	defaultShutdownGrace = 30 * time.Second
 	maxRequestLimit      = 1_000_000
@@ -113,6 +116,8 @@
 
 func (settings *Settings) parseBounds(fields *parser.Fields) {
 	settings.MaxRequestsInFlight = int(fields.Integer("mostRequests", defaultRequestLimit, 1, maxRequestLimit))
+	settings.MaxConnections = fields.Integer("mostConnections", 0, 0, MaxFileLimit)
+	settings.MemoryMB = fields.Integer("memoryMB", defaultMemoryMB, minMemoryMB, maxMemoryMB)
 	settings.TimelineSize = int(fields.Integer("timelineSize", defaultTimelineSize, 1, maxTimelineSize))
 	settings.ShutdownGrace = fields.Duration("shutdownGrace", defaultShutdownGrace, time.Second, maxShutdownGrace)
 	settings.LogLevel = fields.Choice("logLevel", "info", "debug", "info", "warn", "error")
@@ -123,6 +128,9 @@
 	if settings.MaxRequestsInFlight == 0 {
 		settings.MaxRequestsInFlight = defaultRequestLimit
 	}
+	if settings.MemoryMB == 0 {
+		settings.MemoryMB = defaultMemoryMB
+	}
 	if settings.TimelineSize == 0 {
 		settings.TimelineSize = defaultTimelineSize
 	}
--- a/daemon/scheduler/client_limits.go
+++ b/daemon/scheduler/client_limits.go
@@ -1,10 +1,6 @@
 package scheduler
 
 import (
-	"log/slog"
-	"sync"
-	"time"
-
 	"ebonyshunt.org/daemon/acceptor"
 	"ebonyshunt.org/daemon/loader"
 )
@@ -111,45 +107,5 @@
 
 // recordLimit counts and logs that a limit closed a connection or refused a request.
 func (host *Host) recordLimit(name listenerName, limit string) {
-	host.metrics.limits.WithLabelValues(string(name), limit).Inc()
-	host.limitLog.record(host.log, name, limit)
-}
-
-// limitLogInterval is the minimum time between two log lines about a limit.
-const limitLogInterval = 5 * time.Second
-
-// limitLog logs which limits were met, one line for many events.
-type limitLog struct {
-	mu      sync.Mutex
-	entries map[limitKey]*limitEntry
-}
-
-type limitKey struct {
-	name  listenerName
-	limit string
-}
-
-// limitEntry holds what was logged about one limit.
-type limitEntry struct {
-	loggedAt time.Time
-	unlogged int // events since then
-}
-
-func (limitLog *limitLog) record(log *slog.Logger, name listenerName, limit string) {
-	limitLog.mu.Lock()
-	defer limitLog.mu.Unlock()
-	key := limitKey{name, limit}
-	entry := limitLog.entries[key]
-	if entry == nil {
-		entry = &limitEntry{}
-		if limitLog.entries == nil {
-			limitLog.entries = map[limitKey]*limitEntry{}
-		}
-		limitLog.entries[key] = entry
-	}
-	entry.unlogged++
-	if now := time.Now(); now.Sub(entry.loggedAt) >= limitLogInterval {
-		log.Warn("limit for clients met", "listener", name, "limit", limit, "times", entry.unlogged)
-		entry.loggedAt, entry.unlogged = now, 0
-	}
+	host.limits.Record(string(name), limit)
 }
--- a/daemon/scheduler/hedged_calls_test.go
+++ b/daemon/scheduler/hedged_calls_test.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"testing"
 
+	"ebonyshunt.org/daemon/acceptor"
 	"ebonyshunt.org/daemon/dialer"
 	"ebonyshunt.org/daemon/linker"
 	"ebonyshunt.org/library/budgeter"
@@ -66,8 +67,7 @@
 
 // TestBusyDecider checks that a decider refuses calls of peers for which there is no memory, and serves them again once there is.
 func TestBusyDecider(t *testing.T) {
-	host := &Host{requestBudget: budgeter.New(64 << 10), log: slog.New(slog.DiscardHandler)}
-	host.metrics = &metrics{limits: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "limits"}, []string{"listener", "limit"})}
+	host := &Host{requestBudget: budgeter.New(64 << 10), limits: acceptor.NewReporter(prometheus.NewRegistry(), slog.New(slog.DiscardHandler))}
 	body, err := json.Marshal(Call{ID: "1", Job: &planner.Job{ID: "1", Payload: "s", Steps: []planner.Step{{Count: 1}}}})
 	if err != nil {
 		t.Fatal(err)
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -43,7 +43,7 @@
 	started  time.Time
 	clock    *recorder.Clock
 	metrics  *metrics
-	limitLog limitLog
+	limits   *acceptor.Reporter
 	// requestBudget is the memory for the submissions that this host receives, forwards and, as the decider, gets from peers.
 	requestBudget *budgeter.Budget
 
@@ -116,6 +116,7 @@
 	host.store.MaxRecordBytes = int(settings.MaxRecordBytes)
 	host.workers = translator.NewWorkerClient(newWorkerClient(network.Metered(&host.traffic.workers), int(settings.MaxOpenFiles)))
 	host.metrics = newMetrics(host)
+	host.limits = acceptor.NewReporter(host.metrics.registry, log)
 	host.catalogFetcher = newCatalogFetcher(host)
 	host.hedgedCaller = newHedgedCaller(host)
 	host.slowTransferAt.Store(-int64(slowTransferInterval))
--- a/daemon/scheduler/metrics.go
+++ b/daemon/scheduler/metrics.go
@@ -25,8 +25,6 @@
 	// calibration counts how often learned run times held.
 	calibration *calibrationCounters
 	refusals    *prometheus.CounterVec
-	// limits counts the connections and requests that met a limit for all clients together.
-	limits *prometheus.CounterVec
 	// sentCatalogBytes counts the bytes of the configurations that were sent to other hosts.
 	sentCatalogBytes prometheus.Counter
 
@@ -68,9 +66,6 @@
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "ebonyshunt_refusals_total", Help: "Jobs that the decider refused by its forecast, by reason.",
 		}, []string{"reason"}),
-		limits: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "ebonyshunt_client_limits_total", Help: "Connections closed and requests refused because of limits for all clients, by address and limit.",
-		}, []string{"listener", "limit"}),
 		sentCatalogBytes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "ebonyshunt_sent_config_bytes_total", Help: "Bytes of configurations sent to other hosts.",
 		}),
@@ -97,7 +92,7 @@
 func (metrics *metrics) register(host *Host) {
 	metrics.registry.MustRegister(
 		metrics.polls, metrics.starts, metrics.calls, metrics.appends, metrics.jobs, metrics.endings,
-		metrics.sentCatalogBytes, metrics.hedgedCalls, metrics.refusals, metrics.limits,
+		metrics.sentCatalogBytes, metrics.hedgedCalls, metrics.refusals,
 		metrics.waitingTasks, metrics.runs, metrics.unknownWorkers, metrics.usedShare, metrics.lag,
 		metrics.drainedRuns, metrics.shares.share, metrics.shares.used, metrics.shares.givenBack,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/daemon/server/body.go
+++ b/daemon/server/body.go
@@ -4,9 +4,15 @@
 	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"time"
+
+	"ebonyshunt.org/library/budgeter"
+	"ebonyshunt.org/library/receiver"
 )
 
 // body is the body of a request, which is streamed to the worker. A body of at most maxStoredAnswerBytes that has to be
@@ -16,6 +22,8 @@
 	buffered    []byte // read for the fingerprint
 	complete    bool   // buffered is the entire body
 	readStarted bool   // an attempt has read from the stream
+	claim       *budgeter.Claim
+	received    func() // called once what is buffered was read
 }
 
 func newBody(w http.ResponseWriter, r *http.Request, maxBytes int64) *body {
@@ -46,9 +54,18 @@
 // stored for the fingerprint.
 func (body *body) buffer() error {
 	data, err := io.ReadAll(io.LimitReader(body.source, maxStoredAnswerBytes+1))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return receiver.ErrLate.Wrap(err)
+	}
 	if err != nil {
 		return fmt.Errorf("read body: %w", err)
 	}
+	if body.claim != nil {
+		if err := body.claim.Arrived(); err != nil {
+			return fmt.Errorf("read body: %w", err)
+		}
+		body.received()
+	}
 	body.buffered = data
 	if len(data) <= maxStoredAnswerBytes {
 		body.complete = true
@@ -74,3 +91,22 @@
 	hash.Write(body.buffered)
 	return hex.EncodeToString(hash.Sum(nil)), nil
 }
+
+// claimForFingerprint claims the memory for the part of a body that its fingerprint reads, and limits the time until that was read. The
+// returned function returns the memory once the request has ended.
+func (server *Server) claimForFingerprint(request *clientRequest) (func(), error) {
+	const copies = 2 // the part that was read, and the buffer before it grew
+	size := int64(maxStoredAnswerBytes + 1)
+	if length := request.r.ContentLength; length >= 0 {
+		size = min(size, length)
+	}
+	controller := http.NewResponseController(request.w)
+	claim, err := server.bodies.Budget.Claim(copies*size, func() { _ = controller.SetReadDeadline(time.Now()) })
+	if err != nil {
+		return nil, fmt.Errorf("claim memory: %w", err)
+	}
+	request.body.claim = claim
+	_ = controller.SetReadDeadline(time.Now().Add(receiveTimeout)) // without one, the read ends with the connection
+	request.body.received = func() { _ = controller.SetReadDeadline(time.Time{}) }
+	return claim.Release, nil
+}
--- /dev/null
+++ b/daemon/server/client_limits.go
@@ -0,0 +1,95 @@
+package server
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"ebonyshunt.org/daemon/acceptor"
+	"ebonyshunt.org/daemon/loader"
+	"ebonyshunt.org/library/budgeter"
+	"ebonyshunt.org/library/receiver"
+	"ebonyshunt.org/library/responder"
+)
+
+// The settings with the addresses of the listeners, in logs and metrics.
+const (
+	httpListener = "httpAddress"
+	peerListener = "peerAddress"
+)
+
+const (
+	// The parts of the descriptors that connections may take, in percent. The host needs the others for its own calls.
+	httpFilesPercent = 40
+	peerFilesPercent = 20
+	// The inverses of the parts of the memory for what clients take together.
+	connMemoryShare    = 8
+	requestMemoryShare = 8
+	peerMemoryShare    = 8
+	headMemoryShare    = 16
+	// connBytes is the memory of a connection without a request.
+	connBytes = 16 << 10
+	// receiveTimeout is how long a body that is read into memory may take.
+	receiveTimeout = 30 * time.Second
+	// limitRetryDelay is sent to callers whose request was refused because of a limit for all of them.
+	limitRetryDelay = time.Second
+)
+
+// openFileLimit returns the number of descriptors that the process may open.
+func openFileLimit() int64 {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > loader.MaxFileLimit {
+		return loader.MaxFileLimit
+	}
+	return int64(limit.Cur)
+}
+
+// limitCallers returns a listener that bounds what the connections of callers take together.
+func (server *Server) limitCallers(listener net.Listener) *acceptor.Listener {
+	memory := server.settings.MemoryMB << 20
+	conns := server.settings.MaxConnections
+	if conns == 0 {
+		conns = min(openFileLimit()*httpFilesPercent/100, memory/connMemoryShare/connBytes)
+	}
+	return acceptor.Wrap(listener, acceptor.Limits{
+		Conns:     int(conns),
+		HeadBytes: memory / headMemoryShare,
+		Closed:    func(reason acceptor.Reason) { server.limits.Record(httpListener, string(reason)) },
+	})
+}
+
+// limitPeers returns a listener that bounds the number of connections of peers.
+func (server *Server) limitPeers(listener net.Listener) *acceptor.Listener {
+	return acceptor.Wrap(listener, acceptor.Limits{
+		Conns:        int(openFileLimit() * peerFilesPercent / 100),
+		ByLatestRead: true,
+		Closed:       func(reason acceptor.Reason) { server.limits.Record(peerListener, string(reason)) },
+	})
+}
+
+// receive reads the body of a request into memory. What is read is of the given kind, in problems.
+func (server *Server) receive(w http.ResponseWriter, r *http.Request, maxBytes int64, kind string) (*receiver.Body, *responder.Problem) {
+	body, err := server.bodies.Receive(w, r, maxBytes, receiveTimeout)
+	if err != nil {
+		return nil, server.bodyProblem(err, kind)
+	}
+	return body, nil
+}
+
+// bodyProblem returns the problem of a body that was not read to its end. Its request was not carried out.
+func (server *Server) bodyProblem(err error, kind string) *responder.Problem {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return responder.Refuse(http.StatusRequestEntityTooLarge, responder.CodeTooLarge, "the %s exceeds %d bytes", kind, tooLarge.Limit)
+	case budgeter.ErrFull.Has(err):
+		server.limits.Record(httpListener, "requestMemory")
+		return responder.Refuse(http.StatusServiceUnavailable, responder.CodeOverloaded, "the requests that this host serves take the memory for them").WithRetryAfter(limitRetryDelay)
+	case receiver.ErrLate.Has(err), budgeter.ErrEvicted.Has(err):
+		server.limits.Record(httpListener, "bodyTimeout")
+		return responder.Refuse(http.StatusServiceUnavailable, responder.CodeOverloaded, "the %s did not arrive in time", kind).WithRetryAfter(limitRetryDelay)
+	}
+	return badRequest("the body was cut off: %v", err)
+}
--- a/daemon/server/keyed.go
+++ b/daemon/server/keyed.go
@@ -81,9 +81,15 @@
 // serveKeyed runs a request at most once under its idempotency key, or replays the answer to an earlier request with
 // that key.
 func (server *Server) serveKeyed(request *clientRequest) {
+	release, err := server.claimForFingerprint(request)
+	if err != nil {
+		server.completeRequest(request, server.bodyProblem(err, "body"))
+		return
+	}
+	defer release()
 	fingerprint, err := request.body.fingerprint(request.r)
 	if err != nil {
-		server.completeRequest(request, badRequest("%v", err))
+		server.completeRequest(request, server.bodyProblem(err, "body"))
 		return
 	}
 	home, handle := homeZone(server.viewer.View().Fleet.Zones, request.team, request.key)
--- a/daemon/server/publish.go
+++ b/daemon/server/publish.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -93,7 +92,7 @@
 			"send If-Match with the version of the section that you saw, 0 for a new one"))
 		return
 	}
-	change, problem := readChange(w, r)
+	change, problem := server.readChange(w, r)
 	if problem != nil {
 		server.writeProblem(w, "", problem)
 		return
@@ -119,12 +118,14 @@
 	responder.WriteJSON(w, http.StatusOK, PublishAnswer{Section: name, Version: version.Offset})
 }
 
-func readChange(w http.ResponseWriter, r *http.Request) (SectionChange, *responder.Problem) {
+func (server *Server) readChange(w http.ResponseWriter, r *http.Request) (SectionChange, *responder.Problem) {
 	change := SectionChange{ID: uuid.NewString()}
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxSectionBytes))
-	if err != nil {
-		return change, badRequest("read section: %v", err)
+	body, problem := server.receive(w, r, maxSectionBytes, "section")
+	if problem != nil {
+		return change, problem
 	}
+	defer body.Close()
+	data := body.Data
 	if len(data) == 0 && r.Method == http.MethodDelete {
 		return change, nil
 	}
--- a/daemon/server/routes.go
+++ b/daemon/server/routes.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -158,7 +156,13 @@
 		server.writeProblem(w, "", problem)
 		return
 	}
-	spec, problem := readJobSpec(w, r)
+	body, problem := server.receive(w, r, maxJobBytes, "job")
+	if problem != nil {
+		server.writeProblem(w, "", problem)
+		return
+	}
+	defer body.Close()
+	spec, problem := decodeJobSpec(body.Data)
 	if problem != nil {
 		server.writeProblem(w, "", problem)
 		return
@@ -182,16 +186,8 @@
 	server.writeJob(w, id, answer, err, http.StatusAccepted)
 }
 
-func readJobSpec(w http.ResponseWriter, r *http.Request) (JobSpec, *responder.Problem) {
+func decodeJobSpec(data []byte) (JobSpec, *responder.Problem) {
 	var spec JobSpec
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxJobBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return spec, responder.Refuse(http.StatusRequestEntityTooLarge, responder.CodeTooLarge, "the job exceeds %d bytes", maxJobBytes)
-	}
-	if err != nil {
-		return spec, badRequest("the body was cut off: %v", err)
-	}
 	if err := json.Unmarshal(data, &spec); err != nil {
 		return spec, badRequest("%v", err)
 	}
--- a/daemon/server/server.go
+++ b/daemon/server/server.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"ebonyshunt.org/daemon/acceptor"
 	"ebonyshunt.org/daemon/dialer"
 	"ebonyshunt.org/daemon/linker"
 	"ebonyshunt.org/daemon/lister"
@@ -22,8 +23,10 @@
 	"ebonyshunt.org/daemon/starter"
 	"ebonyshunt.org/daemon/tailer"
 	"ebonyshunt.org/library/admitter"
+	"ebonyshunt.org/library/budgeter"
 	"ebonyshunt.org/library/detector"
 	"ebonyshunt.org/library/keeper"
+	"ebonyshunt.org/library/receiver"
 	"ebonyshunt.org/library/recorder"
 	"ebonyshunt.org/library/replayer"
 	"ebonyshunt.org/library/retrier"
@@ -42,6 +45,8 @@
 	incarnation string
 	startedAt   time.Time
 	metrics     *metrics
+	limits      *acceptor.Reporter
+	bodies      *receiver.Receiver // reads the bodies that are kept in memory
 
 	Timeline *recorder.Ring
 
@@ -152,6 +157,8 @@
 	server.abandonContext, server.abandon = context.WithCancel(context.Background())
 	server.endStreamsContext, server.endStreams = context.WithCancel(context.Background())
 	server.metrics.registerGauges(server)
+	server.limits = acceptor.NewReporter(server.metrics.registry, server.log)
+	server.bodies = &receiver.Receiver{Budget: budgeter.New(settings.MemoryMB << 20 / requestMemoryShare), Timeout: receiveTimeout}
 	return server
 }
 
@@ -159,15 +166,18 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	server.cancel = cancel
 	server.tailer = tailer.Start(server.logClient, server.register, server.log, server.applyChanges)
-	server.peerServer = linker.Serve(peerListener, server.settings.Host, server.Timeline.Clock, nil, server.log, server.handlePeerCall)
+	peerMemory := budgeter.New(server.settings.MemoryMB << 20 / peerMemoryShare)
+	server.peerServer = linker.Serve(server.limitPeers(peerListener), server.settings.Host, server.Timeline.Clock, peerMemory, server.log, server.handlePeerCall)
 	server.httpServer = &http.Server{
-		Handler:           server.routes(),
+		Handler:           acceptor.Handle(server.routes()),
+		ConnContext:       acceptor.WithConn,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(server.log.Handler(), slog.LevelDebug),
 	}
-	server.goroutines.Go(func() { _ = server.httpServer.Serve(listener) })
+	callers := server.limitCallers(listener)
+	server.goroutines.Go(func() { _ = server.httpServer.Serve(callers) })
 	server.goroutines.Go(func() { server.runEvery(ctx, listInterval, server.pollHosts) })
 	server.goroutines.Go(func() { server.runEvery(ctx, zoneHeartbeatInterval, server.sendDueHeartbeats) })
 	server.goroutines.Go(func() { server.runEvery(ctx, livenessInterval, server.checkPeers) })
