--- a/daemon/acceptor/acceptor_test.go
+++ b/daemon/acceptor/acceptor_test.go
@@ -236,8 +236,8 @@
 	})
 	t.Run("inARow", func(t *testing.T) { // the end of what was read for one head may be the beginning of the next
 		server := newServer(t, Limits{Conns: 10, HeadBytes: limit})
-		server.dial(t, request("/")+begin+strings.Repeat("a:\n", 100))
-		<-server.served
+		conn := server.dial(t, request("/")+begin+strings.Repeat("a:\n", 100))
+		assertStatus(t, conn, http.StatusNoContent)
 		server.awaitHeads(t, 100*costPerHeadLine)
 	})
 	t.Run("returned", func(t *testing.T) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -420,4 +420,32 @@
 try 'stored jobs: no limits for new jobs' library/planner/job.go '	if err := job.checkFields(); err != nil {
 		return Job{}, err' '	if err := job.Check(); err != nil {
 		return Job{}, err' ./library/planner 'TestStoredJobsGoOn'
+try 'clients: number of connections' daemon/acceptor/listener.go 'if listener.conns >= listener.limits.Conns {' 'if false {' ./daemon/acceptor 'TestOldestIsClosed'
+try 'clients: served connections stay open' daemon/acceptor/handler.go '			conn.beginRequest()
+' '' ./daemon/acceptor 'TestOldestIsClosed'
+try 'clients: memory of heads' daemon/acceptor/heads.go 'for listener.headBytes > listener.limits.HeadBytes {' 'for false {' ./daemon/acceptor 'TestHeads'
+try 'clients: short lines of heads' daemon/acceptor/heads.go 'costPerHeadLine*int64(' '0*int64(' ./daemon/acceptor 'TestHeads'
+try 'clients: heads in a row' daemon/acceptor/conn.go 'conn.releaseHead(conn.head.cost - conn.head.latest)' 'conn.releaseHead(conn.head.cost)' ./daemon/acceptor 'TestHeads'
+try 'clients: drained requests' daemon/acceptor/conn.go '!drainEnd.IsZero() &&' 'false && !drainEnd.IsZero() &&' ./daemon/acceptor 'TestDrain'
+try 'clients: unread bytes' daemon/acceptor/listener.go 'if limits.ReceiveBuffer > 0 {' 'if false {' ./daemon/acceptor 'TestReceiveBuffer'
+try 'clients: room of small bodies' library/budgeter/budget.go '	return []*room{&budget.large}
+' '	return []*room{&budget.large, &budget.small}
+' ./library/budgeter 'TestLargeBodies'
+try 'clients: late bodies give way' library/budgeter/budget.go 'if now.Sub(claim.since) < minEvictionAge {' 'if now.Sub(claim.since) < time.Hour {' ./library/budgeter 'TestLargeBodies'
+try 'clients: arrived bodies stay' library/budgeter/budget.go '		claim.room.arriving.Remove(claim.element)
+		claim.element = nil
+	}
+	return nil' '	}
+	return nil' ./library/budgeter 'TestLargeBodies'
+try 'clients: memory of bodies' library/receiver/receiver.go 'receiver.Budget.Claim(size*CostPerByte' 'receiver.Budget.Claim(0*size*CostPerByte' ./library/receiver 'TestNoMemory'
+try 'clients: time of bodies' library/receiver/receiver.go 'time.Now().Add(timeout)' 'time.Now().Add(time.Hour + timeout)' ./library/receiver 'TestLate'
+try 'clients: steps while they are decoded' platform/translator/submission.go 'if len(steps) == planner.MaxSteps {' 'if false {' ./platform/translator 'TestDecodingIsBounded'
+try 'clients: dependencies while they are decoded' platform/translator/submission.go 'if bytes.Count(data' 'if false && bytes.Count(data' ./platform/translator 'TestDecodeSteps'
+try 'clients: memory of decoded steps' platform/translator/ingress.go 'body.Reserve(memoryPerStep *' 'body.Reserve(0 * memoryPerStep *' ./platform/translator 'TestStepsTakeMemory'
+try 'clients: busy answers to repeated calls' daemon/scheduler/hedged_calls.go 'if isBusy(answer.err) {' 'if false && isBusy(answer.err) {' ./daemon/scheduler 'TestBusyPeer'
+try 'clients: memory of peers'"'"' submissions' daemon/scheduler/calls.go 'Claim(int64(len(body))*' 'Claim(0*int64(len(body))*' ./daemon/scheduler 'TestBusyDecider'
+try 'clients: memory of jobs' library/planner/submission.go 'planner.jobBytes+job.memory() <= limit' 'true' ./library/planner 'TestJobsInMemory'
+try 'clients: payloads of ended jobs' library/planner/journal.go '		planner.dropPayload(entry)
+' '' ./library/planner 'TestJobsInMemory'
+try 'clients: announced messages' daemon/linker/codec.go 'make([]byte, 0, min(size, firstBytes))' 'make([]byte, 0, size)' ./daemon/linker 'TestLargeMessages'
 exit $failed
