Test crowds whose clients return when their connections are closed

400 clients send the same again for 5 s whenever the host closes their connection; an ordinary job is accepted meanwhile.

--- a/tests/crowder/crowd_test.go
+++ b/tests/crowder/crowd_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -51,6 +52,29 @@
 	return crowd
 }
 
+// returningTime is how long the clients of a crowd return when their connections are closed.
+const returningTime = 5 * time.Second
+
+// returning returns a client that sends the same again over a new connection whenever the host has closed the one before.
+func returning(address string, send client) client {
+	return func(conn net.Conn, number int) error {
+		for deadline := time.Now().Add(returningTime); time.Now().Before(deadline); {
+			_ = send(conn, number)
+			_ = conn.SetReadDeadline(deadline)
+			_, _ = io.Copy(io.Discard, conn) // until the host closes it
+			conn.Close()
+			next, err := net.DialTimeout("tcp", address, dialTimeout)
+			if err != nil {
+				return err
+			}
+			defer next.Close()
+			conn = next
+			_ = conn.SetDeadline(time.Now().Add(sendTimeout))
+		}
+		return nil
+	}
+}
+
 func (crowd *crowd) add(conn net.Conn) {
 	crowd.mu.Lock()
 	defer crowd.mu.Unlock()
@@ -112,6 +136,17 @@
 	}
 }
 
+// stalledPart sends a body with a declared length of a size, less its last byte.
+func stalledPart(size int) client {
+	body := bytes.Repeat([]byte{' '}, size-1)
+	return func(conn net.Conn, number int) error {
+		if _, err := conn.Write([]byte(head(number, knownKey, fmt.Sprintf("Content-Length: %d", size)) + "\r\n")); err != nil {
+			return err
+		}
+		return send(conn, body, size)
+	}
+}
+
 // stalledChunks sends a body in chunks of a size, many of them at once, and not the end.
 func stalledChunks(size int) client {
 	var body bytes.Buffer
--- a/tests/crowder/crowder_test.go
+++ b/tests/crowder/crowder_test.go
@@ -194,3 +194,40 @@
 	}
 	t.Errorf("host %d does not know job %s", host.number, id)
 }
+
+// TestReturningCrowds checks that an ordinary job is accepted while the clients of a crowd return again and again.
+func TestReturningCrowds(t *testing.T) {
+	if raceDetector {
+		t.Skip("as TestCrowds")
+	}
+	for _, kind := range []struct {
+		name string
+		send client
+	}{
+		{"bodies", stalledBody(knownKey, maxBodyBytes)},
+		{"smallBodies", stalledPart(8 << 10)},
+		{"heads", stalledHead("X-Line: "+strings.Repeat("x", 90)+"\r\n", 60<<10)},
+		{"connections", silent},
+	} {
+		t.Run(kind.name, func(t *testing.T) {
+			cluster := startCluster(t, 2, limitOr(fewFiles))
+			decider := cluster.hosts[0]
+			stop := make(chan struct{})
+			seen := watch(t, decider.process, decider.addresses(), stop)
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				sendCrowd(t, decider.address(httpGroup), 400**factor, returning(decider.address(httpGroup), kind.send))
+			}()
+			time.Sleep(settleTime)
+			assertAnswered(t, decider, fmt.Sprintf("%016x", 1), ordinaryBody)
+			<-ended
+			assertAnswered(t, decider, fmt.Sprintf("%016x", 2), ordinaryBody)
+			close(stop)
+			assertBounded(t, <-seen, limitOr(fewFiles)*descriptorShare/100)
+			if decider.hasEnded() {
+				t.Errorf("the host has ended: %v", decider.err)
+			}
+		})
+	}
+}
