Serve requests that arrive during a drain to their end

A request without a body that a stopping host received completely, and that took longer than the drain, lost its context at the drain's end: the deadline of reads stayed in force, and http.Server takes a failed read for the end of its client.

The deadline ends when a whole request was received. TestServedWhileDrained: status 500 before, 204 after.

--- a/daemon/acceptor/acceptor_test.go
+++ b/daemon/acceptor/acceptor_test.go
@@ -39,6 +39,10 @@
 		if request.URL.Path == "/wait" {
 			<-server.proceed
 		}
+		if request.Context().Err() != nil {
+			writer.WriteHeader(http.StatusInternalServerError)
+			return
+		}
 		writer.WriteHeader(http.StatusNoContent)
 	})
 	httpServer := &http.Server{Handler: Handle(handler), ConnContext: WithConn, ReadHeaderTimeout: testTimeout}
@@ -198,6 +202,18 @@
 	}
 }
 
+// TestServedWhileDrained guards against requests that are cut although they were received completely before the end of a drain.
+func TestServedWhileDrained(t *testing.T) {
+	const timeout = 500 * time.Millisecond
+	server := newServer(t, Limits{Conns: 10})
+	server.Drain(timeout)
+	conn := server.dial(t, request("/wait"))
+	<-server.served
+	time.Sleep(2 * timeout)
+	server.proceed <- struct{}{}
+	assertStatus(t, conn, http.StatusNoContent)
+}
+
 // heads returns the memory of the heads that a listener counts.
 func (testServer *testServer) heads() int64 {
 	testServer.mu.Lock()
--- a/daemon/acceptor/conn.go
+++ b/daemon/acceptor/conn.go
@@ -97,6 +97,9 @@
 	conn.listener.mu.Lock()
 	defer conn.listener.mu.Unlock()
 	conn.stopReceiving()
+	if !conn.listener.drainEnd.IsZero() {
+		_ = conn.Conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
+	}
 }
 
 // endRequest records that a request was answered. What was read last may belong to the next one.
