Apply the operator's limits of heads and idle connections

maxHeaderBytes, headerTimeoutMs and idleTimeoutMs of the configuration were decoded and used nowhere: constants of 64 KB, 10 s and a minute held.

Connections to httpAddress apply those in force, where they are tighter. TestRequestLimits is new; without the change nothing closes its connections.

--- a/daemon/acceptor/acceptor_test.go
+++ b/daemon/acceptor/acceptor_test.go
@@ -45,7 +45,7 @@
 		}
 		writer.WriteHeader(http.StatusNoContent)
 	})
-	httpServer := &http.Server{Handler: Handle(handler), ConnContext: WithConn, ReadHeaderTimeout: testTimeout}
+	httpServer := &http.Server{Handler: Handle(handler), ConnContext: WithConn, ReadHeaderTimeout: testTimeout, IdleTimeout: testTimeout}
 	go func() { _ = httpServer.Serve(server) }()
 	t.Cleanup(func() { _ = httpServer.Close() })
 	return server
@@ -338,3 +338,50 @@
 		t.Fatal(err)
 	}
 }
+
+// TestRequestLimits checks the limits of each request.
+func TestRequestLimits(t *testing.T) {
+	const short, long = 50 * time.Millisecond, time.Hour
+	const begin = "GET / HTTP/1.1\r\nHost: x\r\n"
+	serve := func(t *testing.T, limits RequestLimits) *testServer {
+		return newServer(t, Limits{Conns: 10, Request: func() RequestLimits { return limits }})
+	}
+	t.Run("headTimeout", func(t *testing.T) {
+		server := serve(t, RequestLimits{HeadTimeout: short, IdleTimeout: long})
+		server.dial(t, begin)
+		waiting := server.dial(t, "")
+		server.awaitConns(t, 2)
+		server.awaitConns(t, 1)
+		if _, err := io.WriteString(waiting, request("/")); err != nil {
+			t.Fatal(err)
+		}
+		assertStatus(t, waiting, http.StatusNoContent)
+	})
+	t.Run("idleTimeout", func(t *testing.T) {
+		server := serve(t, RequestLimits{HeadTimeout: long, IdleTimeout: short})
+		answered := server.dial(t, request("/"))
+		assertStatus(t, answered, http.StatusNoContent)
+		assertClosed(t, answered)
+	})
+	t.Run("servedAndBodies", func(t *testing.T) { // neither is idle
+		server := serve(t, RequestLimits{HeadTimeout: short, IdleTimeout: short})
+		served := server.dial(t, request("/wait"))
+		<-server.served
+		body := server.dial(t, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nx")
+		time.Sleep(2 * short)
+		if _, err := io.WriteString(body, "x"); err != nil {
+			t.Fatal(err)
+		}
+		assertStatus(t, body, http.StatusNoContent)
+		server.proceed <- struct{}{}
+		assertStatus(t, served, http.StatusNoContent)
+	})
+	t.Run("headBytes", func(t *testing.T) {
+		const limit = 1 << 10
+		server := serve(t, RequestLimits{MaxHeadBytes: limit})
+		assertStatus(t, server.dial(t, begin+"X: "+strings.Repeat("x", limit/2)+"\r\n\r\n"), http.StatusNoContent)
+		assertStatus(t, server.dial(t, begin+"X: "+strings.Repeat("x", limit+2*httpBufferBytes)+"\r\n\r\n"), http.StatusBadRequest)
+		large := "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("x", 100_000)
+		assertStatus(t, server.dial(t, large), http.StatusNoContent)
+	})
+}
--- a/daemon/acceptor/conn.go
+++ b/daemon/acceptor/conn.go
@@ -23,8 +23,11 @@
 	case count == 0:
 	case limits.ByLatestRead:
 		conn.moveToEnd()
-	case limits.HeadBytes > 0 && len(data) <= httpBufferBytes && !conn.charge(data[:count]):
+	case len(data) > httpBufferBytes:
+	case limits.HeadBytes > 0 && !conn.charge(data[:count]):
 		return 0, errClosed
+	case limits.Request != nil && !conn.limitHead(count):
+		return 0, errHeadTooLarge
 	}
 	return count, err //nolint:wrapcheck // http.Server compares it
 }
@@ -38,11 +41,15 @@
 	}
 }
 
-// SetReadDeadline sets the deadline of reads. While the listener is drained, a request that was not received completely has none after the
+// SetReadDeadline sets the deadline of reads, which the limits of a request make earlier until its head was received; a zero one ends it. While the listener is drained, a request that was not received completely has none after the
 // end of that.
 func (conn *Conn) SetReadDeadline(deadline time.Time) error {
+	limits := conn.listener.requestLimits()
 	conn.listener.mu.Lock()
 	defer conn.listener.mu.Unlock()
+	if timeout := conn.head.timeout(limits); conn.element != nil && timeout > 0 && time.Until(deadline) > timeout {
+		deadline = time.Now().Add(timeout)
+	}
 	drainEnd := conn.listener.drainEnd
 	if conn.element != nil && !drainEnd.IsZero() && (deadline.IsZero() || deadline.After(drainEnd)) {
 		deadline = drainEnd
@@ -108,7 +115,7 @@
 	listener.mu.Lock()
 	defer listener.mu.Unlock()
 	conn.stopReceiving()
-	conn.head.inBody = false
+	conn.head.inBody, conn.head.bytes = false, 0
 	if !conn.open {
 		return
 	}
--- a/daemon/acceptor/heads.go
+++ b/daemon/acceptor/heads.go
@@ -2,10 +2,14 @@
 
 import (
 	"bytes"
+	"time"
 
 	"github.com/zeebo/errs"
 )
 
+// errHeadTooLarge reports that a head is larger than RequestLimits.MaxHeadBytes.
+var errHeadTooLarge = errs.New("the head of the request is too large")
+
 // errClosed reports that a limit closed the connection.
 var errClosed = errs.New("the connection was closed because of a limit")
 
@@ -21,6 +25,7 @@
 type head struct {
 	cost   int64 // bytes, with what may follow the head in the buffer
 	latest int64 // of the latest read, part of cost
+	bytes  int   // received of the head, with what may follow it in the buffer
 	inBody bool  // the head was received, and the body was not
 }
 
@@ -53,6 +58,32 @@
 	return open
 }
 
+// limitHead applies the limits of a request to a number of bytes that were read of its head. It returns false if it is too large.
+func (conn *Conn) limitHead(count int) bool {
+	limits := conn.listener.requestLimits()
+	conn.listener.mu.Lock()
+	defer conn.listener.mu.Unlock()
+	if conn.element == nil || conn.head.inBody {
+		return true
+	}
+	if conn.head.bytes == 0 && limits.HeadTimeout > 0 && conn.listener.drainEnd.IsZero() {
+		_ = conn.Conn.SetReadDeadline(time.Now().Add(limits.HeadTimeout)) // fails only if the connection is closed
+	}
+	conn.head.bytes += count
+	return limits.MaxHeadBytes <= 0 || conn.head.bytes <= limits.MaxHeadBytes+httpBufferBytes
+}
+
+// timeout returns the time in which something has to arrive while no whole head was received, 0 for no limit.
+func (head *head) timeout(limits RequestLimits) time.Duration {
+	switch {
+	case head.inBody:
+		return 0
+	case head.bytes > 0:
+		return limits.HeadTimeout
+	}
+	return limits.IdleTimeout
+}
+
 // addHeadCost adds the memory of a read. While a request is served or its body is read, only the latest read may be the beginning of
 // another head.
 func (conn *Conn) addHeadCost(cost int64) {
--- a/daemon/acceptor/listener.go
+++ b/daemon/acceptor/listener.go
@@ -31,10 +31,19 @@
 	// ByLatestRead is set for protocols other than HTTP, on whose connections requests do not follow each other: each read counts as
 	// the end of a request.
 	ByLatestRead bool
+	// Request returns the limits of each request that are in force, nil for none.
+	Request func() RequestLimits
 	// Closed is called for each connection that is closed because of a limit, nil for no call.
 	Closed func(Reason)
 }
 
+// RequestLimits are the limits of each request. Those that are 0 do not hold.
+type RequestLimits struct {
+	MaxHeadBytes int
+	HeadTimeout  time.Duration // from the first byte of a head to its end
+	IdleTimeout  time.Duration // without a byte of the next request
+}
+
 // Listener is a net.Listener that accepts connections within limits. A connection is receiving until a whole request was read from it,
 // and again after the request was answered. At a limit, the connection that has been receiving for the longest time is closed: a
 // client that sends its request soon is not closed, and neither is one whose request is being served.
@@ -136,6 +145,14 @@
 	}
 }
 
+// requestLimits returns the limits of each request.
+func (listener *Listener) requestLimits() RequestLimits {
+	if listener.limits.Request == nil {
+		return RequestLimits{}
+	}
+	return listener.limits.Request()
+}
+
 // Conns returns the number of open connections.
 func (listener *Listener) Conns() int {
 	listener.mu.Lock()
--- a/daemon/scheduler/client_limits.go
+++ b/daemon/scheduler/client_limits.go
@@ -95,14 +95,28 @@
 	if err != nil {
 		return nil, err //nolint:wrapcheck // the caller names the address
 	}
-	return acceptor.Wrap(listener, acceptor.Limits{
+	limits := acceptor.Limits{
 		Conns:         maxConns(host.settings, name),
 		HeadBytes:     maxHeadBytes(host.settings, name),
 		ReceiveBuffer: receiveBuffer(host.settings, name),
 		BodyTimeout:   host.settings.BodyTimeout,
 		ByLatestRead:  name == peerListener,
 		Closed:        func(reason acceptor.Reason) { host.recordLimit(name, string(reason)) },
-	}), nil
+	}
+	if name == httpListener {
+		limits.Request = host.requestLimits
+	}
+	return acceptor.Wrap(listener, limits), nil
+}
+
+// requestLimits returns the limits of callers' requests in the configuration in force.
+func (host *Host) requestLimits() acceptor.RequestLimits {
+	catalog := host.catalog.Load()
+	if catalog == nil {
+		return acceptor.RequestLimits{}
+	}
+	limits := &catalog.Limits
+	return acceptor.RequestLimits{MaxHeadBytes: limits.MaxHeaderBytes, HeadTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout}
 }
 
 // recordLimit counts and logs that a limit closed a connection or refused a request.
