--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -427,6 +427,10 @@
 try 'clients: short lines of heads' daemon/acceptor/heads.go 'costPerHeadLine*int64(' '0*int64(' ./daemon/acceptor 'TestHeads'
 try 'clients: heads in a row' daemon/acceptor/conn.go 'conn.releaseHead(conn.head.cost - conn.head.latest)' 'conn.releaseHead(conn.head.cost)' ./daemon/acceptor 'TestHeads'
 try 'clients: drained requests' daemon/acceptor/conn.go '!drainEnd.IsZero() &&' 'false && !drainEnd.IsZero() &&' ./daemon/acceptor 'TestDrain'
+try 'clients: requests received during a drain' daemon/acceptor/conn.go '	if !conn.listener.drainEnd.IsZero() {
+' '	if false {
+' ./daemon/acceptor 'TestServedWhileDrained'
+try 'clients: limits of each request' daemon/acceptor/conn.go 'case limits.Request != nil && !conn.limitHead(count):' 'case false:' ./daemon/acceptor 'TestRequestLimits'
 try 'clients: unread bytes' daemon/acceptor/listener.go 'if limits.ReceiveBuffer > 0 {' 'if false {' ./daemon/acceptor 'TestReceiveBuffer'
 try 'clients: room of small bodies' library/budgeter/budget.go '	return []*room{&budget.large}
 ' '	return []*room{&budget.large, &budget.small}
