--- a/daemon/acceptor/conn.go
+++ b/daemon/acceptor/conn.go
@@ -41,8 +41,8 @@
 	}
 }
 
-// SetReadDeadline sets the deadline of reads, which the limits of a request make earlier until its head was received; a zero one ends it. While the listener is drained, a request that was not received completely has none after the
-// end of that.
+// SetReadDeadline sets the deadline of reads; a zero one ends it. The limits of each request make it earlier until the head was received. A
+// request that was not received completely has none after the end of a drain.
 func (conn *Conn) SetReadDeadline(deadline time.Time) error {
 	limits := conn.listener.requestLimits()
 	conn.listener.mu.Lock()
--- a/daemon/loader/scheduling.go
+++ b/daemon/loader/scheduling.go
@@ -56,8 +56,10 @@
 	minRecordBytes     = 4 << 10
 	maxRecordBytes     = 1 << 30
 
-	defaultFileLimit = 4096
-	minFileLimit     = 256
+	// connectionsPerFile is the inverse of the largest part of the descriptors that connections of callers may take.
+	connectionsPerFile = 2
+	defaultFileLimit   = 4096
+	minFileLimit       = 256
 	// MaxFileLimit is the largest limit on descriptors that is taken into account.
 	MaxFileLimit = 1 << 20
 )
@@ -125,6 +127,9 @@
 	scheduling.MemoryMB = fields.Integer("memoryMB", 256, minMemoryMB, maxMemoryMB)
 	scheduling.MaxOpenFiles = fields.Integer("mostFiles", defaultFileLimit, minFileLimit, MaxFileLimit)
 	scheduling.MaxConnections = fields.Integer("mostConnections", 0, 0, MaxFileLimit)
+	if limit := scheduling.MaxOpenFiles / connectionsPerFile; scheduling.MaxConnections > limit {
+		fields.Add("mostConnections", "%d of callers leave too few of mostFiles for the host's own calls: use at most %d, or raise mostFiles", scheduling.MaxConnections, limit)
+	}
 	scheduling.LogLevel = fields.Choice("logLevel", "info", "debug", "info", "warn", "error")
 }
 
--- a/daemon/scheduler/calls.go
+++ b/daemon/scheduler/calls.go
@@ -248,7 +248,7 @@
 		return planner.Reply{Verdict: planner.Refused, Reason: "the accepted jobs have as many tasks as the host's memory allows: retry after the given time", RetryAfter: fullRetryDelay}, true
 	}
 	if !tenure.planner.HasMemoryFor(job) {
-		tenure.host.recordLimit(httpListener, "jobMemory")
+		tenure.host.recordLimit(httpListener, jobMemoryLimit)
 		return planner.Reply{Verdict: planner.Refused, Reason: "the accepted jobs take the memory that the host has for them: retry after the given time", RetryAfter: fullRetryDelay}, true
 	}
 	if tenure.planner.JobDrained(job, queue.Service) {
--- a/daemon/scheduler/client_limits.go
+++ b/daemon/scheduler/client_limits.go
@@ -17,29 +17,20 @@
 )
 
 const (
-	// The parts of the descriptors that the connections to each address may take, in percent. The host needs the others for its own
-	// calls to the store, to workers and to peers.
-	httpFilesPercent      = 40
+	// The parts of the descriptors that the connections to the load balancer's and the operators' addresses may take, in percent.
 	readinessFilesPercent = 3
 	metricsFilesPercent   = 2
-	peerFilesPercent      = 20
-	// connMemoryShare is the inverse of the part of the memory that connections of clients may take.
-	connMemoryShare = 8
-	// connBytes is the memory of a connection without a request: its goroutine and the buffers for reading and writing.
-	connBytes = 16 << 10
 	// unreadMemoryShare is the inverse of the part of the memory that the kernel may take for what callers sent and the host has not read.
 	unreadMemoryShare = 4
 	minReceiveBuffer  = 8 << 10
 	maxReceiveBuffer  = 128 << 10
-	// requestMemoryShare is the inverse of the part of the memory that submissions may take from their first byte until they are answered.
-	requestMemoryShare = 8
-	// peerMemoryShare is the inverse of the part of the memory that messages of peers may take until they have arrived.
-	peerMemoryShare = 8
-	// The inverses of the parts of the memory that the heads of requests may take, for callers and for each other address.
-	httpHeadShare  = 16
+	// otherHeadShare is the inverse of the part of the memory that the heads of requests to each address but httpAddress may take.
 	otherHeadShare = 64
 )
 
+// jobMemoryLimit is the limit on the memory of the accepted jobs, in logs and metrics.
+const jobMemoryLimit = "jobMemory"
+
 // receiveBuffer returns the number of bytes that the kernel keeps for each connection until they are read, of which it may take twice as
 // many. Messages of peers are read at once.
 func receiveBuffer(settings loader.Scheduling, name listenerName) int {
@@ -59,7 +50,7 @@
 	memory := settings.MemoryMB << 20
 	switch name {
 	case httpListener:
-		return memory / httpHeadShare
+		return memory / acceptor.HeadMemoryShare
 	case readinessListener, metricsListener:
 		return memory / otherHeadShare
 	case peerListener: // its protocol has no heads
@@ -76,13 +67,13 @@
 	case metricsListener:
 		return int(files * metricsFilesPercent / 100)
 	case peerListener:
-		return int(files * peerFilesPercent / 100)
+		return acceptor.PeerConns(files)
 	case httpListener:
 	}
 	if settings.MaxConnections > 0 {
 		return int(settings.MaxConnections)
 	}
-	return int(min(files*httpFilesPercent/100, settings.MemoryMB<<20/connMemoryShare/connBytes))
+	return acceptor.CallerConns(files, settings.MemoryMB<<20)
 }
 
 // listenWithin listens on an address of the host within the limits for clients.
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -106,7 +106,7 @@
 	clock := &recorder.Clock{}
 	host := &Host{
 		settings: settings, network: network, log: log, bootID: uuid.NewString(), started: time.Now(), campaignBackoff: minCampaignBackoff, campaigning: make(chan struct{}, 1), clock: clock,
-		requestBudget: budgeter.New(settings.MemoryMB << 20 / requestMemoryShare),
+		requestBudget: budgeter.New(settings.MemoryMB << 20 / acceptor.RequestMemoryShare),
 		fleet:         newFleet(), sessions: newSessions(), undecodable: newUndecodable(),
 	}
 	host.peerNetwork = network.Metered(&host.traffic.peers)
@@ -169,7 +169,7 @@
 	if err != nil {
 		return fmt.Errorf("listen on peerAddress %s: %w", host.settings.PeerAddress, err)
 	}
-	host.peerServer = linker.Serve(peers, host.settings.Host, host.clock, budgeter.New(host.settings.MemoryMB<<20/peerMemoryShare), host.log, host.handlePeerCall)
+	host.peerServer = linker.Serve(peers, host.settings.Host, host.clock, budgeter.New(host.settings.MemoryMB<<20/acceptor.PeerMemoryShare), host.log, host.handlePeerCall)
 	ingress := &translator.Ingress{
 		Gateway:  &gateway{host: host},
 		Bodies:   &receiver.Receiver{Budget: host.requestBudget, Timeout: host.settings.BodyTimeout},
--- a/daemon/server/client_limits.go
+++ b/daemon/server/client_limits.go
@@ -21,16 +21,6 @@
 )
 
 const (
-	// The parts of the descriptors that connections may take, in percent. The host needs the others for its own calls.
-	httpFilesPercent = 40
-	peerFilesPercent = 20
-	// The inverses of the parts of the memory for what clients take together.
-	connMemoryShare    = 8
-	requestMemoryShare = 8
-	peerMemoryShare    = 8
-	headMemoryShare    = 16
-	// connBytes is the memory of a connection without a request.
-	connBytes = 16 << 10
 	// receiveTimeout is how long a body that is read into memory may take.
 	receiveTimeout = 30 * time.Second
 	// limitRetryDelay is sent to callers whose request was refused because of a limit for all of them.
@@ -49,13 +39,13 @@
 // limitCallers returns a listener that bounds what the connections of callers take together.
 func (server *Server) limitCallers(listener net.Listener) *acceptor.Listener {
 	memory := server.settings.MemoryMB << 20
-	conns := server.settings.MaxConnections
+	conns := int(server.settings.MaxConnections)
 	if conns == 0 {
-		conns = min(openFileLimit()*httpFilesPercent/100, memory/connMemoryShare/connBytes)
+		conns = acceptor.CallerConns(openFileLimit(), memory)
 	}
 	return acceptor.Wrap(listener, acceptor.Limits{
-		Conns:     int(conns),
-		HeadBytes: memory / headMemoryShare,
+		Conns:     conns,
+		HeadBytes: memory / acceptor.HeadMemoryShare,
 		Closed:    func(reason acceptor.Reason) { server.limits.Record(httpListener, string(reason)) },
 	})
 }
@@ -63,7 +53,7 @@
 // limitPeers returns a listener that bounds the number of connections of peers.
 func (server *Server) limitPeers(listener net.Listener) *acceptor.Listener {
 	return acceptor.Wrap(listener, acceptor.Limits{
-		Conns:        int(openFileLimit() * peerFilesPercent / 100),
+		Conns:        acceptor.PeerConns(openFileLimit()),
 		ByLatestRead: true,
 		Closed:       func(reason acceptor.Reason) { server.limits.Record(peerListener, string(reason)) },
 	})
--- a/daemon/server/server.go
+++ b/daemon/server/server.go
@@ -158,7 +158,7 @@
 	server.endStreamsContext, server.endStreams = context.WithCancel(context.Background())
 	server.metrics.registerGauges(server)
 	server.limits = acceptor.NewReporter(server.metrics.registry, server.log)
-	server.bodies = &receiver.Receiver{Budget: budgeter.New(settings.MemoryMB << 20 / requestMemoryShare), Timeout: receiveTimeout}
+	server.bodies = &receiver.Receiver{Budget: budgeter.New(settings.MemoryMB << 20 / acceptor.RequestMemoryShare), Timeout: receiveTimeout}
 	return server
 }
 
@@ -166,7 +166,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	server.cancel = cancel
 	server.tailer = tailer.Start(server.logClient, server.register, server.log, server.applyChanges)
-	peerMemory := budgeter.New(server.settings.MemoryMB << 20 / peerMemoryShare)
+	peerMemory := budgeter.New(server.settings.MemoryMB << 20 / acceptor.PeerMemoryShare)
 	server.peerServer = linker.Serve(server.limitPeers(peerListener), server.settings.Host, server.Timeline.Clock, peerMemory, server.log, server.handlePeerCall)
 	server.httpServer = &http.Server{
 		Handler:           acceptor.Handle(server.routes()),
