Keep the memory of messages of peers until their calls are answered

Complete messages of 3 MB to peerAddress took 153 MB of 96, and by hand 611 of 284 with four times as many: their memory was returned as soon as they had arrived, while parameters and bodies were decoded and handled.

A message of more than 16 KB claims three times its size until its call was answered, from a sixth of memoryMB; the counter and the log line name the limit messageMemory.

--- a/daemon/acceptor/shares.go
+++ b/daemon/acceptor/shares.go
@@ -3,7 +3,7 @@
 // The inverses of the parts of a host's memory that its clients may take together.
 const (
 	RequestMemoryShare = 8  // bodies, from their first byte until they are answered
-	PeerMemoryShare    = 8  // messages of peers, until they have arrived
+	PeerMemoryShare    = 6  // large messages of peers, from their first bytes until they are answered
 	HeadMemoryShare    = 16 // heads of callers' requests
 	connMemoryShare    = 8
 )
--- a/daemon/linker/codec.go
+++ b/daemon/linker/codec.go
@@ -13,10 +13,21 @@
 
 // codec writes and reads messages in the form of jsonrpc2.VarintObjectCodec: the length of the JSON text, and the text. Messages
 // encode and decode themselves; with json.Marshal and json.Decoder around that, each byte would be read twice more.
-// Messages that arrive claim memory while they are incomplete.
 type codec struct {
-	memory *budgeter.Budget // nil for no limit
-	close  func()           // closes the connection
+	inbound *inbound // nil for no limit
+}
+
+// Memory is the memory for the large messages that arrive on all connections of a server.
+type Memory struct {
+	Budget *budgeter.Budget
+	Met    func() // called for each connection that is closed since there is none
+}
+
+// inbound claims memory for the messages that arrive on one connection. It is used by the goroutine that reads them.
+type inbound struct {
+	memory *Memory         // nil for no limit
+	close  func()          // closes the connection
+	claim  *budgeter.Claim // of the latest message, nil for a small one or one that take was called for
 }
 
 const (
@@ -24,6 +35,8 @@
 	maxMessageBytes = 64 << 20
 	// firstBytes is the part of a message for which there is always memory.
 	firstBytes = 16 << 10
+	// messageCopies is the number of times that a message is in memory while its call is answered: its text, its parameters, and their body.
+	messageCopies = 3
 )
 
 var _ jsonrpc2.ObjectCodec = codec{}
@@ -53,6 +66,15 @@
 
 // ReadObject reads the next message into a value. At the end of the stream it returns io.EOF as it is.
 func (codec codec) ReadObject(stream *bufio.Reader, value any) error {
+	codec.inbound.release()
+	err := codec.readObject(stream, value)
+	if err != nil {
+		codec.inbound.release()
+	}
+	return err
+}
+
+func (codec codec) readObject(stream *bufio.Reader, value any) error {
 	size, err := binary.ReadUvarint(stream)
 	if err != nil {
 		return err //nolint:wrapcheck // jsonrpc2 compares it with io.EOF
@@ -75,11 +97,10 @@
 	return nil
 }
 
-// read reads the text of a message of a size. Its memory grows with what has arrived, and is claimed beyond firstBytes: a peer that
-// announces a large message takes none for that.
+// read reads the text of a message of a size. Its memory grows with what has arrived: a peer that announces a large message takes
+// none for that.
 func (codec codec) read(stream io.Reader, size int) ([]byte, error) {
 	text := make([]byte, 0, min(size, firstBytes))
-	var claim *budgeter.Claim
 	for {
 		count, err := io.ReadFull(stream, text[len(text):cap(text)])
 		text = text[:len(text)+count]
@@ -87,18 +108,54 @@
 			return nil, err //nolint:wrapcheck // the caller wraps it
 		}
 		if len(text) == size {
-			return text, nil
+			break
 		}
 		grown := min(2*cap(text), size)
-		if codec.memory != nil {
-			if claim == nil {
-				claim = codec.memory.NewClaim(codec.close)
-				defer claim.Release()
-			}
-			if err := claim.Grow(int64(grown)); err != nil {
-				return nil, fmt.Errorf("claim memory: %w", err)
-			}
+		if err := codec.inbound.grow(grown); err != nil {
+			return nil, err
 		}
 		text = append(make([]byte, 0, grown), text...)
 	}
+	if size > firstBytes {
+		return text, codec.inbound.grow(messageCopies * size)
+	}
+	return text, nil
+}
+
+// grow claims a number of bytes for the message that arrives.
+func (inbound *inbound) grow(bytes int) error {
+	if inbound == nil || inbound.memory == nil {
+		return nil
+	}
+	if inbound.claim == nil {
+		inbound.claim = inbound.memory.Budget.NewClaim(inbound.close)
+	}
+	if err := inbound.claim.Grow(int64(bytes)); err != nil {
+		inbound.memory.Met()
+		return fmt.Errorf("claim memory: %w", err)
+	}
+	return nil
+}
+
+// take returns the function that returns the memory of the latest message. It reports false if the message had to give its memory to
+// others meanwhile.
+func (inbound *inbound) take() (release func(), found bool) {
+	claim := inbound.claim
+	inbound.claim = nil
+	if claim == nil {
+		return func() {}, true
+	}
+	if err := claim.Arrived(); err != nil {
+		claim.Release()
+		return nil, false
+	}
+	return claim.Release, true
+}
+
+// release returns the memory of the latest message unless take was called.
+func (inbound *inbound) release() {
+	if inbound != nil && inbound.claim != nil {
+		inbound.claim.Release()
+		inbound.claim = nil
+	}
 }
--- a/daemon/linker/codec_test.go
+++ b/daemon/linker/codec_test.go
@@ -71,28 +71,58 @@
 	const size = 1 << 20
 	text := append([]byte{'"'}, bytes.Repeat([]byte{'x'}, size-2)...)
 	message := append(binary.AppendUvarint(nil, size), append(text, '"')...)
-	read := func(memory *budgeter.Budget, message []byte) (string, error) {
+	read := func(memory *budgeter.Budget, message []byte) (string, *inbound, error) {
 		var value string
-		err := codec{memory: memory, close: func() {}}.ReadObject(bufio.NewReader(bytes.NewReader(message)), &value)
-		return value, err
+		inbound := &inbound{memory: &Memory{Budget: memory, Met: func() {}}, close: func() {}}
+		err := codec{inbound}.ReadObject(bufio.NewReader(bytes.NewReader(message)), &value)
+		return value, inbound, err
 	}
 	t.Run("whole", func(t *testing.T) {
-		memory := budgeter.New(4 * size)
-		value, err := read(memory, message)
-		if err != nil || len(value) != size-2 || memory.Used() != 0 {
-			t.Errorf("read %d bytes, error %v, %d bytes claimed afterwards", len(value), err, memory.Used())
+		memory := budgeter.New(8 * size)
+		value, inbound, err := read(memory, message)
+		if err != nil || len(value) != size-2 || memory.Used() != messageCopies*size {
+			t.Errorf("read %d bytes, error %v, %d bytes claimed until the answer", len(value), err, memory.Used())
+		}
+		release, found := inbound.take()
+		if !found {
+			t.Fatal("the message has lost its memory")
+		}
+		release()
+		if memory.Used() != 0 {
+			t.Errorf("%d bytes claimed after the answer", memory.Used())
+		}
+	})
+	t.Run("notTaken", func(t *testing.T) { // an answer, or a message that does not decode
+		memory := budgeter.New(8 * size)
+		_, inbound, _ := read(memory, message)
+		inbound.release()
+		if memory.Used() != 0 {
+			t.Errorf("%d bytes claimed", memory.Used())
+		}
+	})
+	t.Run("truncated", func(t *testing.T) {
+		memory := budgeter.New(8 * size)
+		if _, _, err := read(memory, message[:size/2]); err == nil || memory.Used() != 0 {
+			t.Errorf("error %v, %d bytes claimed afterwards", err, memory.Used())
+		}
+	})
+	t.Run("notJSON", func(t *testing.T) {
+		memory := budgeter.New(8 * size)
+		if _, _, err := read(memory, append(binary.AppendUvarint(nil, size), make([]byte, size)...)); err == nil || memory.Used() != 0 {
+			t.Errorf("error %v, %d bytes claimed afterwards", err, memory.Used())
 		}
 	})
 	t.Run("noMemory", func(t *testing.T) {
 		memory := budgeter.New(size)
-		if _, err := read(memory, message); !budgeter.ErrFull.Has(err) || memory.Used() != 0 {
+		_, _, err := read(memory, message)
+		if !budgeter.ErrFull.Has(err) || memory.Used() != 0 {
 			t.Errorf("error %v, %d bytes claimed afterwards", err, memory.Used())
 		}
 	})
 	t.Run("onlyAnnounced", func(t *testing.T) {
 		var before, after runtime.MemStats
 		runtime.ReadMemStats(&before)
-		if _, err := read(budgeter.New(size), binary.AppendUvarint(nil, maxMessageBytes)); err == nil || budgeter.ErrFull.Has(err) {
+		if _, _, err := read(budgeter.New(size), binary.AppendUvarint(nil, maxMessageBytes)); err == nil || budgeter.ErrFull.Has(err) {
 			t.Errorf("error %v, want the end of the stream", err)
 		}
 		runtime.ReadMemStats(&after)
--- a/daemon/linker/server.go
+++ b/daemon/linker/server.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"ebonyshunt.org/library/budgeter"
 	"ebonyshunt.org/library/recorder"
 	"ebonyshunt.org/library/retrier"
 	"github.com/sourcegraph/jsonrpc2"
@@ -24,7 +23,7 @@
 	host    string
 	clock   *recorder.Clock
 	handler Handler
-	memory  *budgeter.Budget
+	memory  *Memory
 	log     *slog.Logger
 	cancel  context.CancelFunc
 	wait    sync.WaitGroup
@@ -41,8 +40,8 @@
 const acceptRetryDelay = 100 * time.Millisecond
 
 // Serve starts a server that accepts connections on the listener and answers their calls until Close. Large messages claim memory
-// while they arrive; without any, their connection is closed.
-func Serve(listener net.Listener, host string, clock *recorder.Clock, memory *budgeter.Budget, log *slog.Logger, handler Handler) *Server {
+// from their first bytes until they are answered; without any, their connection is closed. Nil stands for no limit.
+func Serve(listener net.Listener, host string, clock *recorder.Clock, memory *Memory, log *slog.Logger, handler Handler) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
 	server := &Server{host: host, clock: clock, handler: handler, memory: memory, log: log, cancel: cancel, listener: listener, conns: map[*jsonrpc2.Conn]bool{}}
 	server.wait.Go(func() { server.accept(ctx) })
@@ -63,8 +62,9 @@
 			retrier.Sleep(ctx, acceptRetryDelay)
 			continue
 		}
-		stream := jsonrpc2.NewBufferedStream(server.bytes.Wrap(raw), codec{memory: server.memory, close: func() { _ = raw.Close() }})
-		conn := jsonrpc2.NewConn(ctx, stream, server, discardLogs)
+		inbound := &inbound{memory: server.memory, close: func() { _ = raw.Close() }}
+		stream := jsonrpc2.NewBufferedStream(server.bytes.Wrap(raw), codec{inbound})
+		conn := jsonrpc2.NewConn(ctx, stream, callHandler{server, inbound}, discardLogs)
 		if !server.addConn(conn) {
 			_ = conn.Close()
 			return
@@ -94,15 +94,29 @@
 	delete(server.conns, conn)
 }
 
-// Handle answers one call of a peer in a new goroutine, so that calls on one connection run concurrently.
-// A call that arrives while the server is closing gets no answer.
-func (server *Server) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
-	if server.beginCall() {
-		go func() {
-			defer server.wait.Done()
-			server.reply(ctx, conn, request)
-		}()
+// callHandler handles the calls on one connection.
+type callHandler struct {
+	server  *Server
+	inbound *inbound
+}
+
+// Handle answers one call of a peer in a new goroutine, so that calls on one connection run concurrently. A call that arrives while the
+// server is closing, or that lost its memory to others, gets no answer.
+func (callHandler callHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	release, found := callHandler.inbound.take()
+	if !found {
+		return
 	}
+	server := callHandler.server
+	if !server.beginCall() {
+		release()
+		return
+	}
+	go func() {
+		defer server.wait.Done()
+		defer release()
+		server.reply(ctx, conn, request)
+	}()
 }
 
 // beginCall registers a call, for whose end Close waits. It returns false if the server is closing.
--- a/daemon/scheduler/client_limits.go
+++ b/daemon/scheduler/client_limits.go
@@ -2,7 +2,9 @@
 
 import (
 	"ebonyshunt.org/daemon/acceptor"
+	"ebonyshunt.org/daemon/linker"
 	"ebonyshunt.org/daemon/loader"
+	"ebonyshunt.org/library/budgeter"
 )
 
 // listenerName is the setting with the address of a listener, in logs and metrics.
@@ -28,8 +30,11 @@
 	otherHeadShare = 64
 )
 
-// jobMemoryLimit is the limit on the memory of the accepted jobs, in logs and metrics.
-const jobMemoryLimit = "jobMemory"
+// Limits in logs and metrics.
+const (
+	jobMemoryLimit     = "jobMemory"     // of the accepted jobs
+	messageMemoryLimit = "messageMemory" // of large messages of peers
+)
 
 // receiveBuffer returns the number of bytes that the kernel keeps for each connection until they are read, of which it may take twice as
 // many. Messages of peers are read at once.
@@ -100,6 +105,14 @@
 	return acceptor.Wrap(listener, limits), nil
 }
 
+// peerMemory returns the memory for the large messages of peers.
+func (host *Host) peerMemory() *linker.Memory {
+	return &linker.Memory{
+		Budget: budgeter.New(host.settings.MemoryMB << 20 / acceptor.PeerMemoryShare),
+		Met:    func() { host.recordLimit(peerListener, messageMemoryLimit) },
+	}
+}
+
 // requestLimits returns the limits of callers' requests in the configuration in force.
 func (host *Host) requestLimits() acceptor.RequestLimits {
 	catalog := host.catalog.Load()
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -169,7 +169,7 @@
 	if err != nil {
 		return fmt.Errorf("listen on peerAddress %s: %w", host.settings.PeerAddress, err)
 	}
-	host.peerServer = linker.Serve(peers, host.settings.Host, host.clock, budgeter.New(host.settings.MemoryMB<<20/acceptor.PeerMemoryShare), host.log, host.handlePeerCall)
+	host.peerServer = linker.Serve(peers, host.settings.Host, host.clock, host.peerMemory(), host.log, host.handlePeerCall)
 	ingress := &translator.Ingress{
 		Gateway:  &gateway{host: host},
 		Bodies:   &receiver.Receiver{Budget: host.requestBudget, Timeout: host.settings.BodyTimeout},
--- a/daemon/server/client_limits.go
+++ b/daemon/server/client_limits.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ebonyshunt.org/daemon/acceptor"
+	"ebonyshunt.org/daemon/linker"
 	"ebonyshunt.org/daemon/loader"
 	"ebonyshunt.org/library/budgeter"
 	"ebonyshunt.org/library/receiver"
@@ -59,6 +60,14 @@
 	})
 }
 
+// peerMemory returns the memory for the large messages of peers.
+func (server *Server) peerMemory() *linker.Memory {
+	return &linker.Memory{
+		Budget: budgeter.New(server.settings.MemoryMB << 20 / acceptor.PeerMemoryShare),
+		Met:    func() { server.limits.Record(peerListener, "messageMemory") },
+	}
+}
+
 // receive reads the body of a request into memory. What is read is of the given kind, in problems.
 func (server *Server) receive(w http.ResponseWriter, r *http.Request, maxBytes int64, kind string) (*receiver.Body, *responder.Problem) {
 	body, err := server.bodies.Receive(w, r, maxBytes, receiveTimeout)
--- a/daemon/server/server.go
+++ b/daemon/server/server.go
@@ -166,8 +166,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	server.cancel = cancel
 	server.tailer = tailer.Start(server.logClient, server.register, server.log, server.applyChanges)
-	peerMemory := budgeter.New(server.settings.MemoryMB << 20 / acceptor.PeerMemoryShare)
-	server.peerServer = linker.Serve(server.limitPeers(peerListener), server.settings.Host, server.Timeline.Clock, peerMemory, server.log, server.handlePeerCall)
+	server.peerServer = linker.Serve(server.limitPeers(peerListener), server.settings.Host, server.Timeline.Clock, server.peerMemory(), server.log, server.handlePeerCall)
 	server.httpServer = &http.Server{
 		Handler:           acceptor.Handle(server.routes()),
 		ConnContext:       acceptor.WithConn,
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -452,4 +452,7 @@
 try 'clients: payloads of ended jobs' library/planner/journal.go '		planner.dropPayload(entry)
 ' '' ./library/planner 'TestJobsInMemory'
 try 'clients: announced messages' daemon/linker/codec.go 'make([]byte, 0, min(size, firstBytes))' 'make([]byte, 0, size)' ./daemon/linker 'TestLargeMessages'
+try 'clients: messages until they are answered' daemon/linker/codec.go '	if size > firstBytes {
+' '	if false {
+' ./daemon/linker 'TestLargeMessages'
 exit $failed
--- a/tests/crowder/crowd_test.go
+++ b/tests/crowder/crowd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -214,6 +215,13 @@
 	}
 }
 
+// wholePeerMessage returns a complete call of a peer of a size, in the form of JSON-RPC 2.0 with the length before it.
+func wholePeerMessage(size int) []byte {
+	begin, end := `{"jsonrpc":"2.0","method":"submit","id":1,"params":{"version":1,"from":"x","stamp":{},"body":"`, `"}}`
+	text := begin + strings.Repeat("x", size-len(begin)-len(end)) + end
+	return append(binary.AppendUvarint(nil, uint64(size)), text...)
+}
+
 // ordinaryBody is the body of an ordinary submission.
 var ordinaryBody = caller.Submission{Spec: "s", Steps: []caller.Step{{Count: 1, CPU: 500, MemMB: 10, EstimateMS: 300}}}.Encode()
 
--- a/tests/crowder/crowder_test.go
+++ b/tests/crowder/crowder_test.go
@@ -43,6 +43,8 @@
 	{"metricsHeads", 1200, manyFiles, metricsGroup, stalledHead("X-Line: "+strings.Repeat("x", 90)+"\r\n", 60<<10)},
 	{"metricsConnections", 800, fewFiles, metricsGroup, silent},
 	{"peerMessages", 60, manyFiles, peerGroup, endless(string(binary.AppendUvarint(nil, 60<<20)), make([]byte, 64<<10), 3<<20)},
+	{"wholePeerMessages", 60, manyFiles, peerGroup, endless("", wholePeerMessage(3<<20), 9<<20)},
+	{"escapedPayloads", 400, manyFiles, httpGroup, wholeBody(repeated(`{"steps":[{"count":1}],"spec":"`, "<<<<<<<<<<<<<<<<<<<<", `"}`))},
 	{"peerConnections", 800, fewFiles, peerGroup, silent},
 }
 
