Let the limits for clients hold together

All kinds of crowds at once, after as many accepted jobs as a host takes, took 159 MB of 96: each limit had room for its crowd, not beside the others, and connections that wait to be accepted, up to 4,096 on each address, keep in the kernel what they send.

The parts of memoryMB for bodies, heads, connections, accepted jobs, messages of peers and unread bytes are about half of what they were; a body of 256 KB has room on a host of any size. The number of connections that wait to be accepted is a quarter of those that are kept open. An ended job without payload counts by its steps only.

--- a/daemon/acceptor/listener.go
+++ b/daemon/acceptor/listener.go
@@ -61,14 +61,17 @@
 // Wrap returns a listener that accepts the connections of another one within limits.
 func Wrap(listener net.Listener, limits Limits) *Listener {
 	if limits.ReceiveBuffer > 0 {
-		setReceiveBuffer(listener, limits.ReceiveBuffer)
+		limitKernel(listener, limits)
 	}
 	return &Listener{Listener: listener, limits: limits}
 }
 
-// setReceiveBuffer bounds the receive buffers of the connections that a listener accepts, which inherit its own. The listener of a network in
-// memory has none.
-func setReceiveBuffer(listener net.Listener, bytes int) {
+// backlogShare is the inverse of the part of the connections that may wait to be accepted: the kernel keeps what they send, too.
+const backlogShare = 4
+
+// limitKernel bounds the receive buffers of the connections that a listener accepts, which inherit its own, and the number of connections that
+// wait to be accepted. The listener of a network in memory has neither.
+func limitKernel(listener net.Listener, limits Limits) {
 	socket, ok := listener.(syscall.Conn)
 	if !ok {
 		return
@@ -78,7 +81,8 @@
 		return
 	}
 	_ = raw.Control(func(descriptor uintptr) { // without it, the kernel's own bounds hold
-		_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
+		_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, limits.ReceiveBuffer)
+		_ = syscall.Listen(int(descriptor), max(limits.Conns/backlogShare, 1))
 	})
 }
 
--- a/daemon/acceptor/shares.go
+++ b/daemon/acceptor/shares.go
@@ -1,13 +1,19 @@
 package acceptor
 
-// The inverses of the parts of a host's memory that its clients may take together.
+// The inverses of the parts of a host's memory that its clients may take together. All parts, what the kernel keeps, and what the host
+// holds for itself have to fit in at once.
 const (
-	RequestMemoryShare = 8  // bodies, from their first byte until they are answered
-	PeerMemoryShare    = 6  // large messages of peers, from their first bytes until they are answered
-	HeadMemoryShare    = 16 // heads of callers' requests
-	connMemoryShare    = 8
+	PeerMemoryShare    = 12 // large messages of peers, from their first bytes until they are answered
+	HeadMemoryShare    = 32 // heads of callers' requests
+	requestMemoryShare = 16
+	connMemoryShare    = 16
+	// minRequestMemory has room for one body of the largest size that the platform's configuration allows by default, 256 KB.
+	minRequestMemory = 3 << 20
 )
 
+// RequestMemory returns the part of a host's memory in bytes that bodies may take, from their first byte until they are answered.
+func RequestMemory(memory int64) int64 { return max(memory/requestMemoryShare, minRequestMemory) }
+
 const (
 	// The parts of the descriptors that connections may take, in percent. A host needs the others for its own calls.
 	callerFilesPercent = 40
--- a/daemon/scheduler/client_limits.go
+++ b/daemon/scheduler/client_limits.go
@@ -23,11 +23,11 @@
 	readinessFilesPercent = 3
 	metricsFilesPercent   = 2
 	// unreadMemoryShare is the inverse of the part of the memory that the kernel may take for what callers sent and the host has not read.
-	unreadMemoryShare = 4
-	minReceiveBuffer  = 8 << 10
+	unreadMemoryShare = 16
+	minReceiveBuffer  = 4 << 10
 	maxReceiveBuffer  = 128 << 10
 	// otherHeadShare is the inverse of the part of the memory that the heads of requests to each address but httpAddress may take.
-	otherHeadShare = 64
+	otherHeadShare = 128
 )
 
 // Limits in logs and metrics.
@@ -37,7 +37,7 @@
 )
 
 // receiveBuffer returns the number of bytes that the kernel keeps for each connection until they are read, of which it may take twice as
-// many. Messages of peers are read at once.
+// many, 0 for its default: messages of peers are read at once.
 func receiveBuffer(settings loader.Scheduling, name listenerName) int {
 	switch name {
 	case httpListener:
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -106,7 +106,7 @@
 	clock := &recorder.Clock{}
 	host := &Host{
 		settings: settings, network: network, log: log, bootID: uuid.NewString(), started: time.Now(), campaignBackoff: minCampaignBackoff, campaigning: make(chan struct{}, 1), clock: clock,
-		requestBudget: budgeter.New(settings.MemoryMB << 20 / acceptor.RequestMemoryShare),
+		requestBudget: budgeter.New(acceptor.RequestMemory(settings.MemoryMB << 20)),
 		fleet:         newFleet(), sessions: newSessions(), undecodable: newUndecodable(),
 	}
 	host.peerNetwork = network.Metered(&host.traffic.peers)
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -70,7 +70,7 @@
 	// memoryPerTask is the part of the host's memory, in bytes, for each task of a job that has begun. Most of it is left to all else.
 	memoryPerTask = 1 << 10
 	// jobMemoryShare is the inverse of the part of the host's memory that the accepted jobs may take, apart from their tasks.
-	jobMemoryShare = 8
+	jobMemoryShare = 16
 	// workerListInterval is the time between two reads of the platform's list of workers.
 	workerListInterval = 250 * time.Millisecond
 )
--- a/daemon/server/server.go
+++ b/daemon/server/server.go
@@ -158,7 +158,7 @@
 	server.endStreamsContext, server.endStreams = context.WithCancel(context.Background())
 	server.metrics.registerGauges(server)
 	server.limits = acceptor.NewReporter(server.metrics.registry, server.log)
-	server.bodies = &receiver.Receiver{Budget: budgeter.New(settings.MemoryMB << 20 / acceptor.RequestMemoryShare), Timeout: receiveTimeout}
+	server.bodies = &receiver.Receiver{Budget: budgeter.New(acceptor.RequestMemory(settings.MemoryMB << 20)), Timeout: receiveTimeout}
 	return server
 }
 
--- a/library/planner/job.go
+++ b/library/planner/job.go
@@ -161,7 +161,10 @@
 		stepBytes  = 256     // without texts and dependencies
 		indexBytes = 8       // of a dependency
 	)
-	size := jobBytes + len(job.Payload)
+	size := len(job.Payload)
+	if size > 0 { // an ended job has none, and is kept for its state only
+		size += jobBytes
+	}
 	for number := range job.Steps {
 		step := &job.Steps[number]
 		size += stepBytes + len(step.Label) + len(step.DataRack) + len(step.Image) + indexBytes*len(step.DependsOn)
--- a/tests/crowder/crowder_test.go
+++ b/tests/crowder/crowder_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -233,3 +234,29 @@
 		})
 	}
 }
+
+// TestCrowdsTogether sends all kinds of crowds at once to a decider that has accepted as many jobs as it takes.
+func TestCrowdsTogether(t *testing.T) {
+	if raceDetector {
+		t.Skip("as TestCrowds")
+	}
+	cluster := startClusterWith(t, 2, limitOr(manyFiles), time.Hour)
+	decider := cluster.hosts[0]
+	stop := make(chan struct{})
+	seen := watch(t, decider.process, decider.addresses(), stop)
+	submitPayloads(t, cluster.hosts[1])
+	var crowds sync.WaitGroup
+	for _, kind := range kinds {
+		crowds.Go(func() { sendCrowd(t, decider.address(kind.group), kind.count**factor, kind.send) })
+	}
+	crowds.Wait()
+	time.Sleep(settleTime)
+	assertKnown(t, decider, payloadID(0))
+	close(stop)
+	assertBounded(t, <-seen, limitOr(manyFiles)*descriptorShare/100)
+	for _, host := range cluster.hosts {
+		if host.hasEnded() {
+			t.Errorf("host %d has ended: %v", host.number, host.err)
+		}
+	}
+}
--- a/tests/crowder/process_test.go
+++ b/tests/crowder/process_test.go
@@ -153,6 +153,7 @@
 // usage is the most that a process was seen to take.
 type usage struct {
 	memory      int64 // bytes, resident and unread
+	unread      int64 // bytes, of them
 	descriptors int
 }
 
@@ -169,6 +170,7 @@
 				unread += unreadBytes(t, address)
 			}
 			most.memory = max(most.memory, process.peakMemory()+unread)
+			most.unread = max(most.unread, unread)
 			most.descriptors = max(most.descriptors, process.descriptors())
 			select {
 			case <-stop:
