Tests: stop a fleet after a failure, too

A fleet test that failed left its goroutines in the bubble.

The fleet is stopped and checked in a cleanup now, which runs in the bubble after a failure, too.

--- a/tests/fleet_harness_test.go
+++ b/tests/fleet_harness_test.go
@@ -88,6 +88,7 @@
 		}
 		configure(fleet)
 		fleet.client = fleet.fabric.Host("client").Client()
+		t.Cleanup(fleet.stopAndCheck) // also after a failure: goroutines that are left when a bubble ends panic and hide it
 		fleet.serve("store", fleetStoreAddress, fleet.store.Handler())
 		for number := range 6 {
 			fleet.addWorker(number)
@@ -101,7 +102,6 @@
 		}
 		time.Sleep(3 * time.Second)
 		run(fleet)
-		fleet.stopAndCheck()
 	})
 }
 
