Bound the calls that peers have open

What callers saw: a client at peerAddress that sends small calls and reads no answer ends the process by memory. 60 clients with 256 KB of calls each, 15 MB in all, took 1,458 MB of a machine of 96 MB. With 9 MB each it was 21 GB, so that the crowd was made smaller before the code was changed.

Cause: each call runs in a goroutine, some 10 KB, from which nothing is taken before its answer is written; the writes wait for the client. The memory for messages (of more than 16 KB) does not count them, and the limit on connections bounds no calls.

Change: the calls that are open take memory, 8 KB and three times the message, of a sixteenth of the host's. At the limit the connection with the most in open calls is closed: an honest peer has a few open, also when a crowd fills the rest, and makes those of a closed connection again.

TestUnreadMetrics and TestCrowds/unreadAnswers passed before, too.

--- a/daemon/acceptor/shares.go
+++ b/daemon/acceptor/shares.go
@@ -4,6 +4,7 @@
 // holds for itself have to fit in at once.
 const (
 	PeerMemoryShare    = 12 // large messages of peers, from their first bytes until they are answered
+	PeerCallShare      = 16 // calls of peers that are not answered, or whose answers the peer has not read
 	HeadMemoryShare    = 32 // heads of callers' requests
 	requestMemoryShare = 16
 	connMemoryShare    = 16
--- a/daemon/linker/codec.go
+++ b/daemon/linker/codec.go
@@ -17,17 +17,28 @@
 	inbound *inbound // nil for no limit
 }
 
-// Memory is the memory for the large messages that arrive on all connections of a server.
+// Memory is the memory for what arrives on all connections of a server.
 type Memory struct {
-	Budget *budgeter.Budget
-	Met    func() // called for each connection that is closed since there is none
+	Budget    *budgeter.Budget // for large messages
+	CallBytes int64            // for the calls that are open, beyond their large messages
+	Met       func(Limit)      // called for each connection that is closed since there is none
 }
 
+// Limit is a limit for all peers together.
+type Limit string
+
+// The limits for all peers.
+const (
+	MessageMemory Limit = "messageMemory" // large messages
+	CallMemory    Limit = "callMemory"    // open calls
+)
+
 // inbound claims memory for the messages that arrive on one connection. It is used by the goroutine that reads them.
 type inbound struct {
 	memory *Memory         // nil for no limit
 	close  func()          // closes the connection
 	claim  *budgeter.Claim // of the latest message, nil for a small one or one that take was called for
+	size   int             // bytes of the latest message
 }
 
 const (
@@ -100,6 +111,9 @@
 // read reads the text of a message of a size. Its memory grows with what has arrived: a peer that announces a large message takes
 // none for that.
 func (codec codec) read(stream io.Reader, size int) ([]byte, error) {
+	if codec.inbound != nil {
+		codec.inbound.size = size
+	}
 	text := make([]byte, 0, min(size, firstBytes))
 	for {
 		count, err := io.ReadFull(stream, text[len(text):cap(text)])
@@ -131,7 +145,7 @@
 		inbound.claim = inbound.memory.Budget.NewClaim(inbound.close)
 	}
 	if err := inbound.claim.Grow(int64(bytes)); err != nil {
-		inbound.memory.Met()
+		inbound.memory.Met(MessageMemory)
 		return fmt.Errorf("claim memory: %w", err)
 	}
 	return nil
--- a/daemon/linker/codec_test.go
+++ b/daemon/linker/codec_test.go
@@ -73,7 +73,7 @@
 	message := append(binary.AppendUvarint(nil, size), append(text, '"')...)
 	read := func(memory *budgeter.Budget, message []byte) (string, *inbound, error) {
 		var value string
-		inbound := &inbound{memory: &Memory{Budget: memory, Met: func() {}}, close: func() {}}
+		inbound := &inbound{memory: &Memory{Budget: memory, Met: func(Limit) {}}, close: func() {}}
 		err := codec{inbound}.ReadObject(bufio.NewReader(bytes.NewReader(message)), &value)
 		return value, inbound, err
 	}
--- a/daemon/linker/server.go
+++ b/daemon/linker/server.go
@@ -24,6 +24,7 @@
 	clock   *recorder.Clock
 	handler Handler
 	memory  *Memory
+	calls   *openCalls
 	log     *slog.Logger
 	cancel  context.CancelFunc
 	wait    sync.WaitGroup
@@ -40,10 +41,11 @@
 const acceptRetryDelay = 100 * time.Millisecond
 
 // Serve starts a server that accepts connections on the listener and answers their calls until Close. Large messages claim memory
-// from their first bytes until they are answered; without any, their connection is closed. Nil stands for no limit.
+// from their first bytes until they are answered; without any, their connection is closed. All calls take memory until the peer has
+// read their answers. Nil stands for no limit.
 func Serve(listener net.Listener, host string, clock *recorder.Clock, memory *Memory, log *slog.Logger, handler Handler) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
-	server := &Server{host: host, clock: clock, handler: handler, memory: memory, log: log, cancel: cancel, listener: listener, conns: map[*jsonrpc2.Conn]bool{}}
+	server := &Server{host: host, clock: clock, handler: handler, memory: memory, calls: newOpenCalls(memory), log: log, cancel: cancel, listener: listener, conns: map[*jsonrpc2.Conn]bool{}}
 	server.wait.Go(func() { server.accept(ctx) })
 	return server
 }
@@ -64,12 +66,13 @@
 		}
 		inbound := &inbound{memory: server.memory, close: func() { _ = raw.Close() }}
 		stream := jsonrpc2.NewBufferedStream(server.bytes.Wrap(raw), codec{inbound})
-		conn := jsonrpc2.NewConn(ctx, stream, callHandler{server, inbound}, discardLogs)
+		calls := server.calls.add(inbound.close)
+		conn := jsonrpc2.NewConn(ctx, stream, callHandler{server, inbound, calls}, discardLogs)
 		if !server.addConn(conn) {
 			_ = conn.Close()
 			return
 		}
-		go server.removeOnDisconnect(conn)
+		go server.removeOnDisconnect(conn, calls)
 	}
 }
 
@@ -86,9 +89,10 @@
 }
 
 // removeOnDisconnect waits until a connection has ended and removes it.
-func (server *Server) removeOnDisconnect(conn *jsonrpc2.Conn) {
+func (server *Server) removeOnDisconnect(conn *jsonrpc2.Conn, calls *connCalls) {
 	defer server.wait.Done()
 	<-conn.DisconnectNotify()
+	calls.remove()
 	server.mu.Lock()
 	defer server.mu.Unlock()
 	delete(server.conns, conn)
@@ -98,22 +102,24 @@
 type callHandler struct {
 	server  *Server
 	inbound *inbound
+	calls   *connCalls
 }
 
 // Handle answers one call of a peer in a new goroutine, so that calls on one connection run concurrently. A call that arrives while the
-// server is closing, or that lost its memory to others, gets no answer.
+// server is closing, or that lost its memory to others, gets no answer, and neither does one on a connection with too many.
 func (callHandler callHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
 	release, found := callHandler.inbound.take()
 	if !found {
 		return
 	}
-	server := callHandler.server
-	if !server.beginCall() {
+	server, calls, size := callHandler.server, callHandler.calls, callHandler.inbound.size
+	if !calls.begin(size) || !server.beginCall() {
 		release()
 		return
 	}
 	go func() {
 		defer server.wait.Done()
+		defer calls.end(size)
 		defer release()
 		server.reply(ctx, conn, request)
 	}()
--- a/daemon/scheduler/client_limits.go
+++ b/daemon/scheduler/client_limits.go
@@ -30,11 +30,8 @@
 	otherHeadShare = 128
 )
 
-// Limits in logs and metrics.
-const (
-	jobMemoryLimit     = "jobMemory"     // of the accepted jobs
-	messageMemoryLimit = "messageMemory" // of large messages of peers
-)
+// jobMemoryLimit is the limit for the memory of the accepted jobs, in logs and metrics.
+const jobMemoryLimit = "jobMemory"
 
 // receiveBuffer returns the number of bytes that the kernel keeps for each connection until they are read, of which it may take twice as
 // many, 0 for its default: messages of peers are read at once.
@@ -105,11 +102,12 @@
 	return acceptor.Wrap(listener, limits), nil
 }
 
-// peerMemory returns the memory for the large messages of peers.
+// peerMemory returns the memory for the messages and calls of peers.
 func (host *Host) peerMemory() *linker.Memory {
 	return &linker.Memory{
-		Budget: budgeter.New(host.settings.MemoryMB << 20 / acceptor.PeerMemoryShare),
-		Met:    func() { host.recordLimit(peerListener, messageMemoryLimit) },
+		Budget:    budgeter.New(host.settings.MemoryMB << 20 / acceptor.PeerMemoryShare),
+		CallBytes: host.settings.MemoryMB << 20 / acceptor.PeerCallShare,
+		Met:       func(limit linker.Limit) { host.recordLimit(peerListener, string(limit)) },
 	}
 }
 
--- a/daemon/server/client_limits.go
+++ b/daemon/server/client_limits.go
@@ -60,11 +60,12 @@
 	})
 }
 
-// peerMemory returns the memory for the large messages of peers.
+// peerMemory returns the memory for the messages and calls of peers.
 func (server *Server) peerMemory() *linker.Memory {
 	return &linker.Memory{
-		Budget: budgeter.New(server.settings.MemoryMB << 20 / acceptor.PeerMemoryShare),
-		Met:    func() { server.limits.Record(peerListener, "messageMemory") },
+		Budget:    budgeter.New(server.settings.MemoryMB << 20 / acceptor.PeerMemoryShare),
+		CallBytes: server.settings.MemoryMB << 20 / acceptor.PeerCallShare,
+		Met:       func(limit linker.Limit) { server.limits.Record(peerListener, string(limit)) },
 	}
 }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -455,4 +455,6 @@
 try 'clients: messages until they are answered' daemon/linker/codec.go '	if size > firstBytes {
 ' '	if false {
 ' ./daemon/linker 'TestLargeMessages'
+try 'clients: open calls' daemon/linker/open_calls.go 'if openCalls.maxBytes == 0 ||' 'if true || openCalls.maxBytes == 0 ||' ./daemon/linker 'TestOpenCalls'
+try 'clients: busiest peer' daemon/linker/open_calls.go 'conn.bytes > busiest.bytes' 'conn.bytes < busiest.bytes' ./daemon/linker 'TestOpenCalls'
 exit $failed
--- a/tests/crowder/crowd_test.go
+++ b/tests/crowder/crowd_test.go
@@ -215,6 +215,22 @@
 	}
 }
 
+// requests returns a number of complete requests.
+func requests(count int) []byte {
+	return []byte(strings.Repeat(fmt.Sprintf("GET %s HTTP/1.1\r\nHost: crowd\r\nX-Ebonyshunt-Key: %s\r\n\r\n", prefix, knownKey), count))
+}
+
+// smallPeerCalls returns complete small calls of a peer up to a size in all.
+func smallPeerCalls(size int) []byte {
+	var calls bytes.Buffer
+	for number := 0; calls.Len() < size; number++ {
+		text := fmt.Sprintf(`{"jsonrpc":"2.0","method":"unknown","id":%d,"params":{"version":1,"from":"x","stamp":{},"body":{}}}`, number)
+		calls.Write(binary.AppendUvarint(nil, uint64(len(text))))
+		calls.WriteString(text)
+	}
+	return calls.Bytes()
+}
+
 // wholePeerMessage returns a complete call of a peer of a size, in the form of JSON-RPC 2.0 with the length before it.
 func wholePeerMessage(size int) []byte {
 	begin, end := `{"jsonrpc":"2.0","method":"submit","id":1,"params":{"version":1,"from":"x","stamp":{},"body":"`, `"}}`
--- a/tests/crowder/crowder_test.go
+++ b/tests/crowder/crowder_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -37,7 +38,7 @@
 	{"headsOfShortLines", 200, manyFiles, httpGroup, distinctLines(60 << 10)},
 	{"headsOverLimit", 800, manyFiles, httpGroup, stalledHead("X-Line: "+strings.Repeat("x", 90)+"\r\n", 200<<10)},
 	{"emptyLines", 400, manyFiles, httpGroup, endless("", []byte(strings.Repeat("\r\n", 2048)), 1<<20)},
-	{"requestsInARow", 200, manyFiles, httpGroup, endless("", []byte(strings.Repeat(fmt.Sprintf("GET %s HTTP/1.1\r\nHost: crowd\r\nX-Ebonyshunt-Key: %s\r\n\r\n", prefix, knownKey), 64)), 2<<20)},
+	{"requestsInARow", 200, manyFiles, httpGroup, endless("", requests(64), 2<<20)},
 	{"silentConnections", 800, fewFiles, httpGroup, silent},
 	{"readinessHeads", 1200, manyFiles, readinessGroup, stalledHead("X-Line: "+strings.Repeat("x", 90)+"\r\n", 60<<10)},
 	{"readinessConnections", 800, fewFiles, readinessGroup, silent},
@@ -47,6 +48,8 @@
 	{"wholePeerMessages", 60, manyFiles, peerGroup, endless("", wholePeerMessage(3<<20), 9<<20)},
 	{"escapedPayloads", 400, manyFiles, httpGroup, wholeBody(repeated(`{"steps":[{"count":1}],"spec":"`, "<<<<<<<<<<<<<<<<<<<<", `"}`))},
 	{"peerConnections", 800, fewFiles, peerGroup, silent},
+	{"smallPeerCalls", 60, manyFiles, peerGroup, endless("", smallPeerCalls(64<<10), 256<<10)},
+	{"unreadAnswers", 800, manyFiles, httpGroup, endless("", requests(200), 6<<20)},
 }
 
 // limitOr returns the number of descriptors that the flags set, or else the default.
@@ -235,6 +238,46 @@
 	}
 }
 
+// TestUnreadMetrics checks that operators read the metrics of a host while a crowd asks for them and reads no answer.
+func TestUnreadMetrics(t *testing.T) {
+	if raceDetector {
+		t.Skip("as TestCrowds")
+	}
+	cluster := startCluster(t, 2, limitOr(fewFiles))
+	decider := cluster.hosts[0]
+	address := decider.address(metricsGroup)
+	stop := make(chan struct{})
+	seen := watch(t, decider.process, decider.addresses(), stop)
+	call := []byte("GET /metrics HTTP/1.1\r\nHost: crowd\r\n\r\n")
+	sendCrowd(t, address, 200**factor, endless("", call, 1000*len(call)))
+	time.Sleep(settleTime)
+	assertMetrics(t, address)
+	assertAnswered(t, decider, fmt.Sprintf("%016x", 1), ordinaryBody)
+	close(stop)
+	assertBounded(t, <-seen, limitOr(fewFiles)*descriptorShare/100)
+	if decider.hasEnded() {
+		t.Errorf("the host has ended: %v", decider.err)
+	}
+}
+
+// assertMetrics checks that a host answers an operator who asks for its metrics, and returns after a failure.
+func assertMetrics(t *testing.T, address string) {
+	t.Helper()
+	client := &http.Client{Timeout: dialTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	for range ordinaryAttempts {
+		response, err := client.Get("http://" + address + "/metrics")
+		if err == nil {
+			_, err = io.Copy(io.Discard, response.Body)
+			response.Body.Close()
+		}
+		if err == nil && response.StatusCode == http.StatusOK {
+			return
+		}
+		time.Sleep(ordinaryInterval)
+	}
+	t.Error("the metrics were not answered")
+}
+
 // TestCrowdsTogether sends all kinds of crowds at once to a decider that has accepted as many jobs as it takes.
 func TestCrowdsTogether(t *testing.T) {
 	if raceDetector {
