Let clients that do not read make room for others

What callers saw: 400 clients of the product's own interface that ask for the configuration again and again and read no answer hold all of its 240 connections; an ordinary call got no connection in 40 attempts over 10 s (TestServerCrowds/unreadAnswers).

Cause: a connection whose request is being served is never closed for a new one, and a handler whose answer does not fit into the buffers serves its request for as long as the client pleases. The addresses of ebonyshuntd schedule end such answers after a minute, and theirs are small; the product's own interface has answers without a time limit.

Change: if no connection waits for a request, the one whose answer has been waiting to be read for longest, a second at least, gives way.

TestUnreadAnswers of daemon/acceptor: no answer before, passes.

--- a/daemon/acceptor/acceptor_test.go
+++ b/daemon/acceptor/acceptor_test.go
@@ -23,6 +23,9 @@
 	proceed chan struct{} // an element lets a request end
 }
 
+// largeAnswer is the answer to requests to /large, more than the kernel keeps for a client that does not read.
+var largeAnswer = make([]byte, 16<<20)
+
 // newServer starts a server whose requests to /wait end when proceed is sent to. Other requests are answered once their body was read.
 func newServer(t *testing.T, limits Limits) *testServer {
 	t.Helper()
@@ -39,6 +42,10 @@
 		if request.URL.Path == "/wait" {
 			<-server.proceed
 		}
+		if request.URL.Path == "/large" {
+			_, _ = writer.Write(largeAnswer)
+			return
+		}
 		if request.Context().Err() != nil {
 			writer.WriteHeader(http.StatusInternalServerError)
 			return
@@ -101,6 +108,27 @@
 
 func request(path string) string { return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: x\r\n\r\n", path) }
 
+// TestUnreadAnswers checks that clients that do not read their answers make room for others.
+func TestUnreadAnswers(t *testing.T) {
+	server := newServer(t, Limits{Conns: 2})
+	first := server.dial(t, request("/large"))
+	<-server.served
+	second := server.dial(t, request("/large"))
+	<-server.served
+	time.Sleep(2 * minUnreadTime)
+	third := server.dial(t, request("/"))
+	assertStatus(t, third, http.StatusNoContent)
+	if reason := <-server.closed; reason != TooManyConnections {
+		t.Errorf("reason %q", reason)
+	}
+	if read, err := io.Copy(io.Discard, first); read >= int64(len(largeAnswer)) {
+		t.Errorf("the first client was not closed: %d bytes, %v", read, err)
+	}
+	if read, _ := io.CopyN(io.Discard, second, int64(len(largeAnswer))); read < int64(len(largeAnswer)) {
+		t.Errorf("the second client read %d bytes only", read)
+	}
+}
+
 // TestOldestIsClosed checks which connection is closed when there are too many.
 func TestOldestIsClosed(t *testing.T) {
 	t.Run("silent", func(t *testing.T) {
--- a/daemon/acceptor/conn.go
+++ b/daemon/acceptor/conn.go
@@ -13,6 +13,9 @@
 	open     bool          // counted by the listener
 	element  *list.Element // in listener.receiving, nil while a request is served
 	head     head
+	// writeElement is the element of the connection in listener.writing, nil unless an answer is being written.
+	writeElement *list.Element
+	writeSince   time.Time
 }
 
 // Read reads from the connection and counts what may belong to the heads of requests.
@@ -32,6 +35,35 @@
 	return count, err //nolint:wrapcheck // http.Server compares it
 }
 
+// Write writes to the connection. While it waits for the client to read, the connection may be closed for another one.
+func (conn *Conn) Write(data []byte) (int, error) {
+	conn.beginWrite()
+	defer conn.endWrite()
+	return conn.Conn.Write(data) //nolint:wrapcheck // http.Server compares it
+}
+
+func (conn *Conn) beginWrite() {
+	conn.listener.mu.Lock()
+	defer conn.listener.mu.Unlock()
+	if conn.open && conn.writeElement == nil {
+		conn.writeSince = time.Now()
+		conn.writeElement = conn.listener.writing.PushBack(conn)
+	}
+}
+
+func (conn *Conn) endWrite() {
+	conn.listener.mu.Lock()
+	defer conn.listener.mu.Unlock()
+	conn.stopWriting()
+}
+
+func (conn *Conn) stopWriting() {
+	if conn.writeElement != nil {
+		conn.listener.writing.Remove(conn.writeElement)
+		conn.writeElement = nil
+	}
+}
+
 // moveToEnd makes the connection the one that has been receiving for the shortest time.
 func (conn *Conn) moveToEnd() {
 	conn.listener.mu.Lock()
@@ -74,6 +106,7 @@
 	conn.listener.conns--
 	conn.releaseHead(conn.head.cost)
 	conn.stopReceiving()
+	conn.stopWriting()
 }
 
 func (conn *Conn) stopReceiving() {
--- a/daemon/acceptor/listener.go
+++ b/daemon/acceptor/listener.go
@@ -46,7 +46,7 @@
 
 // Listener is a net.Listener that accepts connections within limits. A connection is receiving until a whole request was read from it,
 // and again after the request was answered. At a limit, the connection that has been receiving for the longest time is closed: a
-// client that sends its request soon is not closed, and neither is one whose request is being served.
+// client that sends its request soon is not closed, and neither is one whose request is being served, unless it does not read the answer.
 type Listener struct {
 	net.Listener
 	limits Limits
@@ -55,6 +55,7 @@
 	conns     int
 	headBytes int64
 	receiving list.List // of *Conn, the one that has been receiving for the longest time first
+	writing   list.List // of *Conn, those to which an answer is being written, the longest one first
 	drainEnd  time.Time // deadline of requests that are not received completely, zero before Drain
 }
 
@@ -101,7 +102,7 @@
 	}
 }
 
-// add adds a connection, and closes another one if there are too many. It returns nil if all others are being served.
+// add adds a connection, and closes another one if there are too many. It returns nil if all others are being served and read their answers.
 func (listener *Listener) add(raw net.Conn) *Conn {
 	conn := &Conn{Conn: raw, listener: listener}
 	listener.mu.Lock()
@@ -124,11 +125,20 @@
 	return conn
 }
 
-// oldest returns the connection that has been receiving for the longest time, or nil if there is none.
+// minUnreadTime is how long an answer waits to be read before its connection is closed for another one.
+const minUnreadTime = time.Second
+
+// oldest returns the connection that has been receiving for the longest time. If there is none, it returns the one whose answer has
+// been waiting to be read for the longest time, or nil if none has for minUnreadTime.
 func (listener *Listener) oldest() *Conn {
 	if element := listener.receiving.Front(); element != nil {
 		return element.Value.(*Conn)
 	}
+	if element := listener.writing.Front(); element != nil {
+		if conn := element.Value.(*Conn); time.Since(conn.writeSince) >= minUnreadTime {
+			return conn
+		}
+	}
 	return nil
 }
 
--- a/tests/crowder/server_test.go
+++ b/tests/crowder/server_test.go
@@ -66,7 +66,7 @@
 	}, "\n"))
 	process := startProcess(t, filepath.Join(folder, "host.log"), files, buildDaemon(t), "--settings", settings)
 	fleet := filepath.Join(folder, "fleet.ini")
-	write(t, fleet, fmt.Sprintf(serverFleet, viewer.Digest(serverTeamKey)))
+	write(t, fleet, fmt.Sprintf(serverFleet, viewer.Digest(serverTeamKey))+otherTeams())
 	command := filepath.Join(folder, "ebonyshunt")
 	if output, err := exec.Command("go", "build", "-o", command, "ebonyshunt.org/command").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, output)
@@ -127,6 +127,21 @@
 	return send(conn, bytes.Repeat([]byte{' '}, serverBodyBytes-1), 64<<10)
 }
 
+// otherTeams returns the sections of so many teams that the configuration is more than the buffers of a connection.
+func otherTeams() string {
+	const teams = 500
+	var sections strings.Builder
+	for number := range teams {
+		fmt.Fprintf(&sections, "\n[team other%d]\nowner = root\n", number)
+	}
+	return sections.String()
+}
+
+// serverRequests returns a number of complete requests.
+func serverRequests(count int) []byte {
+	return []byte(strings.Repeat("GET /v1/sections HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+serverRootKey+"\r\n\r\n", count))
+}
+
 // TestServerCrowds sends crowds to a host that serves the product's own interface, and an ordinary call while the crowd is there.
 func TestServerCrowds(t *testing.T) {
 	if raceDetector {
@@ -142,6 +157,7 @@
 		{"heads", 1800, manyFiles, stalledHead("X-Line: "+strings.Repeat("x", 90)+"\r\n", 60<<10)},
 		{"headsOfShortLines", 600, manyFiles, distinctLines(60 << 10)},
 		{"connections", 800, fewFiles, silent},
+		{"unreadAnswers", 400, fewFiles, endless("", serverRequests(200), 64<<10)},
 	} {
 		t.Run(kind.name, func(t *testing.T) {
 			server, address := startServer(t, kind.files)
