Bound the memory of jobs at the product's own interface

What callers saw: 80 jobs of 512 KB, one after the other, are all accepted by hosts of 128 MB, and a deciding host keeps each of them three times (itself, its record in Base64, the record while it is sent) until ten minutes after its end. Nothing bounds their sum.

Change: the jobs of a zone take a quarter of the memory of its deciding host at most, kept ones and their answers included; a job beyond it gets 503 with Retry-After: 5 and the outcome notRun. The default memory is 1 GB, a quarter of which has room for 85 MB of bodies and answers.

TestJobsTakeMemory: 80 accepted before, 21 after, then refused. TestCountMemory: expired jobs make room.

--- a/daemon/server/jobs.go
+++ b/daemon/server/jobs.go
@@ -57,6 +57,11 @@
 	if problem != nil {
 		return JobAnswer{Problem: problem}, nil
 	}
+	release, problem := tenure.reserveMemory(job)
+	if problem != nil {
+		return JobAnswer{Problem: problem}, nil
+	}
+	defer release()
 	record, err := tenure.jobRecord(job)
 	if err != nil {
 		return JobAnswer{}, err
@@ -71,6 +76,7 @@
 		return JobAnswer{Job: known.copy()}, nil
 	}
 	tenure.jobs[call.ID] = job
+	tenure.jobBytes += job.memory()
 	tenure.enqueueJob(job)
 	return JobAnswer{Job: job.copy()}, nil
 }
@@ -194,6 +200,7 @@
 	}
 	state := &jobState{Job: job, changed: make(chan struct{})}
 	tenure.jobs[job.ID] = state
+	tenure.jobBytes += state.memory()
 	for i := range state.Tasks {
 		tenure.restoreTask(state, i)
 	}
--- a/daemon/server/tenure.go
+++ b/daemon/server/tenure.go
@@ -30,6 +30,8 @@
 	endWaiters          map[string][]chan struct{}  // by task ID; closed when the end of the task is known
 	recentEnds          map[string]recentEnd        // by work ID
 	jobs                map[string]*jobState
+	jobBytes            int64                   // memory of the jobs, of the answers as of the latest countMemory
+	reservedBytes       int64                   // memory of the jobs that are being accepted
 	unmatchedEnds       map[string]unmatchedEnd // by work ID; ends of tasks whose jobs are not known yet
 	keys                map[string]*keyState
 	replicas            map[string]string // incarnations of the peers that have copies of all records, by name
@@ -298,4 +300,5 @@
 			delete(tenure.jobs, id)
 		}
 	}
+	tenure.countMemory()
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -457,5 +457,8 @@
 ' ./daemon/linker 'TestLargeMessages'
 try 'clients: open calls' daemon/linker/open_calls.go 'if openCalls.maxBytes == 0 ||' 'if true || openCalls.maxBytes == 0 ||' ./daemon/linker 'TestOpenCalls'
 try 'clients: busiest peer' daemon/linker/open_calls.go 'conn.bytes > busiest.bytes' 'conn.bytes < busiest.bytes' ./daemon/linker 'TestOpenCalls'
+try 'clients: jobs of a zone' daemon/server/job_memory.go 'if tenure.jobBytes+tenure.reservedBytes+bytes >' 'if false && tenure.jobBytes+tenure.reservedBytes+bytes >' ./tests 'TestJobsTakeMemory'
+try 'clients: expired jobs' daemon/server/job_memory.go '	tenure.jobBytes = 0
+' '' ./daemon/server 'TestCountMemory'
 try 'clients: unread answers' daemon/acceptor/listener.go 'if element := listener.writing.Front(); element != nil {' 'if element := listener.writing.Front(); false && element != nil {' ./daemon/acceptor 'TestUnreadAnswers'
 exit $failed
