Let streams of job events make room for others

Streams of job events last as long as their jobs. A client with a key that opens as many as the product's own interface has connections keeps out all others, since a connection whose request is being served is never closed.

Their clients can resume them with the last version, so that at the limit the oldest stream is closed, after connections without a request and ones whose answers are not read.

--- a/daemon/acceptor/acceptor_test.go
+++ b/daemon/acceptor/acceptor_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -38,6 +40,12 @@
 	server.Listener = Wrap(raw, limits)
 	handler := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		_, _ = io.Copy(io.Discard, request.Body)
+		if request.URL.Path == "/stream" {
+			Resumable(request)
+			server.served <- struct{}{}
+			<-request.Context().Done()
+			return
+		}
 		server.served <- struct{}{}
 		if request.URL.Path == "/wait" {
 			<-server.proceed
@@ -108,6 +116,27 @@
 
 func request(path string) string { return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: x\r\n\r\n", path) }
 
+// TestResumableAnswers checks that streams that their clients can resume make room for others, the oldest one first.
+func TestResumableAnswers(t *testing.T) {
+	server := newServer(t, Limits{Conns: 2})
+	first := server.dial(t, request("/stream"))
+	<-server.served
+	second := server.dial(t, request("/stream"))
+	<-server.served
+	third := server.dial(t, request("/"))
+	assertStatus(t, third, http.StatusNoContent)
+	assertClosed(t, first)
+	fourth := server.dial(t, request("/"))
+	assertStatus(t, fourth, http.StatusNoContent)
+	assertClosed(t, third)
+	if err := second.SetReadDeadline(time.Now()); err != nil {
+		t.Error(err)
+	}
+	if _, err := second.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the second stream ended although another connection was idle: %v", err)
+	}
+}
+
 // TestUnreadAnswers checks that clients that do not read their answers make room for others.
 func TestUnreadAnswers(t *testing.T) {
 	server := newServer(t, Limits{Conns: 2})
--- a/daemon/acceptor/conn.go
+++ b/daemon/acceptor/conn.go
@@ -16,6 +16,8 @@
 	// writeElement is the element of the connection in listener.writing, nil unless an answer is being written.
 	writeElement *list.Element
 	writeSince   time.Time
+	// resumeElement is the element of the connection in listener.resumable, nil unless it has such an answer.
+	resumeElement *list.Element
 }
 
 // Read reads from the connection and counts what may belong to the heads of requests.
@@ -64,6 +66,22 @@
 	}
 }
 
+// makeResumable records that the answer that is being written can be resumed.
+func (conn *Conn) makeResumable() {
+	conn.listener.mu.Lock()
+	defer conn.listener.mu.Unlock()
+	if conn.open && conn.resumeElement == nil {
+		conn.resumeElement = conn.listener.resumable.PushBack(conn)
+	}
+}
+
+func (conn *Conn) endResumable() {
+	if conn.resumeElement != nil {
+		conn.listener.resumable.Remove(conn.resumeElement)
+		conn.resumeElement = nil
+	}
+}
+
 // moveToEnd makes the connection the one that has been receiving for the shortest time.
 func (conn *Conn) moveToEnd() {
 	conn.listener.mu.Lock()
@@ -107,6 +125,7 @@
 	conn.releaseHead(conn.head.cost)
 	conn.stopReceiving()
 	conn.stopWriting()
+	conn.endResumable()
 }
 
 func (conn *Conn) stopReceiving() {
@@ -148,6 +167,7 @@
 	listener.mu.Lock()
 	defer listener.mu.Unlock()
 	conn.stopReceiving()
+	conn.endResumable()
 	conn.head.inBody, conn.head.bytes = false, 0
 	if !conn.open {
 		return
--- a/daemon/acceptor/handler.go
+++ b/daemon/acceptor/handler.go
@@ -37,6 +37,14 @@
 	})
 }
 
+// Resumable records that the client of a request can resume the answer over another connection, so that this one may be closed for a
+// new one.
+func Resumable(request *http.Request) {
+	if conn, ok := request.Context().Value(connKey{}).(*Conn); ok {
+		conn.makeResumable()
+	}
+}
+
 // body is the body of a request, which tells its connection when it was received.
 type body struct {
 	io.ReadCloser
--- a/daemon/acceptor/listener.go
+++ b/daemon/acceptor/listener.go
@@ -46,7 +46,8 @@
 
 // Listener is a net.Listener that accepts connections within limits. A connection is receiving until a whole request was read from it,
 // and again after the request was answered. At a limit, the connection that has been receiving for the longest time is closed: a
-// client that sends its request soon is not closed, and neither is one whose request is being served, unless it does not read the answer.
+// client that sends its request soon is not closed, and neither is one whose request is being served, unless it does not read the answer
+// or can resume it.
 type Listener struct {
 	net.Listener
 	limits Limits
@@ -56,6 +57,7 @@
 	headBytes int64
 	receiving list.List // of *Conn, the one that has been receiving for the longest time first
 	writing   list.List // of *Conn, those to which an answer is being written, the longest one first
+	resumable list.List // of *Conn, those with an answer that the client can resume, the longest one first
 	drainEnd  time.Time // deadline of requests that are not received completely, zero before Drain
 }
 
@@ -102,7 +104,8 @@
 	}
 }
 
-// add adds a connection, and closes another one if there are too many. It returns nil if all others are being served and read their answers.
+// add adds a connection, and closes another one if there are too many. It returns nil if all others are being served, read their answers and
+// cannot resume them.
 func (listener *Listener) add(raw net.Conn) *Conn {
 	conn := &Conn{Conn: raw, listener: listener}
 	listener.mu.Lock()
@@ -129,7 +132,8 @@
 const minUnreadTime = time.Second
 
 // oldest returns the connection that has been receiving for the longest time. If there is none, it returns the one whose answer has
-// been waiting to be read for the longest time, or nil if none has for minUnreadTime.
+// been waiting to be read for the longest time, minUnreadTime at least, or else the one with the oldest answer that its client can resume.
+// It returns nil if there is none of these.
 func (listener *Listener) oldest() *Conn {
 	if element := listener.receiving.Front(); element != nil {
 		return element.Value.(*Conn)
@@ -139,6 +143,9 @@
 			return conn
 		}
 	}
+	if element := listener.resumable.Front(); element != nil {
+		return element.Value.(*Conn)
+	}
 	return nil
 }
 
--- a/daemon/server/routes.go
+++ b/daemon/server/routes.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"ebonyshunt.org/daemon/acceptor"
 	"ebonyshunt.org/library/recorder"
 	"ebonyshunt.org/library/responder"
 	"github.com/go-chi/chi/v5"
@@ -246,6 +247,7 @@
 // off resumes with the query parameter after=VERSION.
 func (server *Server) serveJobEvents(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	acceptor.Resumable(r)
 	began := false
 	encoder := json.NewEncoder(w)
 	for r.Context().Err() == nil && server.abandonContext.Err() == nil {
