--- a/tests/crowder/crowder_test.go
+++ b/tests/crowder/crowder_test.go
@@ -96,6 +96,7 @@
 	const most = 240 << 10 // as stored, docs/API.md
 	body := `{"spec":"` + strings.Repeat("x", most-1024) + `","steps":[{"count":1,"cpu":500,"memMb":10}]}`
 	assertAnswered(t, cluster.hosts[0], fmt.Sprintf("%016x", 1), body)
+	assertAnswered(t, cluster.hosts[0], fmt.Sprintf("%016x", 2), body+strings.Repeat(" ", maxBodyBytes-len(body)))
 }
 
 // TestStopAmidCrowd checks that open bodies do not hold up a planned stop, and that the other host decides after it.
