--- a/tests/crowder/server_test.go
+++ b/tests/crowder/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/base64"
 	"fmt"
 	"io"
 	"net"
@@ -13,16 +14,21 @@
 	"testing"
 	"time"
 
+	"ebonyshunt.org/daemon/lister"
+	"ebonyshunt.org/library/sizer"
 	"ebonyshunt.org/library/viewer"
 	"ebonyshunt.org/standin/listserver"
 	"ebonyshunt.org/standin/logserver"
+	"ebonyshunt.org/standin/workerserver"
 )
 
 const (
 	// serverMemoryMB is the memory of the machine of a host that serves the product's own interface.
 	serverMemoryMB = 256
-	serverRootKey  = "root-key"
-	serverTeamKey  = "team-key"
+	// defaultMemoryMB is the memory of a host whose settings do not name it.
+	defaultMemoryMB = 1024
+	serverRootKey   = "root-key"
+	serverTeamKey   = "team-key"
 	// serverBodyBytes is the size of the largest job.
 	serverBodyBytes = 1 << 20
 )
@@ -54,17 +60,51 @@
 // startServer starts a host that serves the product's own interface, and waits until it serves its configuration.
 func startServer(t *testing.T, files int) (*process, string) {
 	t.Helper()
-	folder := t.TempDir()
 	logAddress, _ := serve(t, logserver.New().Handler())
 	listAddress, _ := serve(t, listserver.New().Handler())
-	httpAddress, peerAddress := freeAddress(t), freeAddress(t)
+	process, httpAddress := startListedServer(t, "one", files, defaultMemoryMB, logAddress, listAddress, freeAddress(t))
+	publishFleet(t, process, httpAddress)
+	return process, httpAddress
+}
+
+// startZone starts two hosts of a zone with a worker, of which one decides and the other one keeps copies.
+func startZone(t *testing.T) (hosts []*process, addresses []string) {
+	t.Helper()
+	list := listserver.New()
+	logAddress, _ := serve(t, logserver.New().Handler())
+	listAddress, _ := serve(t, list.Handler())
+	worker := workerserver.New("w-one", sizer.Size{MilliCores: 4000, MemoryMB: 8192})
+	workerAddress, _ := serve(t, worker.Handler())
+	list.Add(lister.Host{Name: "w-one", Kind: lister.KindWorker, Address: workerAddress, Zone: "a", Rack: "r", Capacity: worker.Capacity})
+	for _, name := range []string{"one", "two"} {
+		peerAddress := freeAddress(t)
+		list.Add(lister.Host{Name: name, Kind: lister.KindEntry, Address: peerAddress, Zone: "a"})
+		process, address := startListedServer(t, name, manyFiles, serverMemoryMB, logAddress, listAddress, peerAddress)
+		hosts, addresses = append(hosts, process), append(addresses, address)
+	}
+	publishFleet(t, hosts[0], addresses[0])
+	return hosts, addresses
+}
+
+// startListedServer starts a host of zone a. It returns the address of the product's own interface.
+func startListedServer(t *testing.T, name string, files, memoryMB int, logAddress, listAddress, peerAddress string) (*process, string) {
+	t.Helper()
+	folder := t.TempDir()
+	httpAddress := freeAddress(t)
 	settings := filepath.Join(folder, "host.ini")
 	write(t, settings, strings.Join([]string{
-		"[host]", "name = one", "zone = a", "httpAddress = " + httpAddress, "peerAddress = " + peerAddress,
+		"[host]", "name = " + name, "zone = a", "httpAddress = " + httpAddress, "peerAddress = " + peerAddress,
 		"[platform]", "logAddress = " + logAddress, "listAddress = " + listAddress,
-		"[operators]", "rootKeySHA256 = " + viewer.Digest(serverRootKey), "",
+		"[operators]", "rootKeySHA256 = " + viewer.Digest(serverRootKey),
+		"[bounds]", fmt.Sprintf("memoryMB = %d", memoryMB), "",
 	}, "\n"))
-	process := startProcess(t, filepath.Join(folder, "host.log"), files, buildDaemon(t), "--settings", settings)
+	return startProcess(t, filepath.Join(folder, "host.log"), files, buildDaemon(t), "--settings", settings), httpAddress
+}
+
+// publishFleet publishes serverFleet through a host, and waits until it serves its configuration.
+func publishFleet(t *testing.T, process *process, httpAddress string) {
+	t.Helper()
+	folder := t.TempDir()
 	fleet := filepath.Join(folder, "fleet.ini")
 	write(t, fleet, fmt.Sprintf(serverFleet, viewer.Digest(serverTeamKey))+otherTeams())
 	command := filepath.Join(folder, "ebonyshunt")
@@ -76,7 +116,7 @@
 		publish.Env = append(os.Environ(), "EBONYSHUNT_KEY="+serverRootKey)
 		output, err := publish.CombinedOutput()
 		if err == nil && readSections(httpAddress) == http.StatusOK {
-			return process, httpAddress
+			return
 		}
 		if time.Now().After(deadline) || process.hasEnded() {
 			t.Fatalf("the host is not ready: %s", output)
@@ -181,6 +221,68 @@
 	}
 }
 
+const (
+	serverJobs      = 200
+	serverJobBytes  = 700 << 10 // of the body of its task
+	serverJobMillis = 10        // run time of its task
+)
+
+// TestServerJobs submits large jobs to a zone of two hosts, one after the other.
+func TestServerJobs(t *testing.T) {
+	if raceDetector {
+		t.Skip("as TestCrowds")
+	}
+	hosts, addresses := startZone(t)
+	stop := make(chan struct{})
+	var seen []<-chan usage
+	for number, host := range hosts {
+		seen = append(seen, watch(t, host, addresses[number:number+1], stop))
+	}
+	submitServerJob(t, addresses[0], 1, ordinaryAttempts) // once the zone has a decider
+	answers := map[int]int{}
+	for range serverJobs {
+		answers[submitServerJob(t, addresses[0], serverJobBytes, 1)]++
+	}
+	t.Logf("answers by status: %v", answers)
+	if answers[http.StatusAccepted] == 0 {
+		t.Error("no large job was accepted")
+	}
+	assertServerAnswers(t, addresses[0])
+	close(stop)
+	for number, host := range hosts {
+		most := <-seen[number]
+		t.Logf("host %d took at most %d MB", number, most.memory>>20)
+		if most.memory > serverMemoryMB<<20 || host.hasEnded() {
+			t.Errorf("host %d took %d MB, has ended: %t", number, most.memory>>20, host.hasEnded())
+		}
+	}
+}
+
+// submitServerJob submits a job with one task, and returns the last status. It tries again until the job is accepted.
+func submitServerJob(t *testing.T, address string, bodyBytes, attempts int) int {
+	t.Helper()
+	spec := fmt.Sprintf(`{"service":"work","tasks":[{"target":"?workMS=%d","body":"%s"}]}`, serverJobMillis, base64.StdEncoding.EncodeToString(make([]byte, bodyBytes)))
+	status := 0
+	for range attempts {
+		request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/jobs", strings.NewReader(spec))
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("Authorization", "Bearer "+serverTeamKey)
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		if status = response.StatusCode; status == http.StatusAccepted || attempts == 1 {
+			return status
+		}
+		time.Sleep(ordinaryInterval)
+	}
+	t.Fatalf("no job was accepted, last status %d", status)
+	return 0
+}
+
 // assertServerAnswers checks that a host answers an ordinary call of a client that returns after a failure.
 func assertServerAnswers(t *testing.T, address string) {
 	t.Helper()
