Tests: only a refusal for lack of room ends the submissions of large jobs

TestJobsTakeMemory took any refusal for the one that it waits for: beside load, a job whose copy was late ended it, and the mutant "clients: jobs of a zone" was green once.

--- a/tests/job_memory_test.go
+++ b/tests/job_memory_test.go
@@ -31,7 +31,7 @@
 	}
 }
 
-// submitLargeJobs submits up to largeJobs of one zone until one is refused. It returns how many were accepted, and the answer to that one.
+// submitLargeJobs submits up to largeJobs of one zone until one is refused for lack of room. It returns how many were accepted, and the answer to that one.
 func (harness *harness) submitLargeJobs() (accepted int, refused reply) {
 	harness.Helper()
 	spec := server.JobSpec{Service: "work", Tasks: []server.TaskSpec{{Target: "?workMS=10", Body: make([]byte, largeBodyBytes)}}}
@@ -41,10 +41,14 @@
 	}
 	for range largeJobs {
 		answer := harness.send(harness.ctx, harness.Names[0], http.MethodPost, "/v1/jobs", teamKey, body)
-		if answer.status != http.StatusAccepted {
+		switch {
+		case answer.status == http.StatusAccepted:
+			accepted++
+		case answer.problem.Code() == responder.CodeOverloaded:
 			return accepted, answer
+		default: // for example a copy that was late
+			harness.Logf("status %d: %+v", answer.status, answer.problem)
 		}
-		accepted++
 	}
 	return accepted, reply{}
 }
