Let calls of peers wait for those of closed connections

Cause: the calls of a connection that was closed at the limit were no longer counted, although their goroutines had not ended; on a busy machine others filled the memory meanwhile.

TestOpenCalls/waits.

--- a/daemon/linker/open_calls_test.go
+++ b/daemon/linker/open_calls_test.go
@@ -1,6 +1,10 @@
 package linker
 
-import "testing"
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
 
 // newTestCalls returns calls of which count fit, and counters of how often each of two connections and the limit were met.
 func newTestCalls(count int64) (first, second *connCalls, closed map[*connCalls]int) {
@@ -55,12 +59,37 @@
 		first, second, closed := newTestCalls(10)
 		begin(t, first, 9, true)
 		first.remove()
-		first.end(1)
-		begin(t, second, 10, true)
+		begin(t, second, 1, true)
+		for range 9 {
+			first.end(1)
+		}
+		begin(t, second, 9, true)
 		if len(closed) > 0 {
 			t.Errorf("closed %v", closed)
 		}
 	})
+	t.Run("waits", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			first, second, _ := newTestCalls(10)
+			begin(t, first, 9, true)
+			first.remove()
+			begin(t, second, 1, true)
+			go func() {
+				time.Sleep(maxMemoryWait / 2)
+				first.end(1)
+			}()
+			began := time.Now()
+			begin(t, second, 1, true)
+			if waited := time.Since(began); waited < maxMemoryWait/2 || waited >= maxMemoryWait {
+				t.Errorf("waited %v for the calls on a closed connection", waited)
+			}
+			began = time.Now()
+			begin(t, second, 1, true)
+			if waited := time.Since(began); waited != maxMemoryWait {
+				t.Errorf("waited %v for calls that do not end", waited)
+			}
+		})
+	})
 	t.Run("largeMessages", func(t *testing.T) {
 		first, _, closed := newTestCalls(10)
 		if !first.begin(maxMessageBytes) || len(closed) > 0 {
--- a/daemon/linker/server.go
+++ b/daemon/linker/server.go
@@ -113,7 +113,12 @@
 		return
 	}
 	server, calls, size := callHandler.server, callHandler.calls, callHandler.inbound.size
-	if !calls.begin(size) || !server.beginCall() {
+	if !calls.begin(size) {
+		release()
+		return
+	}
+	if !server.beginCall() {
+		calls.end(size)
 		release()
 		return
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -456,6 +456,8 @@
 ' '	if false {
 ' ./daemon/linker 'TestLargeMessages'
 try 'clients: open calls' daemon/linker/open_calls.go 'if openCalls.maxBytes == 0 ||' 'if true || openCalls.maxBytes == 0 ||' ./daemon/linker 'TestOpenCalls'
+try 'clients: calls of closed connections' daemon/linker/open_calls.go '		connCalls.openCalls.awaitMemory()
+' '' ./daemon/linker 'TestOpenCalls'
 try 'clients: busiest peer' daemon/linker/open_calls.go 'conn.bytes > busiest.bytes' 'conn.bytes < busiest.bytes' ./daemon/linker 'TestOpenCalls'
 try 'clients: jobs of a zone' daemon/server/job_memory.go 'if tenure.jobBytes+tenure.reservedBytes+bytes >' 'if false && tenure.jobBytes+tenure.reservedBytes+bytes >' ./tests 'TestJobsTakeMemory'
 try 'clients: expired jobs' daemon/server/job_memory.go '	tenure.jobBytes = 0
