Server: test the memory of jobs without wall time

TestReserveMemory checks the same without a network: the bound, the refusal with its outcome and Retry-After, that expired jobs make room, and besides it jobs that are being accepted. The mutant "clients: jobs of a zone" is red. The cell's setting for it is gone again.

--- a/demo/builder/cell.go
+++ b/demo/builder/cell.go
@@ -48,8 +48,6 @@
 	Log     io.Writer         // receives the daemons' logs as JSON; nil discards them
 	Level   slog.Level        // lowest level that is logged
 	ListLag time.Duration     // age of the list of hosts that the daemons get
-	// MemoryMB is the memory of each entry host, 0 for the default of its settings.
-	MemoryMB int64
 }
 
 // Host is one entry host of a cell.
@@ -204,7 +202,6 @@
 			LogAddress:    logAddress,
 			ListAddress:   listAddress,
 			RootKeyDigest: viewer.Digest(cell.plan.RootKey),
-			MemoryMB:      cell.plan.MemoryMB,
 		}}
 		cell.List.Add(lister.Host{Name: name, Kind: lister.KindEntry, Address: peerAddress, Zone: zone.Name})
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -459,7 +459,7 @@
 try 'clients: calls of closed connections' daemon/linker/open_calls.go '		connCalls.openCalls.awaitMemory()
 ' '' ./daemon/linker 'TestOpenCalls'
 try 'clients: busiest peer' daemon/linker/open_calls.go 'conn.bytes > busiest.bytes' 'conn.bytes < busiest.bytes' ./daemon/linker 'TestOpenCalls'
-try 'clients: jobs of a zone' daemon/server/job_memory.go 'if tenure.jobBytes+tenure.reservedBytes+bytes >' 'if false && tenure.jobBytes+tenure.reservedBytes+bytes >' ./tests 'TestJobsTakeMemory'
+try 'clients: jobs of a zone' daemon/server/job_memory.go 'if tenure.jobBytes+tenure.reservedBytes+bytes >' 'if false && tenure.jobBytes+tenure.reservedBytes+bytes >' ./daemon/server 'TestReserveMemory'
 try 'clients: expired jobs' daemon/server/job_memory.go '	tenure.jobBytes = 0
 ' '' ./daemon/server 'TestCountMemory'
 try 'clients: resumable answers' daemon/acceptor/listener.go 'if element := listener.resumable.Front(); element != nil {' 'if element := listener.resumable.Front(); false && element != nil {' ./daemon/acceptor 'TestResumableAnswers'
--- a/tests/races_test.go
+++ b/tests/races_test.go
@@ -14,28 +14,7 @@
 // TestRaces sends requests and jobs through a cell on loopback while a host is killed and restarted. It is meant for
 // the race detector; no check depends on timing.
 func TestRaces(t *testing.T) {
-	harness := newLoopbackHarness(t, builder.Plan{})
-	cell := harness.Cell
-	var wait sync.WaitGroup
-	for caller := range callerCount {
-		wait.Go(func() { harness.sendRepeatedRequests(cell.Names[2+caller%4], caller) })
-	}
-	cell.KillHost("entry-a-0")
-	if err := cell.StartHost("entry-a-0"); err != nil {
-		t.Error(err)
-	}
-	wait.Wait()
-	for name, worker := range cell.Workers {
-		if worker.Overcommitted() {
-			t.Errorf("worker %s was overcommitted", name)
-		}
-	}
-}
-
-// newLoopbackHarness runs a cell of three zones on loopback, in real time.
-func newLoopbackHarness(t *testing.T, plan builder.Plan) *harness {
-	t.Helper()
-	plan.RootKey = rootKey
+	plan := builder.Plan{RootKey: rootKey}
 	for _, name := range zoneNames {
 		plan.Zones = append(plan.Zones, builder.Zone{Name: name, Hosts: 2, Workers: []builder.Group{
 			{Prefix: "w", Count: 2, Capacity: sizer.Size{MilliCores: 4000, MemoryMB: 8192}},
@@ -58,7 +37,20 @@
 			t.Fatal(err)
 		}
 	}
-	return harness
+	var wait sync.WaitGroup
+	for caller := range callerCount {
+		wait.Go(func() { harness.sendRepeatedRequests(cell.Names[2+caller%4], caller) })
+	}
+	cell.KillHost("entry-a-0")
+	if err := cell.StartHost("entry-a-0"); err != nil {
+		t.Error(err)
+	}
+	wait.Wait()
+	for name, worker := range cell.Workers {
+		if worker.Overcommitted() {
+			t.Errorf("worker %s was overcommitted", name)
+		}
+	}
 }
 
 func (harness *harness) sendRepeatedRequests(host string, caller int) {
