Bound what the kernel keeps of peers

Cause: only connections of callers, the load balancer and operators had a bounded receive buffer; peers had the kernel's, up to 6 MB each, and any number of them could wait to be accepted. Since calls of peers wait for memory, the host does not read them at once. The metered network of peers hid its sockets, too.

A connection of a peer has 32 KB, as many as a sixteenth of the memory holds twice, further ones 4 KB. The limits of peers are made in one place for both schedulers.

--- a/daemon/acceptor/acceptor_test.go
+++ b/daemon/acceptor/acceptor_test.go
@@ -363,33 +363,41 @@
 	assertStatus(t, served, http.StatusNoContent)
 }
 
-// TestReceiveBuffer checks that the kernel keeps few bytes for a connection that is not read.
+// TestReceiveBuffer checks that the kernel keeps few bytes for connections that are not read, and fewer for those beyond a number.
 func TestReceiveBuffer(t *testing.T) {
 	const limit = 16 << 10
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	listener := Wrap(raw, Limits{Conns: 1, ReceiveBuffer: limit})
+	listener := Wrap(raw, Limits{Conns: 3, ReceiveBuffer: limit, FullBuffers: 2})
 	defer listener.Close()
-	conn, err := net.Dial("tcp", raw.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	accepted, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
+	for _, want := range []int{limit, limit, MinReceiveBuffer} {
+		conn, err := net.Dial("tcp", raw.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		accepted, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer accepted.Close()
+		assertReceiveBuffer(t, accepted, want)
 	}
-	defer accepted.Close()
+}
+
+// assertReceiveBuffer checks the size that was set for the receive buffer of an accepted connection. The kernel doubles it.
+func assertReceiveBuffer(t *testing.T, accepted net.Conn, want int) {
+	t.Helper()
 	socket, err := accepted.(*Conn).Conn.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		t.Fatal(err)
 	}
 	if err := socket.Control(func(descriptor uintptr) {
 		size, err := syscall.GetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF)
-		if err != nil || size > 2*limit { // the kernel doubles it for its own use
-			t.Errorf("receive buffer of %d bytes, error %v, want at most %d", size, err, 2*limit)
+		if err != nil || size > 2*want {
+			t.Errorf("receive buffer of %d bytes, error %v, want at most %d", size, err, 2*want)
 		}
 	}); err != nil {
 		t.Fatal(err)
--- a/daemon/acceptor/listener.go
+++ b/daemon/acceptor/listener.go
@@ -24,8 +24,11 @@
 	// HeadBytes is the memory for the heads of requests, which the connection with the oldest head that is not complete gives back
 	// at the limit, 0 for no limit.
 	HeadBytes int64
-	// ReceiveBuffer is the number of bytes that the kernel keeps for each connection until they are read, 0 for its default.
+	// ReceiveBuffer is the number of bytes that the kernel keeps for each connection until they are read, of which it may take twice as
+	// many, 0 for its default.
 	ReceiveBuffer int
+	// FullBuffers is the number of connections with such a buffer, 0 for all. Those that are accepted beyond it get MinReceiveBuffer.
+	FullBuffers int
 	// BodyTimeout is the maximum duration of receiving a body, also of one that is not read by the handler, 0 for no limit.
 	BodyTimeout time.Duration
 	// ByLatestRead is set for protocols other than HTTP, on whose connections requests do not follow each other: each read counts as
@@ -89,6 +92,13 @@
 	})
 }
 
+// limitBuffer gives a connection the smallest receive buffer. That of a network in memory has none.
+func limitBuffer(raw net.Conn) {
+	if socket, ok := raw.(interface{ SetReadBuffer(bytes int) error }); ok {
+		_ = socket.SetReadBuffer(MinReceiveBuffer) // without it, the larger buffer stays
+	}
+}
+
 // Accept waits for the next connection. It closes another one if there are too many.
 func (listener *Listener) Accept() (net.Conn, error) {
 	for {
@@ -120,7 +130,11 @@
 	listener.conns++
 	conn.open = true
 	conn.element = listener.receiving.PushBack(conn)
+	isFull := listener.limits.FullBuffers == 0 || listener.conns <= listener.limits.FullBuffers
 	listener.mu.Unlock()
+	if !isFull {
+		limitBuffer(raw)
+	}
 	if oldest != nil {
 		_ = oldest.Conn.Close()
 		listener.report(TooManyConnections)
--- a/daemon/acceptor/shares.go
+++ b/daemon/acceptor/shares.go
@@ -6,6 +6,7 @@
 	PeerMemoryShare    = 12 // large messages of peers, from their first bytes until they are answered
 	PeerCallShare      = 16 // calls of peers that are not answered, or whose answers the peer has not read
 	HeadMemoryShare    = 32 // heads of callers' requests
+	UnreadMemoryShare  = 16 // what the kernel keeps of callers, and of peers, until it is read
 	requestMemoryShare = 16
 	connMemoryShare    = 16
 	// minRequestMemory has room for one body of the largest size that the platform's configuration allows by default, 256 KB.
@@ -29,5 +30,21 @@
 	return int(min(files*callerFilesPercent/100, memory/connMemoryShare/connBytes))
 }
 
-// PeerConns returns how many connections of peers a host keeps open, by its number of descriptors.
-func PeerConns(files int64) int { return int(files * peerFilesPercent / 100) }
+const (
+	// MinReceiveBuffer is the smallest receive buffer of a connection in bytes.
+	MinReceiveBuffer = 4 << 10
+	// peerReceiveBuffer holds most messages of peers, so that they arrive without a wait for the host to read, in bytes.
+	peerReceiveBuffer = 32 << 10
+)
+
+// PeerLimits returns the limits for all connections of peers, by the host's number of descriptors and its memory in bytes. closed is called
+// for each connection that is closed because of a limit.
+func PeerLimits(files, memory int64, closed func(Reason)) Limits {
+	return Limits{
+		Conns:         int(files * peerFilesPercent / 100),
+		ReceiveBuffer: peerReceiveBuffer,
+		FullBuffers:   int(max(memory/UnreadMemoryShare/(2*peerReceiveBuffer), 1)),
+		ByLatestRead:  true,
+		Closed:        closed,
+	}
+}
--- a/daemon/dialer/meter.go
+++ b/daemon/dialer/meter.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
+	"syscall"
 )
 
 // Meter counts the bytes that pass the connections of a network.
@@ -46,6 +48,18 @@
 	return meteredConn{Conn: conn, meter: meteredListener.meter}, nil
 }
 
+// errNoSocket reports that a network in memory has no sockets.
+var errNoSocket = errors.New("not a socket")
+
+// SyscallConn returns the socket of the listener.
+func (meteredListener meteredListener) SyscallConn() (syscall.RawConn, error) {
+	socket, ok := meteredListener.Listener.(syscall.Conn)
+	if !ok {
+		return nil, errNoSocket
+	}
+	return socket.SyscallConn()
+}
+
 type meteredConn struct {
 	net.Conn
 	meter *Meter
@@ -64,3 +78,12 @@
 	meteredConn.meter.Sent.Add(int64(count))
 	return count, err
 }
+
+// SetReadBuffer sets the size of the receive buffer of the connection's socket in bytes.
+func (meteredConn meteredConn) SetReadBuffer(bytes int) error {
+	socket, ok := meteredConn.Conn.(interface{ SetReadBuffer(bytes int) error })
+	if !ok {
+		return errNoSocket
+	}
+	return socket.SetReadBuffer(bytes)
+}
--- a/daemon/scheduler/client_limits.go
+++ b/daemon/scheduler/client_limits.go
@@ -22,10 +22,7 @@
 	// The parts of the descriptors that the connections to the load balancer's and the operators' addresses may take, in percent.
 	readinessFilesPercent = 3
 	metricsFilesPercent   = 2
-	// unreadMemoryShare is the inverse of the part of the memory that the kernel may take for what callers sent and the host has not read.
-	unreadMemoryShare = 16
-	minReceiveBuffer  = 4 << 10
-	maxReceiveBuffer  = 128 << 10
+	maxReceiveBuffer      = 128 << 10
 	// otherHeadShare is the inverse of the part of the memory that the heads of requests to each address but httpAddress may take.
 	otherHeadShare = 128
 )
@@ -33,49 +30,43 @@
 // jobMemoryLimit is the limit for the memory of the accepted jobs, in logs and metrics.
 const jobMemoryLimit = "jobMemory"
 
-// receiveBuffer returns the number of bytes that the kernel keeps for each connection until they are read, of which it may take twice as
-// many, 0 for its default: messages of peers are read at once.
-func receiveBuffer(settings loader.Scheduling, name listenerName) int {
+// limitsOf returns the limits for all connections of a listener.
+func (host *Host) limitsOf(name listenerName) acceptor.Limits {
+	files, memory := host.settings.MaxOpenFiles, host.settings.MemoryMB<<20
+	closed := func(reason acceptor.Reason) { host.recordLimit(name, string(reason)) }
+	limits := acceptor.Limits{BodyTimeout: host.settings.BodyTimeout, Closed: closed}
 	switch name {
 	case httpListener:
-		perConn := settings.MemoryMB << 20 / unreadMemoryShare / int64(maxConns(settings, name))
-		return int(min(max(perConn/2, minReceiveBuffer), maxReceiveBuffer))
-	case readinessListener, metricsListener:
-		return minReceiveBuffer
-	case peerListener:
-	}
-	return 0
-}
-
-// maxHeadBytes returns the memory that the heads of all requests to a listener may take.
-func maxHeadBytes(settings loader.Scheduling, name listenerName) int64 {
-	memory := settings.MemoryMB << 20
-	switch name {
-	case httpListener:
-		return memory / acceptor.HeadMemoryShare
-	case readinessListener, metricsListener:
-		return memory / otherHeadShare
-	case peerListener: // its protocol has no heads
-	}
-	return 0
-}
-
-// maxConns returns the maximum number of connections that a listener keeps open.
-func maxConns(settings loader.Scheduling, name listenerName) int {
-	files := settings.MaxOpenFiles
-	switch name {
+		limits.Conns = maxCallerConns(host.settings)
+		limits.HeadBytes = memory / acceptor.HeadMemoryShare
+		limits.ReceiveBuffer = receiveBuffer(memory, limits.Conns)
+		limits.Request = host.requestLimits
 	case readinessListener:
-		return int(files * readinessFilesPercent / 100)
+		limits.Conns = int(files * readinessFilesPercent / 100)
+		limits.HeadBytes = memory / otherHeadShare
+		limits.ReceiveBuffer = acceptor.MinReceiveBuffer
 	case metricsListener:
-		return int(files * metricsFilesPercent / 100)
+		limits.Conns = int(files * metricsFilesPercent / 100)
+		limits.HeadBytes = memory / otherHeadShare
+		limits.ReceiveBuffer = acceptor.MinReceiveBuffer
 	case peerListener:
-		return acceptor.PeerConns(files)
-	case httpListener:
+		return acceptor.PeerLimits(files, memory, closed)
 	}
+	return limits
+}
+
+// maxCallerConns returns the maximum number of connections that callers keep open.
+func maxCallerConns(settings loader.Scheduling) int {
 	if settings.MaxConnections > 0 {
 		return int(settings.MaxConnections)
 	}
-	return acceptor.CallerConns(files, settings.MemoryMB<<20)
+	return acceptor.CallerConns(settings.MaxOpenFiles, settings.MemoryMB<<20)
+}
+
+// receiveBuffer returns the receive buffer in bytes of each of a number of callers' connections. The kernel may take twice as many.
+func receiveBuffer(memory int64, conns int) int {
+	perConn := memory / acceptor.UnreadMemoryShare / int64(conns)
+	return int(min(max(perConn/2, acceptor.MinReceiveBuffer), maxReceiveBuffer))
 }
 
 // listenWithin listens on an address of the host within the limits for clients.
@@ -88,18 +79,7 @@
 	if err != nil {
 		return nil, err //nolint:wrapcheck // the caller names the address
 	}
-	limits := acceptor.Limits{
-		Conns:         maxConns(host.settings, name),
-		HeadBytes:     maxHeadBytes(host.settings, name),
-		ReceiveBuffer: receiveBuffer(host.settings, name),
-		BodyTimeout:   host.settings.BodyTimeout,
-		ByLatestRead:  name == peerListener,
-		Closed:        func(reason acceptor.Reason) { host.recordLimit(name, string(reason)) },
-	}
-	if name == httpListener {
-		limits.Request = host.requestLimits
-	}
-	return acceptor.Wrap(listener, limits), nil
+	return acceptor.Wrap(listener, host.limitsOf(name)), nil
 }
 
 // peerMemory returns the memory for the messages and calls of peers.
--- a/daemon/server/client_limits.go
+++ b/daemon/server/client_limits.go
@@ -51,13 +51,11 @@
 	})
 }
 
-// limitPeers returns a listener that bounds the number of connections of peers.
+// limitPeers returns a listener that bounds what the connections of peers take together.
 func (server *Server) limitPeers(listener net.Listener) *acceptor.Listener {
-	return acceptor.Wrap(listener, acceptor.Limits{
-		Conns:        acceptor.PeerConns(openFileLimit()),
-		ByLatestRead: true,
-		Closed:       func(reason acceptor.Reason) { server.limits.Record(peerListener, string(reason)) },
-	})
+	return acceptor.Wrap(listener, acceptor.PeerLimits(openFileLimit(), server.settings.MemoryMB<<20, func(reason acceptor.Reason) {
+		server.limits.Record(peerListener, string(reason))
+	}))
 }
 
 // peerMemory returns the memory for the messages and calls of peers.
--- a/tests/crowder/crowder_test.go
+++ b/tests/crowder/crowder_test.go
@@ -49,6 +49,7 @@
 	{"escapedPayloads", 400, manyFiles, httpGroup, wholeBody(repeated(`{"steps":[{"count":1}],"spec":"`, "<<<<<<<<<<<<<<<<<<<<", `"}`))},
 	{"peerConnections", 800, fewFiles, peerGroup, silent},
 	{"smallPeerCalls", 60, manyFiles, peerGroup, endless("", smallPeerCalls(64<<10), 256<<10)},
+	{"manyPeersCalls", 800, manyFiles, peerGroup, endless("", smallPeerCalls(64<<10), 1<<20)},
 	{"unreadAnswers", 800, manyFiles, httpGroup, endless("", requests(200), 6<<20)},
 }
 
