Bound what the kernel keeps of streams

Uploads at the product's own interface are passed on as workers read them, and answers as callers do. Meanwhile the kernel keeps what arrives: its receive buffers grow to 33 MB a connection here, without a limit on their sum, and received bytes count as memory of the host.

New test TestServerUploads: 400 clients upload 16 MB to a worker that echoes it, read 4 MB of the answer and then nothing; a host of 256 MB.

Change: connections of callers and those to workers have 64 KB, as many as a sixteenth of the memory holds twice, further ones 4 KB. Package capper sets it, also behind the meter of the peers' network.

--- a/daemon/acceptor/listener.go
+++ b/daemon/acceptor/listener.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"ebonyshunt.org/daemon/capper"
 )
 
 // Reason is a reason for which a connection was closed.
@@ -92,13 +94,6 @@
 	})
 }
 
-// limitBuffer gives a connection the smallest receive buffer. That of a network in memory has none.
-func limitBuffer(raw net.Conn) {
-	if socket, ok := raw.(interface{ SetReadBuffer(bytes int) error }); ok {
-		_ = socket.SetReadBuffer(MinReceiveBuffer) // without it, the larger buffer stays
-	}
-}
-
 // Accept waits for the next connection. It closes another one if there are too many.
 func (listener *Listener) Accept() (net.Conn, error) {
 	for {
@@ -133,7 +128,7 @@
 	isFull := listener.limits.FullBuffers == 0 || listener.conns <= listener.limits.FullBuffers
 	listener.mu.Unlock()
 	if !isFull {
-		limitBuffer(raw)
+		capper.LimitReceived(raw, MinReceiveBuffer)
 	}
 	if oldest != nil {
 		_ = oldest.Conn.Close()
--- a/daemon/acceptor/shares.go
+++ b/daemon/acceptor/shares.go
@@ -6,7 +6,7 @@
 	PeerMemoryShare    = 12 // large messages of peers, from their first bytes until they are answered
 	PeerCallShare      = 16 // calls of peers that are not answered, or whose answers the peer has not read
 	HeadMemoryShare    = 32 // heads of callers' requests
-	UnreadMemoryShare  = 16 // what the kernel keeps of callers, and of peers, until it is read
+	UnreadMemoryShare  = 16 // what the kernel keeps of callers, of peers, and of workers' answers, each, until it is read
 	requestMemoryShare = 16
 	connMemoryShare    = 16
 	// minRequestMemory has room for one body of the largest size that the platform's configuration allows by default, 256 KB.
@@ -37,13 +37,18 @@
 	peerReceiveBuffer = 32 << 10
 )
 
+// FullBuffers returns how many connections may have receive buffers of a size, by the host's memory in bytes.
+func FullBuffers(memory int64, buffer int) int {
+	return int(max(memory/UnreadMemoryShare/int64(2*buffer), 1))
+}
+
 // PeerLimits returns the limits for all connections of peers, by the host's number of descriptors and its memory in bytes. closed is called
 // for each connection that is closed because of a limit.
 func PeerLimits(files, memory int64, closed func(Reason)) Limits {
 	return Limits{
 		Conns:         int(files * peerFilesPercent / 100),
 		ReceiveBuffer: peerReceiveBuffer,
-		FullBuffers:   int(max(memory/UnreadMemoryShare/(2*peerReceiveBuffer), 1)),
+		FullBuffers:   FullBuffers(memory, peerReceiveBuffer),
 		ByLatestRead:  true,
 		Closed:        closed,
 	}
--- a/daemon/dialer/meter.go
+++ b/daemon/dialer/meter.go
@@ -53,7 +53,11 @@
 
 // SyscallConn returns the socket of the listener.
 func (meteredListener meteredListener) SyscallConn() (syscall.RawConn, error) {
-	socket, ok := meteredListener.Listener.(syscall.Conn)
+	return socketOf(meteredListener.Listener)
+}
+
+func socketOf(wrapped any) (syscall.RawConn, error) {
+	socket, ok := wrapped.(syscall.Conn)
 	if !ok {
 		return nil, errNoSocket
 	}
@@ -79,11 +83,7 @@
 	return count, err
 }
 
-// SetReadBuffer sets the size of the receive buffer of the connection's socket in bytes.
-func (meteredConn meteredConn) SetReadBuffer(bytes int) error {
-	socket, ok := meteredConn.Conn.(interface{ SetReadBuffer(bytes int) error })
-	if !ok {
-		return errNoSocket
-	}
-	return socket.SetReadBuffer(bytes)
+// SyscallConn returns the socket of the connection.
+func (meteredConn meteredConn) SyscallConn() (syscall.RawConn, error) {
+	return socketOf(meteredConn.Conn)
 }
--- a/daemon/server/client_limits.go
+++ b/daemon/server/client_limits.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ebonyshunt.org/daemon/acceptor"
+	"ebonyshunt.org/daemon/dialer"
 	"ebonyshunt.org/daemon/linker"
 	"ebonyshunt.org/daemon/loader"
 	"ebonyshunt.org/library/budgeter"
@@ -26,6 +27,8 @@
 	receiveTimeout = 30 * time.Second
 	// limitRetryDelay is sent to callers whose request was refused because of a limit for all of them.
 	limitRetryDelay = time.Second
+	// streamBuffer is the receive buffer in bytes of a connection on which a body or an answer is streamed.
+	streamBuffer = 64 << 10
 )
 
 // openFileLimit returns the number of descriptors that the process may open.
@@ -45,12 +48,23 @@
 		conns = acceptor.CallerConns(openFileLimit(), memory)
 	}
 	return acceptor.Wrap(listener, acceptor.Limits{
-		Conns:     conns,
-		HeadBytes: memory / acceptor.HeadMemoryShare,
-		Closed:    func(reason acceptor.Reason) { server.limits.Record(httpListener, string(reason)) },
+		Conns:         conns,
+		HeadBytes:     memory / acceptor.HeadMemoryShare,
+		ReceiveBuffer: streamBuffer,
+		FullBuffers:   acceptor.FullBuffers(memory, streamBuffer),
+		Closed:        func(reason acceptor.Reason) { server.limits.Record(httpListener, string(reason)) },
 	})
 }
 
+// answerBuffers returns the receive buffers of the connections to workers, whose answers wait for the callers to read them.
+func answerBuffers(memory int64) *dialer.Buffers {
+	return &dialer.Buffers{
+		Bytes:    streamBuffer,
+		MinBytes: acceptor.MinReceiveBuffer,
+		Full:     int64(acceptor.FullBuffers(memory, streamBuffer)),
+	}
+}
+
 // limitPeers returns a listener that bounds what the connections of peers take together.
 func (server *Server) limitPeers(listener net.Listener) *acceptor.Listener {
 	return acceptor.Wrap(listener, acceptor.PeerLimits(openFileLimit(), server.settings.MemoryMB<<20, func(reason acceptor.Reason) {
--- a/daemon/server/server.go
+++ b/daemon/server/server.go
@@ -129,6 +129,7 @@
 
 func newServer(settings loader.Settings, network dialer.Network, log *slog.Logger) *Server {
 	client := network.Client()
+	workers := network.Buffered(answerBuffers(settings.MemoryMB << 20))
 	ring := recorder.New(settings.Host, settings.Zone, settings.TimelineSize)
 	server := &Server{
 		settings:           settings,
@@ -145,7 +146,7 @@
 		viewer:             viewer.New(),
 		logClient:          logger.New(client, settings.LogAddress, settings.Stream),
 		listClient:         lister.New(client, settings.ListAddress),
-		workerClient:       starter.New(client),
+		workerClient:       starter.New(workers.Client()),
 		httpClient:         client,
 		peers:              detector.New(settings.Zone, peerTimeout, fleetTimeout),
 		peerPool:           linker.NewPool(network, settings.Host, ring.Clock),
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -465,6 +465,9 @@
 try 'clients: receive buffers' daemon/acceptor/listener.go '	if !isFull {' '	if false && !isFull {' ./daemon/acceptor 'TestReceiveBuffer'
 try 'clients: receive buffers of peers' daemon/acceptor/shares.go '		ReceiveBuffer: peerReceiveBuffer,
 ' '' ./tests/crowder 'TestCrowds/manyPeersCalls'
+try 'clients: receive buffers of uploads' daemon/server/client_limits.go '		ReceiveBuffer: streamBuffer,
+' '' ./tests/crowder 'TestServerUploads'
+try 'clients: receive buffers of answers' daemon/dialer/buffers.go '			capper.LimitReceived(conn, size)' '			_, _ = size, capper.LimitReceived' ./tests/crowder 'TestServerUploads'
 try 'clients: resumable answers' daemon/acceptor/listener.go 'if element := listener.resumable.Front(); element != nil {' 'if element := listener.resumable.Front(); false && element != nil {' ./daemon/acceptor 'TestResumableAnswers'
 try 'clients: unread answers' daemon/acceptor/listener.go 'if element := listener.writing.Front(); element != nil {' 'if element := listener.writing.Front(); false && element != nil {' ./daemon/acceptor 'TestUnreadAnswers'
 exit $failed
--- a/tests/crowder/process_test.go
+++ b/tests/crowder/process_test.go
@@ -115,18 +115,27 @@
 	return 0
 }
 
-// unreadBytes returns the number of bytes that the kernel has received for a listening address and that were not read yet.
-func unreadBytes(t *testing.T, address string) int64 {
+// side is the side of a connection in /proc/net/tcp that has an address.
+type side int
+
+const (
+	localSide  side = 1
+	remoteSide side = 2
+)
+
+// unreadBytes returns the number of bytes that the kernel has received on connections with an address on one side, and that were not read
+// yet.
+func unreadBytes(t *testing.T, address string, side side) int64 {
 	t.Helper()
 	file, err := os.Open("/proc/net/tcp")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer file.Close()
-	local, total := kernelAddress(t, address), int64(0)
+	wanted, total := kernelAddress(t, address), int64(0)
 	for lines := bufio.NewScanner(file); lines.Scan(); {
 		fields := strings.Fields(lines.Text())
-		if len(fields) < 5 || fields[1] != local || fields[3] == listenState {
+		if len(fields) < 5 || fields[side] != wanted || fields[3] == listenState {
 			continue
 		}
 		_, unread, _ := strings.Cut(fields[4], ":")
@@ -161,13 +170,21 @@
 
 // watch samples a process and the addresses that it listens on until stop is closed.
 func watch(t *testing.T, process *process, addresses []string, stop <-chan struct{}) <-chan usage {
+	return watchCalls(t, process, addresses, nil, stop)
+}
+
+// watchCalls samples as watch does, and the addresses that only this process calls, too.
+func watchCalls(t *testing.T, process *process, addresses, called []string, stop <-chan struct{}) <-chan usage {
 	result := make(chan usage, 1)
 	go func() {
 		var most usage
 		for {
 			unread := int64(0)
 			for _, address := range addresses {
-				unread += unreadBytes(t, address)
+				unread += unreadBytes(t, address, localSide)
+			}
+			for _, address := range called {
+				unread += unreadBytes(t, address, remoteSide)
 			}
 			most.memory = max(most.memory, process.peakMemory()+unread)
 			most.unread = max(most.unread, unread)
--- a/tests/crowder/server_test.go
+++ b/tests/crowder/server_test.go
@@ -67,14 +67,14 @@
 	return process, httpAddress
 }
 
-// startZone starts two hosts of a zone with a worker, of which one decides and the other one keeps copies.
-func startZone(t *testing.T) (hosts []*process, addresses []string) {
+// startZone starts two hosts of a zone with a worker of so many cores. One of them decides, the other one keeps copies.
+func startZone(t *testing.T, cores int64) (hosts []*process, addresses []string, workerAddress string) {
 	t.Helper()
 	list := listserver.New()
 	logAddress, _ := serve(t, logserver.New().Handler())
 	listAddress, _ := serve(t, list.Handler())
-	worker := workerserver.New("w-one", sizer.Size{MilliCores: 4000, MemoryMB: 8192})
-	workerAddress, _ := serve(t, worker.Handler())
+	worker := workerserver.New("w-one", sizer.Size{MilliCores: 1000 * cores, MemoryMB: 2048 * cores})
+	workerAddress, _ = serve(t, worker.Handler())
 	list.Add(lister.Host{Name: "w-one", Kind: lister.KindWorker, Address: workerAddress, Zone: "a", Rack: "r", Capacity: worker.Capacity})
 	for _, name := range []string{"one", "two"} {
 		peerAddress := freeAddress(t)
@@ -83,7 +83,7 @@
 		hosts, addresses = append(hosts, process), append(addresses, address)
 	}
 	publishFleet(t, hosts[0], addresses[0])
-	return hosts, addresses
+	return hosts, addresses, workerAddress
 }
 
 // startListedServer starts a host of zone a. It returns the address of the product's own interface.
@@ -221,6 +221,50 @@
 	}
 }
 
+const (
+	uploads = 400
+	// echoedBytes is what the client of an upload reads of its answer.
+	echoedBytes = 4 << 20
+	// uploadBytes is what it sends, if the host takes it.
+	uploadBytes = 16 << 20
+	// kernelShare is the inverse of the part of the memory that the kernel may take for the bytes of uploads and their answers.
+	kernelShare = 4
+)
+
+// echoedUpload uploads a body to a worker that answers with the same. It reads the beginning of the answer and then nothing more.
+func echoedUpload(conn net.Conn, _ int) error {
+	head := fmt.Sprintf("POST /v1/services/work/?echo HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n", serverTeamKey, uploadBytes)
+	if _, err := conn.Write([]byte(head)); err != nil {
+		return err
+	}
+	go func() { _, _ = io.CopyN(io.Discard, conn, echoedBytes) }() // ends with the connection
+	return send(conn, make([]byte, uploadBytes), 64<<10)
+}
+
+// TestServerUploads uploads large bodies to a zone of two hosts all at once.
+func TestServerUploads(t *testing.T) {
+	if raceDetector {
+		t.Skip("as TestCrowds")
+	}
+	hosts, addresses, workerAddress := startZone(t, uploads)
+	submitServerJob(t, addresses[0], 1, ordinaryAttempts) // once the zone has a decider
+	stop := make(chan struct{})
+	seen := watchCalls(t, hosts[0], addresses[:1], []string{workerAddress}, stop)
+	crowd := sendCrowd(t, addresses[0], uploads, echoedUpload)
+	assertServerAnswers(t, addresses[0])
+	crowd.close()
+	assertServerAnswers(t, addresses[0])
+	close(stop)
+	most := <-seen
+	t.Logf("at most %d MB, of which %d unread", most.memory>>20, most.unread>>20)
+	if most.memory > serverMemoryMB<<20 || hosts[0].hasEnded() {
+		t.Errorf("the host took %d MB, the machine has %d; has ended: %t", most.memory>>20, serverMemoryMB, hosts[0].hasEnded())
+	}
+	if most.unread > serverMemoryMB<<20/kernelShare {
+		t.Errorf("the kernel keeps %d MB, more than %d leave too little for the host", most.unread>>20, serverMemoryMB/kernelShare)
+	}
+}
+
 const (
 	serverJobs      = 200
 	serverJobBytes  = 700 << 10 // of the body of its task
@@ -232,7 +276,7 @@
 	if raceDetector {
 		t.Skip("as TestCrowds")
 	}
-	hosts, addresses := startZone(t)
+	hosts, addresses, _ := startZone(t, 4)
 	stop := make(chan struct{})
 	var seen []<-chan usage
 	for number, host := range hosts {
