Bound what the kernel keeps of answers

A client that reads no answer leaves it in the kernel's send buffer of the host, which grows to 4 MB a connection. The crowds did not see it: they counted what was received and not read, not what was written and not sent.

The tests count both now (same crowds, same bounds, a stricter measure).

Change: TCP_NOTSENT_LOWAT of 16 KB on accepted connections and those to workers of the product's own interface: writes wait while so much is not sent. What is on its way is not limited, so that readers are not slowed; SO_SNDBUF would. It is set on each connection, the listener's is not inherited.

--- a/daemon/acceptor/listener.go
+++ b/daemon/acceptor/listener.go
@@ -127,6 +127,7 @@
 	conn.element = listener.receiving.PushBack(conn)
 	isFull := listener.limits.FullBuffers == 0 || listener.conns <= listener.limits.FullBuffers
 	listener.mu.Unlock()
+	capper.LimitUnsent(raw)
 	if !isFull {
 		capper.LimitReceived(raw, MinReceiveBuffer)
 	}
--- a/daemon/acceptor/shares.go
+++ b/daemon/acceptor/shares.go
@@ -6,7 +6,7 @@
 	PeerMemoryShare    = 12 // large messages of peers, from their first bytes until they are answered
 	PeerCallShare      = 16 // calls of peers that are not answered, or whose answers the peer has not read
 	HeadMemoryShare    = 32 // heads of callers' requests
-	UnreadMemoryShare  = 16 // what the kernel keeps of callers, of peers, and of workers' answers, each, until it is read
+	UnreadMemoryShare  = 16 // what the kernel keeps of callers with workers' answers, and of peers, until it is read
 	requestMemoryShare = 16
 	connMemoryShare    = 16
 	// minRequestMemory has room for one body of the largest size that the platform's configuration allows by default, 256 KB.
--- a/daemon/dialer/buffers.go
+++ b/daemon/dialer/buffers.go
@@ -17,7 +17,7 @@
 	open     atomic.Int64
 }
 
-// Buffered returns a network like this one, all of whose dialed connections have receive buffers of a limited size.
+// Buffered returns a network like this one, on all of whose dialed connections the kernel keeps a limited number of bytes.
 func (network Network) Buffered(buffers *Buffers) Network {
 	return Network{
 		Listen: network.Listen,
@@ -31,6 +31,7 @@
 				size = buffers.MinBytes
 			}
 			capper.LimitReceived(conn, size)
+			capper.LimitUnsent(conn)
 			return &bufferedConn{Conn: conn, buffers: buffers}, nil
 		},
 	}
--- a/daemon/server/client_limits.go
+++ b/daemon/server/client_limits.go
@@ -51,17 +51,20 @@
 		Conns:         conns,
 		HeadBytes:     memory / acceptor.HeadMemoryShare,
 		ReceiveBuffer: streamBuffer,
-		FullBuffers:   acceptor.FullBuffers(memory, streamBuffer),
+		FullBuffers:   streamBuffers(memory),
 		Closed:        func(reason acceptor.Reason) { server.limits.Record(httpListener, string(reason)) },
 	})
 }
 
+// streamBuffers returns how many connections of callers, and how many to workers, may have streamBuffer: they share the memory for it.
+func streamBuffers(memory int64) int { return acceptor.FullBuffers(memory/2, streamBuffer) }
+
 // answerBuffers returns the receive buffers of the connections to workers, whose answers wait for the callers to read them.
 func answerBuffers(memory int64) *dialer.Buffers {
 	return &dialer.Buffers{
 		Bytes:    streamBuffer,
 		MinBytes: acceptor.MinReceiveBuffer,
-		Full:     int64(acceptor.FullBuffers(memory, streamBuffer)),
+		Full:     int64(streamBuffers(memory)),
 	}
 }
 
--- a/tests/crowder/crowd_test.go
+++ b/tests/crowder/crowd_test.go
@@ -265,7 +265,7 @@
 // assertBounded checks what a process was seen to take.
 func assertBounded(t *testing.T, most usage, maxDescriptors int) {
 	t.Helper()
-	t.Logf("at most %d MB, of which %d unread, and %d descriptors", most.memory>>20, most.unread>>20, most.descriptors)
+	t.Logf("at most %d MB, of which %d kept by the kernel, and %d descriptors", most.memory>>20, most.kept>>20, most.descriptors)
 	if most.memory > *memoryMB<<20 {
 		t.Errorf("%d MB of memory in use, the machine has %d", most.memory>>20, *memoryMB)
 	}
--- a/tests/crowder/process_test.go
+++ b/tests/crowder/process_test.go
@@ -123,9 +123,9 @@
 	remoteSide side = 2
 )
 
-// unreadBytes returns the number of bytes that the kernel has received on connections with an address on one side, and that were not read
-// yet.
-func unreadBytes(t *testing.T, address string, side side) int64 {
+// keptBytes returns the number of bytes that the kernel keeps for connections with an address on one side: those that the process on the
+// local side has not read, or has written and the other side has not received.
+func keptBytes(t *testing.T, address string, side side) int64 {
 	t.Helper()
 	file, err := os.Open("/proc/net/tcp")
 	if err != nil {
@@ -138,9 +138,11 @@
 		if len(fields) < 5 || fields[side] != wanted || fields[3] == listenState {
 			continue
 		}
-		_, unread, _ := strings.Cut(fields[4], ":")
-		count, _ := strconv.ParseInt(unread, 16, 64)
-		total += count
+		unsent, unread, _ := strings.Cut(fields[4], ":")
+		for _, queue := range []string{unsent, unread} {
+			count, _ := strconv.ParseInt(queue, 16, 64)
+			total += count
+		}
 	}
 	return total
 }
@@ -161,8 +163,8 @@
 
 // usage is the most that a process was seen to take.
 type usage struct {
-	memory      int64 // bytes, resident and unread
-	unread      int64 // bytes, of them
+	memory      int64 // bytes, resident and kept by the kernel
+	kept        int64 // bytes, of them, by the kernel
 	descriptors int
 }
 
@@ -179,15 +181,15 @@
 	go func() {
 		var most usage
 		for {
-			unread := int64(0)
+			kept := int64(0)
 			for _, address := range addresses {
-				unread += unreadBytes(t, address, localSide)
+				kept += keptBytes(t, address, localSide)
 			}
 			for _, address := range called {
-				unread += unreadBytes(t, address, remoteSide)
+				kept += keptBytes(t, address, remoteSide)
 			}
-			most.memory = max(most.memory, process.peakMemory()+unread)
-			most.unread = max(most.unread, unread)
+			most.memory = max(most.memory, process.peakMemory()+kept)
+			most.kept = max(most.kept, kept)
 			most.descriptors = max(most.descriptors, process.descriptors())
 			select {
 			case <-stop:
--- a/tests/crowder/server_test.go
+++ b/tests/crowder/server_test.go
@@ -256,12 +256,12 @@
 	assertServerAnswers(t, addresses[0])
 	close(stop)
 	most := <-seen
-	t.Logf("at most %d MB, of which %d unread", most.memory>>20, most.unread>>20)
+	t.Logf("at most %d MB, of which %d kept by the kernel", most.memory>>20, most.kept>>20)
 	if most.memory > serverMemoryMB<<20 || hosts[0].hasEnded() {
 		t.Errorf("the host took %d MB, the machine has %d; has ended: %t", most.memory>>20, serverMemoryMB, hosts[0].hasEnded())
 	}
-	if most.unread > serverMemoryMB<<20/kernelShare {
-		t.Errorf("the kernel keeps %d MB, more than %d leave too little for the host", most.unread>>20, serverMemoryMB/kernelShare)
+	if most.kept > serverMemoryMB<<20/kernelShare {
+		t.Errorf("the kernel keeps %d MB, more than %d leave too little for the host", most.kept>>20, serverMemoryMB/kernelShare)
 	}
 }
 
