Bound the memory of jobs that callers read

A job of the product's own interface, or a version of its events, is decoded and encoded for each caller, and stays in memory until that caller has read it. Nothing counted these.

New test TestServerJobReads: 1,000 clients ask for a job of 700 KB, or its events, and read nothing; two hosts of 256 MB, one after the other.

Change: a host asks the decider for the size of the job first (brief call; a decider of an earlier release answers with the job), and claims so much of an eighth of the memory until the answer was sent. Full: the oldest answer that was not read within a second is cut off; if there is none, 503 with Retry-After: 1, and an event stream ends, which its client resumes. So do cancellations, before they take effect.

--- a/daemon/server/jobs.go
+++ b/daemon/server/jobs.go
@@ -402,6 +402,9 @@
 	}
 	tenure.mu.Lock()
 	defer tenure.mu.Unlock()
+	if call.Brief {
+		return JobAnswer{Version: job.Version, Bytes: job.memory(), Finished: job.Finished()}, nil
+	}
 	return JobAnswer{Job: job.copy()}, nil
 }
 
--- a/daemon/server/routes.go
+++ b/daemon/server/routes.go
@@ -214,103 +214,119 @@
 	}
 }
 
-// lookupJob requests a job from the decider of its home zone. If that fails, it returns the copy stored on this host,
-// if any, or else a problem. A read changes nothing, so that its outcome is never unknown.
-func (server *Server) lookupJob(r *http.Request, after int64, wait time.Duration) JobAnswer {
+// jobCall returns the call for the job in a request's path by the team whose key it carries.
+func (server *Server) jobCall(r *http.Request) (JobCall, *responder.Problem) {
 	team, problem := server.authenticate(server.viewer.View(), r)
-	if problem != nil {
-		return JobAnswer{Problem: problem}
-	}
-	id := chi.URLParam(r, "job")
-	ctx, cancel := context.WithTimeout(r.Context(), wait+clientTimeout)
-	defer cancel()
-	var answer JobAnswer
-	err := server.callDecider(ctx, zoneOfJob(id), methodJob, JobCall{ID: id, Team: team, After: after, WaitMS: wait.Milliseconds()}, &answer)
-	if err == nil {
-		return answer
-	}
-	if record, found := server.records.Get(id); found {
-		var job Job
-		if json.Unmarshal(record.Data, &job) == nil && job.Team == team {
-			return JobAnswer{Job: &job}
-		}
-	}
-	problem = responder.Refuse(http.StatusServiceUnavailable, responder.CodeHomeUnreachable, "the home zone of job %s sent no answer: %v", id, err)
-	return JobAnswer{Problem: problem.WithRetryAfter(time.Second)}
+	return JobCall{ID: chi.URLParam(r, "job"), Team: team}, problem
 }
 
 func (server *Server) serveJob(w http.ResponseWriter, r *http.Request) {
-	server.writeJob(w, chi.URLParam(r, "job"), server.lookupJob(r, 0, 0), nil, http.StatusOK)
+	call, problem := server.jobCall(r)
+	if problem != nil {
+		server.writeProblem(w, call.ID, problem)
+		return
+	}
+	read := server.readJob(w, r, call)
+	defer read.close()
+	server.writeJob(w, call.ID, read.JobAnswer, nil, http.StatusOK)
 }
 
 // serveJobEvents streams the versions of a job as JSON lines until the job is finished. A caller whose stream was cut
 // off resumes with the query parameter after=VERSION.
 func (server *Server) serveJobEvents(w http.ResponseWriter, r *http.Request) {
-	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	call, problem := server.jobCall(r)
+	if problem != nil {
+		server.writeProblem(w, call.ID, problem)
+		return
+	}
 	acceptor.Resumable(r)
+	call.After, _ = strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	call.WaitMS = eventsPollTimeout.Milliseconds()
 	began := false
-	encoder := json.NewEncoder(w)
 	for r.Context().Err() == nil && server.abandonContext.Err() == nil {
-		answer := server.lookupJob(r, after, eventsPollTimeout)
-		if !began && answer.Problem != nil {
-			server.writeProblem(w, chi.URLParam(r, "job"), answer.Problem)
+		read := server.readJob(w, r, call)
+		if read.Problem != nil && !began {
+			server.writeProblem(w, call.ID, read.Problem)
 			return
 		}
-		if answer.Job == nil {
+		if read.Problem != nil {
 			return
 		}
-		if !began {
+		if read.Job != nil && !began {
 			w.Header().Set("Content-Type", "application/jsonl")
 			began = true
 		}
-		if answer.Job.Version > after {
-			after = answer.Job.Version
-			_ = encoder.Encode(answer.Job)
-			_ = http.NewResponseController(w).Flush()
-		}
-		if answer.Job.Finished() || server.shuttingDown.Load() {
+		isLast := sendVersion(w, read, &call)
+		read.close()
+		if isLast || server.shuttingDown.Load() {
 			return
 		}
 	}
 }
 
+// sendVersion sends a version of a job that the caller does not have yet. It reports whether there will be no further one.
+func sendVersion(w http.ResponseWriter, read *jobRead, call *JobCall) bool {
+	if read.Job == nil {
+		return read.Finished
+	}
+	if read.Job.Version > call.After {
+		call.After = read.Job.Version
+		_ = json.NewEncoder(w).Encode(read.Job)
+		_ = http.NewResponseController(w).Flush()
+	}
+	return read.Job.Finished()
+}
+
 // eventsPollTimeout is how long one call of serveJobEvents waits for the next version of a job.
 const eventsPollTimeout = 5 * time.Second
 
 func (server *Server) serveJobAnswer(w http.ResponseWriter, r *http.Request) {
-	answer := server.lookupJob(r, 0, 0)
-	if answer.Problem != nil {
-		server.writeProblem(w, chi.URLParam(r, "job"), answer.Problem)
+	call, problem := server.jobCall(r)
+	if problem != nil {
+		server.writeProblem(w, call.ID, problem)
+		return
+	}
+	read := server.readJob(w, r, call)
+	defer read.close()
+	if read.Problem != nil {
+		server.writeProblem(w, call.ID, read.Problem)
 		return
 	}
 	index, err := strconv.Atoi(chi.URLParam(r, "task"))
-	if err != nil || index < 0 || index >= len(answer.Job.Tasks) {
-		server.writeProblem(w, answer.Job.ID, responder.Refuse(http.StatusNotFound, responder.CodeNotFound, "the job has tasks 0 to %d", len(answer.Job.Tasks)-1))
+	if err != nil || index < 0 || index >= len(read.Job.Tasks) {
+		server.writeProblem(w, read.Job.ID, responder.Refuse(http.StatusNotFound, responder.CodeNotFound, "the job has tasks 0 to %d", len(read.Job.Tasks)-1))
 		return
 	}
-	task := answer.Job.Tasks[index]
+	task := read.Job.Tasks[index]
 	switch {
 	case task.State != JobDone:
-		server.writeProblem(w, answer.Job.ID, responder.Refuse(http.StatusConflict, responder.CodeInProgress, "task %d is %s", index, task.State))
+		server.writeProblem(w, read.Job.ID, responder.Refuse(http.StatusConflict, responder.CodeInProgress, "task %d is %s", index, task.State))
 	case task.Truncated:
-		server.writeProblem(w, answer.Job.ID, responder.New(http.StatusGone, responder.CodeAnswerGone, responder.Answered, "the answer exceeds the limit of %d bytes for stored answers", maxStoredAnswerBytes))
+		server.writeProblem(w, read.Job.ID, responder.New(http.StatusGone, responder.CodeAnswerGone, responder.Answered, "the answer exceeds the limit of %d bytes for stored answers", maxStoredAnswerBytes))
 	default:
 		_, _ = w.Write(task.Answer)
 	}
 }
 
 func (server *Server) serveCancel(w http.ResponseWriter, r *http.Request) {
-	team, problem := server.authenticate(server.viewer.View(), r)
+	call, problem := server.jobCall(r)
 	if problem != nil {
 		server.writeProblem(w, "", problem)
 		return
 	}
-	id := chi.URLParam(r, "job")
+	if brief, err := server.describeJob(r.Context(), call); err == nil {
+		release, problem := server.claimJobAnswer(w, brief.Bytes)
+		if problem != nil {
+			server.writeProblem(w, call.ID, problem)
+			return
+		}
+		defer release()
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), clientTimeout)
 	defer cancel()
 	var answer JobAnswer
-	err := server.callDecider(ctx, zoneOfJob(id), methodCancelJob, JobCall{ID: id, Team: team}, &answer)
-	server.writeJob(w, id, answer, err, http.StatusOK)
+	err := server.callDecider(ctx, zoneOfJob(call.ID), methodCancelJob, call, &answer)
+	server.writeJob(w, call.ID, answer, err, http.StatusOK)
 }
 
 // serveTimeline merges the timelines of all reachable hosts. With the query parameter own, it returns only that of this
--- a/daemon/server/server.go
+++ b/daemon/server/server.go
@@ -47,6 +47,7 @@
 	metrics     *metrics
 	limits      *acceptor.Reporter
 	bodies      *receiver.Receiver // reads the bodies that are kept in memory
+	jobAnswers  *budgeter.Budget   // for jobs that are sent to callers
 
 	Timeline *recorder.Ring
 
@@ -159,6 +160,7 @@
 	server.endStreamsContext, server.endStreams = context.WithCancel(context.Background())
 	server.metrics.registerGauges(server)
 	server.limits = acceptor.NewReporter(server.metrics.registry, server.log)
+	server.jobAnswers = budgeter.New(settings.MemoryMB << 20 / jobAnswerMemoryShare)
 	server.bodies = &receiver.Receiver{Budget: budgeter.New(acceptor.RequestMemory(settings.MemoryMB << 20)), Timeout: receiveTimeout}
 	return server
 }
--- a/daemon/server/wire.go
+++ b/daemon/server/wire.go
@@ -179,12 +179,16 @@
 	Team   string `json:"team,omitempty"`
 	After  int64  `json:"after,omitempty"`
 	WaitMS int64  `json:"waitMS,omitempty"`
+	Brief  bool   `json:"brief,omitempty"` // without the job itself
 }
 
-// JobAnswer holds a job or a problem.
+// JobAnswer holds a job or a problem, or a description of the job.
 type JobAnswer struct {
-	Job     *Job               `json:"job,omitempty"`
-	Problem *responder.Problem `json:"problem,omitempty"`
+	Job      *Job               `json:"job,omitempty"`
+	Problem  *responder.Problem `json:"problem,omitempty"`
+	Version  int64              `json:"version,omitempty"`
+	Bytes    int64              `json:"bytes,omitempty"` // memory that the job takes
+	Finished bool               `json:"finished,omitempty"`
 }
 
 // StatusAnswer is the state of a zone in the tables of its decider.
--- a/tests/crowder/crowder_test.go
+++ b/tests/crowder/crowder_test.go
@@ -262,6 +262,33 @@
 	}
 }
 
+// TestUnreadJobs checks that an ordinary job is accepted while a crowd asks for a job of many tasks and reads no answer.
+func TestUnreadJobs(t *testing.T) {
+	if raceDetector {
+		t.Skip("as TestCrowds")
+	}
+	cluster := startClusterWith(t, 2, limitOr(manyFiles), time.Hour)
+	for number, host := range cluster.hosts {
+		id := fmt.Sprintf("%016x", 1)
+		if number == 0 {
+			assertAnswered(t, host, id, `{"steps":[{"count":1000,"cpu":1,"memMb":1}]}`)
+		}
+		time.Sleep(settleTime) // for the tasks to start
+		stop := make(chan struct{})
+		seen := watch(t, host.process, host.addresses(), stop)
+		call := fmt.Sprintf("GET %s%s HTTP/1.1\r\nHost: crowd\r\nX-Ebonyshunt-Key: %s\r\n\r\n", prefix, id, knownKey)
+		crowd := sendCrowd(t, host.address(httpGroup), 800**factor, endless("", []byte(strings.Repeat(call, 20)), 1))
+		time.Sleep(settleTime)
+		assertAnswered(t, host, fmt.Sprintf("%016x", 2+number), ordinaryBody)
+		crowd.close()
+		close(stop)
+		assertBounded(t, <-seen, limitOr(manyFiles)*descriptorShare/100)
+		if host.hasEnded() {
+			t.Errorf("the host has ended: %v", host.err)
+		}
+	}
+}
+
 // assertMetrics checks that a host answers an operator who asks for its metrics, and returns after a failure.
 func assertMetrics(t *testing.T, address string) {
 	t.Helper()
--- a/tests/crowder/server_test.go
+++ b/tests/crowder/server_test.go
@@ -115,7 +115,7 @@
 		publish := exec.Command(command, "--hosts", httpAddress, "publish", fleet)
 		publish.Env = append(os.Environ(), "EBONYSHUNT_KEY="+serverRootKey)
 		output, err := publish.CombinedOutput()
-		if err == nil && readSections(httpAddress) == http.StatusOK {
+		if err == nil && read(httpAddress, sectionsPath) == http.StatusOK {
 			return
 		}
 		if time.Now().After(deadline) || process.hasEnded() {
@@ -141,14 +141,21 @@
 	return listener.Addr().String()
 }
 
-// readSections asks a host for its configuration over a new connection and returns the status, 0 for none.
-func readSections(address string) int {
+// sectionsPath is the path of the configuration.
+const sectionsPath = "/v1/sections"
+
+// read asks a host for what is at a path over a new connection and returns the status, 0 for none.
+func read(address, path string) int {
 	client := &http.Client{Timeout: dialTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	request, err := http.NewRequest(http.MethodGet, "http://"+address+"/v1/sections", http.NoBody)
+	request, err := http.NewRequest(http.MethodGet, "http://"+address+path, http.NoBody)
 	if err != nil {
 		panic(err) // unreachable: the address is one of a listener
 	}
-	request.Header.Set("Authorization", "Bearer "+serverRootKey)
+	key := serverTeamKey
+	if path == sectionsPath {
+		key = serverRootKey
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
 	response, err := client.Do(request)
 	if err != nil {
 		return 0
@@ -205,9 +212,9 @@
 			seen := watch(t, server, []string{address}, stop)
 			crowd := sendCrowd(t, address, kind.count, kind.send)
 			time.Sleep(settleTime)
-			assertServerAnswers(t, address)
+			assertServerAnswers(t, address, sectionsPath)
 			crowd.close()
-			assertServerAnswers(t, address)
+			assertServerAnswers(t, address, sectionsPath)
 			close(stop)
 			most := <-seen
 			t.Logf("at most %d MB and %d descriptors", most.memory>>20, most.descriptors)
@@ -251,9 +258,9 @@
 	stop := make(chan struct{})
 	seen := watchCalls(t, hosts[0], addresses[:1], []string{workerAddress}, stop)
 	crowd := sendCrowd(t, addresses[0], uploads, echoedUpload)
-	assertServerAnswers(t, addresses[0])
+	assertServerAnswers(t, addresses[0], sectionsPath)
 	crowd.close()
-	assertServerAnswers(t, addresses[0])
+	assertServerAnswers(t, addresses[0], sectionsPath)
 	close(stop)
 	most := <-seen
 	t.Logf("at most %d MB, of which %d kept by the kernel", most.memory>>20, most.kept>>20)
@@ -285,13 +292,14 @@
 	submitServerJob(t, addresses[0], 1, ordinaryAttempts) // once the zone has a decider
 	answers := map[int]int{}
 	for range serverJobs {
-		answers[submitServerJob(t, addresses[0], serverJobBytes, 1)]++
+		status, _ := submitServerJob(t, addresses[0], serverJobBytes, 1)
+		answers[status]++
 	}
 	t.Logf("answers by status: %v", answers)
 	if answers[http.StatusAccepted] == 0 {
 		t.Error("no large job was accepted")
 	}
-	assertServerAnswers(t, addresses[0])
+	assertServerAnswers(t, addresses[0], sectionsPath)
 	close(stop)
 	for number, host := range hosts {
 		most := <-seen[number]
@@ -302,11 +310,47 @@
 	}
 }
 
-// submitServerJob submits a job with one task, and returns the last status. It tries again until the job is accepted.
-func submitServerJob(t *testing.T, address string, bodyBytes, attempts int) int {
+// TestServerJobReads reads a large job by many clients at once that do not read the answer.
+func TestServerJobReads(t *testing.T) {
+	if raceDetector {
+		t.Skip("as TestCrowds")
+	}
+	for name, path := range map[string]string{"jobs": "%s", "events": "%s/events"} {
+		t.Run(name, func(t *testing.T) {
+			hosts, addresses, _ := startZone(t, 4)
+			_, ordinary := submitServerJob(t, addresses[0], 1, ordinaryAttempts) // once the zone has a decider
+			_, location := submitServerJob(t, addresses[0], serverJobBytes, ordinaryAttempts)
+			call := fmt.Sprintf("GET "+path+" HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n\r\n", location, serverTeamKey)
+			for number, host := range hosts {
+				stop := make(chan struct{})
+				seen := watch(t, host, addresses[number:number+1], stop)
+				crowd := sendCrowd(t, addresses[number], 1000, endless("", []byte(call), 1))
+				time.Sleep(settleTime)
+				assertServerAnswers(t, addresses[number], ordinary)
+				assertServerAnswers(t, addresses[number], location)
+				crowd.close()
+				assertServerAnswers(t, addresses[number], location)
+				close(stop)
+				assertServerBounded(t, host, <-seen)
+			}
+		})
+	}
+}
+
+// assertServerBounded checks what a host of a zone was seen to take.
+func assertServerBounded(t *testing.T, host *process, most usage) {
+	t.Helper()
+	t.Logf("at most %d MB, of which %d kept by the kernel, and %d descriptors", most.memory>>20, most.kept>>20, most.descriptors)
+	if most.memory > serverMemoryMB<<20 || host.hasEnded() {
+		t.Errorf("the host took %d MB, the machine has %d; has ended: %t", most.memory>>20, serverMemoryMB, host.hasEnded())
+	}
+}
+
+// submitServerJob submits a job with one task, and returns the last status and the path of the job. It tries again until the job is
+// accepted.
+func submitServerJob(t *testing.T, address string, bodyBytes, attempts int) (status int, location string) {
 	t.Helper()
 	spec := fmt.Sprintf(`{"service":"work","tasks":[{"target":"?workMS=%d","body":"%s"}]}`, serverJobMillis, base64.StdEncoding.EncodeToString(make([]byte, bodyBytes)))
-	status := 0
 	for range attempts {
 		request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/jobs", strings.NewReader(spec))
 		if err != nil {
@@ -319,20 +363,20 @@
 		}
 		response.Body.Close()
 		if status = response.StatusCode; status == http.StatusAccepted || attempts == 1 {
-			return status
+			return status, response.Header.Get("Location")
 		}
 		time.Sleep(ordinaryInterval)
 	}
 	t.Fatalf("no job was accepted, last status %d", status)
-	return 0
+	return 0, ""
 }
 
-// assertServerAnswers checks that a host answers an ordinary call of a client that returns after a failure.
-func assertServerAnswers(t *testing.T, address string) {
+// assertServerAnswers checks that a host answers a call for what is at a path, of a client that returns after a failure.
+func assertServerAnswers(t *testing.T, address, path string) {
 	t.Helper()
 	status := 0
 	for range ordinaryAttempts {
-		if status = readSections(address); status == http.StatusOK {
+		if status = read(address, path); status == http.StatusOK {
 			return
 		}
 		time.Sleep(ordinaryInterval)
