Return the memory of a submission before its answer

A client that submits a large job at the product's own interface and does not read the answer keeps the part of requestMemory that its body took, without an end: two such clients kept all other large jobs out at 256 MB.

Change: the memory is returned when the decider has answered. The answer, which has the job in it, counts as one that a caller reads and gives way after a second. Without memory for it the bodies of the tasks are left out: the job was accepted, and its caller has to learn that.

--- a/daemon/server/job_reads.go
+++ b/daemon/server/job_reads.go
@@ -52,6 +52,23 @@
 	return claim.Release, nil
 }
 
+// claimSubmittedJob claims the memory of the answer to a submission until release is called. If there is none, it removes the bodies of the
+// tasks from the answer: the job was accepted, which its caller has to learn.
+func (server *Server) claimSubmittedJob(w http.ResponseWriter, answer *JobAnswer) (release func()) {
+	if answer.Job == nil {
+		return func() {}
+	}
+	job := jobState{Job: *answer.Job}
+	release, problem := server.claimJobAnswer(w, job.memory())
+	if problem == nil {
+		return release
+	}
+	for i := range answer.Job.Spec.Tasks {
+		answer.Job.Spec.Tasks[i].Body = nil
+	}
+	return func() {}
+}
+
 // readJob requests a job from the decider of its home zone. If that fails, it returns the copy stored on this host, if any, or else a
 // problem. A read changes nothing, so that its outcome is never unknown. If it is to wait for a version later than after and there is
 // none, it returns neither a job nor a problem. The read has to be closed once the job was sent.
--- a/daemon/server/routes.go
+++ b/daemon/server/routes.go
@@ -184,6 +184,9 @@
 	ctx, cancel := context.WithTimeout(r.Context(), clientTimeout)
 	defer cancel()
 	err := server.callDecider(ctx, home, methodSubmitJob, SubmitJobCall{ID: id, Team: queue.Team, Spec: spec}, &answer)
+	body.Close() // a caller that does not read the answer keeps out no other body
+	release := server.claimSubmittedJob(w, &answer)
+	defer release()
 	server.writeJob(w, id, answer, err, http.StatusAccepted)
 }
 
--- a/tests/crowder/server_test.go
+++ b/tests/crowder/server_test.go
@@ -337,6 +337,26 @@
 	}
 }
 
+// TestServerUnreadSubmissions checks that a large job is accepted while a crowd that has submitted as large ones reads no answer.
+func TestServerUnreadSubmissions(t *testing.T) {
+	if raceDetector {
+		t.Skip("as TestCrowds")
+	}
+	hosts, addresses, _ := startZone(t, 4)
+	submitServerJob(t, addresses[0], 1, ordinaryAttempts) // once the zone has a decider
+	spec := serverJob(serverJobBytes)
+	call := fmt.Sprintf("POST /v1/jobs HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", serverTeamKey, len(spec), spec)
+	for number, host := range hosts {
+		stop := make(chan struct{})
+		seen := watch(t, host, addresses[number:number+1], stop)
+		sendCrowd(t, addresses[number], 8, endless("", []byte(call), 1))
+		time.Sleep(settleTime)
+		submitServerJob(t, addresses[number], serverJobBytes, ordinaryAttempts)
+		close(stop)
+		assertServerBounded(t, host, <-seen)
+	}
+}
+
 // assertServerBounded checks what a host of a zone was seen to take.
 func assertServerBounded(t *testing.T, host *process, most usage) {
 	t.Helper()
@@ -346,11 +366,16 @@
 	}
 }
 
+// serverJob returns a job with one task, whose body has a size.
+func serverJob(bodyBytes int) string {
+	return fmt.Sprintf(`{"service":"work","tasks":[{"target":"?workMS=%d","body":"%s"}]}`, serverJobMillis, base64.StdEncoding.EncodeToString(make([]byte, bodyBytes)))
+}
+
 // submitServerJob submits a job with one task, and returns the last status and the path of the job. It tries again until the job is
 // accepted.
 func submitServerJob(t *testing.T, address string, bodyBytes, attempts int) (status int, location string) {
 	t.Helper()
-	spec := fmt.Sprintf(`{"service":"work","tasks":[{"target":"?workMS=%d","body":"%s"}]}`, serverJobMillis, base64.StdEncoding.EncodeToString(make([]byte, bodyBytes)))
+	spec := serverJob(bodyBytes)
 	for range attempts {
 		request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/jobs", strings.NewReader(spec))
 		if err != nil {
