Bound the memory of idempotency keys

A zone keeps each idempotency key of the product's own interface for keyLifetime, 10 minutes by default, with up to 64 KB of its answer, and copies both to the other hosts. Nothing bounded their sum.

New test TestServerKeys: 40 clients send 6,000 requests with keys and answers of 60 KB; two hosts of 256 MB. TestKeyMemory: keys without answers, and what is returned.

Change: keys take an eighth of the memory at most. From half of it on answers are not stored, which a repeat learns as for one that was too large (409); beyond it new keys get 503 with Retry-After: 5 and are not run.

--- a/daemon/server/keys.go
+++ b/daemon/server/keys.go
@@ -39,7 +39,7 @@
 	if state.Expires.Before(time.Now()) {
 		return nil
 	}
-	tenure.keys[record.ID] = &state
+	tenure.addKey(record.ID, &state)
 	return nil
 }
 
@@ -122,12 +122,16 @@
 		tenure.mu.Unlock()
 		return tenure.takeKey(ctx, call)
 	}
-	tenure.keys[keyID(call.Key)] = state
+	if answer, refused := tenure.refuseIfFull(state); refused {
+		tenure.mu.Unlock()
+		return answer, nil
+	}
+	tenure.addKey(keyID(call.Key), state)
 	tenure.mu.Unlock()
 	err := tenure.replicateKey(ctx, state)
 	if err != nil {
 		tenure.mu.Lock()
-		delete(tenure.keys, keyID(call.Key))
+		tenure.removeKey(keyID(call.Key))
 		tenure.mu.Unlock()
 	}
 	return registrationAnswer(err), nil
@@ -269,10 +273,10 @@
 	if call.Outcome == responder.NotRun {
 		state.Holder.Fingerprint = ""
 		state.Expires = time.Now()
-		delete(tenure.keys, keyID(call.Key))
+		tenure.removeKey(keyID(call.Key))
 	} else {
 		state.Outcome = call.Outcome
-		state.Answer = call.Answer
+		tenure.storeAnswer(state, call.Answer)
 	}
 	tenure.mu.Unlock()
 	if err := tenure.replicateKey(ctx, state); err != nil {
--- a/daemon/server/tenure.go
+++ b/daemon/server/tenure.go
@@ -31,6 +31,7 @@
 	recentEnds          map[string]recentEnd        // by work ID
 	jobs                map[string]*jobState
 	jobBytes            int64                   // memory of the jobs, of the answers as of the latest countMemory
+	keyBytes            int64                   // memory of the idempotency keys and their answers
 	reservedBytes       int64                   // memory of the jobs that are being accepted
 	unmatchedEnds       map[string]unmatchedEnd // by work ID; ends of tasks whose jobs are not known yet
 	keys                map[string]*keyState
@@ -292,7 +293,7 @@
 	}
 	for id, state := range tenure.keys {
 		if state.Expires.Before(now) {
-			delete(tenure.keys, id)
+			tenure.removeKey(id)
 		}
 	}
 	for id, job := range tenure.jobs {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -472,6 +472,8 @@
 try 'clients: bodies that workers do not read' daemon/dialer/buffers.go '			capper.LimitUnsent(conn)' '' ./tests/crowder 'TestServerUploads'
 try 'clients: jobs that callers read' daemon/server/job_reads.go 'bytes = min(bytes, server.jobAnswers.MaxBytes())' 'bytes = 0*bytes' ./tests/crowder 'TestServerJobReads'
 try 'clients: submissions that were accepted' daemon/server/routes.go '	body.Close() // a' '	// a' ./tests/crowder 'TestServerUnreadSubmissions'
+try 'clients: answers of keys' daemon/server/key_memory.go 'if tenure.keyBytes+answer.memory() >' 'if false && tenure.keyBytes+answer.memory() >' ./tests/crowder 'TestServerKeys'
+try 'clients: idempotency keys' daemon/server/key_memory.go 'if tenure.keyBytes+state.memory() <=' 'if true || tenure.keyBytes+state.memory() <=' ./daemon/server 'TestKeyMemory'
 try 'clients: resumable answers' daemon/acceptor/listener.go 'if element := listener.resumable.Front(); element != nil {' 'if element := listener.resumable.Front(); false && element != nil {' ./daemon/acceptor 'TestResumableAnswers'
 try 'clients: unread answers' daemon/acceptor/listener.go 'if element := listener.writing.Front(); element != nil {' 'if element := listener.writing.Front(); false && element != nil {' ./daemon/acceptor 'TestUnreadAnswers'
 exit $failed
--- a/tests/crowder/server_test.go
+++ b/tests/crowder/server_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -357,6 +358,59 @@
 	}
 }
 
+const (
+	keyedClients  = 40
+	keyedRequests = 150      // of each client
+	keyedBytes    = 60 << 10 // of a body and its answer
+)
+
+// TestServerKeys sends many requests with idempotency keys, whose answers the zone keeps.
+func TestServerKeys(t *testing.T) {
+	if raceDetector {
+		t.Skip("as TestCrowds")
+	}
+	hosts, addresses, _ := startZone(t, keyedClients)
+	submitServerJob(t, addresses[0], 1, ordinaryAttempts) // once the zone has a decider
+	stop := make(chan struct{})
+	var seen []<-chan usage
+	for number, host := range hosts {
+		seen = append(seen, watch(t, host, addresses[number:number+1], stop))
+	}
+	var clients sync.WaitGroup
+	for client := range keyedClients {
+		clients.Go(func() {
+			for number := range keyedRequests {
+				sendKeyed(addresses[0], fmt.Sprintf("crowd-%d-%d", client, number), keyedBytes)
+			}
+		})
+	}
+	clients.Wait()
+	if status := sendKeyed(addresses[0], "ordinary", 1); status != http.StatusOK {
+		t.Errorf("an ordinary request with a key got status %d", status)
+	}
+	close(stop)
+	for number, host := range hosts {
+		assertServerBounded(t, host, <-seen[number])
+	}
+}
+
+// sendKeyed sends a request with an idempotency key to a worker that answers with its body, and returns the status, 0 for none.
+func sendKeyed(address, key string, bodyBytes int) int {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/services/work/?echo", bytes.NewReader(make([]byte, bodyBytes)))
+	if err != nil {
+		panic(err) // unreachable: the address is one of a listener
+	}
+	request.Header.Set("Authorization", "Bearer "+serverTeamKey)
+	request.Header.Set("Idempotency-Key", key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode
+}
+
 // assertServerBounded checks what a host of a zone was seen to take.
 func assertServerBounded(t *testing.T, host *process, most usage) {
 	t.Helper()
