--- a/daemon/acceptor/listener.go
+++ b/daemon/acceptor/listener.go
@@ -125,10 +125,10 @@
 	listener.conns++
 	conn.open = true
 	conn.element = listener.receiving.PushBack(conn)
-	isFull := listener.limits.FullBuffers == 0 || listener.conns <= listener.limits.FullBuffers
+	hasFullBuffer := listener.limits.FullBuffers == 0 || listener.conns <= listener.limits.FullBuffers
 	listener.mu.Unlock()
 	capper.LimitUnsent(raw)
-	if !isFull {
+	if !hasFullBuffer {
 		capper.LimitReceived(raw, MinReceiveBuffer)
 	}
 	if oldest != nil {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -462,7 +462,7 @@
 try 'clients: jobs of a zone' daemon/server/job_memory.go 'if tenure.jobBytes+tenure.reservedBytes+bytes >' 'if false && tenure.jobBytes+tenure.reservedBytes+bytes >' ./daemon/server 'TestReserveMemory'
 try 'clients: expired jobs' daemon/server/job_memory.go '	tenure.jobBytes = 0
 ' '' ./daemon/server 'TestCountMemory'
-try 'clients: receive buffers' daemon/acceptor/listener.go '	if !isFull {' '	if false && !isFull {' ./daemon/acceptor 'TestReceiveBuffer'
+try 'clients: receive buffers' daemon/acceptor/listener.go '	if !hasFullBuffer {' '	if false && !hasFullBuffer {' ./daemon/acceptor 'TestReceiveBuffer'
 try 'clients: receive buffers of peers' daemon/acceptor/shares.go '		ReceiveBuffer: peerReceiveBuffer,
 ' '' ./tests/crowder 'TestCrowds/manyPeersCalls'
 try 'clients: receive buffers of uploads' daemon/server/client_limits.go '		ReceiveBuffer: streamBuffer,
