--- /dev/null
+++ b/review/rig3/cases.go
@@ -0,0 +1,294 @@
+package main
+
+import (
+	"fmt"
+	"math"
+	"net/http"
+	"time"
+)
+
+const (
+	jobHost  = "jobs.example"
+	firstKey = "key-of-the-first-tenant"
+	otherKey = "key-of-the-other-tenant"
+)
+
+var zones = []string{"perth-a", "stirling-b", "dundee-c"}
+
+// begin starts a small deployment: three hosts and a number of minions of one service, 32 cores each. Every third minion is of kind b, the
+// others of kind a.
+func begin(r *rig, minions int, routes, tenants []map[string]any) error {
+	for number := range minions {
+		zone, kind := zones[number/3%len(zones)], "a"
+		if number%3 == 2 {
+			kind = "b"
+		}
+		if err := r.addWorker(fmt.Sprintf("m%02d", number), "survey", zone, fmt.Sprintf("r%d", number/5), kind, 32000, 65536); err != nil {
+			return err
+		}
+	}
+	r.publish(routes, tenants, "survey")
+	if err := r.startHosts(zones); err != nil {
+		return err
+	}
+	if err := r.awaitReady(); err != nil {
+		return err
+	}
+	time.Sleep(5 * time.Second) // no decider of before has to be waited for, and each minion was polled
+	return nil
+}
+
+// awaitRun waits until a job has a run that goes on, and returns it.
+func awaitRun(r *rig, job string, within time.Duration) (runRecord, bool) {
+	for until := time.Now().Add(within); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		for _, run := range r.runsOf(job) {
+			if run.ended.IsZero() {
+				return run, true
+			}
+		}
+	}
+	return runRecord{}, false
+}
+
+func (r *rig) workerOf(run runRecord) *worker {
+	for _, w := range r.workers {
+		if w.machine == run.machine {
+			return w
+		}
+	}
+	return nil
+}
+
+const (
+	crashedFor  = 4500 * time.Millisecond
+	afterCrash  = 15 * time.Second // a lease, the time for a new start, and more
+	calmAtStart = 3 * time.Second
+)
+
+// crashes: the minions of two jobs crash twice, at most one in seven of the minions at a time, and come back.
+func crashes(r *rig, trouble bool) (bool, error) {
+	const lasting, batch = "00000000000000a1", "00000000000000b2"
+	routes := []map[string]any{route("watch", jobHost, "/watch/", "survey", 1, 2), route("rebuild", jobHost, "/rebuild/", "survey", 2, 3)}
+	if err := begin(r, 16, routes, []map[string]any{tenant("first", firstKey)}); err != nil {
+		return false, err
+	}
+	r.setDuration("watch", 0)
+	r.setDuration("rebuild", 40*time.Second)
+	paths := map[string]string{lasting: "/watch/" + lasting, batch: "/rebuild/" + batch}
+	steps := map[string]any{
+		lasting: map[string]any{"spec": "watch", "steps": []any{map[string]any{"count": 1, "cpu": 24000, "memMb": 40000, "longRunning": true}}},
+		batch:   map[string]any{"spec": "rebuild", "steps": []any{map[string]any{"count": 1, "cpu": 24000, "memMb": 40000, "estimateMs": 40000}}},
+	}
+	jobs := []string{lasting, batch}
+	for _, job := range jobs {
+		if status, _ := r.callAny(http.MethodPost, jobHost, paths[job], firstKey, steps[job]); status/100 != 2 {
+			return false, fmt.Errorf("job %s was not accepted", job)
+		}
+	}
+	for _, job := range jobs {
+		if _, found := awaitRun(r, job, afterCrash); !found {
+			return false, fmt.Errorf("job %s did not start", job)
+		}
+	}
+	for range 2 {
+		time.Sleep(calmAtStart)
+		if !trouble {
+			time.Sleep(crashedFor)
+			continue
+		}
+		hit := map[*worker]bool{}
+		for _, job := range jobs {
+			if run, found := awaitRun(r, job, afterCrash); found {
+				hit[r.workerOf(run)] = true
+			}
+		}
+		for w := range hit {
+			w.crash()
+		}
+		time.Sleep(crashedFor)
+		for w := range hit {
+			if err := w.begin(); err != nil {
+				return false, err
+			}
+		}
+	}
+	r.log("all minions are up from now on, and nothing is disturbed any more")
+	broken := false
+	for range 20 {
+		time.Sleep(time.Second)
+		for number, job := range jobs {
+			_, answer := r.call(r.hosts[number%len(r.hosts)], http.MethodGet, jobHost, paths[job], firstKey, nil)
+			if state := stateIn(answer); state == "failed" || state == "cancelled" {
+				broken = true
+			}
+		}
+	}
+	for _, job := range jobs {
+		failed, open := 0, 0
+		for _, run := range r.runsOf(job) {
+			if run.how == "failed" {
+				failed++
+			}
+			if run.ended.IsZero() {
+				open++
+			}
+		}
+		r.log("job %s: %d runs, of which %d ended failed and %d go on", job, len(r.runsOf(job)), failed, open)
+	}
+	return broken, nil
+}
+
+const (
+	firstStep = 3 * time.Second
+	finishS   = 14 * time.Second
+	afterThat = 6 * time.Second
+)
+
+// removed: a version removes the route of a job that was accepted and runs.
+func removed(r *rig, trouble bool) (bool, error) {
+	const job = "00000000000000c3"
+	kept, dropped := route("check", jobHost, "/check/", "survey", 0, 4), route("rebuild", jobHost, "/rebuild/", "survey", 2, 3)
+	tenants := []map[string]any{tenant("first", firstKey)}
+	if err := begin(r, 10, []map[string]any{kept, dropped}, tenants); err != nil {
+		return false, err
+	}
+	r.setDuration("rebuild", firstStep)
+	body := map[string]any{"spec": "rebuild", "steps": []any{
+		map[string]any{"count": 2, "cpu": 4000, "memMb": 4000, "estimateMs": 3000},
+		map[string]any{"count": 2, "cpu": 4000, "memMb": 4000, "estimateMs": 3000, "dependsOn": []int{0}},
+	}}
+	if status, _ := r.callAny(http.MethodPost, jobHost, "/rebuild/"+job, firstKey, body); status/100 != 2 {
+		return false, fmt.Errorf("the job was not accepted")
+	}
+	if _, found := awaitRun(r, job, afterCrash); !found {
+		return false, fmt.Errorf("the job did not start")
+	}
+	time.Sleep(firstStep / 3)
+	if trouble {
+		r.publish([]map[string]any{kept}, tenants, "survey")
+	} else {
+		r.publish([]map[string]any{kept, dropped}, tenants, "survey")
+	}
+	time.Sleep(firstStep + finishS + afterThat)
+	done := 0
+	for _, run := range r.runsOf(job) {
+		if run.how == "done" {
+			done++
+		}
+	}
+	r.log("job %s: %d of 4 tasks have ended done", job, done)
+	return done < 4, nil
+}
+
+// foreign: a client of another tenant uses an ID that a job of the first tenant has, on a queue of its own.
+func foreign(r *rig, trouble bool) (bool, error) {
+	const job = "00000000000000d4"
+	routes := []map[string]any{route("check", jobHost, "/check/", "survey", 0, 4), route("rebuild", jobHost, "/rebuild/", "survey", 2, 3)}
+	if err := begin(r, 6, routes, []map[string]any{tenant("first", firstKey), tenant("other", otherKey)}); err != nil {
+		return false, err
+	}
+	r.setDuration("first", 30*time.Second)
+	r.setDuration("other", 2*time.Second)
+	body := func(spec string) map[string]any {
+		return map[string]any{"spec": spec, "steps": []any{map[string]any{"count": 1, "cpu": 4000, "memMb": 4000, "estimateMs": 3000}}}
+	}
+	if status, _ := r.callAny(http.MethodPost, jobHost, "/check/"+job, firstKey, body("first")); status/100 != 2 {
+		return false, fmt.Errorf("the first job was not accepted")
+	}
+	other := "00000000000000d5"
+	if trouble {
+		other = job
+	}
+	status, _ := r.callAny(http.MethodPost, jobHost, "/rebuild/"+other, otherKey, body("other"))
+	time.Sleep(8 * time.Second)
+	got, _ := r.callAny(http.MethodGet, jobHost, "/rebuild/"+other, otherKey, nil)
+	broken := status/100 == 2 && got == http.StatusGone
+	r.callAny(http.MethodDelete, jobHost, "/rebuild/"+other, otherKey, nil)
+	time.Sleep(2 * time.Second)
+	_, answer := r.callAny(http.MethodGet, jobHost, "/check/"+job, firstKey, nil)
+	if stateIn(answer) == "cancelled" {
+		broken = true
+	}
+	return broken, nil
+}
+
+const (
+	baseRate    = 4.0 // jobs a second
+	burstFactor = 2.3
+	burstFrom   = 3 * time.Second
+	burstFor    = 4 * time.Second
+	trafficFor  = 10 * time.Second
+)
+
+// starved: many jobs come at once that only minions of kind b may run, which are full, and then a job of another tenant that all minions may
+// run, of which two thirds are idle.
+func starved(r *rig, trouble bool) (bool, error) {
+	const filler, victim = "00000000000000e5", "00000000000000f6"
+	rebuild := route("rebuild", jobHost, "/rebuild/", "survey", 2, 3)
+	rebuild["stretch"], rebuild["targetLatencyMs"] = 4.0, 3000
+	const minions = 12
+	tenants := []map[string]any{tenant("first", firstKey), tenant("other", otherKey)}
+	if err := begin(r, minions, []map[string]any{rebuild, route("watch", jobHost, "/watch/", "survey", 1, 2)}, tenants); err != nil {
+		return false, err
+	}
+	r.setDuration("watch", 0)
+	r.setDuration("rebuild", firstStep)
+	body := func(spec string, steps ...map[string]any) map[string]any {
+		return map[string]any{"spec": spec, "steps": steps}
+	}
+	full := map[string]any{"count": minions / 3, "cpu": 32000, "memMb": 60000, "requiredLabel": "b", "longRunning": true}
+	if status, _ := r.callAny(http.MethodPost, jobHost, "/watch/"+filler, firstKey, body("watch", full)); status/100 != 2 {
+		return false, fmt.Errorf("the lasting job was not accepted")
+	}
+	time.Sleep(calmAtStart)
+	if runs := len(r.runsOf(filler)); runs != minions/3 {
+		return false, fmt.Errorf("%d tasks that last run, not %d", runs, minions/3)
+	}
+	large := map[string]any{"count": 4, "cpu": 6600, "memMb": 6700, "estimateMs": 5600, "requiredLabel": "b"}
+	began, sent, accepted := time.Now(), 0, make(chan bool, 1000)
+	for time.Since(began) < trafficFor {
+		passed := time.Since(began).Seconds()
+		due := baseRate * passed
+		if trouble {
+			due += (burstFactor - 1) * baseRate * math.Min(math.Max(passed-burstFrom.Seconds(), 0), burstFor.Seconds())
+		}
+		for ; sent < int(due); sent++ {
+			id := fmt.Sprintf("00000000%08x", sent+1)
+			go func() {
+				status, _ := r.callAny(http.MethodPost, jobHost, "/rebuild/"+id, firstKey, body("rebuild", large, large, large))
+				accepted <- status/100 == 2
+			}()
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	count := 0
+	for range sent {
+		if <-accepted {
+			count++
+		}
+	}
+	r.log("%d of %d jobs for minions of kind b were accepted, of three steps each", count, sent)
+	free := map[string]any{"count": 4, "cpu": 6600, "memMb": 6700, "estimateMs": 5600}
+	if status, _ := r.callAny(http.MethodPost, jobHost, "/rebuild/"+victim, otherKey, body("rebuild", free)); status/100 != 2 {
+		return false, fmt.Errorf("the last job was not accepted")
+	}
+	r.log("end of the traffic")
+	time.Sleep(finishS + afterThat)
+	r.callAny(http.MethodGet, jobHost, "/rebuild/"+victim, otherKey, nil)
+	runs := r.runsOf(victim)
+	r.log("job %s of the other tenant: %d runs; %d of %d minions run nothing", victim, len(runs), r.idle(), minions)
+	return len(runs) == 0, nil
+}
+
+// idle returns the number of minions without runs.
+func (r *rig) idle() int {
+	count := 0
+	for _, w := range r.workers {
+		w.mu.Lock()
+		if len(w.running) == 0 {
+			count++
+		}
+		w.mu.Unlock()
+	}
+	return count
+}
