--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"net/http"
@@ -292,3 +293,96 @@
 	}
 	return count
 }
+
+// other: another writer stores an entry with a service that isn't named in the configuration, for the machine of a minion at work.
+func other(r *rig, trouble bool) (bool, error) {
+	const job = "0000000000000a07"
+	if err := begin(r, 9, []map[string]any{route("rebuild", jobHost, "/rebuild/", "survey", 2, 3)}, []map[string]any{tenant("first", firstKey)}); err != nil {
+		return false, err
+	}
+	r.setDuration("rebuild", 15*time.Second)
+	step := map[string]any{"count": 2, "cpu": 20000, "memMb": 20000, "estimateMs": 15000}
+	body := map[string]any{"spec": "rebuild", "steps": []any{step}}
+	if status, _ := r.callAny(http.MethodPost, jobHost, "/rebuild/"+job, firstKey, body); status/100 != 2 {
+		return false, fmt.Errorf("the job was not accepted")
+	}
+	run, found := awaitRun(r, job, afterCrash)
+	if !found {
+		return false, fmt.Errorf("the job did not start")
+	}
+	time.Sleep(calmAtStart)
+	if trouble {
+		address, err := freeAddress()
+		if err != nil {
+			return false, err
+		}
+		entry, _ := json.Marshal(map[string]any{
+			"service": "backup-agent", "address": address, "zone": zones[0], "version": "1", "slots": 1, "state": "ready", "coldLeftMs": 0, "seq": 1,
+			"capacity": map[string]int64{"cpu": 1000, "memMb": 100, "gpu": 0}, "labels": []string{}, "machine": run.machine,
+			"born": time.Now().UnixMilli(),
+		})
+		r.store.put("keyed.servers", "agent-1", entry)
+		r.log("another writer stores servers/agent-1: %s", entry)
+	}
+	time.Sleep(20 * time.Second)
+	r.callAny(http.MethodGet, jobHost, "/rebuild/"+job, firstKey, nil)
+	return r.atOnce(job), nil
+}
+
+// atOnce reports whether two runs of one task of a job were at work at the same time.
+func (r *rig) atOnce(job string) bool {
+	broken := false
+	runs := r.runsOf(job)
+	for _, first := range runs {
+		for _, second := range runs {
+			if first.task == second.task && first.number < second.number && (first.ended.IsZero() || second.began.Before(first.ended)) {
+				broken = true
+				r.log("%s: run %d on %s (%.3f s to %.3f s, %s) and run %d on %s (from %.3f s) at the same time", first.task, first.number, first.minion,
+					first.began.Sub(r.began).Seconds(), first.ended.Sub(r.began).Seconds(), first.how, second.number, second.minion, second.began.Sub(r.began).Seconds())
+			}
+		}
+	}
+	return broken
+}
+
+// serving: the minion of a lasting task with a target is lost for good while a task that fills runs on each of the others.
+func serving(r *rig, trouble bool) (bool, error) {
+	const target, fills = "0000000000000b08", "0000000000000c09"
+	const minions = 10
+	routes := []map[string]any{route("watch", jobHost, "/watch/", "survey", 1, 2), route("rebuild", jobHost, "/rebuild/", "survey", 2, 3)}
+	if err := begin(r, minions, routes, []map[string]any{tenant("first", firstKey), tenant("other", otherKey)}); err != nil {
+		return false, err
+	}
+	r.setDuration("watch", 0)
+	r.setDuration("rebuild", 100*time.Second)
+	body := func(spec string, step map[string]any) map[string]any {
+		return map[string]any{"spec": spec, "steps": []any{step}}
+	}
+	watch := body("watch", map[string]any{"count": 1, "cpu": 4000, "memMb": 4000, "longRunning": true, "image": "gauge", "targetMs": 200})
+	if status, _ := r.callAny(http.MethodPost, jobHost, "/watch/"+target, firstKey, watch); status/100 != 2 {
+		return false, fmt.Errorf("the lasting job was not accepted")
+	}
+	run, found := awaitRun(r, target, afterCrash)
+	if !found {
+		return false, fmt.Errorf("the lasting job did not start")
+	}
+	fill := body("rebuild", map[string]any{
+		"count": minions - 1, "cpu": 2000, "memMb": 1000, "estimateMs": 90000, "fills": true, "image": "batch", "antiAffinity": 1, "checkpointing": true,
+	})
+	if status, _ := r.callAny(http.MethodPost, jobHost, "/rebuild/"+fills, otherKey, fill); status/100 != 2 {
+		return false, fmt.Errorf("the job that fills was not accepted")
+	}
+	time.Sleep(calmAtStart)
+	if count := len(r.runsOf(fills)); count != minions-1 {
+		return false, fmt.Errorf("%d tasks that fill run, not %d", count, minions-1)
+	}
+	if trouble {
+		r.workerOf(run).crash() // and does not come back
+	}
+	time.Sleep(40 * time.Second)
+	r.callAny(http.MethodGet, jobHost, "/watch/"+target, firstKey, nil)
+	runs := r.runsOf(target)
+	last := runs[len(runs)-1]
+	r.log("the lasting task: %d runs, the last one began at %.3f s and ended at %.3f s (%s)", len(runs), last.began.Sub(r.began).Seconds(), last.ended.Sub(r.began).Seconds(), last.how)
+	return !last.ended.IsZero(), nil
+}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -19,6 +19,8 @@
 	"removed": removed,
 	"foreign": foreign,
 	"starved": starved,
+	"other":   other,
+	"serving": serving,
 }
 
 func main() {
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -39,9 +39,10 @@
 }
 
 type activeRun struct {
-	number int
-	began  time.Time
-	spec   string
+	number   int
+	stopping time.Time // when a stop arrived, zero before
+	began    time.Time
+	spec     string
 }
 
 const (
@@ -49,6 +50,7 @@
 	maxLeaseMS  = 10000
 	lapseTick   = 10 * time.Millisecond
 	clientMaxMS = 2000
+	stopTime    = 300 * time.Millisecond // a third of what a stop may take
 )
 
 // begin starts a life of the machine's minion.
@@ -136,6 +138,8 @@
 			switch {
 			case lapsed:
 				w.end(task, "lapsed")
+			case !run.stopping.IsZero() && time.Since(run.stopping) >= stopTime:
+				w.end(task, "stopped")
 			case last > 0 && time.Since(run.began) >= last:
 				w.end(task, "done")
 			}
@@ -221,8 +225,8 @@
 
 func (w *worker) stop(writer http.ResponseWriter, _ *http.Request, body call) {
 	w.highest[body.Task] = max(w.highest[body.Task], body.Run)
-	if run := w.running[body.Task]; run != nil && run.number == body.Run {
-		w.end(body.Task, "stopped")
+	if run := w.running[body.Task]; run != nil && run.number == body.Run && run.stopping.IsZero() {
+		run.stopping = time.Now()
 	}
 	w.answer(writer, http.StatusOK, map[string]any{})
 }
