--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -117,9 +117,12 @@
 	lastPort  = 32000
 )
 
+// loopback is the loopback address of this run, so that runs side by side don't take each other's ports.
+var loopback = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(256), 1+rand.IntN(254))
+
 func freeAddress() (string, error) {
 	for range 1000 {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		address := fmt.Sprintf("%s:%d", loopback, firstPort+rand.IntN(lastPort-firstPort))
 		if listener, err := net.Listen("tcp", address); err == nil {
 			return address, listener.Close()
 		}
@@ -156,14 +159,14 @@
 		r.hosts = append(r.hosts, h)
 	}
 	for _, h := range r.hosts {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", loopback+":0")
 		if err != nil {
 			return err
 		}
 		go func() { _ = http.Serve(listener, r.store.handler(h.name)) }()
 		fields := strings.NewReplacer(
 			"{{nodeName}}", h.name, "{{zone}}", h.zone, "{{region}}", "region", "{{listen.frontend}}", h.http, "{{listen.readiness}}", h.ready,
-			"{{listen.control}}", h.peer, "{{seeds}}", strings.Join(seeds[:min(3, len(seeds))], ","), "{{ip}}", "127.0.0.1", "{{portRange.1}}", h.metricsPort,
+			"{{listen.control}}", h.peer, "{{seeds}}", strings.Join(seeds[:min(3, len(seeds))], ","), "{{ip}}", loopback, "{{portRange.1}}", h.metricsPort,
 			"{{limits.cpuShare}}", "0.4", "{{limits.memoryMb}}", "284", "{{limits.maxFds}}", "4100", "{{platform.address}}", listener.Addr().String(),
 			"{{advice}}", "", "{{bounds.holdMaxMs}}", fmt.Sprint(maxLeaseMS), "{{bounds.stopMs}}", "900", "{{bounds.status_s}}", "120",
 			"{{bounds.spreadFactor}}", "1.5", "{{bounds.graceS}}", "6",
