--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"math"
 	"net/http"
+	"os"
+	"strings"
+	"syscall"
 	"time"
 )
 
@@ -386,3 +389,84 @@
 	r.log("the lasting task: %d runs, the last one began at %.3f s and ended at %.3f s (%s)", len(runs), last.began.Sub(r.began).Seconds(), last.ended.Sub(r.began).Seconds(), last.how)
 	return !last.ended.IsZero(), nil
 }
+
+const (
+	frozenFor   = 3400 * time.Millisecond
+	returnsFrom = 2600 * time.Millisecond // after the freeze began
+	returnsGap  = 25 * time.Millisecond
+)
+
+// woken: a host through which the decider reaches minions is frozen and wakes, while some of these minions crash and start again.
+func woken(r *rig, trouble bool) (bool, error) {
+	const minions, job = 210, "0000000000000d0a"
+	for number := range minions {
+		zone := zones[number%len(zones)]
+		if err := r.addWorker(fmt.Sprintf("m%03d", number), "survey", zone, fmt.Sprintf("r%d", number/20), "a", 32000, 65536); err != nil {
+			return false, err
+		}
+		r.workers[number].keepsID = true
+	}
+	r.publish([]map[string]any{route("rebuild", jobHost, "/rebuild/", "survey", 2, 3)}, []map[string]any{tenant("first", firstKey)}, "survey")
+	if err := r.startHosts(append(zones, zones...)); err != nil {
+		return false, err
+	}
+	if err := r.awaitReady(); err != nil {
+		return false, err
+	}
+	time.Sleep(8 * time.Second)
+	r.setDuration("rebuild", 12*time.Second)
+	decider := r.decider()
+	var frozen *host
+	for _, h := range r.hosts {
+		if h != decider && h.zone != decider.zone {
+			frozen = h // the first host of its zone is the one that the decider uses there
+			break
+		}
+	}
+	r.log("host %s decides, host %s calls the minions of %s for it", decider.name, frozen.name, frozen.zone)
+	if trouble {
+		r.signal(frozen, syscall.SIGSTOP)
+	}
+	began := time.Now()
+	step := map[string]any{"count": 200, "cpu": 20000, "memMb": 20000, "estimateMs": 12000}
+	if status, _ := r.call(decider, http.MethodPost, jobHost, "/rebuild/"+job, firstKey, map[string]any{"spec": "rebuild", "steps": []any{step}}); status/100 != 2 {
+		return false, fmt.Errorf("the job was not accepted")
+	}
+	var hit []*worker
+	if trouble {
+		time.Sleep(returnsFrom - time.Second - time.Since(began))
+		for _, w := range r.workers {
+			if w.zone == frozen.zone && len(hit) < minions*14/100 {
+				hit = append(hit, w)
+				w.crash()
+			}
+		}
+		go func() {
+			time.Sleep(returnsFrom - time.Since(began))
+			for _, w := range hit {
+				_ = w.begin()
+				time.Sleep(returnsGap)
+			}
+		}()
+		time.Sleep(frozenFor - time.Since(began))
+		r.signal(frozen, syscall.SIGCONT)
+	}
+	time.Sleep(25 * time.Second)
+	return r.atOnce(job), nil
+}
+
+// decider returns the host that has logged last that it decides.
+func (r *rig) decider() *host {
+	var found *host
+	latest := ""
+	for _, h := range r.hosts {
+		data, _ := os.ReadFile(h.output)
+		for _, line := range strings.Split(string(data), "\n") {
+			var entry struct{ Time, Msg string }
+			if json.Unmarshal([]byte(line), &entry) == nil && entry.Msg == "deciding" && entry.Time > latest {
+				found, latest = h, entry.Time
+			}
+		}
+	}
+	return found
+}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -21,6 +21,7 @@
 	"starved": starved,
 	"other":   other,
 	"serving": serving,
+	"woken":   woken,
 }
 
 func main() {
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -36,6 +36,7 @@
 	changed  chan struct{}
 	server   *http.Server
 	speed    float64 // of its clock
+	keepsID  bool    // whether each life begins under the ID of the one before
 }
 
 type activeRun struct {
@@ -61,7 +62,9 @@
 	}
 	w.mu.Lock()
 	w.life++
-	w.id = w.machine + "-" + string(rune('a'+w.life-1))
+	if !w.keepsID || w.id == "" {
+		w.id = w.machine + "-" + string(rune('a'+w.life-1))
+	}
 	w.up, w.draining, w.started = true, false, time.Now()
 	w.token, w.leaseEnd, w.lastEnd = 0, 0, 0
 	w.running, w.highest, w.finished = map[string]*activeRun{}, map[string]int{}, nil
@@ -71,11 +74,11 @@
 	mux.HandleFunc("POST /-/run-stop", w.serve(w.stop))
 	mux.HandleFunc("POST /-/hold", w.serve(w.hold))
 	w.server = &http.Server{Handler: mux}
-	server, id := w.server, w.id
+	server, id, life := w.server, w.id, w.life
 	w.mu.Unlock()
 	go func() { _ = server.Serve(listener) }()
-	go w.announce(id)
-	go w.tick(id)
+	go w.announce(id, life)
+	go w.tick(life)
 	w.rig.log("minion %s of machine %s is up", id, w.machine)
 	return nil
 }
@@ -95,16 +98,25 @@
 	w.mu.Unlock()
 	_ = server.Close()
 	w.rig.log("minion %s of machine %s crashes", id, w.machine)
-	time.AfterFunc(3*heartbeat, func() { w.rig.store.put("keyed.servers", id, nil) })
+	time.AfterFunc(3*heartbeat, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if !w.lives(id) {
+			w.rig.store.put("keyed.servers", id, nil)
+		}
+	})
 }
 
 // lives reports whether the minion with an id lives.
 func (w *worker) lives(id string) bool { return w.up && w.id == id }
 
-func (w *worker) announce(id string) {
+// livesOn reports whether a life of the machine's minion goes on.
+func (w *worker) livesOn(life int) bool { return w.up && w.life == life }
+
+func (w *worker) announce(id string, life int) {
 	for seq := 1; ; seq++ {
 		w.mu.Lock()
-		if !w.lives(id) {
+		if !w.livesOn(life) {
 			w.mu.Unlock()
 			return
 		}
@@ -124,11 +136,11 @@
 }
 
 // tick ends tasks whose time has come, and all of them when the lease has expired.
-func (w *worker) tick(id string) {
+func (w *worker) tick(life int) {
 	for {
 		time.Sleep(lapseTick)
 		w.mu.Lock()
-		if !w.lives(id) {
+		if !w.livesOn(life) {
 			w.mu.Unlock()
 			return
 		}
@@ -239,7 +251,7 @@
 		w.rig.log("minion %s: the end of %v run %v is acknowledged", w.id, w.finished[0][1], w.finished[0][2])
 		w.finished = w.finished[1:]
 	}
-	until, id := time.Now().Add(time.Duration(min(body.WaitMS, clientMaxMS))*time.Millisecond), w.id
+	until, life := time.Now().Add(time.Duration(min(body.WaitMS, clientMaxMS))*time.Millisecond), w.life
 	for len(w.finished) == 0 && time.Now().Before(until) {
 		changed := w.changed
 		w.mu.Unlock()
@@ -249,7 +261,7 @@
 		case <-request.Context().Done():
 		}
 		w.mu.Lock()
-		if !w.lives(id) || request.Context().Err() != nil {
+		if !w.livesOn(life) || request.Context().Err() != nil {
 			panic(http.ErrAbortHandler)
 		}
 	}
