review: case 15, a minion is kept for jobs that can't start there; cases in order of gravity

Promise: LOST, a job whose task's turn has come has something running while there is room. Seen: four waiting jobs that fill keep the four minions of a service from a plain job of another tenant, which has had no run 20 s after the end of the traffic; in 2 of 2 runs, and in 0 of 2 with two such jobs.

--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -376,8 +376,10 @@
 		return false, fmt.Errorf("the job that fills was not accepted")
 	}
 	time.Sleep(calmAtStart)
-	if count := len(r.runsOf(fills)); count != minions-1 {
-		return false, fmt.Errorf("%d tasks that fill run, not %d", count, minions-1)
+	for until := time.Now().Add(afterCrash); len(r.runsOf(fills)) < minions-1; time.Sleep(100 * time.Millisecond) {
+		if time.Now().After(until) {
+			return false, fmt.Errorf("%d tasks that fill run, not %d", len(r.runsOf(fills)), minions-1)
+		}
 	}
 	if trouble {
 		r.workerOf(run).crash() // and does not come back
@@ -391,9 +393,9 @@
 }
 
 const (
-	frozenFor   = 3400 * time.Millisecond
-	returnsFrom = 2600 * time.Millisecond // after the freeze began
-	returnsGap  = 25 * time.Millisecond
+	longestFreeze = 3500 * time.Millisecond
+	returnsFrom   = 2600 * time.Millisecond // after the freeze began
+	returnsGap    = 25 * time.Millisecond
 )
 
 // woken: a host through which the decider reaches minions is frozen and wakes, while some of these minions crash and start again.
@@ -441,15 +443,16 @@
 				w.crash()
 			}
 		}
-		go func() {
-			time.Sleep(returnsFrom - time.Since(began))
-			for _, w := range hit {
-				_ = w.begin()
-				time.Sleep(returnsGap)
+		for number, w := range hit {
+			time.Sleep(returnsFrom + time.Duration(number)*returnsGap - time.Since(began))
+			if err := w.begin(); err != nil {
+				return false, err
 			}
-		}()
-		time.Sleep(frozenFor - time.Since(began))
+		}
 		r.signal(frozen, syscall.SIGCONT)
+		if lasted := time.Since(began); lasted > longestFreeze {
+			return false, fmt.Errorf("the host was frozen for %v", lasted)
+		}
 	}
 	time.Sleep(25 * time.Second)
 	return r.atOnce(job), nil
@@ -470,3 +473,51 @@
 	}
 	return found
 }
+
+const (
+	fillRate = 0.5 // jobs that fill, a second
+	fillFor  = 4 * time.Second
+)
+
+// kept: jobs that fill come at once to a service each of whose minions runs a task with a target, and then a job of another tenant.
+func kept(r *rig, trouble bool) (bool, error) {
+	const target, victim = "0000000000000b08", "0000000000000e0b"
+	const minions = 4
+	rebuild := route("rebuild", jobHost, "/rebuild/", "survey", 2, 3)
+	rebuild["stretch"], rebuild["targetLatencyMs"] = 4.0, 3000
+	routes := []map[string]any{route("watch", jobHost, "/watch/", "survey", 1, 2), rebuild}
+	if err := begin(r, minions, routes, []map[string]any{tenant("first", firstKey), tenant("other", otherKey)}); err != nil {
+		return false, err
+	}
+	r.setDuration("watch", 0)
+	r.setDuration("rebuild", firstStep)
+	body := func(spec string, step map[string]any) map[string]any {
+		return map[string]any{"spec": spec, "steps": []any{step}}
+	}
+	watch := body("watch", map[string]any{"count": minions, "cpu": 2000, "memMb": 2000, "longRunning": true, "image": "gauge", "targetMs": 200, "antiAffinity": 1})
+	if status, _ := r.callAny(http.MethodPost, jobHost, "/watch/"+target, firstKey, watch); status/100 != 2 {
+		return false, fmt.Errorf("the lasting job was not accepted")
+	}
+	time.Sleep(calmAtStart)
+	rate := fillRate
+	if trouble {
+		rate *= burstFactor
+	}
+	fill := body("rebuild", map[string]any{"count": 1, "cpu": 2000, "memMb": 1000, "estimateMs": 5600, "fills": true, "image": "batch"})
+	sent := int(rate * fillFor.Seconds())
+	for number := range sent {
+		if status, _ := r.callAny(http.MethodPost, jobHost, fmt.Sprintf("/rebuild/%016x", 0xf000+number), firstKey, fill); status/100 != 2 {
+			return false, fmt.Errorf("a job that fills was not accepted")
+		}
+		time.Sleep(fillFor / time.Duration(sent))
+	}
+	time.Sleep(time.Second)
+	plain := body("rebuild", map[string]any{"count": 2, "cpu": 4000, "memMb": 4000, "estimateMs": 5600})
+	if status, _ := r.callAny(http.MethodPost, jobHost, "/rebuild/"+victim, otherKey, plain); status/100 != 2 {
+		return false, fmt.Errorf("the last job was not accepted")
+	}
+	time.Sleep(finishS + afterThat)
+	r.callAny(http.MethodGet, jobHost, "/rebuild/"+victim, otherKey, nil)
+	r.log("job %s of the other tenant: %d runs", victim, len(r.runsOf(victim)))
+	return len(r.runsOf(victim)) == 0, nil
+}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -22,6 +22,7 @@
 	"other":   other,
 	"serving": serving,
 	"woken":   woken,
+	"kept":    kept,
 }
 
 func main() {
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -120,9 +120,16 @@
 // loopback is the loopback address of this run, so that runs side by side don't take each other's ports.
 var loopback = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(256), 1+rand.IntN(254))
 
+// given holds the addresses that freeAddress has returned, which may not be listened on yet.
+var given = map[string]bool{}
+
 func freeAddress() (string, error) {
 	for range 1000 {
 		address := fmt.Sprintf("%s:%d", loopback, firstPort+rand.IntN(lastPort-firstPort))
+		if given[address] {
+			continue
+		}
+		given[address] = true
 		if listener, err := net.Listen("tcp", address); err == nil {
 			return address, listener.Close()
 		}
