--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -21,21 +21,21 @@
 
 // begin starts a small deployment: three hosts and a number of minions of one service, 32 cores each. Every third minion is of kind b, the
 // others of kind a.
-func begin(r *rig, minions int, routes, tenants []map[string]any) error {
+func begin(rig *rig, minions int, routes, tenants []map[string]any) error {
 	for number := range minions {
 		zone, kind := zones[number/3%len(zones)], "a"
 		if number%3 == 2 {
 			kind = "b"
 		}
-		if err := r.addWorker(fmt.Sprintf("m%02d", number), "survey", zone, fmt.Sprintf("r%d", number/5), kind, 32000, 65536); err != nil {
+		if err := rig.addWorker(fmt.Sprintf("m%02d", number), "survey", zone, fmt.Sprintf("r%d", number/5), kind, 32000, 65536); err != nil {
 			return err
 		}
 	}
-	r.publish(routes, tenants, "survey")
-	if err := r.startHosts(zones); err != nil {
+	rig.publish(routes, tenants, "survey")
+	if err := rig.startHosts(zones); err != nil {
 		return err
 	}
-	if err := r.awaitReady(); err != nil {
+	if err := rig.awaitReady(); err != nil {
 		return err
 	}
 	time.Sleep(5 * time.Second) // no decider of before has to be waited for, and each minion was polled
@@ -43,9 +43,9 @@
 }
 
 // awaitRun waits until a job has a run that goes on, and returns it.
-func awaitRun(r *rig, job string, within time.Duration) (runRecord, bool) {
+func awaitRun(rig *rig, job string, within time.Duration) (runRecord, bool) {
 	for until := time.Now().Add(within); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
-		for _, run := range r.runsOf(job) {
+		for _, run := range rig.runsOf(job) {
 			if run.ended.IsZero() {
 				return run, true
 			}
@@ -54,8 +54,8 @@
 	return runRecord{}, false
 }
 
-func (r *rig) workerOf(run runRecord) *worker {
-	for _, w := range r.workers {
+func (rig *rig) workerOf(run runRecord) *worker {
+	for _, w := range rig.workers {
 		if w.machine == run.machine {
 			return w
 		}
@@ -70,14 +70,14 @@
 )
 
 // crashes: the minions of two jobs crash twice, at most one in seven of the minions at a time, and come back.
-func crashes(r *rig, trouble bool) (bool, error) {
+func crashes(rig *rig, trouble bool) (bool, error) {
 	const lasting, batch = "00000000000000a1", "00000000000000b2"
 	routes := []map[string]any{route("watch", jobHost, "/watch/", "survey", 1, 2), route("rebuild", jobHost, "/rebuild/", "survey", 2, 3)}
-	if err := begin(r, 16, routes, []map[string]any{tenant("first", firstKey)}); err != nil {
+	if err := begin(rig, 16, routes, []map[string]any{tenant("first", firstKey)}); err != nil {
 		return false, err
 	}
-	r.setDuration("watch", 0)
-	r.setDuration("rebuild", 40*time.Second)
+	rig.setDuration("watch", 0)
+	rig.setDuration("rebuild", 40*time.Second)
 	paths := map[string]string{lasting: "/watch/" + lasting, batch: "/rebuild/" + batch}
 	steps := map[string]any{
 		lasting: map[string]any{"spec": "watch", "steps": []any{map[string]any{"count": 1, "cpu": 24000, "memMb": 40000, "longRunning": true}}},
@@ -85,12 +85,12 @@
 	}
 	jobs := []string{lasting, batch}
 	for _, job := range jobs {
-		if status, _ := r.callAny(http.MethodPost, jobHost, paths[job], firstKey, steps[job]); status/100 != 2 {
+		if status, _ := rig.callAny(http.MethodPost, jobHost, paths[job], firstKey, steps[job]); status/100 != 2 {
 			return false, fmt.Errorf("job %s was not accepted", job)
 		}
 	}
 	for _, job := range jobs {
-		if _, found := awaitRun(r, job, afterCrash); !found {
+		if _, found := awaitRun(rig, job, afterCrash); !found {
 			return false, fmt.Errorf("job %s did not start", job)
 		}
 	}
@@ -102,8 +102,8 @@
 		}
 		hit := map[*worker]bool{}
 		for _, job := range jobs {
-			if run, found := awaitRun(r, job, afterCrash); found {
-				hit[r.workerOf(run)] = true
+			if run, found := awaitRun(rig, job, afterCrash); found {
+				hit[rig.workerOf(run)] = true
 			}
 		}
 		for w := range hit {
@@ -116,12 +116,12 @@
 			}
 		}
 	}
-	r.log("all minions are up from now on, and nothing is disturbed any more")
+	rig.log("all minions are up from now on, and nothing is disturbed any more")
 	broken := false
 	for range 20 {
 		time.Sleep(time.Second)
 		for number, job := range jobs {
-			_, answer := r.call(r.hosts[number%len(r.hosts)], http.MethodGet, jobHost, paths[job], firstKey, nil)
+			_, answer := rig.call(rig.hosts[number%len(rig.hosts)], http.MethodGet, jobHost, paths[job], firstKey, nil)
 			if state := stateIn(answer); state == "failed" || state == "cancelled" {
 				broken = true
 			}
@@ -129,7 +129,7 @@
 	}
 	for _, job := range jobs {
 		failed, open := 0, 0
-		for _, run := range r.runsOf(job) {
+		for _, run := range rig.runsOf(job) {
 			if run.how == "failed" {
 				failed++
 			}
@@ -137,7 +137,7 @@
 				open++
 			}
 		}
-		r.log("job %s: %d runs, of which %d ended failed and %d go on", job, len(r.runsOf(job)), failed, open)
+		rig.log("job %s: %d runs, of which %d ended failed and %d go on", job, len(rig.runsOf(job)), failed, open)
 	}
 	return broken, nil
 }
@@ -149,67 +149,67 @@
 )
 
 // removed: a version removes the route of a job that was accepted and runs.
-func removed(r *rig, trouble bool) (bool, error) {
+func removed(rig *rig, trouble bool) (bool, error) {
 	const job = "00000000000000c3"
 	kept, dropped := route("check", jobHost, "/check/", "survey", 0, 4), route("rebuild", jobHost, "/rebuild/", "survey", 2, 3)
 	tenants := []map[string]any{tenant("first", firstKey)}
-	if err := begin(r, 10, []map[string]any{kept, dropped}, tenants); err != nil {
+	if err := begin(rig, 10, []map[string]any{kept, dropped}, tenants); err != nil {
 		return false, err
 	}
-	r.setDuration("rebuild", firstStep)
+	rig.setDuration("rebuild", firstStep)
 	body := map[string]any{"spec": "rebuild", "steps": []any{
 		map[string]any{"count": 2, "cpu": 4000, "memMb": 4000, "estimateMs": 3000},
 		map[string]any{"count": 2, "cpu": 4000, "memMb": 4000, "estimateMs": 3000, "dependsOn": []int{0}},
 	}}
-	if status, _ := r.callAny(http.MethodPost, jobHost, "/rebuild/"+job, firstKey, body); status/100 != 2 {
+	if status, _ := rig.callAny(http.MethodPost, jobHost, "/rebuild/"+job, firstKey, body); status/100 != 2 {
 		return false, fmt.Errorf("the job was not accepted")
 	}
-	if _, found := awaitRun(r, job, afterCrash); !found {
+	if _, found := awaitRun(rig, job, afterCrash); !found {
 		return false, fmt.Errorf("the job did not start")
 	}
 	time.Sleep(firstStep / 3)
 	if trouble {
-		r.publish([]map[string]any{kept}, tenants, "survey")
+		rig.publish([]map[string]any{kept}, tenants, "survey")
 	} else {
-		r.publish([]map[string]any{kept, dropped}, tenants, "survey")
+		rig.publish([]map[string]any{kept, dropped}, tenants, "survey")
 	}
 	time.Sleep(firstStep + finishS + afterThat)
 	done := 0
-	for _, run := range r.runsOf(job) {
+	for _, run := range rig.runsOf(job) {
 		if run.how == "done" {
 			done++
 		}
 	}
-	r.log("job %s: %d of 4 tasks have ended done", job, done)
+	rig.log("job %s: %d of 4 tasks have ended done", job, done)
 	return done < 4, nil
 }
 
 // foreign: a client of another tenant uses an ID that a job of the first tenant has, on a queue of its own.
-func foreign(r *rig, trouble bool) (bool, error) {
+func foreign(rig *rig, trouble bool) (bool, error) {
 	const job = "00000000000000d4"
 	routes := []map[string]any{route("check", jobHost, "/check/", "survey", 0, 4), route("rebuild", jobHost, "/rebuild/", "survey", 2, 3)}
-	if err := begin(r, 6, routes, []map[string]any{tenant("first", firstKey), tenant("other", otherKey)}); err != nil {
+	if err := begin(rig, 6, routes, []map[string]any{tenant("first", firstKey), tenant("other", otherKey)}); err != nil {
 		return false, err
 	}
-	r.setDuration("first", 30*time.Second)
-	r.setDuration("other", 2*time.Second)
+	rig.setDuration("first", 30*time.Second)
+	rig.setDuration("other", 2*time.Second)
 	body := func(spec string) map[string]any {
 		return map[string]any{"spec": spec, "steps": []any{map[string]any{"count": 1, "cpu": 4000, "memMb": 4000, "estimateMs": 3000}}}
 	}
-	if status, _ := r.callAny(http.MethodPost, jobHost, "/check/"+job, firstKey, body("first")); status/100 != 2 {
+	if status, _ := rig.callAny(http.MethodPost, jobHost, "/check/"+job, firstKey, body("first")); status/100 != 2 {
 		return false, fmt.Errorf("the first job was not accepted")
 	}
 	other := "00000000000000d5"
 	if trouble {
 		other = job
 	}
-	status, _ := r.callAny(http.MethodPost, jobHost, "/rebuild/"+other, otherKey, body("other"))
+	status, _ := rig.callAny(http.MethodPost, jobHost, "/rebuild/"+other, otherKey, body("other"))
 	time.Sleep(8 * time.Second)
-	got, _ := r.callAny(http.MethodGet, jobHost, "/rebuild/"+other, otherKey, nil)
+	got, _ := rig.callAny(http.MethodGet, jobHost, "/rebuild/"+other, otherKey, nil)
 	broken := status/100 == 2 && got == http.StatusGone
-	r.callAny(http.MethodDelete, jobHost, "/rebuild/"+other, otherKey, nil)
+	rig.callAny(http.MethodDelete, jobHost, "/rebuild/"+other, otherKey, nil)
 	time.Sleep(2 * time.Second)
-	_, answer := r.callAny(http.MethodGet, jobHost, "/check/"+job, firstKey, nil)
+	_, answer := rig.callAny(http.MethodGet, jobHost, "/check/"+job, firstKey, nil)
 	if stateIn(answer) == "cancelled" {
 		broken = true
 	}
@@ -226,26 +226,26 @@
 
 // starved: many jobs come at once that only minions of kind b may run, which are full, and then a job of another tenant that all minions may
 // run, of which two thirds are idle.
-func starved(r *rig, trouble bool) (bool, error) {
+func starved(rig *rig, trouble bool) (bool, error) {
 	const filler, victim = "00000000000000e5", "00000000000000f6"
 	rebuild := route("rebuild", jobHost, "/rebuild/", "survey", 2, 3)
 	rebuild["stretch"], rebuild["targetLatencyMs"] = 4.0, 3000
 	const minions = 12
 	tenants := []map[string]any{tenant("first", firstKey), tenant("other", otherKey)}
-	if err := begin(r, minions, []map[string]any{rebuild, route("watch", jobHost, "/watch/", "survey", 1, 2)}, tenants); err != nil {
+	if err := begin(rig, minions, []map[string]any{rebuild, route("watch", jobHost, "/watch/", "survey", 1, 2)}, tenants); err != nil {
 		return false, err
 	}
-	r.setDuration("watch", 0)
-	r.setDuration("rebuild", firstStep)
+	rig.setDuration("watch", 0)
+	rig.setDuration("rebuild", firstStep)
 	body := func(spec string, steps ...map[string]any) map[string]any {
 		return map[string]any{"spec": spec, "steps": steps}
 	}
 	full := map[string]any{"count": minions / 3, "cpu": 32000, "memMb": 60000, "requiredLabel": "b", "longRunning": true}
-	if status, _ := r.callAny(http.MethodPost, jobHost, "/watch/"+filler, firstKey, body("watch", full)); status/100 != 2 {
+	if status, _ := rig.callAny(http.MethodPost, jobHost, "/watch/"+filler, firstKey, body("watch", full)); status/100 != 2 {
 		return false, fmt.Errorf("the lasting job was not accepted")
 	}
 	time.Sleep(calmAtStart)
-	if runs := len(r.runsOf(filler)); runs != minions/3 {
+	if runs := len(rig.runsOf(filler)); runs != minions/3 {
 		return false, fmt.Errorf("%d tasks that last run, not %d", runs, minions/3)
 	}
 	large := map[string]any{"count": 4, "cpu": 6600, "memMb": 6700, "estimateMs": 5600, "requiredLabel": "b"}
@@ -259,7 +259,7 @@
 		for ; sent < int(due); sent++ {
 			id := fmt.Sprintf("00000000%08x", sent+1)
 			go func() {
-				status, _ := r.callAny(http.MethodPost, jobHost, "/rebuild/"+id, firstKey, body("rebuild", large, large, large))
+				status, _ := rig.callAny(http.MethodPost, jobHost, "/rebuild/"+id, firstKey, body("rebuild", large, large, large))
 				accepted <- status/100 == 2
 			}()
 		}
@@ -271,23 +271,23 @@
 			count++
 		}
 	}
-	r.log("%d of %d jobs for minions of kind b were accepted, of three steps each", count, sent)
+	rig.log("%d of %d jobs for minions of kind b were accepted, of three steps each", count, sent)
 	free := map[string]any{"count": 4, "cpu": 6600, "memMb": 6700, "estimateMs": 5600}
-	if status, _ := r.callAny(http.MethodPost, jobHost, "/rebuild/"+victim, otherKey, body("rebuild", free)); status/100 != 2 {
+	if status, _ := rig.callAny(http.MethodPost, jobHost, "/rebuild/"+victim, otherKey, body("rebuild", free)); status/100 != 2 {
 		return false, fmt.Errorf("the last job was not accepted")
 	}
-	r.log("end of the traffic")
+	rig.log("end of the traffic")
 	time.Sleep(finishS + afterThat)
-	r.callAny(http.MethodGet, jobHost, "/rebuild/"+victim, otherKey, nil)
-	runs := r.runsOf(victim)
-	r.log("job %s of the other tenant: %d runs; %d of %d minions run nothing", victim, len(runs), r.idle(), minions)
+	rig.callAny(http.MethodGet, jobHost, "/rebuild/"+victim, otherKey, nil)
+	runs := rig.runsOf(victim)
+	rig.log("job %s of the other tenant: %d runs; %d of %d minions run nothing", victim, len(runs), rig.idle(), minions)
 	return len(runs) == 0, nil
 }
 
 // idle returns the number of minions without runs.
-func (r *rig) idle() int {
+func (rig *rig) idle() int {
 	count := 0
-	for _, w := range r.workers {
+	for _, w := range rig.workers {
 		w.mu.Lock()
 		if len(w.running) == 0 {
 			count++
@@ -298,18 +298,18 @@
 }
 
 // other: another writer stores an entry with a service that isn't named in the configuration, for the machine of a minion at work.
-func other(r *rig, trouble bool) (bool, error) {
+func other(rig *rig, trouble bool) (bool, error) {
 	const job = "0000000000000a07"
-	if err := begin(r, 9, []map[string]any{route("rebuild", jobHost, "/rebuild/", "survey", 2, 3)}, []map[string]any{tenant("first", firstKey)}); err != nil {
+	if err := begin(rig, 9, []map[string]any{route("rebuild", jobHost, "/rebuild/", "survey", 2, 3)}, []map[string]any{tenant("first", firstKey)}); err != nil {
 		return false, err
 	}
-	r.setDuration("rebuild", 15*time.Second)
+	rig.setDuration("rebuild", 15*time.Second)
 	step := map[string]any{"count": 2, "cpu": 20000, "memMb": 20000, "estimateMs": 15000}
 	body := map[string]any{"spec": "rebuild", "steps": []any{step}}
-	if status, _ := r.callAny(http.MethodPost, jobHost, "/rebuild/"+job, firstKey, body); status/100 != 2 {
+	if status, _ := rig.callAny(http.MethodPost, jobHost, "/rebuild/"+job, firstKey, body); status/100 != 2 {
 		return false, fmt.Errorf("the job was not accepted")
 	}
-	run, found := awaitRun(r, job, afterCrash)
+	run, found := awaitRun(rig, job, afterCrash)
 	if !found {
 		return false, fmt.Errorf("the job did not start")
 	}
@@ -324,24 +324,24 @@
 			"capacity": map[string]int64{"cpu": 1000, "memMb": 100, "gpu": 0}, "labels": []string{}, "machine": run.machine,
 			"born": time.Now().UnixMilli(),
 		})
-		r.store.put("keyed.servers", "agent-1", entry)
-		r.log("another writer stores servers/agent-1: %s", entry)
+		rig.store.put("keyed.servers", "agent-1", entry)
+		rig.log("another writer stores servers/agent-1: %s", entry)
 	}
 	time.Sleep(20 * time.Second)
-	r.callAny(http.MethodGet, jobHost, "/rebuild/"+job, firstKey, nil)
-	return r.atOnce(job), nil
+	rig.callAny(http.MethodGet, jobHost, "/rebuild/"+job, firstKey, nil)
+	return rig.atOnce(job), nil
 }
 
 // atOnce reports whether two runs of one task of a job were at work at the same time.
-func (r *rig) atOnce(job string) bool {
+func (rig *rig) atOnce(job string) bool {
 	broken := false
-	runs := r.runsOf(job)
+	runs := rig.runsOf(job)
 	for _, first := range runs {
 		for _, second := range runs {
 			if first.task == second.task && first.number < second.number && (first.ended.IsZero() || second.began.Before(first.ended)) {
 				broken = true
-				r.log("%s: run %d on %s (%.3f s to %.3f s, %s) and run %d on %s (from %.3f s) at the same time", first.task, first.number, first.minion,
-					first.began.Sub(r.began).Seconds(), first.ended.Sub(r.began).Seconds(), first.how, second.number, second.minion, second.began.Sub(r.began).Seconds())
+				rig.log("%s: run %d on %s (%.3f s to %.3f s, %s) and run %d on %s (from %.3f s) at the same time", first.task, first.number, first.minion,
+					first.began.Sub(rig.began).Seconds(), first.ended.Sub(rig.began).Seconds(), first.how, second.number, second.minion, second.began.Sub(rig.began).Seconds())
 			}
 		}
 	}
@@ -349,46 +349,46 @@
 }
 
 // serving: the minion of a lasting task with a target is lost for good while a task that fills runs on each of the others.
-func serving(r *rig, trouble bool) (bool, error) {
+func serving(rig *rig, trouble bool) (bool, error) {
 	const target, fills = "0000000000000b08", "0000000000000c09"
 	const minions = 10
 	routes := []map[string]any{route("watch", jobHost, "/watch/", "survey", 1, 2), route("rebuild", jobHost, "/rebuild/", "survey", 2, 3)}
-	if err := begin(r, minions, routes, []map[string]any{tenant("first", firstKey), tenant("other", otherKey)}); err != nil {
+	if err := begin(rig, minions, routes, []map[string]any{tenant("first", firstKey), tenant("other", otherKey)}); err != nil {
 		return false, err
 	}
-	r.setDuration("watch", 0)
-	r.setDuration("rebuild", 100*time.Second)
+	rig.setDuration("watch", 0)
+	rig.setDuration("rebuild", 100*time.Second)
 	body := func(spec string, step map[string]any) map[string]any {
 		return map[string]any{"spec": spec, "steps": []any{step}}
 	}
 	watch := body("watch", map[string]any{"count": 1, "cpu": 4000, "memMb": 4000, "longRunning": true, "image": "gauge", "targetMs": 200})
-	if status, _ := r.callAny(http.MethodPost, jobHost, "/watch/"+target, firstKey, watch); status/100 != 2 {
+	if status, _ := rig.callAny(http.MethodPost, jobHost, "/watch/"+target, firstKey, watch); status/100 != 2 {
 		return false, fmt.Errorf("the lasting job was not accepted")
 	}
-	run, found := awaitRun(r, target, afterCrash)
+	run, found := awaitRun(rig, target, afterCrash)
 	if !found {
 		return false, fmt.Errorf("the lasting job did not start")
 	}
 	fill := body("rebuild", map[string]any{
 		"count": minions - 1, "cpu": 2000, "memMb": 1000, "estimateMs": 90000, "fills": true, "image": "batch", "antiAffinity": 1, "checkpointing": true,
 	})
-	if status, _ := r.callAny(http.MethodPost, jobHost, "/rebuild/"+fills, otherKey, fill); status/100 != 2 {
+	if status, _ := rig.callAny(http.MethodPost, jobHost, "/rebuild/"+fills, otherKey, fill); status/100 != 2 {
 		return false, fmt.Errorf("the job that fills was not accepted")
 	}
 	time.Sleep(calmAtStart)
-	for until := time.Now().Add(afterCrash); len(r.runsOf(fills)) < minions-1; time.Sleep(100 * time.Millisecond) {
+	for until := time.Now().Add(afterCrash); len(rig.runsOf(fills)) < minions-1; time.Sleep(100 * time.Millisecond) {
 		if time.Now().After(until) {
-			return false, fmt.Errorf("%d tasks that fill run, not %d", len(r.runsOf(fills)), minions-1)
+			return false, fmt.Errorf("%d tasks that fill run, not %d", len(rig.runsOf(fills)), minions-1)
 		}
 	}
 	if trouble {
-		r.workerOf(run).crash() // and does not come back
+		rig.workerOf(run).crash() // and does not come back
 	}
 	time.Sleep(40 * time.Second)
-	r.callAny(http.MethodGet, jobHost, "/watch/"+target, firstKey, nil)
-	runs := r.runsOf(target)
+	rig.callAny(http.MethodGet, jobHost, "/watch/"+target, firstKey, nil)
+	runs := rig.runsOf(target)
 	last := runs[len(runs)-1]
-	r.log("the lasting task: %d runs, the last one began at %.3f s and ended at %.3f s (%s)", len(runs), last.began.Sub(r.began).Seconds(), last.ended.Sub(r.began).Seconds(), last.how)
+	rig.log("the lasting task: %d runs, the last one began at %.3f s and ended at %.3f s (%s)", len(runs), last.began.Sub(rig.began).Seconds(), last.ended.Sub(rig.began).Seconds(), last.how)
 	return !last.ended.IsZero(), nil
 }
 
@@ -399,45 +399,45 @@
 )
 
 // woken: a host through which the decider reaches minions is frozen and wakes, while some of these minions crash and start again.
-func woken(r *rig, trouble bool) (bool, error) {
+func woken(rig *rig, trouble bool) (bool, error) {
 	const minions, job = 210, "0000000000000d0a"
 	for number := range minions {
 		zone := zones[number%len(zones)]
-		if err := r.addWorker(fmt.Sprintf("m%03d", number), "survey", zone, fmt.Sprintf("r%d", number/20), "a", 32000, 65536); err != nil {
+		if err := rig.addWorker(fmt.Sprintf("m%03d", number), "survey", zone, fmt.Sprintf("r%d", number/20), "a", 32000, 65536); err != nil {
 			return false, err
 		}
-		r.workers[number].keepsID = true
+		rig.workers[number].keepsID = true
 	}
-	r.publish([]map[string]any{route("rebuild", jobHost, "/rebuild/", "survey", 2, 3)}, []map[string]any{tenant("first", firstKey)}, "survey")
-	if err := r.startHosts(append(zones, zones...)); err != nil {
+	rig.publish([]map[string]any{route("rebuild", jobHost, "/rebuild/", "survey", 2, 3)}, []map[string]any{tenant("first", firstKey)}, "survey")
+	if err := rig.startHosts(append(zones, zones...)); err != nil {
 		return false, err
 	}
-	if err := r.awaitReady(); err != nil {
+	if err := rig.awaitReady(); err != nil {
 		return false, err
 	}
 	time.Sleep(8 * time.Second)
-	r.setDuration("rebuild", 12*time.Second)
-	decider := r.decider()
+	rig.setDuration("rebuild", 12*time.Second)
+	decider := rig.decider()
 	var frozen *host
-	for _, h := range r.hosts {
+	for _, h := range rig.hosts {
 		if h != decider && h.zone != decider.zone {
 			frozen = h // the first host of its zone is the one that the decider uses there
 			break
 		}
 	}
-	r.log("host %s decides, host %s calls the minions of %s for it", decider.name, frozen.name, frozen.zone)
+	rig.log("host %s decides, host %s calls the minions of %s for it", decider.name, frozen.name, frozen.zone)
 	if trouble {
-		r.signal(frozen, syscall.SIGSTOP)
+		rig.signal(frozen, syscall.SIGSTOP)
 	}
 	began := time.Now()
 	step := map[string]any{"count": 200, "cpu": 20000, "memMb": 20000, "estimateMs": 12000}
-	if status, _ := r.call(decider, http.MethodPost, jobHost, "/rebuild/"+job, firstKey, map[string]any{"spec": "rebuild", "steps": []any{step}}); status/100 != 2 {
+	if status, _ := rig.call(decider, http.MethodPost, jobHost, "/rebuild/"+job, firstKey, map[string]any{"spec": "rebuild", "steps": []any{step}}); status/100 != 2 {
 		return false, fmt.Errorf("the job was not accepted")
 	}
 	var hit []*worker
 	if trouble {
 		time.Sleep(returnsFrom - time.Second - time.Since(began))
-		for _, w := range r.workers {
+		for _, w := range rig.workers {
 			if w.zone == frozen.zone && len(hit) < minions*14/100 {
 				hit = append(hit, w)
 				w.crash()
@@ -449,20 +449,20 @@
 				return false, err
 			}
 		}
-		r.signal(frozen, syscall.SIGCONT)
+		rig.signal(frozen, syscall.SIGCONT)
 		if lasted := time.Since(began); lasted > longestFreeze {
 			return false, fmt.Errorf("the host was frozen for %v", lasted)
 		}
 	}
 	time.Sleep(25 * time.Second)
-	return r.atOnce(job), nil
+	return rig.atOnce(job), nil
 }
 
 // decider returns the host that has logged last that it decides.
-func (r *rig) decider() *host {
+func (rig *rig) decider() *host {
 	var found *host
 	latest := ""
-	for _, h := range r.hosts {
+	for _, h := range rig.hosts {
 		data, _ := os.ReadFile(h.output)
 		for _, line := range strings.Split(string(data), "\n") {
 			var entry struct{ Time, Msg string }
@@ -480,22 +480,22 @@
 )
 
 // kept: jobs that fill come at once to a service each of whose minions runs a task with a target, and then a job of another tenant.
-func kept(r *rig, trouble bool) (bool, error) {
+func kept(rig *rig, trouble bool) (bool, error) {
 	const target, victim = "0000000000000b08", "0000000000000e0b"
 	const minions = 4
 	rebuild := route("rebuild", jobHost, "/rebuild/", "survey", 2, 3)
 	rebuild["stretch"], rebuild["targetLatencyMs"] = 4.0, 3000
 	routes := []map[string]any{route("watch", jobHost, "/watch/", "survey", 1, 2), rebuild}
-	if err := begin(r, minions, routes, []map[string]any{tenant("first", firstKey), tenant("other", otherKey)}); err != nil {
+	if err := begin(rig, minions, routes, []map[string]any{tenant("first", firstKey), tenant("other", otherKey)}); err != nil {
 		return false, err
 	}
-	r.setDuration("watch", 0)
-	r.setDuration("rebuild", firstStep)
+	rig.setDuration("watch", 0)
+	rig.setDuration("rebuild", firstStep)
 	body := func(spec string, step map[string]any) map[string]any {
 		return map[string]any{"spec": spec, "steps": []any{step}}
 	}
 	watch := body("watch", map[string]any{"count": minions, "cpu": 2000, "memMb": 2000, "longRunning": true, "image": "gauge", "targetMs": 200, "antiAffinity": 1})
-	if status, _ := r.callAny(http.MethodPost, jobHost, "/watch/"+target, firstKey, watch); status/100 != 2 {
+	if status, _ := rig.callAny(http.MethodPost, jobHost, "/watch/"+target, firstKey, watch); status/100 != 2 {
 		return false, fmt.Errorf("the lasting job was not accepted")
 	}
 	time.Sleep(calmAtStart)
@@ -506,18 +506,18 @@
 	fill := body("rebuild", map[string]any{"count": 1, "cpu": 2000, "memMb": 1000, "estimateMs": 5600, "fills": true, "image": "batch"})
 	sent := int(rate * fillFor.Seconds())
 	for number := range sent {
-		if status, _ := r.callAny(http.MethodPost, jobHost, fmt.Sprintf("/rebuild/%016x", 0xf000+number), firstKey, fill); status/100 != 2 {
+		if status, _ := rig.callAny(http.MethodPost, jobHost, fmt.Sprintf("/rebuild/%016x", 0xf000+number), firstKey, fill); status/100 != 2 {
 			return false, fmt.Errorf("a job that fills was not accepted")
 		}
 		time.Sleep(fillFor / time.Duration(sent))
 	}
 	time.Sleep(time.Second)
 	plain := body("rebuild", map[string]any{"count": 2, "cpu": 4000, "memMb": 4000, "estimateMs": 5600})
-	if status, _ := r.callAny(http.MethodPost, jobHost, "/rebuild/"+victim, otherKey, plain); status/100 != 2 {
+	if status, _ := rig.callAny(http.MethodPost, jobHost, "/rebuild/"+victim, otherKey, plain); status/100 != 2 {
 		return false, fmt.Errorf("the last job was not accepted")
 	}
 	time.Sleep(finishS + afterThat)
-	r.callAny(http.MethodGet, jobHost, "/rebuild/"+victim, otherKey, nil)
-	r.log("job %s of the other tenant: %d runs", victim, len(r.runsOf(victim)))
-	return len(r.runsOf(victim)) == 0, nil
+	rig.callAny(http.MethodGet, jobHost, "/rebuild/"+victim, otherKey, nil)
+	rig.log("job %s of the other tenant: %d runs", victim, len(rig.runsOf(victim)))
+	return len(rig.runsOf(victim)) == 0, nil
 }
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -14,7 +14,7 @@
 	exitFailed = 2
 )
 
-var cases = map[string]func(r *rig, trouble bool) (broken bool, err error){
+var cases = map[string]func(rig *rig, trouble bool) (broken bool, err error){
 	"crashes": crashes,
 	"removed": removed,
 	"foreign": foreign,
@@ -34,24 +34,24 @@
 }
 
 func play(name, recordPath string, trouble bool) int {
-	r, err := newRig(recordPath)
+	rig, err := newRig(recordPath)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	defer r.close()
-	broken, err := cases[name](r, trouble)
+	defer rig.close()
+	broken, err := cases[name](rig, trouble)
 	switch {
 	case err != nil:
-		r.log("the case could not run: %v", err)
+		rig.log("the case could not run: %v", err)
 		fmt.Println("could not run:", err)
 		return exitFailed
 	case broken:
-		r.log("verdict: the rule was broken")
+		rig.log("verdict: the rule was broken")
 		fmt.Println("the rule was broken")
 		return exitBroken
 	}
-	r.log("verdict: the rule held")
+	rig.log("verdict: the rule held")
 	fmt.Println("the rule held")
 	return exitHeld
 }
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -62,36 +62,36 @@
 	return &rig{folder: folder, record: record, began: time.Now(), store: newStore(), durations: map[string]time.Duration{}}, nil
 }
 
-func (r *rig) log(format string, values ...any) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	fmt.Fprintf(r.record, "%8.3f s  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, values...))
+func (rig *rig) log(format string, values ...any) {
+	rig.mu.Lock()
+	defer rig.mu.Unlock()
+	fmt.Fprintf(rig.record, "%8.3f s  %s\n", time.Since(rig.began).Seconds(), fmt.Sprintf(format, values...))
 }
 
-func (r *rig) duration(spec string) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.durations[spec]
+func (rig *rig) duration(spec string) time.Duration {
+	rig.mu.Lock()
+	defer rig.mu.Unlock()
+	return rig.durations[spec]
 }
 
-func (r *rig) setDuration(spec string, lasts time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.durations[spec] = lasts
+func (rig *rig) setDuration(spec string, lasts time.Duration) {
+	rig.mu.Lock()
+	defer rig.mu.Unlock()
+	rig.durations[spec] = lasts
 }
 
-func (r *rig) runStarted(w *worker, task string, run int, spec string) {
-	r.log("minion %s starts %s run %d", w.id, task, run)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.runs = append(r.runs, &runRecord{task: task, machine: w.machine, minion: w.id, spec: spec, number: run, began: time.Now()})
+func (rig *rig) runStarted(w *worker, task string, run int, spec string) {
+	rig.log("minion %s starts %s run %d", w.id, task, run)
+	rig.mu.Lock()
+	defer rig.mu.Unlock()
+	rig.runs = append(rig.runs, &runRecord{task: task, machine: w.machine, minion: w.id, spec: spec, number: run, began: time.Now()})
 }
 
-func (r *rig) runEnded(w *worker, task string, run int, how string) {
-	r.log("minion %s: %s run %d ends: %s", w.id, task, run, how)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, record := range r.runs {
+func (rig *rig) runEnded(w *worker, task string, run int, how string) {
+	rig.log("minion %s: %s run %d ends: %s", w.id, task, run, how)
+	rig.mu.Lock()
+	defer rig.mu.Unlock()
+	for _, record := range rig.runs {
 		if record.task == task && record.number == run && record.minion == w.id && record.ended.IsZero() {
 			record.ended, record.how = time.Now(), how
 		}
@@ -99,11 +99,11 @@
 }
 
 // runsOf returns copies of the runs of a job.
-func (r *rig) runsOf(job string) []runRecord {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+func (rig *rig) runsOf(job string) []runRecord {
+	rig.mu.Lock()
+	defer rig.mu.Unlock()
 	var found []runRecord
-	for _, record := range r.runs {
+	for _, record := range rig.runs {
 		if strings.HasPrefix(record.task, job+".") {
 			found = append(found, *record)
 		}
@@ -137,40 +137,40 @@
 	return "", fmt.Errorf("no free port")
 }
 
-func (r *rig) addWorker(machine, service, zone, rack, kind string, cpu, mem int64) error {
+func (rig *rig) addWorker(machine, service, zone, rack, kind string, cpu, mem int64) error {
 	address, err := freeAddress()
 	if err != nil {
 		return err
 	}
-	w := &worker{rig: r, machine: machine, service: service, zone: zone, rack: rack, kind: kind, cpu: cpu, mem: mem, address: address, speed: 1}
-	r.workers = append(r.workers, w)
-	return w.begin()
+	added := &worker{rig: rig, machine: machine, service: service, zone: zone, rack: rack, kind: kind, cpu: cpu, mem: mem, address: address, speed: 1}
+	rig.workers = append(rig.workers, added)
+	return added.begin()
 }
 
 // startHosts starts the hosts with the command and the template of the deploy file.
-func (r *rig) startHosts(zones []string) error {
+func (rig *rig) startHosts(zones []string) error {
 	template, err := os.ReadFile("deploy/ebonyshuntd.ini")
 	if err != nil {
 		return err
 	}
 	var seeds []string
 	for number, zone := range zones {
-		h := &host{name: fmt.Sprintf("frontend-%s-%d", zone, number+1), zone: zone}
-		for _, address := range []*string{&h.http, &h.ready, &h.peer, &h.metricsPort} {
+		added := &host{name: fmt.Sprintf("frontend-%s-%d", zone, number+1), zone: zone}
+		for _, address := range []*string{&added.http, &added.ready, &added.peer, &added.metricsPort} {
 			if *address, err = freeAddress(); err != nil {
 				return err
 			}
 		}
-		_, h.metricsPort, _ = strings.Cut(h.metricsPort, ":")
-		seeds = append(seeds, h.peer)
-		r.hosts = append(r.hosts, h)
+		_, added.metricsPort, _ = strings.Cut(added.metricsPort, ":")
+		seeds = append(seeds, added.peer)
+		rig.hosts = append(rig.hosts, added)
 	}
-	for _, h := range r.hosts {
+	for _, h := range rig.hosts {
 		listener, err := net.Listen("tcp", loopback+":0")
 		if err != nil {
 			return err
 		}
-		go func() { _ = http.Serve(listener, r.store.handler(h.name)) }()
+		go func() { _ = http.Serve(listener, rig.store.handler(h.name)) }()
 		fields := strings.NewReplacer(
 			"{{nodeName}}", h.name, "{{zone}}", h.zone, "{{region}}", "region", "{{listen.frontend}}", h.http, "{{listen.readiness}}", h.ready,
 			"{{listen.control}}", h.peer, "{{seeds}}", strings.Join(seeds[:min(3, len(seeds))], ","), "{{ip}}", loopback, "{{portRange.1}}", h.metricsPort,
@@ -178,19 +178,19 @@
 			"{{advice}}", "", "{{bounds.holdMaxMs}}", fmt.Sprint(maxLeaseMS), "{{bounds.stopMs}}", "900", "{{bounds.status_s}}", "120",
 			"{{bounds.spreadFactor}}", "1.5", "{{bounds.graceS}}", "6",
 		)
-		h.settings = filepath.Join(r.folder, h.name+".ini")
-		h.output = filepath.Join(r.folder, h.name+".log")
+		h.settings = filepath.Join(rig.folder, h.name+".ini")
+		h.output = filepath.Join(rig.folder, h.name+".log")
 		if err := os.WriteFile(h.settings, []byte(fields.Replace(string(template))), 0o600); err != nil {
 			return err
 		}
-		if err := r.startHost(h); err != nil {
+		if err := rig.startHost(h); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (r *rig) startHost(h *host) error {
+func (rig *rig) startHost(h *host) error {
 	output, err := os.OpenFile(h.output, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -204,18 +204,18 @@
 	}
 	h.done = make(chan struct{})
 	go func(command *exec.Cmd, done chan struct{}) { _ = command.Wait(); close(done) }(h.command, h.done)
-	r.log("host %s starts", h.name)
+	rig.log("host %s starts", h.name)
 	return nil
 }
 
-func (r *rig) signal(h *host, signal syscall.Signal) {
-	r.log("host %s gets signal %v", h.name, signal)
+func (rig *rig) signal(h *host, signal syscall.Signal) {
+	rig.log("host %s gets signal %v", h.name, signal)
 	_ = h.command.Process.Signal(signal)
 }
 
 // close ends all processes that the rig started and removes its temporary folder.
-func (r *rig) close() {
-	for _, h := range r.hosts {
+func (rig *rig) close() {
+	for _, h := range rig.hosts {
 		if h.command != nil && h.command.Process != nil {
 			_ = h.command.Process.Signal(syscall.SIGCONT)
 			_ = h.command.Process.Kill()
@@ -223,28 +223,28 @@
 		}
 	}
 	if kept := os.Getenv("RIG_KEEP"); kept != "" {
-		_ = os.CopyFS(kept, os.DirFS(r.folder))
+		_ = os.CopyFS(kept, os.DirFS(rig.folder))
 	}
-	_ = os.RemoveAll(r.folder)
-	_ = r.record.Close()
+	_ = os.RemoveAll(rig.folder)
+	_ = rig.record.Close()
 }
 
 // publish stores a version of the configuration, as the operator does.
-func (r *rig) publish(routes, tenants []map[string]any, services ...string) {
-	r.version++
+func (rig *rig) publish(routes, tenants []map[string]any, services ...string) {
+	rig.version++
 	list := []map[string]any{}
 	for _, name := range services {
 		list = append(list, map[string]any{"name": name, "admissionCheck": false})
 	}
 	data, _ := json.Marshal(map[string]any{
-		"version": r.version, "routes": routes, "services": list, "tenants": tenants, "limits": map[string]any{"maxBodyBytes": 262144},
+		"version": rig.version, "routes": routes, "services": list, "tenants": tenants, "limits": map[string]any{"maxBodyBytes": 262144},
 	})
-	r.store.put("keyed.op", "config", data)
+	rig.store.put("keyed.op", "config", data)
 	var names []string
 	for _, route := range routes {
 		names = append(names, route["name"].(string))
 	}
-	r.log("the operator stores version %d, acknowledged: routes %v", r.version, names)
+	rig.log("the operator stores version %d, acknowledged: routes %v", rig.version, names)
 }
 
 func route(name, hostName, prefix, service string, priority, attempts int) map[string]any {
@@ -259,10 +259,10 @@
 }
 
 // awaitReady waits until all hosts answer their readiness checks with 200.
-func (r *rig) awaitReady() error {
+func (rig *rig) awaitReady() error {
 	for until := time.Now().Add(20 * time.Second); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
 		ready := 0
-		for _, h := range r.hosts {
+		for _, h := range rig.hosts {
 			client := http.Client{Timeout: time.Second}
 			if response, err := client.Get("http://" + h.ready + "/-/readyz"); err == nil {
 				response.Body.Close()
@@ -271,8 +271,8 @@
 				}
 			}
 		}
-		if ready == len(r.hosts) {
-			r.log("all hosts are ready")
+		if ready == len(rig.hosts) {
+			rig.log("all hosts are ready")
 			return nil
 		}
 	}
@@ -280,7 +280,7 @@
 }
 
 // call makes a client's call to a host and returns the status, 0 without an answer, and the body.
-func (r *rig) call(h *host, method, hostName, path, key string, body any) (int, string) {
+func (rig *rig) call(h *host, method, hostName, path, key string, body any) (int, string) {
 	var data []byte
 	if body != nil {
 		data, _ = json.Marshal(body)
@@ -293,19 +293,19 @@
 	client := http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
-		r.log("client: %s %s with key %s at %s: no answer: %v", method, path, key, h.name, err)
+		rig.log("client: %s %s with key %s at %s: no answer: %v", method, path, key, h.name, err)
 		return 0, ""
 	}
 	defer response.Body.Close()
 	answer, _ := io.ReadAll(response.Body)
-	r.log("client: %s %s with key %s at %s: %d %s", method, path, key, h.name, response.StatusCode, strings.TrimSpace(string(answer)))
+	rig.log("client: %s %s with key %s at %s: %d %s", method, path, key, h.name, response.StatusCode, strings.TrimSpace(string(answer)))
 	return response.StatusCode, string(answer)
 }
 
 // callAny makes a call at one host after the other until one answers with a final answer.
-func (r *rig) callAny(method, hostName, path, key string, body any) (int, string) {
+func (rig *rig) callAny(method, hostName, path, key string, body any) (int, string) {
 	for attempt := 0; attempt < 20; attempt++ {
-		status, answer := r.call(r.hosts[attempt%len(r.hosts)], method, hostName, path, key, body)
+		status, answer := rig.call(rig.hosts[attempt%len(rig.hosts)], method, hostName, path, key, body)
 		switch status {
 		case 0, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout, http.StatusTooManyRequests:
 			time.Sleep(500 * time.Millisecond)
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -49,34 +49,34 @@
 	return &store{topics: map[string]*topic{}, down: func(string) string { return "" }}
 }
 
-func (s *store) topic(name string) *topic {
-	found := s.topics[name]
+func (store *store) topic(name string) *topic {
+	found := store.topics[name]
 	if found == nil {
 		found = &topic{changed: make(chan struct{}), producers: map[string]*producer{}}
-		s.topics[name] = found
+		store.topics[name] = found
 	}
 	return found
 }
 
-func (t *topic) add(records []record) {
-	t.records = append(t.records, records...)
-	close(t.changed)
-	t.changed = make(chan struct{})
+func (topic *topic) add(records []record) {
+	topic.records = append(topic.records, records...)
+	close(topic.changed)
+	topic.changed = make(chan struct{})
 }
 
 // put appends a record as the operator or a worker does. Without a value, the key is dropped.
-func (s *store) put(name, key string, value []byte) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.topic(name).add([]record{{key, value}})
+func (store *store) put(name, key string, value []byte) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	store.topic(name).add([]record{{key, value}})
 }
 
 // handler serves one host, whose name tells which faults apply.
-func (s *store) handler(host string) http.Handler {
+func (store *store) handler(host string) http.Handler {
 	mux := http.NewServeMux()
 	guard := func(serve http.HandlerFunc) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
-			switch s.down(host) {
+			switch store.down(host) {
 			case "busy":
 				w.WriteHeader(http.StatusServiceUnavailable)
 			case "silent":
@@ -87,9 +87,9 @@
 			}
 		}
 	}
-	mux.HandleFunc("POST /-/log-append", guard(s.serveAppend))
-	mux.HandleFunc("GET /-/log-read", guard(s.serveRead))
-	mux.HandleFunc("GET /-/log-newest", guard(s.serveNewest))
+	mux.HandleFunc("POST /-/log-append", guard(store.serveAppend))
+	mux.HandleFunc("GET /-/log-read", guard(store.serveRead))
+	mux.HandleFunc("GET /-/log-newest", guard(store.serveNewest))
 	return mux
 }
 
@@ -105,7 +105,7 @@
 	return value
 }
 
-func (s *store) serveAppend(w http.ResponseWriter, r *http.Request) {
+func (store *store) serveAppend(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, requestBytes+65536))
 	if err != nil {
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
@@ -129,9 +129,9 @@
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	t := s.topic(query.Get("topic"))
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	t := store.topic(query.Get("topic"))
 	end := int64(len(t.records))
 	if at := query.Get("at"); at != "" && number(at) != end {
 		reply(w, http.StatusPreconditionFailed, map[string]int64{"end": end})
@@ -176,17 +176,17 @@
 	_, _ = w.Write(data)
 }
 
-func (s *store) serveRead(w http.ResponseWriter, r *http.Request) {
+func (store *store) serveRead(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	from := max(number(query.Get("from")), 0)
 	timer := time.NewTimer(time.Duration(min(number(query.Get("waitMs")), 30000)) * time.Millisecond)
 	defer timer.Stop()
 	for waiting := true; ; {
-		s.mu.Lock()
-		t := s.topic(query.Get("topic"))
+		store.mu.Lock()
+		t := store.topic(query.Get("topic"))
 		end, changed := int64(len(t.records)), t.changed
 		records := t.records[min(from, end):]
-		s.mu.Unlock()
+		store.mu.Unlock()
 		if len(records) == 0 && waiting {
 			select {
 			case <-changed:
@@ -214,10 +214,10 @@
 	}
 }
 
-func (s *store) serveNewest(w http.ResponseWriter, r *http.Request) {
+func (store *store) serveNewest(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
-	s.mu.Lock()
-	t := s.topic(query.Get("topic"))
+	store.mu.Lock()
+	t := store.topic(query.Get("topic"))
 	end := int64(len(t.records))
 	newest := map[string]int{}
 	for offset, record := range t.records {
@@ -227,7 +227,7 @@
 		}
 	}
 	records := slices.Clone(t.records)
-	s.mu.Unlock()
+	store.mu.Unlock()
 	var keys []string
 	for key := range newest {
 		if after := query.Get("dependsOn"); after == "" || key > after {
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -55,122 +55,124 @@
 )
 
 // begin starts a life of the machine's minion.
-func (w *worker) begin() error {
-	listener, err := net.Listen("tcp", w.address)
+func (worker *worker) begin() error {
+	listener, err := net.Listen("tcp", worker.address)
 	if err != nil {
 		return err
 	}
-	w.mu.Lock()
-	w.life++
-	if !w.keepsID || w.id == "" {
-		w.id = w.machine + "-" + string(rune('a'+w.life-1))
+	worker.mu.Lock()
+	worker.life++
+	if !worker.keepsID || worker.id == "" {
+		worker.id = worker.machine + "-" + string(rune('a'+worker.life-1))
 	}
-	w.up, w.draining, w.started = true, false, time.Now()
-	w.token, w.leaseEnd, w.lastEnd = 0, 0, 0
-	w.running, w.highest, w.finished = map[string]*activeRun{}, map[string]int{}, nil
-	w.changed = make(chan struct{})
+	worker.up, worker.draining, worker.started = true, false, time.Now()
+	worker.token, worker.leaseEnd, worker.lastEnd = 0, 0, 0
+	worker.running, worker.highest, worker.finished = map[string]*activeRun{}, map[string]int{}, nil
+	worker.changed = make(chan struct{})
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /-/run-start", w.serve(w.start))
-	mux.HandleFunc("POST /-/run-stop", w.serve(w.stop))
-	mux.HandleFunc("POST /-/hold", w.serve(w.hold))
-	w.server = &http.Server{Handler: mux}
-	server, id, life := w.server, w.id, w.life
-	w.mu.Unlock()
+	mux.HandleFunc("POST /-/run-start", worker.serve(worker.start))
+	mux.HandleFunc("POST /-/run-stop", worker.serve(worker.stop))
+	mux.HandleFunc("POST /-/hold", worker.serve(worker.hold))
+	worker.server = &http.Server{Handler: mux}
+	server, id, life := worker.server, worker.id, worker.life
+	worker.mu.Unlock()
 	go func() { _ = server.Serve(listener) }()
-	go w.announce(id, life)
-	go w.tick(life)
-	w.rig.log("minion %s of machine %s is up", id, w.machine)
+	go worker.announce(id, life)
+	go worker.tick(life)
+	worker.rig.log("minion %s of machine %s is up", id, worker.machine)
 	return nil
 }
 
 // crash ends the life of the minion without a word. Its entry leaves the store after three heartbeats.
-func (w *worker) crash() {
-	w.mu.Lock()
-	id := w.id
-	w.up = false
-	for task, run := range w.running {
-		w.rig.runEnded(w, task, run.number, "lost in the crash")
+func (worker *worker) crash() {
+	worker.mu.Lock()
+	id := worker.id
+	worker.up = false
+	for task, run := range worker.running {
+		worker.rig.runEnded(worker, task, run.number, "lost in the crash")
 	}
-	w.running = map[string]*activeRun{}
-	server := w.server
-	close(w.changed)
-	w.changed = make(chan struct{})
-	w.mu.Unlock()
+	worker.running = map[string]*activeRun{}
+	server := worker.server
+	close(worker.changed)
+	worker.changed = make(chan struct{})
+	worker.mu.Unlock()
 	_ = server.Close()
-	w.rig.log("minion %s of machine %s crashes", id, w.machine)
+	worker.rig.log("minion %s of machine %s crashes", id, worker.machine)
 	time.AfterFunc(3*heartbeat, func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		if !w.lives(id) {
-			w.rig.store.put("keyed.servers", id, nil)
+		worker.mu.Lock()
+		defer worker.mu.Unlock()
+		if !worker.lives(id) {
+			worker.rig.store.put("keyed.servers", id, nil)
 		}
 	})
 }
 
 // lives reports whether the minion with an id lives.
-func (w *worker) lives(id string) bool { return w.up && w.id == id }
+func (worker *worker) lives(id string) bool { return worker.up && worker.id == id }
 
 // livesOn reports whether a life of the machine's minion goes on.
-func (w *worker) livesOn(life int) bool { return w.up && w.life == life }
+func (worker *worker) livesOn(life int) bool { return worker.up && worker.life == life }
 
-func (w *worker) announce(id string, life int) {
+func (worker *worker) announce(id string, life int) {
 	for seq := 1; ; seq++ {
-		w.mu.Lock()
-		if !w.livesOn(life) {
-			w.mu.Unlock()
+		worker.mu.Lock()
+		if !worker.livesOn(life) {
+			worker.mu.Unlock()
 			return
 		}
 		state := "ready"
-		if w.draining {
+		if worker.draining {
 			state = "draining"
 		}
 		entry, _ := json.Marshal(map[string]any{
-			"service": w.service, "address": w.address, "zone": w.zone, "version": "1", "slots": 8, "state": state, "coldLeftMs": 0, "seq": seq,
-			"capacity": map[string]int64{"cpu": w.cpu, "memMb": w.mem, "gpu": 0}, "labels": []string{w.kind, w.rack}, "machine": w.machine,
-			"born": w.started.UnixMilli(),
+			"service": worker.service, "address": worker.address, "zone": worker.zone, "version": "1", "slots": 8, "state": state, "coldLeftMs": 0, "seq": seq,
+			"capacity": map[string]int64{"cpu": worker.cpu, "memMb": worker.mem, "gpu": 0}, "labels": []string{worker.kind, worker.rack}, "machine": worker.machine,
+			"born": worker.started.UnixMilli(),
 		})
-		w.mu.Unlock()
-		w.rig.store.put("keyed.servers", id, entry)
+		worker.mu.Unlock()
+		worker.rig.store.put("keyed.servers", id, entry)
 		time.Sleep(heartbeat)
 	}
 }
 
 // tick ends tasks whose time has come, and all of them when the lease has expired.
-func (w *worker) tick(life int) {
+func (worker *worker) tick(life int) {
 	for {
 		time.Sleep(lapseTick)
-		w.mu.Lock()
-		if !w.livesOn(life) {
-			w.mu.Unlock()
+		worker.mu.Lock()
+		if !worker.livesOn(life) {
+			worker.mu.Unlock()
 			return
 		}
-		lapsed := w.clock() >= w.leaseEnd
-		for task, run := range w.running {
-			last := w.rig.duration(run.spec)
+		lapsed := worker.clock() >= worker.leaseEnd
+		for task, run := range worker.running {
+			last := worker.rig.duration(run.spec)
 			switch {
 			case lapsed:
-				w.end(task, "lapsed")
+				worker.end(task, "lapsed")
 			case !run.stopping.IsZero() && time.Since(run.stopping) >= stopTime:
-				w.end(task, "stopped")
+				worker.end(task, "stopped")
 			case last > 0 && time.Since(run.began) >= last:
-				w.end(task, "done")
+				worker.end(task, "done")
 			}
 		}
-		w.mu.Unlock()
+		worker.mu.Unlock()
 	}
 }
 
-func (w *worker) clock() int64 { return int64(float64(time.Since(w.started).Milliseconds()) * w.speed) }
+func (worker *worker) clock() int64 {
+	return int64(float64(time.Since(worker.started).Milliseconds()) * worker.speed)
+}
 
-func (w *worker) end(task, how string) {
-	run := w.running[task]
-	delete(w.running, task)
-	w.highest[task] = max(w.highest[task], run.number)
-	w.lastEnd++
-	w.finished = append(w.finished, []any{w.lastEnd, task, run.number, how, ""})
-	w.rig.runEnded(w, task, run.number, how)
-	close(w.changed)
-	w.changed = make(chan struct{})
+func (worker *worker) end(task, how string) {
+	run := worker.running[task]
+	delete(worker.running, task)
+	worker.highest[task] = max(worker.highest[task], run.number)
+	worker.lastEnd++
+	worker.finished = append(worker.finished, []any{worker.lastEnd, task, run.number, how, ""})
+	worker.rig.runEnded(worker, task, run.number, how)
+	close(worker.changed)
+	worker.changed = make(chan struct{})
 }
 
 type call struct {
@@ -183,100 +185,100 @@
 	WaitMS       int64  `json:"waitMs"`
 }
 
-func (w *worker) serve(execute func(http.ResponseWriter, *http.Request, call)) http.HandlerFunc {
+func (worker *worker) serve(execute func(http.ResponseWriter, *http.Request, call)) http.HandlerFunc {
 	return func(writer http.ResponseWriter, request *http.Request) {
 		var body call
 		if json.NewDecoder(request.Body).Decode(&body) != nil {
 			writer.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		if !w.up {
+		worker.mu.Lock()
+		defer worker.mu.Unlock()
+		if !worker.up {
 			panic(http.ErrAbortHandler)
 		}
-		if expected := request.Header.Get("X-Ebonyshunt-Expect-Instance"); expected != "" && expected != w.id {
-			w.answer(writer, http.StatusMisdirectedRequest, map[string]any{})
+		if expected := request.Header.Get("X-Ebonyshunt-Expect-Instance"); expected != "" && expected != worker.id {
+			worker.answer(writer, http.StatusMisdirectedRequest, map[string]any{})
 			return
 		}
-		if body.FencingToken < w.token {
-			w.answer(writer, http.StatusConflict, map[string]any{"reason": "fence"})
+		if body.FencingToken < worker.token {
+			worker.answer(writer, http.StatusConflict, map[string]any{"reason": "fence"})
 			return
 		}
-		w.token = body.FencingToken
+		worker.token = body.FencingToken
 		execute(writer, request, body)
 	}
 }
 
-func (w *worker) answer(writer http.ResponseWriter, status int, body map[string]any) {
-	body["clockMs"], body["born"] = w.clock(), w.started.UnixMilli()
+func (worker *worker) answer(writer http.ResponseWriter, status int, body map[string]any) {
+	body["clockMs"], body["born"] = worker.clock(), worker.started.UnixMilli()
 	reply(writer, status, body)
 }
 
-func (w *worker) extend(deadlineMS int64) {
-	w.leaseEnd = max(w.leaseEnd, min(deadlineMS, w.clock()+maxLeaseMS))
+func (worker *worker) extend(deadlineMS int64) {
+	worker.leaseEnd = max(worker.leaseEnd, min(deadlineMS, worker.clock()+maxLeaseMS))
 }
 
-func (w *worker) start(writer http.ResponseWriter, _ *http.Request, body call) {
-	w.extend(body.DeadlineMS)
-	run := w.running[body.Task]
+func (worker *worker) start(writer http.ResponseWriter, _ *http.Request, body call) {
+	worker.extend(body.DeadlineMS)
+	run := worker.running[body.Task]
 	switch {
 	case run != nil && run.number == body.Run:
-	case body.Run <= w.highest[body.Task]:
-		w.answer(writer, http.StatusConflict, map[string]any{"reason": "old"})
+	case body.Run <= worker.highest[body.Task]:
+		worker.answer(writer, http.StatusConflict, map[string]any{"reason": "old"})
 		return
-	case body.DeadlineMS <= w.clock():
-		w.answer(writer, http.StatusConflict, map[string]any{"reason": "late"})
+	case body.DeadlineMS <= worker.clock():
+		worker.answer(writer, http.StatusConflict, map[string]any{"reason": "late"})
 		return
 	default:
-		w.running[body.Task] = &activeRun{number: body.Run, began: time.Now(), spec: body.Spec}
-		w.rig.runStarted(w, body.Task, body.Run, body.Spec)
+		worker.running[body.Task] = &activeRun{number: body.Run, began: time.Now(), spec: body.Spec}
+		worker.rig.runStarted(worker, body.Task, body.Run, body.Spec)
 	}
-	w.answer(writer, http.StatusOK, map[string]any{})
+	worker.answer(writer, http.StatusOK, map[string]any{})
 }
 
-func (w *worker) stop(writer http.ResponseWriter, _ *http.Request, body call) {
-	w.highest[body.Task] = max(w.highest[body.Task], body.Run)
-	if run := w.running[body.Task]; run != nil && run.number == body.Run && run.stopping.IsZero() {
+func (worker *worker) stop(writer http.ResponseWriter, _ *http.Request, body call) {
+	worker.highest[body.Task] = max(worker.highest[body.Task], body.Run)
+	if run := worker.running[body.Task]; run != nil && run.number == body.Run && run.stopping.IsZero() {
 		run.stopping = time.Now()
 	}
-	w.answer(writer, http.StatusOK, map[string]any{})
+	worker.answer(writer, http.StatusOK, map[string]any{})
 }
 
-func (w *worker) hold(writer http.ResponseWriter, request *http.Request, body call) {
+func (worker *worker) hold(writer http.ResponseWriter, request *http.Request, body call) {
 	if body.DeadlineMS > 0 {
-		w.extend(body.DeadlineMS)
+		worker.extend(body.DeadlineMS)
 	}
-	for len(w.finished) > 0 && w.finished[0][0].(int64) <= body.AckCursor {
-		w.rig.log("minion %s: the end of %v run %v is acknowledged", w.id, w.finished[0][1], w.finished[0][2])
-		w.finished = w.finished[1:]
+	for len(worker.finished) > 0 && worker.finished[0][0].(int64) <= body.AckCursor {
+		worker.rig.log("minion %s: the end of %v run %v is acknowledged", worker.id, worker.finished[0][1], worker.finished[0][2])
+		worker.finished = worker.finished[1:]
 	}
-	until, life := time.Now().Add(time.Duration(min(body.WaitMS, clientMaxMS))*time.Millisecond), w.life
-	for len(w.finished) == 0 && time.Now().Before(until) {
-		changed := w.changed
-		w.mu.Unlock()
+	until, life := time.Now().Add(time.Duration(min(body.WaitMS, clientMaxMS))*time.Millisecond), worker.life
+	for len(worker.finished) == 0 && time.Now().Before(until) {
+		changed := worker.changed
+		worker.mu.Unlock()
 		select {
 		case <-changed:
 		case <-time.After(time.Until(until)):
 		case <-request.Context().Done():
 		}
-		w.mu.Lock()
-		if !w.livesOn(life) || request.Context().Err() != nil {
+		worker.mu.Lock()
+		if !worker.livesOn(life) || request.Context().Err() != nil {
 			panic(http.ErrAbortHandler)
 		}
 	}
 	running := [][]any{}
-	for task, run := range w.running {
+	for task, run := range worker.running {
 		percent := 100
-		if last := w.rig.duration(run.spec); last > 0 {
+		if last := worker.rig.duration(run.spec); last > 0 {
 			percent = min(99, int(100*time.Since(run.began)/last))
 		}
 		running = append(running, []any{task, run.number, "", percent, 0})
 	}
 	sort.Slice(running, func(a, b int) bool { return running[a][0].(string) < running[b][0].(string) })
-	finished := w.finished[:min(len(w.finished), 500)]
+	finished := worker.finished[:min(len(worker.finished), 500)]
 	if finished == nil {
 		finished = [][]any{}
 	}
-	w.answer(writer, http.StatusOK, map[string]any{"running": running, "finished": finished})
+	worker.answer(writer, http.StatusOK, map[string]any{"running": running, "finished": finished})
 }
