Scheduler: a suspension of the machine counts in what confirms a term

Cause: the monotonic clock stands still while a machine is suspended (DEPLOY.md, Clocks). A decider that wakes counted the store call that confirmed its term, and the heartbeats of its quorum, as younger than they are by the time of the suspension, and could give leases and send orders on them after another host had taken over.

Change: package timekeeper reads by how much the system's clock that counts suspensions is ahead of the one that does not. A host's uptime counts it, timeAt turns an uptime into a time of the runtime's clock, and a quorum forgets what arrived before a suspension.

--- a/daemon/scheduler/balancer_test.go
+++ b/daemon/scheduler/balancer_test.go
@@ -14,7 +14,7 @@
 	for number := range peers {
 		host.fleet.register(Member{Name: fmt.Sprintf("peer-%d", number), Address: fmt.Sprintf("10.0.0.%d:1", number)})
 	}
-	return newBalancer(&tenure{host: host, quorum: newQuorum()})
+	return newBalancer(&tenure{host: host, quorum: newQuorum(nil)})
 }
 
 // wantHosts checks which hosts policy queries are sent through.
--- a/daemon/scheduler/heartbeat.go
+++ b/daemon/scheduler/heartbeat.go
@@ -109,7 +109,7 @@
 		answer.SentMS = host.uptime().Milliseconds() // rounded down: a lease must not count from a later time
 		var echo time.Time
 		if heartbeat.EchoMS > 0 {
-			echo = host.started.Add(time.Duration(heartbeat.EchoMS) * time.Millisecond)
+			echo = host.timeAt(time.Duration(heartbeat.EchoMS) * time.Millisecond)
 		}
 		if known { // the quorum is counted over the members
 			tenure.quorum.recordHeartbeat(heartbeat, echo)
--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -20,6 +20,7 @@
 	"ebonyshunt.org/daemon/dialer"
 	"ebonyshunt.org/daemon/linker"
 	"ebonyshunt.org/daemon/loader"
+	"ebonyshunt.org/daemon/timekeeper"
 	"ebonyshunt.org/library/budgeter"
 	"ebonyshunt.org/library/drainer"
 	"ebonyshunt.org/library/planner"
@@ -41,9 +42,11 @@
 	log      *slog.Logger
 	bootID   string
 	started  time.Time
-	clock    *recorder.Clock
-	metrics  *metrics
-	limits   *acceptor.Reporter
+	// suspensions adds to the time since started for how long the machine was suspended.
+	suspensions *timekeeper.Suspensions
+	clock       *recorder.Clock
+	metrics     *metrics
+	limits      *acceptor.Reporter
 	// requestBudget is the memory for the submissions that this host receives, forwards and, as the decider, gets from peers.
 	requestBudget *budgeter.Budget
 
@@ -105,7 +108,7 @@
 	debug.SetGCPercent(gcPercent)
 	clock := &recorder.Clock{}
 	host := &Host{
-		settings: settings, network: network, log: log, bootID: uuid.NewString(), started: time.Now(), campaignBackoff: minCampaignBackoff, campaigning: make(chan struct{}, 1), clock: clock,
+		settings: settings, network: network, log: log, bootID: uuid.NewString(), started: time.Now(), suspensions: timekeeper.New(), campaignBackoff: minCampaignBackoff, campaigning: make(chan struct{}, 1), clock: clock,
 		requestBudget: budgeter.New(acceptor.RequestMemory(settings.MemoryMB << 20)),
 		fleet:         newFleet(), sessions: newSessions(), undecodable: newUndecodable(),
 	}
@@ -281,8 +284,14 @@
 	return host.tenure
 }
 
-// uptime returns the time since the host started, on the monotonic clock.
-func (host *Host) uptime() time.Duration { return time.Since(host.started) }
+// uptime returns the time since the host started, with the time for which its machine was suspended.
+func (host *Host) uptime() time.Duration { return time.Since(host.started) + host.suspensions.Total() }
+
+// timeAt returns the time that has passed by now as much as an uptime has. The monotonic clock, which the result is on, does not count
+// suspensions: what was known before one is as much older on it.
+func (host *Host) timeAt(uptime time.Duration) time.Time {
+	return host.started.Add(uptime - host.suspensions.Total())
+}
 
 func (host *Host) recordStoreAnswer() { host.storeAnsweredAt.Store(int64(host.uptime())) }
 
--- a/daemon/scheduler/journal_test.go
+++ b/daemon/scheduler/journal_test.go
@@ -36,7 +36,7 @@
 		started: started, fleet: newFleet(), log: slog.New(slog.DiscardHandler),
 		store: translator.NewStore(server.Client(), server.Listener.Addr().String()),
 	}
-	tenure := &tenure{host: host, term: 5, ctx: t.Context(), quorum: newQuorum(), tickLag: newLag(), answerLag: newLag()}
+	tenure := &tenure{host: host, term: 5, ctx: t.Context(), quorum: newQuorum(nil), tickLag: newLag(), answerLag: newLag()}
 	tenure.confirmedAt.Store(neverAnswered)
 	tenure.journal = newJournal(tenure)
 	if err := tenure.journal.append(0, []translator.Entry{{Key: "k", Value: []byte("v")}}); err != nil {
--- a/daemon/scheduler/lag_test.go
+++ b/daemon/scheduler/lag_test.go
@@ -73,7 +73,7 @@
 		{"notToldYet", []time.Duration{0, 0, 0}, 0, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			tenure := &tenure{tickLag: newLag(), answerLag: newLag(), quorum: newQuorum()}
+			tenure := &tenure{tickLag: newLag(), answerLag: newLag(), quorum: newQuorum(nil)}
 			for index, took := range test.times {
 				tenure.quorum.recordHeartbeat(Heartbeat{Host: string(rune('a' + index)), AnswerTime: took}, time.Time{})
 			}
--- a/daemon/scheduler/quorum.go
+++ b/daemon/scheduler/quorum.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"ebonyshunt.org/daemon/timekeeper"
 )
 
 const (
@@ -22,8 +24,11 @@
 
 // quorum tracks which hosts have sent heartbeats for the term of a tenure.
 type quorum struct {
-	mu         sync.Mutex
-	heartbeats map[string]receivedHeartbeat // the last one, by host
+	suspensions *timekeeper.Suspensions // of this host's machine
+
+	mu          sync.Mutex
+	heartbeats  map[string]receivedHeartbeat // the last one, by host
+	suspendedBy time.Duration                // time for which the machine was suspended before these heartbeats arrived
 	// blocksSince is since when no former decider can hold a quorum, zero before.
 	blocksSince time.Time
 }
@@ -37,12 +42,24 @@
 	answerTime  time.Duration // Heartbeat.AnswerTime
 }
 
-func newQuorum() *quorum { return &quorum{heartbeats: map[string]receivedHeartbeat{}} }
+func newQuorum(suspensions *timekeeper.Suspensions) *quorum {
+	return &quorum{suspensions: suspensions, heartbeats: map[string]receivedHeartbeat{}, suspendedBy: suspensions.Total()}
+}
+
+// lock locks quorum.mu, and forgets the heartbeats that arrived before a suspension of this host's machine: they are older than the
+// clock shows.
+func (quorum *quorum) lock() {
+	quorum.mu.Lock()
+	if total := quorum.suspensions.Total(); total != quorum.suspendedBy {
+		clear(quorum.heartbeats)
+		quorum.suspendedBy = total
+	}
+}
 
 // recordHeartbeat records a heartbeat whose sender had received the answer that was sent at echo. Without one, which hosts of earlier
 // releases do not tell, it is not known when the heartbeat was sent.
 func (quorum *quorum) recordHeartbeat(heartbeat Heartbeat, echo time.Time) {
-	quorum.mu.Lock()
+	quorum.lock()
 	defer quorum.mu.Unlock()
 	received := receivedHeartbeat{at: time.Now(), supportedAt: echo, answerTime: heartbeat.AnswerTime}
 	former := quorum.heartbeats[heartbeat.Host].supportedAt
@@ -55,7 +72,7 @@
 // supportedAt returns the latest time at which more than half of the given number of hosts, this host included, certainly knew of no later
 // decider, given the current time. It returns zero if there is none.
 func (quorum *quorum) supportedAt(hostCount int, now time.Time) time.Time {
-	quorum.mu.Lock()
+	quorum.lock()
 	defer quorum.mu.Unlock()
 	times := []time.Time{now}
 	for _, received := range quorum.heartbeats {
@@ -76,7 +93,7 @@
 // answerTime returns how long this host's answers to heartbeats take on the way to a host in the middle of the quorum, and false if
 // fewer than minAnswerTimes hosts tell. What delays the answers to most hosts delays all messages of this host.
 func (quorum *quorum) answerTime() (time.Duration, bool) {
-	quorum.mu.Lock()
+	quorum.lock()
 	defer quorum.mu.Unlock()
 	var times []time.Duration
 	for _, received := range quorum.heartbeats {
@@ -93,21 +110,21 @@
 
 // includes reports whether a host sent a heartbeat within heartbeatValidity.
 func (quorum *quorum) includes(host string) bool {
-	quorum.mu.Lock()
+	quorum.lock()
 	defer quorum.mu.Unlock()
 	return time.Since(quorum.heartbeats[host].at) <= heartbeatValidity
 }
 
 // heard reports whether any host has sent a heartbeat in this tenure.
 func (quorum *quorum) heard() bool {
-	quorum.mu.Lock()
+	quorum.lock()
 	defer quorum.mu.Unlock()
 	return len(quorum.heartbeats) > 0
 }
 
 // isHeld reports whether more than half of the given number of hosts belong to the quorum, this host included.
 func (quorum *quorum) isHeld(hostCount int) bool {
-	quorum.mu.Lock()
+	quorum.lock()
 	defer quorum.mu.Unlock()
 	return 2*quorum.count(time.Now()) > hostCount
 }
@@ -127,7 +144,7 @@
 // decider knew at least, 0 if that is not known: those that do not support this term are too few for a quorum over as many. A former
 // decider may not know hosts that this one counts.
 func (quorum *quorum) blocks(hostCount, formerHostCount int) time.Time {
-	quorum.mu.Lock()
+	quorum.lock()
 	defer quorum.mu.Unlock()
 	now := time.Now()
 	count := quorum.count(now)
@@ -198,7 +215,7 @@
 // the current time: the sending of a store call that showed none, or when most hosts knew of none. Since leases count from then, a later
 // decider waits for one lease and no longer.
 func (tenure *tenure) leaseBase(now time.Time) time.Time {
-	base := tenure.host.started.Add(time.Duration(tenure.confirmedAt.Load()))
+	base := tenure.host.timeAt(time.Duration(tenure.confirmedAt.Load()))
 	if now.Sub(base) < freshProofAge {
 		return base
 	}
--- a/daemon/scheduler/quorum_test.go
+++ b/daemon/scheduler/quorum_test.go
@@ -32,7 +32,7 @@
 	now := time.Now()
 	tenure := &tenure{
 		host:    &Host{started: now.Add(-time.Minute), fleet: newFleet()},
-		quorum:  newQuorum(),
+		quorum:  newQuorum(nil),
 		planner: planner.New(planner.Settings{}, 1, &planner.Catalog{}, now),
 	}
 	tenure.confirmTerm(tenure.host.uptime() - quorumRenewalWindow/2) // so that the check takes the lock of the quorum
@@ -57,7 +57,7 @@
 // TestReleasedLeases guards against a decider that gives leases after it has told a later one that it gives none.
 func TestReleasedLeases(t *testing.T) {
 	host := &Host{started: time.Now(), fleet: newFleet()}
-	tenure := &tenure{host: host, term: 5, quorum: newQuorum()}
+	tenure := &tenure{host: host, term: 5, quorum: newQuorum(nil)}
 	tenure.confirmTerm(host.uptime())
 	for _, step := range []struct {
 		heartbeatTerm, want int64
@@ -88,7 +88,7 @@
 		"echoOfFuture": {map[string]time.Duration{"b": time.Second, "c": -time.Hour}, -1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			quorum := newQuorum()
+			quorum := newQuorum(nil)
 			for host, ago := range test.echoes {
 				var echo time.Time
 				if ago != -1 {
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -90,7 +90,7 @@
 	tenure.journal = newJournal(tenure)
 	tenure.policyQueries = newBalancer(tenure)
 	tenure.delegator = newDelegator(tenure)
-	tenure.quorum = newQuorum()
+	tenure.quorum = newQuorum(host.suspensions)
 	tenure.submissions = newSubmissions()
 	tenure.confirmedAt.Store(neverAnswered) // the first append to the journal confirms the term
 	tenure.wait.Go(tenure.run)
