Calls to workers have an age: none is sent once it was given up

Cause: a delegate that stood still sent the orders in its socket, of any age, to workers that had been started anew under their IDs and knew no fencing token. Nothing bounded the age of an order at any hop; the decider's own waits (connections, a standstill) neither.

Change: each order, poll and stop has a time by which it has to be sent, an uptime of the process that sends it. For a delegate the decider computes it from what the delegate last told of its uptime, early rather than late, together with the name of its process. What is dropped is answered as not sent, so that the task starts again at once. A run whose order is in flight is not closed by a reading, and an order without an answer counts as unknown no earlier than it could last be sent. Start orders wait until the term was confirmed within a second. Earlier releases: their delegates get no orders, their deciders' orders are refused whole and go directly.

--- a/daemon/scheduler/calls.go
+++ b/daemon/scheduler/calls.go
@@ -48,7 +48,7 @@
 	case methodRelay:
 		return decodeAndHandle(body, func(batch RelayedBatch) (any, error) { return host.relay(ctx, batch), nil })
 	case methodDelegate:
-		return decodeAndHandle(body, func(calls DelegatedCalls) (any, error) { return struct{}{}, host.makeDelegatedCalls(calls) })
+		return decodeAndHandle(body, func(calls DelegatedCalls) (any, error) { return host.makeDelegatedCalls(calls) })
 	case methodCollect:
 		return decodeAndHandle(body, func(call CollectCall) (any, error) { return host.collectResults(ctx, call), nil })
 	}
--- a/daemon/scheduler/delegate.go
+++ b/daemon/scheduler/delegate.go
@@ -3,18 +3,21 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
 	"time"
 
 	"ebonyshunt.org/library/planner"
+	"ebonyshunt.org/platform/translator"
 )
 
 // DelegatedCalls are calls to workers that a host makes for the decider. The decider computed all that they carry: a
-// delegate adds no authority of its own, and a call that it makes late does no more than one that the network delays.
+// delegate adds no authority of its own, and sends no call later than it says. Without calls, it asks for the answer only.
 type DelegatedCalls struct {
-	Session  string            `json:"session"` // identifies the tenure of the decider
+	Session  string            `json:"session"`        // identifies the tenure of the decider
+	Boot     string            `json:"boot,omitempty"` // process of the delegate whose uptime the calls refer to, empty if they refer to none
 	Calls    []DelegatedCall   `json:"calls"`
 	Payloads map[string]string `json:"payloads,omitempty"` // of the orders, by job
 }
@@ -26,6 +29,16 @@
 	Wait    time.Duration  `json:"wait,omitempty"` // of a poll
 	Order   *planner.Order `json:"order,omitempty"`
 	Timeout time.Duration  `json:"timeout"`
+	// SendBy is the uptime of the delegate up to which it may send the call, 0 if a decider of an earlier release does not tell.
+	SendBy time.Duration `json:"sendBy,omitempty"`
+
+	sendBy time.Duration // SendBy as an uptime of the decider, which it is computed from
+}
+
+// DelegateAnswer is the answer to DelegatedCalls. Delegates of earlier releases answer with an empty one.
+type DelegateAnswer struct {
+	Boot   string        `json:"boot,omitempty"`   // process of the delegate
+	Uptime time.Duration `json:"uptime,omitempty"` // of that process, when it answered
 }
 
 // DelegatedResult is the result of a DelegatedCall.
@@ -181,10 +194,19 @@
 	return slices.DeleteFunc(calls, func(call DelegatedCall) bool { return !session.isNew(call.ID) })
 }
 
-// makeDelegatedCalls starts to make calls to workers for a decider, which then collects their results.
-func (host *Host) makeDelegatedCalls(calls DelegatedCalls) error {
-	if host.shuttingDown.Load() {
-		return Error.New("host %s is shutting down", host.settings.Host)
+// errUnboundedOrder reports that a delegate made none of some calls, since an order does not tell by when it has to be sent.
+var errUnboundedOrder = errors.New("an order without a time by which to send it is not passed on")
+
+// makeDelegatedCalls starts to make calls to workers for a decider, which then collects their results. After an error, none of the calls
+// is made.
+func (host *Host) makeDelegatedCalls(calls DelegatedCalls) (DelegateAnswer, error) {
+	switch {
+	case host.shuttingDown.Load():
+		return DelegateAnswer{}, Error.New("host %s is shutting down", host.settings.Host)
+	case calls.Boot != "" && calls.Boot != host.bootID:
+		return DelegateAnswer{}, Error.New("the calls are for another process of host %s", host.settings.Host)
+	case calls.Boot == "" && slices.ContainsFunc(calls.Calls, func(call DelegatedCall) bool { return call.Order != nil }):
+		return DelegateAnswer{}, errUnboundedOrder
 	}
 	session := host.sessions.use(calls.Session)
 	for _, call := range host.sessions.firstOf(session, calls.Calls) {
@@ -193,18 +215,25 @@
 		}
 		host.wait.Go(func() { host.sessions.add(session, host.makeDelegatedCall(call)) })
 	}
-	return nil
+	return DelegateAnswer{Boot: host.bootID, Uptime: host.uptime()}, nil
 }
 
+// makeDelegatedCall makes a call unless the time to send it is over. A poll of a decider of an earlier release has the time of its answer.
 func (host *Host) makeDelegatedCall(call DelegatedCall) DelegatedResult {
+	if call.SendBy == 0 {
+		call.SendBy = host.uptime() + call.Timeout
+	}
 	ctx, cancel := context.WithTimeout(host.ctx, call.Timeout)
 	defer cancel()
 	result := DelegatedResult{ID: call.ID}
 	var err error
 	if call.Poll != nil {
-		result.Listing, err = host.workers.RequestPoll(ctx, *call.Poll, call.Wait)
+		result.Listing, err = host.workers.RequestPoll(ctx, *call.Poll, call.Wait, host.timeLeft(call.SendBy))
 	} else {
-		result.Outcome, result.ClockMS, err = host.workers.Start(ctx, *call.Order)
+		result.Outcome, result.ClockMS, err = host.workers.Start(ctx, *call.Order, host.timeLeft(call.SendBy))
+	}
+	if errors.Is(err, translator.ErrNotSentInTime) {
+		host.recordDropped(call)
 	}
 	if err != nil {
 		result.Error = err.Error()
@@ -212,6 +241,14 @@
 	return result
 }
 
+// recordDropped counts a call that was not sent, and logs it if it is an order.
+func (host *Host) recordDropped(call DelegatedCall) {
+	host.metrics.droppedCalls.Inc()
+	if order := call.Order; order != nil {
+		host.log.Info("order dropped", "task", order.Key.String(), "run", order.Number, "worker", order.Worker, "late", (host.uptime() - call.SendBy).String())
+	}
+}
+
 // collectResults returns the results of a session. It waits until there is one, at most for the time of the call.
 func (host *Host) collectResults(ctx context.Context, call CollectCall) []DelegatedResult {
 	session := host.sessions.use(call.Session)
--- a/daemon/scheduler/delegator.go
+++ b/daemon/scheduler/delegator.go
@@ -39,6 +39,9 @@
 	unacked    []int64                        // IDs of received results whose acknowledgment has not reached the delegate yet
 	collecting bool
 	backoff    backoff
+	clock      peerClock
+	answered   bool // whether it has answered a message: only then is it known whether it tells its uptime
+	asked      bool // whether a message is on its way to learn that
 }
 
 const (
@@ -75,7 +78,8 @@
 )
 
 // pick returns the delegate of a worker: one of its availability zone, so that a network partition of the zone affects
-// no other workers, and the same one as long as that is usable. It returns nil if there is none.
+// no other workers, and the same one as long as that is usable. It returns nil if there is none, or if the delegate has not told its uptime
+// yet, for which it is then asked.
 func (delegator *delegator) pick(worker, zone string, workerCount int) *delegate {
 	if int64(workerCount) < delegator.tenure.host.settings.DelegateFrom {
 		return nil
@@ -94,7 +98,20 @@
 			best, bestScore = member.Name, score
 		}
 	}
-	return delegator.delegates[best]
+	return delegator.askUptime(delegator.delegates[best])
+}
+
+// askUptime returns a delegate that has answered a message. It sends any other one a message without calls, and returns nil. The caller
+// holds delegator.mu.
+func (delegator *delegator) askUptime(delegate *delegate) *delegate {
+	if delegate == nil || delegate.answered {
+		return delegate
+	}
+	if !delegate.asked {
+		delegate.asked = true
+		delegator.tenure.wait.Go(func() { delegator.sendOutbox(delegate, 0) })
+	}
+	return nil
 }
 
 // refresh chooses the usable delegates again. The caller holds delegator.mu.
@@ -169,8 +186,13 @@
 	sleep(tenure.ctx, delay)
 	delegator.mu.Lock()
 	delegate.sentAt = time.Now()
-	calls := DelegatedCalls{Session: delegator.session, Calls: delegate.outbox, Payloads: map[string]string{}}
+	calls := DelegatedCalls{Session: delegator.session, Boot: delegate.clock.boot, Calls: delegate.outbox, Payloads: map[string]string{}}
 	delegate.outbox = nil
+	if calls.Boot != "" {
+		for index := range calls.Calls {
+			calls.Calls[index].SendBy = delegate.clock.at(calls.Calls[index].sendBy)
+		}
+	}
 	delegator.mu.Unlock()
 	for _, call := range calls.Calls {
 		if call.Order != nil {
@@ -180,7 +202,9 @@
 	}
 	ctx, cancel := context.WithTimeout(tenure.ctx, delegateTimeout+tenure.lagAllowance())
 	defer cancel()
-	err := tenure.host.hedgedCaller.call(ctx, delegate.member.Address, methodDelegate, calls, nil, 0)
+	var answer DelegateAnswer
+	err := tenure.host.hedgedCaller.call(ctx, delegate.member.Address, methodDelegate, calls, &answer, 0)
+	delegator.recordUptime(delegate, answer, err == nil)
 	if err == nil {
 		return
 	}
@@ -191,6 +215,25 @@
 	delegator.fail(delegate, calls.Calls, lost, err)
 }
 
+// recordUptime records what a delegate told of its uptime, if it answered.
+func (delegator *delegator) recordUptime(delegate *delegate, answer DelegateAnswer, answered bool) {
+	receivedAt := delegator.tenure.host.uptime()
+	delegator.mu.Lock()
+	defer delegator.mu.Unlock()
+	delegate.asked = false
+	if answered {
+		delegate.answered = true
+		delegate.clock.record(answer.Boot, answer.Uptime, receivedAt)
+	}
+}
+
+// tellsUptime reports whether a delegate sends no order later than it has to be sent by. Those of earlier releases do not know.
+func (delegator *delegator) tellsUptime(delegate *delegate) bool {
+	delegator.mu.Lock()
+	defer delegator.mu.Unlock()
+	return delegate.clock.boot != ""
+}
+
 // fail ends calls without a result and lets a delegate rest.
 func (delegator *delegator) fail(delegate *delegate, calls []DelegatedCall, lost, reason error) {
 	delegator.mu.Lock()
@@ -299,35 +342,41 @@
 	delegator.fail(delegate, calls, errDelegateLost, reason)
 }
 
-// poll makes a poll through a delegate, or directly if there is none or it fails.
-func (delegator *delegator) poll(ctx context.Context, delegate *delegate, poll planner.Poll, wait, timeout time.Duration) (planner.Listing, error) {
+// poll makes a poll, prepared at an uptime, through a delegate, or directly without one. The error is errDelegateLost or errDelegateUnsent
+// if the delegate did not return a result.
+func (delegator *delegator) poll(ctx context.Context, delegate *delegate, poll planner.Poll, wait, timeout, preparedAt time.Duration) (planner.Listing, error) {
 	sentAt := time.Now()
-	if delegate != nil {
-		callCtx, cancel := context.WithTimeout(ctx, timeout+delegateSlack)
-		result := delegator.call(callCtx, delegate, DelegatedCall{Poll: &poll, Wait: wait, Timeout: timeout})
-		cancel()
-		switch {
-		case result.delegateErr == nil && result.Error != "":
-			return planner.Listing{Token: poll.Token, SentAt: sentAt}, Error.New("through %s: %s", delegate.member.Name, result.Error)
-		case result.delegateErr == nil:
-			return translator.DecodeListing(result.Listing, poll, sentAt)
-		}
-		wait, timeout = 0, delegator.tenure.answerTimeout(immediatePollTimeout)
+	sendBy := latestSend(preparedAt, timeout-wait)
+	if delegate == nil {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		return delegator.tenure.host.workers.Poll(ctx, poll, wait, delegator.tenure.host.timeLeft(sendBy))
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout+delegateSlack)
 	defer cancel()
-	return delegator.tenure.host.workers.Poll(ctx, poll, wait)
+	result := delegator.call(ctx, delegate, DelegatedCall{Poll: &poll, Wait: wait, Timeout: timeout, sendBy: sendBy})
+	switch {
+	case result.delegateErr != nil:
+		return planner.Listing{Token: poll.Token, SentAt: sentAt}, result.delegateErr
+	case result.Error != "":
+		return planner.Listing{Token: poll.Token, SentAt: sentAt}, Error.New("through %s: %s", delegate.member.Name, result.Error)
+	}
+	return translator.DecodeListing(result.Listing, poll, sentAt)
 }
 
-// start sends a start order through a delegate, or directly if there is none or it certainly did not get the order.
-func (delegator *delegator) start(ctx context.Context, delegate *delegate, order planner.Order, timeout time.Duration) (planner.Outcome, int64, error) {
-	if delegate != nil {
+// start sends a start order, prepared at an uptime, through a delegate, or directly if there is none or it certainly did not get the order.
+// The order is not sent any more once start has returned.
+func (delegator *delegator) start(ctx context.Context, delegate *delegate, order planner.Order, timeout, preparedAt time.Duration) (planner.Outcome, int64, error) {
+	host := delegator.tenure.host
+	sendBy := latestSend(preparedAt, timeout)
+	if delegate != nil && delegator.tellsUptime(delegate) {
 		callCtx, cancel := context.WithTimeout(ctx, timeout+delegateSlack)
 		sent := order
-		result := delegator.call(callCtx, delegate, DelegatedCall{Order: &sent, Timeout: timeout})
+		result := delegator.call(callCtx, delegate, DelegatedCall{Order: &sent, Timeout: timeout, sendBy: sendBy})
 		cancel()
 		switch {
 		case errors.Is(result.delegateErr, errDelegateLost):
+			sleep(ctx, sendBy-host.uptime())
 			return planner.Unknown, 0, result.delegateErr
 		case result.delegateErr == nil && result.Error != "":
 			return result.Outcome, result.ClockMS, Error.New("through %s: %s", delegate.member.Name, result.Error)
@@ -337,5 +386,5 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return delegator.tenure.host.workers.Start(ctx, order)
+	return host.workers.Start(ctx, order, host.timeLeft(sendBy))
 }
--- a/daemon/scheduler/metrics.go
+++ b/daemon/scheduler/metrics.go
@@ -25,6 +25,8 @@
 	// calibration counts how often learned run times held.
 	calibration *calibrationCounters
 	refusals    *prometheus.CounterVec
+	// droppedCalls counts the calls to workers that this host did not send for the decider, since their time was over.
+	droppedCalls prometheus.Counter
 	// sentCatalogBytes counts the bytes of the configurations that were sent to other hosts.
 	sentCatalogBytes prometheus.Counter
 
@@ -69,6 +71,9 @@
 		sentCatalogBytes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "ebonyshunt_sent_config_bytes_total", Help: "Bytes of configurations sent to other hosts.",
 		}),
+		droppedCalls: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "ebonyshunt_dropped_calls_total", Help: "Calls to workers that a delegate did not send, since their time was over.",
+		}),
 		hedgedCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "ebonyshunt_hedged_calls_total", Help: "Calls to peers that were repeated because their answers were late.",
 		}, []string{"method"}),
@@ -92,7 +97,7 @@
 func (metrics *metrics) register(host *Host) {
 	metrics.registry.MustRegister(
 		metrics.polls, metrics.starts, metrics.calls, metrics.appends, metrics.jobs, metrics.endings,
-		metrics.sentCatalogBytes, metrics.hedgedCalls, metrics.refusals,
+		metrics.sentCatalogBytes, metrics.hedgedCalls, metrics.droppedCalls, metrics.refusals,
 		metrics.waitingTasks, metrics.runs, metrics.unknownWorkers, metrics.usedShare, metrics.lag,
 		metrics.drainedRuns, metrics.shares.share, metrics.shares.used, metrics.shares.givenBack,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/daemon/scheduler/poller.go
+++ b/daemon/scheduler/poller.go
@@ -200,12 +200,26 @@
 	return min(max(cycle-pollWait, pollDelay), planner.MaxIdleAnswerAge-2*pollWait)
 }
 
-// poll makes one poll and passes the worker's listing to the planner.
-func (tenure *tenure) poll(ctx context.Context, worker string, wait time.Duration) error {
+// nextPoll returns the poll to send to a worker and the uptime at which it was prepared, and false if there is none.
+func (tenure *tenure) nextPoll(worker string) (planner.Poll, time.Duration, bool) {
+	preparedAt := tenure.host.uptime()
 	tenure.mu.Lock()
+	defer tenure.mu.Unlock()
 	poll, found := tenure.planner.NextPoll(worker, tenure.leaseTime())
+	return poll, preparedAt, found
+}
+
+// pickDelegate returns the delegate of a worker, nil if the worker is reached directly.
+func (tenure *tenure) pickDelegate(worker string) *delegate {
+	tenure.mu.Lock()
 	zone, workerCount := tenure.workerInfos[worker].Zone, len(tenure.workerInfos)
 	tenure.mu.Unlock()
+	return tenure.delegator.pick(worker, zone, workerCount)
+}
+
+// poll makes one poll and passes the worker's listing to the planner.
+func (tenure *tenure) poll(ctx context.Context, worker string, wait time.Duration) error {
+	poll, preparedAt, found := tenure.nextPoll(worker)
 	if !found {
 		sleep(ctx, maxRetryDelay)
 		return nil
@@ -214,8 +228,14 @@
 	if wait > 0 {
 		slack = pollTimeoutSlack
 	}
-	delegate := tenure.delegator.pick(worker, zone, workerCount)
-	listing, err := tenure.delegator.poll(ctx, delegate, poll, wait, wait+tenure.answerTimeout(slack))
+	delegate := tenure.pickDelegate(worker)
+	listing, err := tenure.delegator.poll(ctx, delegate, poll, wait, wait+tenure.answerTimeout(slack), preparedAt)
+	if errors.Is(err, errDelegateLost) || errors.Is(err, errDelegateUnsent) {
+		if poll, preparedAt, found = tenure.nextPoll(worker); !found {
+			return nil
+		}
+		listing, err = tenure.delegator.poll(ctx, nil, poll, 0, tenure.answerTimeout(immediatePollTimeout), preparedAt)
+	}
 	tenure.host.metrics.polls.Inc()
 	tenure.meter.polls.Add(1)
 	if tenure.ctx.Err() != nil {
@@ -281,7 +301,8 @@
 		switch effect := effect.(type) {
 		case planner.Stop:
 			tenure.meter.stops.Add(1)
-			tenure.wait.Go(func() { tenure.sendStop(effect) })
+			preparedAt := tenure.host.uptime()
+			tenure.wait.Go(func() { tenure.sendStop(effect, preparedAt) })
 		case planner.Fence:
 			tenure.fenceWorker(effect.Worker)
 		case planner.Reading:
@@ -293,10 +314,11 @@
 	}
 }
 
-func (tenure *tenure) sendStop(stop planner.Stop) {
+// sendStop sends a stop that was prepared at an uptime.
+func (tenure *tenure) sendStop(stop planner.Stop, preparedAt time.Duration) {
 	ctx, cancel := context.WithTimeout(tenure.ctx, stopTimeout)
 	defer cancel()
-	outcome, err := tenure.host.workers.Stop(ctx, stop)
+	outcome, err := tenure.host.workers.Stop(ctx, stop, tenure.host.timeLeft(preparedAt+stopTimeout))
 	tenure.host.log.Info("stop", "task", stop.Key.String(), "run", stop.Number, "worker", stop.Worker, "outcome", outcome.String(), "error", err)
 }
 
@@ -346,10 +368,7 @@
 				return
 			}
 		}
-		tenure.mu.Lock()
-		order, wanted := tenure.planner.PrepareOrder(start, tenure.leaseTime())
-		zone, workerCount := tenure.workerInfos[order.Worker].Zone, len(tenure.workerInfos)
-		tenure.mu.Unlock()
+		order, preparedAt, wanted := tenure.prepareOrder(start)
 		if !wanted || tenure.ctx.Err() != nil {
 			tenure.requestPlan()
 			return
@@ -357,13 +376,37 @@
 		if poller != nil {
 			poller.wake()
 		}
-		delegate := tenure.delegator.pick(order.Worker, zone, workerCount)
-		outcome, clockMS, err := tenure.delegator.start(tenure.ctx, delegate, order, tenure.answerTimeout(startTimeout))
+		delegate := tenure.pickDelegate(order.Worker)
+		outcome, clockMS, err := tenure.delegator.start(tenure.ctx, delegate, order, tenure.answerTimeout(startTimeout), preparedAt)
 		tenure.recordOutcome(order, outcome, clockMS, err)
 		tenure.recordStartTime(time.Since(takenAt))
 	})
 }
 
+// maxStartProofAge is the age up to which what confirms the term of a decider allows it to start tasks. A decider that stood still confirms
+// its term again first: the next one may have started them already.
+const maxStartProofAge = time.Second
+
+// startProofInterval is the time between two looks at what confirms the term.
+const startProofInterval = 20 * time.Millisecond
+
+// prepareOrder returns the order for a start and the uptime at which it was prepared, and false if the start is obsolete. It waits until
+// the term was confirmed of late, or leases may not be given any more.
+func (tenure *tenure) prepareOrder(start planner.Start) (planner.Order, time.Duration, bool) {
+	for {
+		preparedAt := tenure.host.uptime()
+		tenure.mu.Lock()
+		now := tenure.leaseTime()
+		if now.Sub(tenure.leaseBase(now)) <= maxStartProofAge || !tenure.mayRenewLeases() || tenure.ctx.Err() != nil {
+			order, wanted := tenure.planner.PrepareOrder(start, now)
+			tenure.mu.Unlock()
+			return order, preparedAt, wanted
+		}
+		tenure.mu.Unlock()
+		sleep(tenure.ctx, startProofInterval)
+	}
+}
+
 // recordStartTime adjusts the limit on starts in flight after a start that took the given time from its pass to its outcome.
 func (tenure *tenure) recordStartTime(took time.Duration) {
 	congested := tenure.lagAllowance() > 0
--- /dev/null
+++ b/daemon/scheduler/send_time.go
@@ -0,0 +1,22 @@
+package scheduler
+
+import (
+	"time"
+
+	"ebonyshunt.org/platform/translator"
+)
+
+// maxSendTime bounds the age up to which a call to a worker may be sent. A decider that has failed is replaced later than that, so that its
+// successor finds no worker to which an order is still on the way.
+const maxSendTime = time.Second
+
+// latestSend returns the uptime of this host up to which a call to a worker may be sent that was prepared at an uptime, given the time-out of
+// its answer.
+func latestSend(preparedAt, timeout time.Duration) time.Duration {
+	return preparedAt + min(timeout, maxSendTime)
+}
+
+// timeLeft returns how much time is left until an uptime of this host.
+func (host *Host) timeLeft(sendBy time.Duration) translator.TimeLeft {
+	return func() time.Duration { return sendBy - host.uptime() }
+}
--- a/daemon/scheduler/stragglers.go
+++ b/daemon/scheduler/stragglers.go
@@ -35,13 +35,11 @@
 	default:
 		return // the workers are polled without waits as often as is useful
 	}
-	tenure.mu.Lock()
-	poll, found := tenure.planner.NextPoll(worker, tenure.leaseTime())
-	tenure.mu.Unlock()
+	poll, preparedAt, found := tenure.nextPoll(worker)
 	if !found {
 		return
 	}
-	listing, err := tenure.delegator.poll(tenure.ctx, nil, poll, 0, tenure.answerTimeout(immediatePollTimeout))
+	listing, err := tenure.delegator.poll(tenure.ctx, nil, poll, 0, tenure.answerTimeout(immediatePollTimeout), preparedAt)
 	tenure.host.metrics.polls.Inc()
 	tenure.host.metrics.lateRuns.readings.Inc()
 	tenure.meter.polls.Add(1)
--- a/library/planner/effect.go
+++ b/library/planner/effect.go
@@ -114,13 +114,14 @@
 	RefusedCapacity                   // refused: the run does not fit
 	RefusedTicket                     // refused: the policy's ticket is not valid
 	RefusedIncarnation                // refused: another incarnation of the worker answered
+	Dropped                           // not sent, since the time to send it was over: it is not carried out
 )
 
 // String returns the outcome's word in the log's lines start and stop and in the metric ebonyshunt_starts_total. The words are
 // listed in OPERATIONS.md and stay as they are. They are not read from any answer: the platform's reasons, some of which are
 // the same words, are compared in platform/translator only.
 func (outcome Outcome) String() string {
-	return [...]string{"taken", "unknown", "notSent", "fence", "old", "late", "room", "ticket", "birth"}[outcome]
+	return [...]string{"taken", "unknown", "notSent", "fence", "old", "late", "room", "ticket", "birth", "dropped"}[outcome]
 }
 
 // Batch is what one append to the journal stores, with the effects and starts that belong to it.
--- a/library/planner/fleet_test.go
+++ b/library/planner/fleet_test.go
@@ -44,11 +44,14 @@
 	losesListing func() bool
 	// takesOrder replaces a worker's answer to an order, nil if each order is accepted. It reports false for an answer as usual.
 	takesOrder func(planner.Order, *fakeWorker) (planner.Outcome, bool)
-	jobs       map[string]planner.Job  // that were submitted and accepted, by ID
-	slowStops  bool                    // whether stops end no run, as if they took long
-	missedTerm bool                    // whether the next planner follows a term that had no planner
-	adjust     func(*planner.Settings) // changes the settings of the planners to come, nil to leave them
-	events     []planner.EndEvent
+	// holdsOrders tells whether orders stay in flight, see in_flight_test.go.
+	holdsOrders bool
+	inFlight    []planner.Order
+	jobs        map[string]planner.Job  // that were submitted and accepted, by ID
+	slowStops   bool                    // whether stops end no run, as if they took long
+	missedTerm  bool                    // whether the next planner follows a term that had no planner
+	adjust      func(*planner.Settings) // changes the settings of the planners to come, nil to leave them
+	events      []planner.EndEvent
 	// gangsEndTogether tells whether all members of a gang end as done with the first one.
 	gangsEndTogether bool
 	// calibrations are those of all batches.
@@ -347,6 +350,10 @@
 		return
 	}
 	fleet.orders = append(fleet.orders, order)
+	if fleet.holdsOrders {
+		fleet.inFlight = append(fleet.inFlight, order)
+		return
+	}
 	worker := fleet.workers[order.Worker]
 	if fleet.crashBefore != nil && fleet.crashBefore(order.Key) {
 		fleet.crash(worker)
--- a/library/planner/runs.go
+++ b/library/planner/runs.go
@@ -19,7 +19,7 @@
 		planner.closeRun(step, run, NeverRan, "", now)
 		return Order{}, false
 	}
-	run.Token, run.OrderedAt, run.Sent = worker.Token, now, true
+	run.Token, run.OrderedAt, run.Sent, run.InFlight = worker.Token, now, true, true
 	order := Order{
 		Key: run.Key, Number: run.Number, Worker: worker.ID, Address: worker.Address,
 		Payload: step.job.Payload, Checkpoint: step.tasks[start.Key.Index].Checkpoint,
@@ -52,14 +52,14 @@
 	if run == nil {
 		return
 	}
+	run.InFlight = false
 	switch outcome {
 	case Accepted:
 		step.job.begun = true
-		run.answered = true
-		if worker.RunsKnown && current {
-			run.Confirmed, run.ConfirmedAt, run.ProgressAt = true, now, now
-			planner.recordStartTime(run, now)
-		}
+		planner.handleAccepted(worker, run, current)
+	case Dropped:
+		planner.fence(worker) // it may take no connections
+		planner.closeRun(step, run, NeverRan, "", now)
 	case Unknown:
 		planner.fence(worker)
 	case RefusedIncarnation:
@@ -81,6 +81,18 @@
 	}
 }
 
+// handleAccepted processes that a worker accepted the order of a run, under its current fencing token or not.
+func (planner *Planner) handleAccepted(worker *Worker, run *Run, current bool) {
+	run.answered = true
+	switch {
+	case worker.RunsKnown && current:
+		run.Confirmed, run.ConfirmedAt, run.ProgressAt = true, planner.now, planner.now
+		planner.recordStartTime(run, planner.now)
+	case worker.RunsKnown && !run.Confirmed: // what was read while the order was in flight did not show the run
+		planner.fence(worker)
+	}
+}
+
 // updateClock processes a reading of a worker's clock from the answer to an order that was sent at sentAt. A clock
 // that reads less than its lower bound at that time shows that the worker restarted.
 func (planner *Planner) updateClock(worker *Worker, clockMS int64, sentAt time.Time) {
@@ -281,7 +293,8 @@
 }
 
 // closeMissing closes the runs that a worker did not list and cannot have: those confirmed before the poll was
-// sent, and those ordered under a lower token than that of the poll, which the worker now refuses.
+// sent, and those ordered under a lower token than that of the poll, which the worker now refuses. An order in flight may still reach a
+// later incarnation of the worker, which knows of no token.
 func (planner *Planner) closeMissing(worker *Worker, listing Listing, now time.Time) {
 	if len(worker.Runs) == 0 {
 		return
@@ -292,7 +305,7 @@
 		present[running.Key] = running.Number
 	}
 	for _, run := range worker.sortedRuns() {
-		if present[run.Key] == run.Number {
+		if present[run.Key] == run.Number || run.InFlight {
 			continue
 		}
 		switch {
@@ -333,12 +346,12 @@
 	}
 }
 
-// closeSentRuns closes the runs of a worker whose leases have expired. A run whose order was not sent yet stays open:
+// closeSentRuns closes the runs of a worker whose leases have expired. A run whose order was not sent yet, or is in flight, stays open:
 // its order brings a new lease.
 func (planner *Planner) closeSentRuns(worker *Worker, now time.Time) {
 	planner.markLosses(worker)
 	for _, run := range worker.sortedRuns() {
-		if !run.Sent {
+		if !run.Sent || run.InFlight {
 			continue
 		}
 		if worker.RunsKnown {
