Planner: after a takeover, a run stays open until no order for it can be sent any more

Seen: tasks run twice in 5 of 32 cases of the new test.

Cause: a successor reads the workers 10 ms after a planned stop and soon after a kill. A run that a worker does not list was started elsewhere at once, while the order of the decider before was still with a delegate that stood still, in its time; a worker that was started anew in between took it.

Change: restored runs count as in flight until the orders of earlier planners are over: the time of an order after the former decider is known to have ended, else after the age up to which a proof of the term allows orders. Then the workers that do not list one are read again. The age of the proof allows for late answers to heartbeats, so that a decider behind a slow link goes on (TestFleetSlowDecider).

--- a/daemon/scheduler/poller.go
+++ b/daemon/scheduler/poller.go
@@ -289,10 +289,17 @@
 	if lag := tenure.tickLag.recent(); lag >= overloadLag {
 		allowance = lagTimeoutFactor * lag
 	}
-	if lag := tenure.answerLag.recent(); lag >= overloadLag {
-		allowance = max(allowance, answerLagTimeoutFactor*lag)
+	return min(max(allowance, tenure.answerAllowance()), maxLagTimeout)
+}
+
+// answerAllowance is lagAllowance by the answers to heartbeats alone. The timers of a process that stood still are late as well, while its
+// answers were as fast as usual before.
+func (tenure *tenure) answerAllowance() time.Duration {
+	lag := tenure.answerLag.recent()
+	if lag < overloadLag {
+		return 0
 	}
-	return min(allowance, maxLagTimeout)
+	return min(answerLagTimeoutFactor*lag, maxLagTimeout)
 }
 
 // applyEffects carries out the effects that need no stored record.
@@ -397,7 +404,7 @@
 		preparedAt := tenure.host.uptime()
 		tenure.mu.Lock()
 		now := tenure.leaseTime()
-		if now.Sub(tenure.leaseBase(now)) <= maxStartProofAge || !tenure.mayRenewLeases() || tenure.ctx.Err() != nil {
+		if now.Sub(tenure.leaseBase(now)) <= maxStartProofAge+tenure.answerAllowance() || !tenure.mayRenewLeases() || tenure.ctx.Err() != nil {
 			order, wanted := tenure.planner.PrepareOrder(start, now)
 			tenure.mu.Unlock()
 			return order, preparedAt, wanted
--- a/daemon/scheduler/tenure.go
+++ b/daemon/scheduler/tenure.go
@@ -194,6 +194,7 @@
 	settings := tenure.host.settings
 	restored := planner.New(planner.Settings{
 		Lease: min(preferredLease, settings.MaxLease), MaxLease: settings.MaxLease, FormerRenewalWindow: quorumRenewalWindow,
+		FormerOrderWindow: maxStartProofAge, OrderTime: startTimeout,
 		FormerTerm:      tenure.former.latestTerm(),
 		StatusRetention: settings.StatusRetention, MaxStopTime: settings.MaxStopTime, CrossRackFactor: settings.CrossRackFactor,
 		LearnRunTimes: settings.LearnRunTimes, PoolShares: settings.PoolShares, ForecastAdmission: settings.ForecastAdmission,
--- a/library/planner/plan.go
+++ b/library/planner/plan.go
@@ -17,6 +17,7 @@
 	for _, id := range slices.Sorted(maps.Keys(planner.scheduled)) {
 		planner.createDueOccurrences(planner.scheduled[id], now)
 	}
+	planner.endFormerOrders(now)
 	planner.closeExpiredRuns(now)
 	planner.forgetEndedJobs(now)
 	planner.checkRuns(now)
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -25,6 +25,8 @@
 	Lease               time.Duration // lease that a poll gives to a worker's runs
 	MaxLease            time.Duration // longest lease that a worker accepts
 	FormerRenewalWindow time.Duration // time that an earlier planner may continue to renew leases after this one began
+	FormerOrderWindow   time.Duration // time that an earlier planner may continue to prepare orders after this one began
+	OrderTime           time.Duration // time from when an order is prepared in which it may be sent
 	FormerTerm          int64         // term of the latest planner before this one, 0 if it is not known
 	StatusRetention     time.Duration // retention time of the state of an ended job
 	MaxStopTime         time.Duration // maximum time that a stop takes
@@ -76,6 +78,7 @@
 	// formerRenewalsEnd is the time from which no earlier planner renews leases, and formerLeasesExpireBy the time by which every
 	// lease of an earlier planner has expired.
 	formerRenewalsEnd    time.Time
+	formerOrdersEnded    bool // whether formerOrdersEnd has passed
 	formerLeasesExpireBy time.Time
 	lastBatch            int64     // number of the last batch that was taken
 	passCount            int64     // number of placement passes so far
--- a/library/planner/restore.go
+++ b/library/planner/restore.go
@@ -159,6 +159,7 @@
 		run := planner.newRun(step, key, number, worker, now)
 		run.learning.restored = true
 		run.Incarnation, run.Token, run.Sent = open.Incarnation, 0, true // token 0 is lower than every token of this term
+		run.InFlight = planner.Settings.OrderTime > 0
 		run.sound, run.answered = open.Sound, open.Sound
 		planner.addRun(step, run)
 		if step.tasks[open.Index].Done && !step.Gang {
--- a/library/planner/runs.go
+++ b/library/planner/runs.go
@@ -271,6 +271,7 @@
 			continue
 		}
 		run.loss = nil // it was started on the current incarnation
+		run.InFlight = run.InFlight && !run.learning.restored
 		run.answered, step.job.begun = true, true
 		run.recordReading(running.Percent, now)
 		if !run.Confirmed {
--- a/library/planner/worker.go
+++ b/library/planner/worker.go
@@ -100,7 +100,7 @@
 	Token       int64 // fencing token of its last order
 	OrderedAt   time.Time
 	Sent        bool      // whether its order may have been sent
-	InFlight    bool      // whether its order has no outcome yet, and may still be sent
+	InFlight    bool      // whether its order has no outcome yet, and may still be sent, see also former_orders.go
 	Confirmed   bool      // whether the worker accepted the order or listed the run
 	ConfirmedAt time.Time // when the acceptance, or the listing that first showed the run, arrived
 	Stopping    bool
--- a/tests/fleet_late_orders_test.go
+++ b/tests/fleet_late_orders_test.go
@@ -69,3 +69,64 @@
 		}
 	})
 }
+
+// TestFleetLateOrdersAtTakeover guards against tasks that run twice since a decider that was stopped or killed left orders with a host that
+// stood still: its successor read the workers, and one was started anew before the orders arrived, still in their time.
+func TestFleetLateOrdersAtTakeover(t *testing.T) {
+	for name, end := range map[string]func(fleet *fleet, host string){
+		"stopped": func(fleet *fleet, host string) { fleet.stopHost(host) },
+		"killed":  func(fleet *fleet, host string) { fleet.killHost(host) },
+	} {
+		for wakesAfter := 100 * time.Millisecond; wakesAfter <= 400*time.Millisecond; wakesAfter += 20 * time.Millisecond {
+			t.Run(fmt.Sprintf("%s/%v", name, wakesAfter), func(t *testing.T) { checkLateOrdersAtTakeover(t, end, wakesAfter) })
+		}
+	}
+}
+
+func checkLateOrdersAtTakeover(t *testing.T, end func(fleet *fleet, host string), wakesAfter time.Duration) {
+	// The tasks take three quarters of the fleet, so that some are ordered in each zone and may start again in another one.
+	const job = `{"spec":"s","steps":[{"count":9,"cpu":8000,"memMb":10,"estimateMs":20000}]}`
+	const ordersLeave = 50 * time.Millisecond // the decider has sent all orders
+	runFleet(t, 6, 1, func(fleet *fleet) {
+		for _, worker := range fleet.workers {
+			worker.RunTime = 30 * time.Second
+		}
+		decider, frozen := fleet.decidingHost(), fleet.hostNames[0]
+		if frozen == decider {
+			frozen = fleet.hostNames[1]
+		}
+		submittedAt := time.Now()
+		fleet.fabric.Pause(frozen)
+		if answer := fleet.call("POST", decider, fleetPathPrefix+jobID(1), fleetKey, job); answer.status != http.StatusOK {
+			fleet.Fatalf("job: status %d, want 200", answer.status)
+		}
+		time.Sleep(ordersLeave)
+		done := make(chan struct{})
+		go func() {
+			end(fleet, decider)
+			close(done)
+		}()
+		time.Sleep(time.Until(submittedAt.Add(wakesAfter)))
+		isInZone := func(worker *emulator.Worker) bool { return worker.Zone == frozen[6:7] }
+		fleet.rebootWorker(fleet.workers[slices.IndexFunc(fleet.workers, isInZone)])
+		fleet.fabric.Resume(frozen)
+		<-done
+		time.Sleep(5 * time.Second)
+		if running := fleet.countRunning(); running != 9 {
+			fleet.Errorf("%d tasks run in the end, want 9", running)
+		}
+	})
+}
+
+// countRunning returns the number of runs that go on.
+func (fleet *fleet) countRunning() int {
+	count := 0
+	for _, worker := range fleet.workers {
+		for _, run := range worker.History() {
+			if run.Ended.IsZero() {
+				count++
+			}
+		}
+	}
+	return count
+}
