Planner: work that waits keeps no one out that could run

Cause: a blocked step reserved workers on which it could not start; four reserved workers are all of a small service; a pass never looked beyond the same 150 blocked steps.

Change: one list of obstacles for placement, reservations, preemption, standbys and Explain. At most half of a service's workers are reserved. A step that has waited for a second starts on reserved workers while its service is lightly used. Steps alike are looked at once a pass, and beyond 150 different ones others have their turn in rounds.

--- a/library/planner/explain.go
+++ b/library/planner/explain.go
@@ -100,48 +100,8 @@
 	pass := &pass{planner: planner, now: now, pools: map[string]*pool{}}
 	for _, worker := range planner.workerList {
 		if worker.Service == queue.Service {
-			blockedStep.Workers[pass.obstacle(step, queue, worker)]++
+			blockedStep.Workers[string(pass.obstacle(step, queue, worker))]++
 		}
 	}
 	return blockedStep
 }
-
-// obstacle returns the first reason why a worker gets no task of a step, or "free" if there is none.
-func (pass *pass) obstacle(step *step, queue Queue, worker *Worker) string {
-	switch {
-	case !worker.Listed || worker.Draining:
-		return "leaving"
-	case pass.planner.drainedZones[worker.Zone]:
-		return "drained"
-	case !worker.hasLabel(step.Label):
-		return "label"
-	case !step.chargedSize().Fits(worker.Capacity):
-		return "tooSmall"
-	case !worker.health.Usable(pass.now):
-		return "barred"
-	case !pass.planner.acceptsRuns(worker, pass.now):
-		return "unanswered"
-	}
-	return pass.placementObstacle(step, queue, worker)
-}
-
-// placementObstacle returns the first obstacle among the worker's runs and the policy, or "free" if there is none.
-func (pass *pass) placementObstacle(step *step, queue Queue, worker *Worker) string {
-	switch {
-	case !step.chargedSize().Fits(worker.Free()):
-		return "full"
-	case !pass.admittedWhileCold(step, queue, worker, 0):
-		return "cold"
-	case !pass.planner.belowWorkerLimit(step, worker, 0):
-		return "apart"
-	case worker.isolation.FromRuns(pass.now):
-		return "isolated"
-	case step.disturbedOn(worker):
-		return "disturbed"
-	case queue.Policy != nil && step.policy.denied[worker.ID]:
-		return "denied"
-	case queue.Policy != nil && !step.policy.hasTicket(worker, pass.now):
-		return "noTicket"
-	}
-	return "free"
-}
--- a/library/planner/fleet_test.go
+++ b/library/planner/fleet_test.go
@@ -46,6 +46,7 @@
 	takesOrder func(planner.Order, *fakeWorker) (planner.Outcome, bool)
 	// holdsOrders tells whether orders stay in flight, see in_flight_test.go.
 	holdsOrders bool
+	kinds       func(id string) string // label of the kind of a worker, nil for none
 	inFlight    []planner.Order
 	jobs        map[string]planner.Job  // that were submitted and accepted, by ID
 	slowStops   bool                    // whether stops end no run, as if they took long
@@ -159,13 +160,21 @@
 			continue
 		}
 		infos = append(infos, planner.WorkerInfo{
-			ID: id, Machine: fleet.workers[id].machine, Draining: fleet.workers[id].draining, Service: testService, Address: id, Zone: fleet.zoneOf(id), Labels: []string{"a", "r-1"},
+			ID: id, Machine: fleet.workers[id].machine, Draining: fleet.workers[id].draining, Service: testService, Address: id, Zone: fleet.zoneOf(id), Labels: append([]string{"a", "r-1"}, fleet.kindOf(id)...),
 			Capacity: sizer.Size{MilliCores: 32000, MemoryMB: 65536, Accelerators: 8}, Incarnation: fleet.workers[id].incarnation,
 		})
 	}
 	fleet.planner.SetWorkers(infos, fleet.time())
 }
 
+// kindOf returns the label of a worker's kind, none without fleet.kinds.
+func (fleet *fleet) kindOf(id string) []string {
+	if fleet.kinds == nil {
+		return nil
+	}
+	return []string{fleet.kinds(id)}
+}
+
 // zoneOf returns the zone of a worker. The workers are spread over three zones.
 func (*fleet) zoneOf(id string) string { return string("abc"[int(id[len(id)-1]-'0')%3]) }
 
--- a/library/planner/place.go
+++ b/library/planner/place.go
@@ -32,14 +32,17 @@
 
 // pool holds the workers of a service that accept runs, and counters of the pass.
 type pool struct {
-	workers      []*Worker  // sorted by ID
-	totalFree    sizer.Size // total free capacity of the workers at the start of the pass
-	largestFree  sizer.Size // largest free capacity on one worker, of each resource
-	capacity     sizer.Size // of its workers, zero until shareOf computes it
-	blockedSteps int        // number of steps that found no room
-	roomSearches int        // number of searches for workers to reserve or to preempt on
-	exhausted    bool       // whether the pass skips the remaining steps of the service
-	racks        []rack     // sorted by label, nil until first used
+	workers     []*Worker  // sorted by ID
+	totalFree   sizer.Size // total free capacity of the workers at the start of the pass
+	largestFree sizer.Size // largest free capacity on one worker, of each resource
+	capacity    sizer.Size // total capacity of the workers
+	// blockedShapes holds the shapes of the steps that found no room, and blockedCount the number of these and of steps without a shape.
+	blockedShapes map[shape]*blockedShape
+	blockedCount  int
+	roomSearches  int    // number of searches for workers to reserve or to preempt on
+	exhausted     bool   // whether the pass leaves out the remaining steps of the service, but for those whose turn it is
+	turns         int    // number of steps that had their turn
+	racks         []rack // sorted by label, nil until first used
 }
 
 // run places the steps in order of their ranks. Among steps of the same tier and priority, a first round limits
@@ -67,6 +70,7 @@
 		all = all[count:]
 	}
 	pass.queryForStandbys()
+	pass.endRounds()
 	pass.limitShares = false
 	pass.startCopies()
 	pass.hedgeStragglers()
@@ -82,11 +86,12 @@
 		return
 	}
 	pool := pass.pool(queue.Service)
-	if pool.exhausted {
+	if pool.exhausted && !pass.hasTurn(step, queue.Service, pool) {
 		return
 	}
 	pass.planner.counts.examinedSteps++
-	if !step.chargedSize().Fits(pool.largestFree) {
+	step.examinedPass = pass.number
+	if !step.chargedSize().Fits(pool.largestFree) || pass.findsNoRoom(step, queue, pool) {
 		pass.handleBlocked(step, queue)
 		return
 	}
@@ -214,36 +219,13 @@
 		created.workers = append(created.workers, worker)
 		worker.poolPass = pass.number
 		created.totalFree = created.totalFree.Add(free)
+		created.capacity = created.capacity.Add(worker.Capacity)
 		created.largestFree = created.largestFree.Max(free)
 	}
 	pass.pools[service] = created
 	return created
 }
 
-// eligible reports whether a worker can take one more task of the step now, in addition to the assigned ones,
-// which have no runs yet.
-func (pass *pass) eligible(step *step, queue Queue, worker *Worker, assigned int) bool {
-	planner := pass.planner
-	if !worker.hasLabel(step.Label) || pass.reserved[worker.ID] || worker.isolation.FromRuns(pass.now) {
-		return false
-	}
-	if !step.chargedSize().Mul(int64(assigned+1)).Fits(worker.Free()) || !planner.belowWorkerLimit(step, worker, assigned) {
-		return false
-	}
-	if !pass.admittedWhileCold(step, queue, worker, assigned) {
-		return false
-	}
-	if step.disturbedOn(worker) {
-		return false
-	}
-	return queue.Policy == nil || step.policy.hasTicket(worker, pass.now)
-}
-
-// disturbedOn reports whether a task of the step would disturb serving tasks on a worker, or be disturbed as one.
-func (step *Step) disturbedOn(worker *Worker) bool {
-	return step.Filler && worker.servingRuns > 0 || step.TailMS > 0 && worker.fillerRuns > 0
-}
-
 // acceptsRuns reports whether a worker may get new runs: it may be given a lease, lists no unknown runs, has
 // answered recently enough, and is not barred.
 func (planner *Planner) acceptsRuns(worker *Worker, now time.Time) bool {
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -78,7 +78,8 @@
 	// formerRenewalsEnd is the time from which no earlier planner renews leases, and formerLeasesExpireBy the time by which every
 	// lease of an earlier planner has expired.
 	formerRenewalsEnd    time.Time
-	formerOrdersEnded    bool // whether formerOrdersEnd has passed
+	turnRounds           map[string]int64 // number of the pass in which the round of turns began, by service, see blocked.go
+	formerOrdersEnded    bool             // whether formerOrdersEnd has passed
 	formerLeasesExpireBy time.Time
 	lastBatch            int64     // number of the last batch that was taken
 	passCount            int64     // number of placement passes so far
@@ -141,6 +142,7 @@
 		catalog:              catalog,
 		jobs:                 map[string]*jobEntry{},
 		scheduled:            map[string]*jobEntry{},
+		turnRounds:           map[string]int64{},
 		steps:                map[StepKey]*step{},
 		workers:              map[string]*Worker{},
 		teams:                map[string]*teamUsage{},
--- a/library/planner/pool_shares.go
+++ b/library/planner/pool_shares.go
@@ -418,8 +418,7 @@
 func (pass *pass) options(step *step, queue Queue) []option {
 	var options []option
 	for _, worker := range pass.pool(queue.Service).workers {
-		if !pass.reservable(step, queue, worker) || worker.isolation.FromRuns(pass.now) ||
-			step.Filler && worker.servingRuns > 0 || step.TailMS > 0 && worker.fillerRuns > 0 {
+		if !pass.reservable(step, queue, worker) || step.disturbedOn(worker) {
 			continue
 		}
 		if option, found := pass.optionOn(worker, step, queue); found {
--- a/library/planner/preempt.go
+++ b/library/planner/preempt.go
@@ -18,11 +18,17 @@
 	// reservedDivisor gives the part of a service's workers that may be reserved in one pass instead, if that is more: a
 	// quarter, so that most of the service always takes small tasks.
 	reservedDivisor = 4
+	// maxReservedDivisor gives the part of a service's workers that may be reserved at most, rounded up: a half, so that a small service takes
+	// small tasks as well.
+	maxReservedDivisor = 2
+	// maxReservedWait is how long a step waits for which there is room on reserved workers only, while its service is lightly used. Then it
+	// starts there.
+	maxReservedWait = time.Second
+	// lightUse is the share of the capacity of a service up to which the service is lightly used.
+	lightUse = 0.6
 	// preemptDelay is how long an urgent or standing step has to be blocked before it preempts other runs.
 	preemptDelay = 100 * time.Millisecond
 
-	// maxBlockedSteps is the number of steps without room after which a pass skips the other steps of their service.
-	maxBlockedSteps = 150
 	// maxRoomSearches is the maximum number of searches in one pass for workers of a service to preempt on or to
 	// reserve.
 	maxRoomSearches = 4
@@ -39,15 +45,12 @@
 	}
 	pool := pass.pool(queue.Service)
 	step.blockedPass = pass.number
-	if queue.Policy == nil || !pass.hasRoom(step, pool) {
-		pool.blockedSteps++
-	}
-	pool.exhausted = pool.blockedSteps >= maxBlockedSteps
+	pass.recordBlocked(step, queue, pool)
 	waited := pass.now.Sub(step.blockedSince)
 	if pass.planner.Settings.PoolShares {
 		pass.giveBack(step, queue, waited)
 	}
-	if waited < preemptDelay || pool.roomSearches >= maxRoomSearches || !pass.fitsWhenEmptied(step, queue) {
+	if waited < preemptDelay || pool.roomSearches >= maxRoomSearches || !pass.isWorthRoom(step, queue, pool) {
 		return
 	}
 	pool.roomSearches++
@@ -63,15 +66,36 @@
 // total. Otherwise the small tasks of a queue, which fit anywhere, overtake its large ones all the time.
 func (pass *pass) reserve(step *step, queue Queue) {
 	count, limit := 1, maxReserved
+	workers := len(pass.pool(queue.Service).workers)
 	if pass.planner.Settings.PoolShares {
-		count, limit = len(step.waiting), max(limit, len(pass.pool(queue.Service).workers)/reservedDivisor)
+		count, limit = len(step.waiting), max(limit, workers/reservedDivisor)
 	}
+	limit = min(limit, (workers+maxReservedDivisor-1)/maxReservedDivisor)
 	for _, worker := range pass.mostFreeWorkers(step, queue, min(count, limit-len(pass.reserved)+len(pass.planner.drainMoves)+pass.standbyTargets)) {
 		pass.reserved[worker.ID] = true
 		worker.reservedPass = pass.number
 	}
 }
 
+// keptFrom reports whether a worker is reserved, and not open to a step that has waited for too long for room on such workers only.
+func (pass *pass) keptFrom(step *step, queue Queue, worker *Worker) bool {
+	if !pass.reserved[worker.ID] {
+		return false
+	}
+	return worker.reservedPass != pass.number || !pass.usesReserved(step, queue.Service)
+}
+
+// usesReserved reports whether a step may start on workers that are reserved for blocked steps.
+func (pass *pass) usesReserved(step *step, service string) bool {
+	return !step.blockedSince.IsZero() && pass.now.Sub(step.blockedSince) >= maxReservedWait && pass.pool(service).isLightlyUsed()
+}
+
+// isLightlyUsed reports whether the runs at the start of the pass used little of each resource of the pool.
+func (pool *pool) isLightlyUsed() bool {
+	used := pool.capacity.Sub(pool.totalFree)
+	return used.DominantShare(pool.capacity) <= lightUse
+}
+
 // hasRoom reports whether some worker of a pool has room for a task of the step, whether or not the policy allows it.
 func (pass *pass) hasRoom(step *step, pool *pool) bool {
 	size := step.chargedSize()
@@ -84,14 +108,6 @@
 	return (queue.Priority == 0 || step.Standing) && pass.now.Sub(step.blockedSince) >= preemptDelay
 }
 
-// reservable reports whether a worker may be reserved for a step, or preempted on for it: the step fits beside its standing runs.
-// With a policy it has to have allowed the worker before: room on any other worker is most likely of no use to the step.
-func (pass *pass) reservable(step *step, queue Queue, worker *Worker) bool {
-	return worker.hasLabel(step.Label) && step.chargedSize().Fits(worker.emptied()) && !pass.reserved[worker.ID] &&
-		pass.admittedWhileCold(step, queue, worker, 0) &&
-		(queue.Policy == nil || step.policy.allowedBefore(worker)) && pass.planner.belowWorkerLimit(step, worker, 0)
-}
-
 // mostFreeWorkers returns the reservable workers with the largest free shares of their capacity, at most count of them.
 func (pass *pass) mostFreeWorkers(step *step, queue Queue, count int) []*Worker {
 	if count <= 0 {
--- a/library/planner/stragglers.go
+++ b/library/planner/stragglers.go
@@ -161,11 +161,6 @@
 // accept runs.
 func (pass *pass) taskFraction(step *step, queue Queue) float64 {
 	pool := pass.pool(queue.Service)
-	if pool.capacity.Zero() {
-		for _, worker := range pool.workers {
-			pool.capacity = pool.capacity.Add(worker.Capacity)
-		}
-	}
 	return step.chargedSize().DominantShare(pool.capacity)
 }
 
--- a/library/planner/tables.go
+++ b/library/planner/tables.go
@@ -64,9 +64,11 @@
 	blockedSince time.Time
 	// blockedPass is the number of the last placement pass that found no room for the step.
 	blockedPass int64
-	charged     stepAccount // account that its tasks are charged to, if teams have shares of each service
-	promised    int         // number of tasks for which room is being given back
-	futileAt    time.Time   // when it was last found that stopping runs makes no room for it
+	// examinedPass is the number of the last placement pass that looked at the step.
+	examinedPass int64
+	charged      stepAccount // account that its tasks are charged to, if teams have shares of each service
+	promised     int         // number of tasks for which room is being given back
+	futileAt     time.Time   // when it was last found that stopping runs makes no room for it
 	// runTimes holds the run times of the completed tasks until they are compared.
 	runTimes []runTime
 }
--- /dev/null
+++ b/library/planner/waiting_test.go
@@ -0,0 +1,343 @@
+package planner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ebonyshunt.org/library/planner"
+	"ebonyshunt.org/library/sizer"
+)
+
+// longEstimateMS is longer than any test, so that no run counts as hanging.
+const longEstimateMS = 600_000
+
+// waitingFleet is a fleet on which work waits that cannot start, or not for long.
+type waitingFleet struct {
+	*fleet
+	jobs int
+}
+
+func newWaitingFleet(t testing.TB, workers int, poolShares bool) *waitingFleet {
+	fleet := &waitingFleet{fleet: newFleet(t, testStart, workers)}
+	fleet.poolShares = poolShares
+	fleet.kinds = func(id string) string { return string("xy"[int(id[len(id)-1]-'0')%2]) }
+	fleet.takeOver(2, testCatalog())
+	return fleet
+}
+
+// add submits a job of one step of a team to a queue, and returns its ID.
+func (waitingFleet *waitingFleet) add(team, queue string, step planner.Step) string {
+	waitingFleet.jobs++
+	id := fmt.Sprintf("%016x", waitingFleet.jobs)
+	step.EstimateMS = longEstimateMS
+	waitingFleet.submitJob(planner.Job{ID: id, Queue: queue, Team: team, Payload: "p", Steps: []planner.Step{step}})
+	return id
+}
+
+// tasksOf returns a step of tasks with a number of cores each.
+func tasksOf(count int, cores int64) planner.Step {
+	return planner.Step{Count: count, Size: sizer.Size{MilliCores: 1000 * cores, MemoryMB: 1000}}
+}
+
+func gangOf(count int, cores int64) planner.Step {
+	step := tasksOf(count, cores)
+	step.Gang = true
+	return step
+}
+
+// serving returns a step of tasks that last and have a target, at most one on a worker.
+func serving(count int) planner.Step {
+	step := tasksOf(count, 2)
+	step.Standing, step.TailMS, step.MaxPerWorker = true, 200, 1
+	return step
+}
+
+func filler(count int) planner.Step {
+	step := tasksOf(count, 2)
+	step.Filler = true
+	return step
+}
+
+func labeled(step planner.Step, label string) planner.Step {
+	step.Label = label
+	return step
+}
+
+// maxStartWait is the rule's bound on the wait of work that could start: its team has under half of its cap, and under half of the
+// service's capacity is in use.
+const maxStartWait = 3 * time.Second
+
+// TestWaitingWorkKeepsNoOneOut guards against jobs that do not start although there is room for them, since workers are kept free for
+// work that cannot start there, or not for long, or since a pass looks at so much work without room that it never comes to them. Seen by
+// review/15 (steps that fill, beside tasks with a target) and review/14 (150 steps that find no room).
+func TestWaitingWorkKeepsNoOneOut(t *testing.T) {
+	const smallTasks = 2
+	for _, test := range []struct {
+		name    string
+		running func(fleet *waitingFleet, workers int) // begins what runs all the while
+		waiting func(fleet *waitingFleet, workers int) // submits what waits
+		wanted  planner.Step
+	}{
+		{
+			"fillersBesideTargets",
+			func(fleet *waitingFleet, workers int) { fleet.add(testTeam, testQueue, serving(workers)) },
+			func(fleet *waitingFleet, _ int) {
+				for range 9 {
+					fleet.add(testTeam, "batch", filler(1))
+				}
+			},
+			tasksOf(smallTasks, 4),
+		}, {
+			"urgentFillersBesideTargets",
+			func(fleet *waitingFleet, workers int) { fleet.add(testTeam, testQueue, serving(workers)) },
+			func(fleet *waitingFleet, _ int) {
+				for range 9 {
+					fleet.add(testTeam, testQueue, filler(1))
+				}
+			},
+			tasksOf(smallTasks, 4),
+		}, {
+			"gangsOfFillersBesideTargets",
+			func(fleet *waitingFleet, workers int) { fleet.add(testTeam, testQueue, serving(workers)) },
+			func(fleet *waitingFleet, _ int) {
+				for range 9 {
+					gang := filler(2)
+					gang.Gang = true
+					fleet.add(testTeam, "batch", gang)
+				}
+			},
+			tasksOf(smallTasks, 4),
+		}, {
+			"targetsBesideFillers",
+			func(fleet *waitingFleet, workers int) {
+				step := filler(workers)
+				step.MaxPerWorker = 1
+				fleet.add(testTeam, "batch", step)
+				fleet.settle()
+				for _, worker := range fleet.workers {
+					if len(worker.running) == 0 {
+						fleet.t.Fatal("the tasks that fill are not spread over the workers")
+					}
+				}
+			},
+			func(fleet *waitingFleet, workers int) { fleet.add(testTeam, testQueue, serving(workers)) },
+			tasksOf(smallTasks, 4),
+		}, {
+			"largeTasks",
+			spreadSmallTasks,
+			func(fleet *waitingFleet, workers int) {
+				for range 2 * workers {
+					fleet.add(testTeam, "batch", tasksOf(1, 31))
+				}
+			},
+			tasksOf(smallTasks, 4),
+		}, {
+			"largeUrgentTasks",
+			spreadSmallTasks,
+			func(fleet *waitingFleet, workers int) {
+				for range 2 * workers {
+					fleet.add(testTeam, testQueue, tasksOf(1, 31))
+				}
+			},
+			tasksOf(smallTasks, 4),
+		}, {
+			"largeStandingTasks",
+			spreadSmallTasks,
+			func(fleet *waitingFleet, workers int) {
+				step := tasksOf(workers, 31)
+				step.Standing = true
+				fleet.add(testTeam, testQueue, step)
+			},
+			tasksOf(smallTasks, 4),
+		}, {
+			"gangsOverAllWorkers",
+			spreadSmallTasks,
+			func(fleet *waitingFleet, workers int) {
+				for range 2 * workers {
+					fleet.add(testTeam, "batch", gangOf(workers, 31))
+				}
+			},
+			tasksOf(smallTasks, 4),
+		}, {
+			"gangWantsRoom",
+			spreadSmallTasks,
+			func(fleet *waitingFleet, workers int) {
+				for range 2 * workers {
+					fleet.add(testTeam, "batch", tasksOf(1, 31))
+				}
+			},
+			gangOf(smallTasks, 4),
+		}, {
+			"otherKind",
+			func(fleet *waitingFleet, workers int) {
+				fleet.add(testTeam, "batch", labeled(tasksOf((workers+1)/2, 30), "x"))
+			},
+			func(fleet *waitingFleet, _ int) {
+				for range 175 {
+					fleet.add(testTeam, "batch", labeled(tasksOf(1, 20), "x"))
+				}
+			},
+			labeled(tasksOf(smallTasks, 4), "y"),
+		}, {
+			"otherKindOfManySizes",
+			func(fleet *waitingFleet, workers int) {
+				fleet.add(testTeam, "batch", labeled(tasksOf((workers+1)/2, 30), "x"))
+			},
+			func(fleet *waitingFleet, _ int) {
+				for number := range 1500 {
+					step := labeled(tasksOf(1, 20), "x")
+					step.Size.MemoryMB += int64(number)
+					fleet.add(testTeam, "batch", step)
+				}
+			},
+			labeled(tasksOf(smallTasks, 4), "y"),
+		}, {
+			"reservedKind",
+			func(fleet *waitingFleet, workers int) {
+				step := labeled(tasksOf(workers/2, 2), "y")
+				step.MaxPerWorker = 1
+				fleet.add(testTeam, "batch", step)
+			},
+			func(fleet *waitingFleet, workers int) {
+				for range 2 * workers {
+					fleet.add(testTeam, "batch", labeled(tasksOf(1, 31), "y"))
+				}
+			},
+			labeled(tasksOf(smallTasks, 4), "y"),
+		},
+	} {
+		for _, workers := range []int{2, 4, 5, 12, 40} {
+			for _, poolShares := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%d/%t", test.name, workers, poolShares), func(t *testing.T) {
+					fleet := newWaitingFleet(t, workers, poolShares)
+					test.running(fleet, workers)
+					fleet.passTime(time.Second)
+					test.waiting(fleet, workers)
+					fleet.passTime(2 * time.Second)
+					wanted := fleet.add("other", "batch", test.wanted)
+					fleet.wantStartWithin(wanted, maxStartWait)
+				})
+			}
+		}
+	}
+}
+
+// spreadSmallTasks starts a small task on each worker.
+func spreadSmallTasks(fleet *waitingFleet, workers int) {
+	step := tasksOf(workers, 2)
+	step.MaxPerWorker = 1
+	fleet.add(testTeam, "batch", step)
+}
+
+// wantStartWithin checks that a job has begun within a time.
+func (waitingFleet *waitingFleet) wantStartWithin(job string, wait time.Duration) {
+	waitingFleet.t.Helper()
+	for began := waitingFleet.now; waitingFleet.now.Sub(began) < wait; {
+		waitingFleet.advance(50 * time.Millisecond)
+		if waitingFleet.runsOf(job) > 0 {
+			return
+		}
+	}
+	for _, blocked := range waitingFleet.planner.Explain(waitingFleet.time(), 0, 1000) {
+		if blocked.Step.Job == job {
+			waitingFleet.t.Errorf("workers by obstacle: %v", blocked.Workers)
+		}
+	}
+	waitingFleet.t.Errorf("job %s has not begun after %v", job, wait)
+}
+
+// TestLargeWorkStarts is the other side of TestWaitingWorkKeepsNoOneOut: large tasks and gangs are not passed for ever by small ones, which
+// come all the time and fit anywhere.
+func TestLargeWorkStarts(t *testing.T) {
+	const bound = 20 * time.Second
+	for name, large := range map[string]func(workers int) planner.Step{
+		"task": func(int) planner.Step { return tasksOf(1, 31) },
+		"gang": func(workers int) planner.Step { return gangOf(max(workers/4, 1), 31) },
+	} {
+		for _, workers := range []int{2, 4, 12} {
+			for _, load := range []float64{0.2, 0.4, 0.8, 1.2} { // of the service's capacity
+				t.Run(fmt.Sprintf("%s/%d/%.1f", name, workers, load), func(t *testing.T) {
+					const runTime, cores = 2 * time.Second, 4
+					fleet := newWaitingFleet(t, workers, false)
+					perTick := load * float64(workers) * 32 / cores * float64(50*time.Millisecond) / float64(runTime)
+					due, ends := 0.0, map[string]time.Time{}
+					pass := func() {
+						for due += perTick; due >= 1; due-- {
+							ends[fleet.add("other", "batch", tasksOf(1, cores))] = time.Time{}
+						}
+						fleet.advance(50 * time.Millisecond)
+						for id, end := range ends {
+							switch {
+							case end.IsZero() && fleet.runsOf(id) > 0:
+								ends[id] = fleet.now.Add(runTime)
+							case !end.IsZero() && !fleet.now.Before(end):
+								fleet.markEnded(planner.TaskKey{Job: id}, planner.EndedDone)
+								delete(ends, id)
+							}
+						}
+					}
+					for range 100 {
+						pass()
+					}
+					wanted := fleet.add(testTeam, "batch", large(workers))
+					for began := fleet.now; fleet.runsOf(wanted) == 0; pass() {
+						if fleet.now.Sub(began) > bound {
+							t.Fatalf("the large job has not begun after %v", bound)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestReservedInBusyService checks the same where the service is too busy for a job to start on workers that are reserved: none may be kept
+// for steps that cannot start there, half of the workers are never kept, and steps alike take no time from others.
+func TestReservedInBusyService(t *testing.T) {
+	const soon = 200 * time.Millisecond
+	busy := func(fleet *waitingFleet, workers int) {
+		step := tasksOf(workers, 20)
+		step.MaxPerWorker = 1
+		fleet.add(testTeam, "batch", step)
+	}
+	for _, test := range []struct {
+		name    string
+		waiting func(fleet *waitingFleet, workers int)
+		wanted  planner.Step // with a task for each worker if it has none
+	}{
+		{"fillersBesideTargets", func(fleet *waitingFleet, workers int) {
+			fleet.add(testTeam, testQueue, serving(workers))
+			fleet.passTime(time.Second)
+			for range 9 {
+				fleet.add(testTeam, "batch", filler(1))
+			}
+		}, tasksOf(0, 8)},
+		{"largeTasks", func(fleet *waitingFleet, workers int) {
+			for range 2 * workers {
+				fleet.add(testTeam, "batch", tasksOf(1, 31))
+			}
+		}, tasksOf(2, 4)},
+		{"manyAlike", func(fleet *waitingFleet, _ int) {
+			for range 3000 {
+				fleet.add(testTeam, "batch", tasksOf(1, 15))
+			}
+		}, tasksOf(2, 4)},
+	} {
+		for _, workers := range []int{2, 4, 12, 40} {
+			t.Run(fmt.Sprintf("%s/%d", test.name, workers), func(t *testing.T) {
+				fleet := newWaitingFleet(t, workers, false)
+				busy(fleet, workers)
+				fleet.passTime(time.Second)
+				test.waiting(fleet, workers)
+				fleet.passTime(2 * time.Second)
+				if test.wanted.Count == 0 {
+					test.wanted.Count = workers
+				}
+				wanted := fleet.add("other", "batch", test.wanted)
+				fleet.wantStartWithin(wanted, soon)
+				fleet.wantRunsOf(wanted, test.wanted.Count)
+			})
+		}
+	}
+}
--- a/library/planner/worker.go
+++ b/library/planner/worker.go
@@ -79,6 +79,8 @@
 	standingSize    sizer.Size // total size of the runs of standing steps
 	servingRuns     int        // number of runs that serve requests of users
 	fillerRuns      int
+	standingServing int // number of the serving runs that are standing
+	standingFillers int
 	replaced        bool             // whether its machine has started anew as another worker
 	lostTasks       []TaskKey        // tasks with runs that were lost on it, and of which it is not known whether it crashed
 	isolation       blamer.Isolation // until when it takes no others beside its suspects
@@ -208,12 +210,7 @@
 	if run.Standing {
 		worker.standingSize = worker.standingSize.Add(run.Size)
 	}
-	if run.Serving {
-		worker.servingRuns++
-	}
-	if run.Filler {
-		worker.fillerRuns++
-	}
+	worker.countSharing(run, 1)
 	worker.beginTrial(run)
 }
 
@@ -226,11 +223,22 @@
 	if run.Standing {
 		worker.standingSize = worker.standingSize.Sub(run.Size)
 	}
+	worker.countSharing(run, -1)
+	worker.endTrial(run)
+}
+
+// countSharing adds a run a number of times to the counts of runs that do not share a worker.
+func (worker *Worker) countSharing(run *Run, times int) {
 	if run.Serving {
-		worker.servingRuns--
+		worker.servingRuns += times
 	}
 	if run.Filler {
-		worker.fillerRuns--
+		worker.fillerRuns += times
+	}
+	if run.Serving && run.Standing {
+		worker.standingServing += times
+	}
+	if run.Filler && run.Standing {
+		worker.standingFillers += times
 	}
-	worker.endTrial(run)
 }
