Planner: a gang reserves workers for all its members, as far as the limit goes

Seen: beside a stream of small tasks at 0.8 of the capacity of 12 workers, a gang of three did not start within 20 s.

Cause: a blocked step reserved one worker a pass, and small tasks took the others as fast as they became free.

Change: a gang reserves as many workers as it has members, up to the limit.

Result: TestLargeWorkStarts/gang/12/0.8 and 1.2 failed before, and pass.

--- a/library/planner/preempt.go
+++ b/library/planner/preempt.go
@@ -70,6 +70,9 @@
 	if pass.planner.Settings.PoolShares {
 		count, limit = len(step.waiting), max(limit, workers/reservedDivisor)
 	}
+	if step.Gang {
+		count = step.Count
+	}
 	limit = min(limit, (workers+maxReservedDivisor-1)/maxReservedDivisor)
 	for _, worker := range pass.mostFreeWorkers(step, queue, min(count, limit-len(pass.reserved)+len(pass.planner.drainMoves)+pass.standbyTargets)) {
 		pass.reserved[worker.ID] = true
