Scheduler: a job belongs to its customer and queue

Cause: calls were passed on with queue and ID only, and the decider looked jobs up by their ID alone.

Change: a call carries its caller; the decider compares customer and queue for POST (409), GET and DELETE (410, as for an ID that nobody has). Calls of hosts of the release before are checked for the queue only.

--- a/daemon/scheduler/calls.go
+++ b/daemon/scheduler/calls.go
@@ -155,6 +155,10 @@
 	}
 	tenure.mu.Lock()
 	_, known := tenure.planner.State(call.ID)
+	if known && !tenure.owns(methodSubmit, call) {
+		tenure.mu.Unlock()
+		return planner.Reply{Verdict: planner.Refused, Conflict: true, Reason: "the ID is taken by another job: submit the job with another ID"}, nil
+	}
 	if !known {
 		if reply, refused := tenure.refuseSubmission(call.Job); refused {
 			tenure.mu.Unlock()
@@ -276,9 +280,22 @@
 	}
 }
 
+// owns reports whether the job of a call is one of the call's queue and open to the caller. What a caller gets for any other job is the
+// same as for an ID that nobody has; the log tells them apart. The caller holds tenure.mu.
+func (tenure *tenure) owns(method string, call Call) bool {
+	if tenure.planner.Owns(call.Caller, call.Queue, call.ID) {
+		return true
+	}
+	if _, known := tenure.planner.State(call.ID); known {
+		tenure.host.metrics.foreignCalls.WithLabelValues(method).Inc()
+		tenure.host.log.Info("call for a job of another customer or queue", "method", method, "job", call.ID, "queue", call.Queue)
+	}
+	return false
+}
+
 func (tenure *tenure) cancelJob(ctx context.Context, call Call) (planner.Reply, error) {
 	tenure.mu.Lock()
-	if !tenure.planner.Cancel(call.ID, time.Now()) {
+	if !tenure.owns(methodCancel, call) || !tenure.planner.Cancel(call.ID, time.Now()) {
 		tenure.mu.Unlock()
 		return planner.Reply{Verdict: planner.Missing}, nil
 	}
@@ -296,7 +313,7 @@
 	tenure.mu.Lock()
 	defer tenure.mu.Unlock()
 	state, known := tenure.planner.State(call.ID)
-	if !known || tenure.planner.QueueOf(call.ID) != call.Queue {
+	if !known || !tenure.owns(methodState, call) {
 		return planner.Reply{Verdict: planner.Missing}
 	}
 	return planner.Reply{State: state}
--- a/daemon/scheduler/gateway.go
+++ b/daemon/scheduler/gateway.go
@@ -20,6 +20,8 @@
 	Job   *planner.Job `json:"job,omitempty"`
 	// Submission identifies a submission over all repetitions of the call, empty from hosts of earlier releases.
 	Submission string `json:"submission,omitempty"`
+	// Caller is who makes the call, nil from hosts of earlier releases.
+	Caller *planner.Caller `json:"caller,omitempty"`
 }
 
 const (
@@ -39,18 +41,18 @@
 func (gateway *gateway) Catalog() *planner.Catalog { return gateway.host.catalog.Load() }
 
 // Submit submits a job.
-func (gateway *gateway) Submit(ctx context.Context, job planner.Job) planner.Reply {
-	return gateway.callDecider(ctx, methodSubmit, Call{Queue: job.Queue, ID: job.ID, Job: &job, Submission: uuid.NewString()})
+func (gateway *gateway) Submit(ctx context.Context, caller planner.Caller, job planner.Job) planner.Reply {
+	return gateway.callDecider(ctx, methodSubmit, Call{Queue: job.Queue, ID: job.ID, Job: &job, Submission: uuid.NewString(), Caller: &caller})
 }
 
 // State returns the state of a job.
-func (gateway *gateway) State(ctx context.Context, queue, id string) planner.Reply {
-	return gateway.callDecider(ctx, methodState, Call{Queue: queue, ID: id})
+func (gateway *gateway) State(ctx context.Context, caller planner.Caller, queue, id string) planner.Reply {
+	return gateway.callDecider(ctx, methodState, Call{Queue: queue, ID: id, Caller: &caller})
 }
 
 // Cancel cancels a job.
-func (gateway *gateway) Cancel(ctx context.Context, queue, id string) planner.Reply {
-	return gateway.callDecider(ctx, methodCancel, Call{Queue: queue, ID: id})
+func (gateway *gateway) Cancel(ctx context.Context, caller planner.Caller, queue, id string) planner.Reply {
+	return gateway.callDecider(ctx, methodCancel, Call{Queue: queue, ID: id, Caller: &caller})
 }
 
 // Pending returns the number of jobs of a queue that have not begun.
--- a/daemon/scheduler/metrics.go
+++ b/daemon/scheduler/metrics.go
@@ -25,6 +25,8 @@
 	// calibration counts how often learned run times held.
 	calibration *calibrationCounters
 	refusals    *prometheus.CounterVec
+	// foreignCalls counts the calls for jobs of other customers or queues, by method.
+	foreignCalls *prometheus.CounterVec
 	// droppedCalls counts the calls to workers that this host did not send for the decider, since their time was over.
 	droppedCalls prometheus.Counter
 	// sentCatalogBytes counts the bytes of the configurations that were sent to other hosts.
@@ -71,6 +73,9 @@
 		sentCatalogBytes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "ebonyshunt_sent_config_bytes_total", Help: "Bytes of configurations sent to other hosts.",
 		}),
+		foreignCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "ebonyshunt_foreign_calls_total", Help: "Calls for jobs of other customers or queues, which were refused.",
+		}, []string{"method"}),
 		droppedCalls: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "ebonyshunt_dropped_calls_total", Help: "Calls to workers that a delegate did not send, since their time was over.",
 		}),
@@ -97,7 +102,7 @@
 func (metrics *metrics) register(host *Host) {
 	metrics.registry.MustRegister(
 		metrics.polls, metrics.starts, metrics.calls, metrics.appends, metrics.jobs, metrics.endings,
-		metrics.sentCatalogBytes, metrics.hedgedCalls, metrics.droppedCalls, metrics.refusals,
+		metrics.sentCatalogBytes, metrics.hedgedCalls, metrics.droppedCalls, metrics.foreignCalls, metrics.refusals,
 		metrics.waitingTasks, metrics.runs, metrics.unknownWorkers, metrics.usedShare, metrics.lag,
 		metrics.drainedRuns, metrics.shares.share, metrics.shares.used, metrics.shares.givenBack,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -302,14 +302,6 @@
 	return entry.storedState, true
 }
 
-// QueueOf returns the queue of a job, or an empty string if the job is unknown.
-func (planner *Planner) QueueOf(id string) string {
-	if entry := planner.jobs[id]; entry != nil {
-		return entry.Queue
-	}
-	return ""
-}
-
 // Pending returns the number of jobs of a queue that have not ended and of which no worker told that it started a task.
 func (planner *Planner) Pending(queue string) int {
 	count := 0
