Planner: a serving task that finds no other place goes before fillers

Cause: serving tasks and fillers do not share a worker, and preemption looked at room only, so that it found nothing to stop.

Change: a serving step that finds no room stops the fillers on as many workers as it has waiting tasks, those first on which the least work is lost, and keeps the workers free until it starts.

--- a/library/planner/preempt.go
+++ b/library/planner/preempt.go
@@ -55,7 +55,7 @@
 	}
 	pool.roomSearches++
 	if pass.mayPreempt(step, queue) {
-		pass.preempt(step, queue)
+		pass.makeRoom(step, queue)
 	}
 	if waited >= reserveDelay {
 		pass.reserve(step, queue)
@@ -135,6 +135,14 @@
 	return best
 }
 
+// makeRoom stops runs for a step: fillers, if those are all that keeps a serving step out, or else runs of lower priority.
+func (pass *pass) makeRoom(step *step, queue Queue) {
+	if step.TailMS > 0 && pass.displaceFillers(step, queue) {
+		return
+	}
+	pass.preempt(step, queue)
+}
+
 // preempt makes room for a task of the step on the worker where this stops the fewest runs, and reserves that
 // worker. Only runs of lower priority with checkpoints are stopped.
 func (pass *pass) preempt(step *step, queue Queue) {
--- a/library/planner/waiting_test.go
+++ b/library/planner/waiting_test.go
@@ -341,3 +341,26 @@
 		}
 	}
 }
+
+// TestServingTaskBesideFillers guards against a lasting task with a target that does not start again, since a task that fills runs on each
+// worker. Seen by review/13.
+func TestServingTaskBesideFillers(t *testing.T) {
+	for _, workers := range []int{1, 2, 10, 40} {
+		for name, count := range map[string]int{"one": 1, "each": workers} {
+			for _, checkpoints := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%d/%s/checkpoints=%t", workers, name, checkpoints), func(t *testing.T) {
+					fleet := newWaitingFleet(t, workers, false)
+					fills := filler(2 * workers)
+					fills.MaxPerWorker, fills.Checkpoints = 2, checkpoints
+					fillers := fleet.add(testTeam, "batch", fills)
+					fleet.passTime(time.Second)
+					fleet.wantRunsOf(fillers, 2*workers)
+					wanted := fleet.add("other", "batch", serving(count))
+					fleet.passTime(maxStartWait)
+					fleet.wantRunsOf(wanted, count)
+					fleet.wantRunsOf(fillers, 2*(workers-count))
+				})
+			}
+		}
+	}
+}
