Planner: an entry in the list of workers ends no runs by itself

Cause: an entry of another writer that names the worker's machine and a later start counted as the machine's next life.

Change: a worker replaces another one of its machine only once it has answered, belongs to a service of the configuration, and the former one has not answered since the later one was listed. Its first answer is checked as well as each change of the list.

--- a/library/planner/crashes.go
+++ b/library/planner/crashes.go
@@ -195,27 +195,54 @@
 
 // detectReplaced finds the workers whose machines have started anew as other workers: they have crashed, unless they were
 // draining. Times of day alone do not tell which worker of a machine is the latest, since its clock may go back: the later
-// one must also have been listed after the earlier one, both in this term.
+// one must also have been listed after the earlier one, both in this term. An entry in the list may come from another writer: the later
+// one must have answered as a worker of a service in the configuration.
 func (planner *Planner) detectReplaced() {
 	newest := map[string]*Worker{} // by machine
 	for _, worker := range planner.workers {
+		if !planner.hasShownItself(worker) {
+			continue
+		}
 		if current := newest[worker.Machine]; current == nil || worker.Incarnation > current.Incarnation {
 			newest[worker.Machine] = worker
 		}
 	}
 	delete(newest, "")
 	for _, worker := range planner.workerList {
-		successor := newest[worker.Machine]
-		if successor != nil && !worker.replaced && !worker.Draining && worker.precedes(successor) {
-			planner.closeReplaced(worker)
+		if successor := newest[worker.Machine]; successor != nil {
+			planner.closeIfReplaced(worker, successor)
+		}
+	}
+}
+
+// detectReplacedBy is detectReplaced for a worker that has answered for the first time.
+func (planner *Planner) detectReplacedBy(successor *Worker) {
+	if successor.Machine == "" || !planner.hasShownItself(successor) {
+		return
+	}
+	for _, worker := range planner.workerList {
+		if worker.Machine == successor.Machine {
+			planner.closeIfReplaced(worker, successor)
 		}
 	}
 }
 
-// precedes reports whether a worker is certainly older than another one of its machine.
+// hasShownItself reports whether a worker has answered, and belongs to a service of the configuration.
+func (planner *Planner) hasShownItself(worker *Worker) bool {
+	_, configured := planner.catalog.Services[worker.Service]
+	return configured && !worker.AnsweredAt.IsZero()
+}
+
+func (planner *Planner) closeIfReplaced(worker, successor *Worker) {
+	if !worker.replaced && !worker.Draining && worker.precedes(successor) {
+		planner.closeReplaced(worker)
+	}
+}
+
+// precedes reports whether a worker is certainly older than another one of its machine, and has not answered since that one was listed.
 func (worker *Worker) precedes(other *Worker) bool {
 	return worker.Incarnation != 0 && worker.Incarnation < other.Incarnation &&
-		!worker.firstListedAt.IsZero() && worker.firstListedAt.Before(other.firstListedAt)
+		!worker.firstListedAt.IsZero() && worker.firstListedAt.Before(other.firstListedAt) && worker.AnsweredAt.Before(other.firstListedAt)
 }
 
 // closeReplaced closes the runs of a worker whose machine has started anew as another worker. The machine runs nothing of
--- a/library/planner/fleet_test.go
+++ b/library/planner/fleet_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -71,6 +72,7 @@
 	ended        []planner.EndedRun      // ended runs that are not acknowledged
 	sequence     int64                   // sequence number of the last ended run
 	machine      string                  // as planner.WorkerInfo.Machine
+	service      string                  // as planner.WorkerInfo.Service, empty for testService
 	draining     bool
 	gone         bool      // whether it is not listed
 	backAt       time.Time // when it is back after a crash, zero if it has not crashed
@@ -160,7 +162,7 @@
 			continue
 		}
 		infos = append(infos, planner.WorkerInfo{
-			ID: id, Machine: fleet.workers[id].machine, Draining: fleet.workers[id].draining, Service: testService, Address: id, Zone: fleet.zoneOf(id), Labels: append([]string{"a", "r-1"}, fleet.kindOf(id)...),
+			ID: id, Machine: fleet.workers[id].machine, Draining: fleet.workers[id].draining, Service: cmp.Or(fleet.workers[id].service, testService), Address: id, Zone: fleet.zoneOf(id), Labels: append([]string{"a", "r-1"}, fleet.kindOf(id)...),
 			Capacity: sizer.Size{MilliCores: 32000, MemoryMB: 65536, Accelerators: 8}, Incarnation: fleet.workers[id].incarnation,
 		})
 	}
--- a/library/planner/runs.go
+++ b/library/planner/runs.go
@@ -221,8 +221,12 @@
 	if listing.Incarnation != 0 {
 		worker.Incarnation = listing.Incarnation
 	}
+	first := worker.AnsweredAt.IsZero()
 	worker.recordClock(listing.ClockMS, now)
 	planner.resolveAnswered(worker)
+	if first {
+		planner.detectReplacedBy(worker)
+	}
 	for _, ended := range listing.Ended {
 		planner.recordEnded(worker, ended, now)
 	}
