Planner: steps that could start nowhere ask the policy nothing

Seen by a test: behind 40 steps that fill, beside tasks with a target on all workers, a job of the same queue did not start within 3 s.

Cause: the candidates of a policy query had a list of conditions of their own, without that for tasks that disturb each other, so that the steps asked for their workers again each time the tickets ran out, and left no query to others.

Change: candidates are the workers on which the step could start once emptied, and a worker where it would disturb others has no room.

Result: TestWaitingWorkLeavesQueries failed for steps that fill before, passes for these, large tasks and gangs.

--- a/library/planner/policy.go
+++ b/library/planner/policy.go
@@ -198,8 +198,8 @@
 	}
 	var found []candidate
 	for _, worker := range pass.pool(queue.Service).workers {
-		if !worker.hasLabel(step.Label) || !step.chargedSize().Fits(worker.Capacity) || step.policy.denied[worker.ID] ||
-			queried[worker.ID] || step.policy.hasTicket(worker, startAt) || !pass.admittedWhileCold(step, queue, worker, 0) {
+		if step.policy.denied[worker.ID] || queried[worker.ID] || step.policy.hasTicket(worker, startAt) ||
+			pass.obstacleOnceEmptied(step, queue, worker) != obstacleNone {
 			continue
 		}
 		found = append(found, candidate{worker, step.policy.allowedBefore(worker), pass.roomFor(step, worker, tasks), pass.cost(step, queue, nil, worker, 0)})
@@ -212,6 +212,9 @@
 
 // roomFor returns how many tasks of the step fit on a worker now, at most the given number.
 func (pass *pass) roomFor(step *step, worker *Worker, tasks int) int {
+	if step.disturbedOn(worker) {
+		return 0
+	}
 	size, free := step.chargedSize(), worker.Free()
 	room := 0
 	for room < tasks && size.Mul(int64(room+1)).Fits(free) && pass.planner.belowWorkerLimit(step, worker, room) {
--- a/library/planner/waiting_test.go
+++ b/library/planner/waiting_test.go
@@ -364,3 +364,64 @@
 		}
 	}
 }
+
+// TestWaitingWorkLeavesQueries is TestWaitingWorkKeepsNoOneOut for a queue with a policy: steps that could not start on any worker that the
+// policy allows must not take all of its queries.
+func TestWaitingWorkLeavesQueries(t *testing.T) {
+	const answerTime, workers = 350 * time.Millisecond, 8
+	for name, waiting := range map[string]func(fleet *waitingFleet){
+		"fillersBesideTargets": func(fleet *waitingFleet) {
+			fleet.add(testTeam, testQueue, serving(workers))
+			fleet.passTime(time.Second)
+			for range 40 {
+				fleet.add(testTeam, "batch", filler(1))
+			}
+		},
+		"largeTasks": func(fleet *waitingFleet) {
+			spreadSmallTasks(fleet, workers)
+			fleet.answerAll(answerTime)
+			fleet.answerAll(answerTime)
+			for range 40 {
+				fleet.add(testTeam, "batch", tasksOf(1, 31))
+			}
+		},
+		"gangs": func(fleet *waitingFleet) {
+			spreadSmallTasks(fleet, workers)
+			fleet.answerAll(answerTime)
+			fleet.answerAll(answerTime)
+			for range 40 {
+				fleet.add(testTeam, "batch", gangOf(workers, 31))
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fleet := &waitingFleet{fleet: newRoomFleet(t, workers, false)}
+			waiting(fleet)
+			for range 6 {
+				fleet.answerAll(answerTime)
+			}
+			wanted := fleet.add("other", "batch", tasksOf(2, 4))
+			for began := fleet.now; fleet.runsOf(wanted) == 0; fleet.answerAll(answerTime) {
+				if fleet.now.Sub(began) > maxStartWait {
+					t.Fatalf("the job has not begun after %v", maxStartWait)
+				}
+			}
+		})
+	}
+}
+
+// answerAll passes the time that an answer of the policy takes, and answers all queries that were sent before: it allows all workers.
+func (waitingFleet *waitingFleet) answerAll(answerTime time.Duration) {
+	waitingFleet.advance(10 * time.Millisecond)
+	queries := waitingFleet.queries
+	waitingFleet.queries = nil
+	waitingFleet.passTime(answerTime)
+	for _, query := range queries {
+		var allowed []planner.Allowance
+		for _, worker := range query.Workers {
+			allowed = append(allowed, planner.Allowance{Worker: worker, Ticket: "t-" + worker})
+		}
+		waitingFleet.planner.HandlePolicyAnswer(query, allowed, waitingFleet.time())
+	}
+	waitingFleet.settle()
+}
