Acceptor: TestUnreadAnswers makes the order in which the answers begin

The product closes the answer that has been written for the longest time; the test began the second request when the handler of the first one had been called, which is before it writes. Now the second request begins once the first client has got part of its answer. What is checked is the same.

--- a/daemon/acceptor/acceptor_test.go
+++ b/daemon/acceptor/acceptor_test.go
@@ -141,19 +141,25 @@
 func TestUnreadAnswers(t *testing.T) {
 	server := newServer(t, Limits{Conns: 2})
 	first := server.dial(t, request("/large"))
-	<-server.served
+	// The answer that has been written for the longest time is closed. The second one begins once the first one has.
+	const begun = 64 << 10
+	if _, err := io.CopyN(io.Discard, first, begun); err != nil {
+		t.Fatal(err)
+	}
 	second := server.dial(t, request("/large"))
-	<-server.served
+	if _, err := io.CopyN(io.Discard, second, begun); err != nil {
+		t.Fatal(err)
+	}
 	time.Sleep(2 * minUnreadTime)
 	third := server.dial(t, request("/"))
 	assertStatus(t, third, http.StatusNoContent)
 	if reason := <-server.closed; reason != TooManyConnections {
 		t.Errorf("reason %q", reason)
 	}
-	if read, err := io.Copy(io.Discard, first); read >= int64(len(largeAnswer)) {
+	if read, err := io.Copy(io.Discard, first); read >= int64(len(largeAnswer))-begun {
 		t.Errorf("the first client was not closed: %d bytes, %v", read, err)
 	}
-	if read, _ := io.CopyN(io.Discard, second, int64(len(largeAnswer))); read < int64(len(largeAnswer)) {
+	if read, _ := io.CopyN(io.Discard, second, int64(len(largeAnswer))-begun); read < int64(len(largeAnswer))-begun {
 		t.Errorf("the second client read %d bytes only", read)
 	}
 }
