Scheduler: two readings of a suspension that differ a little do not empty the quorum

Found by reading: after a suspension of its machine, a host took each new reading of how long it lasted for a further suspension, and forgot the heartbeats of its quorum each time.

Change: only a difference that counts as a suspension does.

Result: TestQuorumAfterSuspension failed before, passes now.

--- a/daemon/scheduler/host.go
+++ b/daemon/scheduler/host.go
@@ -287,8 +287,8 @@
 // uptime returns the time since the host started, with the time for which its machine was suspended.
 func (host *Host) uptime() time.Duration { return time.Since(host.started) + host.suspensions.Total() }
 
-// timeAt returns the time that has passed by now as much as an uptime has. The monotonic clock, which the result is on, does not count
-// suspensions: what was known before one is as much older on it.
+// timeAt converts an uptime to a time of the monotonic clock. That clock stands still while the machine is suspended, so that an uptime
+// from before a suspension converts to a time that is earlier by its length.
 func (host *Host) timeAt(uptime time.Duration) time.Time {
 	return host.started.Add(uptime - host.suspensions.Total())
 }
--- a/daemon/scheduler/quorum.go
+++ b/daemon/scheduler/quorum.go
@@ -50,7 +50,7 @@
 // clock shows.
 func (quorum *quorum) lock() {
 	quorum.mu.Lock()
-	if total := quorum.suspensions.Total(); total != quorum.suspendedBy {
+	if total := quorum.suspensions.Total(); total-quorum.suspendedBy >= timekeeper.MinSuspension {
 		clear(quorum.heartbeats)
 		quorum.suspendedBy = total
 	}
--- a/daemon/scheduler/send_time.go
+++ b/daemon/scheduler/send_time.go
@@ -6,8 +6,7 @@
 	"ebonyshunt.org/platform/translator"
 )
 
-// maxSendTime bounds the age up to which a call to a worker may be sent. A decider that has failed is replaced later than that, so that its
-// successor finds no worker to which an order is still on the way.
+// maxSendTime bounds the age up to which a call to a worker may be sent, also while this host is late itself.
 const maxSendTime = time.Second
 
 // latestSend returns the uptime of this host up to which a call to a worker may be sent that was prepared at an uptime, given the time-out of
--- a/daemon/scheduler/suspension_test.go
+++ b/daemon/scheduler/suspension_test.go
@@ -51,3 +51,20 @@
 		})
 	}
 }
+
+// TestQuorumAfterSuspension guards against a decider that holds no quorum for good after a suspension: two readings of how long it lasted
+// differ a little.
+func TestQuorumAfterSuspension(t *testing.T) {
+	suspended := time.Duration(0)
+	quorum := newQuorum(&timekeeper.Suspensions{Read: func() time.Duration {
+		suspended += time.Microsecond
+		return suspended
+	}})
+	suspended = time.Minute
+	for _, name := range []string{"a", "b", "c"} {
+		quorum.recordHeartbeat(Heartbeat{Host: name}, time.Now())
+	}
+	if !quorum.isHeld(4) {
+		t.Error("three heartbeats after a suspension make no quorum of four hosts")
+	}
+}
--- a/daemon/timekeeper/suspensions.go
+++ b/daemon/timekeeper/suspensions.go
@@ -16,8 +16,9 @@
 	before time.Duration // Read when the measurement began
 }
 
-// minSuspension is the shortest time that counts. Two readings of the same time on two clocks of the system differ by less.
-const minSuspension = 20 * time.Millisecond
+// MinSuspension is the shortest time that counts as a suspension. Two readings of the same time on two clocks of the system differ by less,
+// so that two results of Total differ by less without a suspension in between.
+const MinSuspension = 20 * time.Millisecond
 
 // New returns a measurement that begins now.
 func New() *Suspensions { return &Suspensions{Read: readSystem, before: readSystem()} }
@@ -28,7 +29,7 @@
 		return 0
 	}
 	total := suspensions.Read() - suspensions.before
-	if total < minSuspension {
+	if total < MinSuspension {
 		return 0
 	}
 	return total
