Planner: fillers that make room for a serving task stay away until it has started

Found by TestWaitingProperty, a check with drawn fleets and a plain reference: urgent fillers come before a serving step, so that they started again on the worker where they had been stopped, were stopped again in the next pass, and the worker took no other work.

Change: a worker where fillers were stopped gets none for two seconds.

--- a/library/planner/displace.go
+++ b/library/planner/displace.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // A serving task and a filler do not share a worker. A serving task that finds no other place goes first: it serves its users all the
@@ -15,12 +16,17 @@
 	lost    int    // number of the fillers without checkpoints
 }
 
+// fillerBarTime is how long a worker gets no fillers after some were stopped there: longer than it takes until a serving task starts in
+// their place.
+const fillerBarTime = 2 * time.Second
+
 // displaceFillers stops the fillers on as many workers as a serving step has waiting tasks, those first on which this loses least, and
 // keeps the workers free. It reports whether it found any.
 func (pass *pass) displaceFillers(step *step, queue Queue) bool {
 	var options []displacement
 	for _, worker := range pass.pool(queue.Service).workers {
-		if worker.fillerRuns == 0 || !pass.reservable(step, queue, worker) {
+		if worker.fillerRuns == 0 || pass.keptFrom(step, queue, worker) || pass.obstacleOnceEmptied(step, queue, worker) != obstacleNone ||
+			queue.Policy != nil && !step.policy.allowedBefore(worker) {
 			continue
 		}
 		if option, found := pass.displacementOn(worker, step); found {
@@ -35,6 +41,7 @@
 			pass.planner.stopRun(run, pass.now)
 		}
 		pass.reserved[option.worker.ID] = true
+		option.worker.fillersBarredUntil = pass.now.Add(fillerBarTime)
 	}
 	return len(options) > 0
 }
--- a/library/planner/obstacles.go
+++ b/library/planner/obstacles.go
@@ -39,7 +39,7 @@
 		return obstacleApart
 	case worker.isolation.FromRuns(pass.now):
 		return obstacleIsolated
-	case step.disturbedOn(worker):
+	case pass.disturbedOn(step, worker):
 		return obstacleDisturbed
 	case queue.Policy != nil && step.policy.denied[worker.ID]:
 		return obstacleDenied
@@ -82,9 +82,13 @@
 		(queue.Policy == nil || step.policy.allowedBefore(worker))
 }
 
-// disturbedOn reports whether a task of the step would disturb serving tasks on a worker, or be disturbed as one.
-func (step *Step) disturbedOn(worker *Worker) bool {
-	return step.Filler && worker.servingRuns > 0 || step.TailMS > 0 && worker.fillerRuns > 0
+// disturbedOn reports whether a task of the step would disturb serving tasks on a worker, also one that is about to start there, or be
+// disturbed as one.
+func (pass *pass) disturbedOn(step *step, worker *Worker) bool {
+	if step.Filler && (worker.servingRuns > 0 || pass.now.Before(worker.fillersBarredUntil)) {
+		return true
+	}
+	return step.TailMS > 0 && worker.fillerRuns > 0
 }
 
 // disturbedOnceEmptied is disturbedOn once all runs on the worker but the standing ones have ended.
--- a/library/planner/policy.go
+++ b/library/planner/policy.go
@@ -212,7 +212,7 @@
 
 // roomFor returns how many tasks of the step fit on a worker now, at most the given number.
 func (pass *pass) roomFor(step *step, worker *Worker, tasks int) int {
-	if step.disturbedOn(worker) {
+	if pass.disturbedOn(step, worker) {
 		return 0
 	}
 	size, free := step.chargedSize(), worker.Free()
--- a/library/planner/pool_shares.go
+++ b/library/planner/pool_shares.go
@@ -418,7 +418,7 @@
 func (pass *pass) options(step *step, queue Queue) []option {
 	var options []option
 	for _, worker := range pass.pool(queue.Service).workers {
-		if !pass.reservable(step, queue, worker) || step.disturbedOn(worker) {
+		if !pass.reservable(step, queue, worker) || pass.disturbedOn(step, worker) {
 			continue
 		}
 		if option, found := pass.optionOn(worker, step, queue); found {
--- a/library/planner/standby.go
+++ b/library/planner/standby.go
@@ -198,7 +198,7 @@
 func (pass *pass) suits(id string, step *step, queue Queue) bool {
 	worker := pass.planner.workers[id]
 	return worker != nil && worker.poolPass == pass.number && worker.Service == queue.Service && pass.reservable(step, queue, worker) &&
-		!step.disturbedOn(worker) && (queue.Policy == nil || step.policy.hasTicket(worker, pass.now))
+		!pass.disturbedOn(step, worker) && (queue.Policy == nil || step.policy.hasTicket(worker, pass.now))
 }
 
 // ticketed returns the workers on which a step may start, sorted by ID: those with a ticket if its queue has a policy.
--- a/library/planner/waiting_test.go
+++ b/library/planner/waiting_test.go
@@ -207,17 +207,26 @@
 			labeled(tasksOf(smallTasks, 4), "y"),
 		},
 	} {
-		for _, workers := range []int{2, 4, 5, 12, 40} {
+		for _, workers := range []int{2, 4, 5, 12, 40, 200} {
 			for _, poolShares := range []bool{false, true} {
-				t.Run(fmt.Sprintf("%s/%d/%t", test.name, workers, poolShares), func(t *testing.T) {
-					fleet := newWaitingFleet(t, workers, poolShares)
-					test.running(fleet, workers)
-					fleet.passTime(time.Second)
-					test.waiting(fleet, workers)
-					fleet.passTime(2 * time.Second)
-					wanted := fleet.add("other", "batch", test.wanted)
-					fleet.wantStartWithin(wanted, maxStartWait)
-				})
+				for _, takeover := range []bool{false, true} {
+					if takeover && workers != 4 {
+						continue
+					}
+					t.Run(fmt.Sprintf("%s/%d/%t/%t", test.name, workers, poolShares, takeover), func(t *testing.T) {
+						fleet := newWaitingFleet(t, workers, poolShares)
+						test.running(fleet, workers)
+						fleet.passTime(time.Second)
+						test.waiting(fleet, workers)
+						fleet.passTime(2 * time.Second)
+						if takeover {
+							fleet.takeOver(3, testCatalog())
+							fleet.passTime(2 * time.Second)
+						}
+						wanted := fleet.add("other", "batch", test.wanted)
+						fleet.wantStartWithin(wanted, maxStartWait)
+					})
+				}
 			}
 		}
 	}
@@ -347,12 +356,13 @@
 func TestServingTaskBesideFillers(t *testing.T) {
 	for _, workers := range []int{1, 2, 10, 40} {
 		for name, count := range map[string]int{"one": 1, "each": workers} {
-			for _, checkpoints := range []bool{false, true} {
-				t.Run(fmt.Sprintf("%d/%s/checkpoints=%t", workers, name, checkpoints), func(t *testing.T) {
+			for _, queue := range []string{"batch", testQueue} {
+				checkpoints := queue == "batch"
+				t.Run(fmt.Sprintf("%d/%s/%s", workers, name, queue), func(t *testing.T) {
 					fleet := newWaitingFleet(t, workers, false)
 					fills := filler(2 * workers)
 					fills.MaxPerWorker, fills.Checkpoints = 2, checkpoints
-					fillers := fleet.add(testTeam, "batch", fills)
+					fillers := fleet.add(testTeam, queue, fills)
 					fleet.passTime(time.Second)
 					fleet.wantRunsOf(fillers, 2*workers)
 					wanted := fleet.add("other", "batch", serving(count))
@@ -385,6 +395,20 @@
 				fleet.add(testTeam, "batch", tasksOf(1, 31))
 			}
 		},
+		"urgentFillersBesideTargets": func(fleet *waitingFleet) {
+			catalog := testCatalog()
+			catalog.Queues[0].Policy = &planner.Policy{BaseTime: answerTime, PerWorker: 5 * time.Millisecond, Validity: 2 * time.Second}
+			catalog.Queues[1].Policy = catalog.Queues[0].Policy
+			fleet.takeOver(3, catalog)
+			fleet.planner.SetSlots(planner.Slots{Short: 2, Long: 4})
+			fleet.add(testTeam, testQueue, serving(workers))
+			for range 4 {
+				fleet.answerAll(answerTime)
+			}
+			for range 40 {
+				fleet.add(testTeam, testQueue, filler(1))
+			}
+		},
 		"gangs": func(fleet *waitingFleet) {
 			spreadSmallTasks(fleet, workers)
 			fleet.answerAll(answerTime)
--- a/library/planner/worker.go
+++ b/library/planner/worker.go
@@ -81,12 +81,14 @@
 	fillerRuns      int
 	standingServing int // number of the serving runs that are standing
 	standingFillers int
-	replaced        bool             // whether its machine has started anew as another worker
-	lostTasks       []TaskKey        // tasks with runs that were lost on it, and of which it is not known whether it crashed
-	isolation       blamer.Isolation // until when it takes no others beside its suspects
-	readRequestedAt time.Time        // when a Reading of it was last requested
-	reservedPass    int64            // number of the last placement pass in which it was reserved for a blocked step
-	poolPass        int64            // number of the last placement pass in which the worker accepted runs
+	// fillersBarredUntil is until when it gets no fillers, since some were stopped there for a serving task.
+	fillersBarredUntil time.Time
+	replaced           bool             // whether its machine has started anew as another worker
+	lostTasks          []TaskKey        // tasks with runs that were lost on it, and of which it is not known whether it crashed
+	isolation          blamer.Isolation // until when it takes no others beside its suspects
+	readRequestedAt    time.Time        // when a Reading of it was last requested
+	reservedPass       int64            // number of the last placement pass in which it was reserved for a blocked step
+	poolPass           int64            // number of the last placement pass in which the worker accepted runs
 }
 
 // pendingEnd is an ended run that is acknowledged once a batch is stored.
