Planner: each blocked step has its turn in the search for room

Found by reading: a pass searched for workers to make room on for four steps of a service only, always the first ones; urgent steps that wait for long kept a lasting task with a target out beside tasks that fill.

Change: two other steps have their turn in each pass, in rounds. A step that lasts starts on reserved workers after a second, however much of the service is used.

--- a/library/planner/blocked.go
+++ b/library/planner/blocked.go
@@ -95,11 +95,29 @@
 	return true
 }
 
-// endRounds begins a new round of turns for each service in which all steps had theirs.
+// maySearch reports whether a pass looks for workers on which to make room for a step: for the steps that come first in each pass, and for
+// each other one that has not been searched for since the round of searches of its service began.
+func (pass *pass) maySearch(step *step, queue Queue, pool *pool) bool {
+	switch {
+	case pool.roomSearches < maxRoomSearches && pass.isWorthRoom(step, queue, pool):
+		pool.roomSearches++
+	case pool.roomSearches >= maxRoomSearches && pool.searchTurns < maxSearchTurns && step.searchedPass < pass.planner.searchRounds[queue.Service]:
+		pool.searchTurns++
+	default:
+		return false
+	}
+	step.searchedPass = pass.number
+	return true
+}
+
+// endRounds begins a new round for each service in which all steps had their turns.
 func (pass *pass) endRounds() {
 	for service, pool := range pass.pools {
 		if pool.exhausted && pool.turns < maxTurns {
 			pass.planner.turnRounds[service] = pass.number + 1
 		}
+		if pool.searchTurns < maxSearchTurns {
+			pass.planner.searchRounds[service] = pass.number + 1
+		}
 	}
 }
--- a/library/planner/place.go
+++ b/library/planner/place.go
@@ -39,7 +39,8 @@
 	// blockedShapes holds the shapes of the steps that found no room, and blockedCount the number of these and of steps without a shape.
 	blockedShapes map[shape]*blockedShape
 	blockedCount  int
-	roomSearches  int    // number of searches for workers to reserve or to preempt on
+	roomSearches  int    // number of searches for workers to reserve or to preempt on, for the steps that come first
+	searchTurns   int    // the same for the other steps
 	exhausted     bool   // whether the pass leaves out the remaining steps of the service, but for those whose turn it is
 	turns         int    // number of steps that had their turn
 	racks         []rack // sorted by label, nil until first used
--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -79,6 +79,7 @@
 	// lease of an earlier planner has expired.
 	formerRenewalsEnd    time.Time
 	turnRounds           map[string]int64 // number of the pass in which the round of turns began, by service, see blocked.go
+	searchRounds         map[string]int64 // the same for the round of searches for room
 	formerOrdersEnded    bool             // whether formerOrdersEnd has passed
 	formerLeasesExpireBy time.Time
 	lastBatch            int64     // number of the last batch that was taken
@@ -143,6 +144,7 @@
 		jobs:                 map[string]*jobEntry{},
 		scheduled:            map[string]*jobEntry{},
 		turnRounds:           map[string]int64{},
+		searchRounds:         map[string]int64{},
 		steps:                map[StepKey]*step{},
 		workers:              map[string]*Worker{},
 		teams:                map[string]*teamUsage{},
--- a/library/planner/preempt.go
+++ b/library/planner/preempt.go
@@ -21,8 +21,8 @@
 	// maxReservedDivisor gives the part of a service's workers that may be reserved at most, rounded up: a half, so that a small service takes
 	// small tasks as well.
 	maxReservedDivisor = 2
-	// maxReservedWait is how long a step waits for which there is room on reserved workers only, while its service is lightly used. Then it
-	// starts there.
+	// maxReservedWait is how long a step waits for which there is room on reserved workers only, while its service is lightly used or the
+	// step lasts. Then it starts there.
 	maxReservedWait = time.Second
 	// lightUse is the share of the capacity of a service up to which the service is lightly used.
 	lightUse = 0.6
@@ -30,8 +30,9 @@
 	preemptDelay = 100 * time.Millisecond
 
 	// maxRoomSearches is the maximum number of searches in one pass for workers of a service to preempt on or to
-	// reserve.
+	// reserve, for the steps that come first. maxSearchTurns is that number for the others, which have them in turn.
 	maxRoomSearches = 4
+	maxSearchTurns  = 2
 )
 
 // handleBlocked processes a step that found no room: it queries the policy, preempts runs of lower priority, and
@@ -50,10 +51,9 @@
 	if pass.planner.Settings.PoolShares {
 		pass.giveBack(step, queue, waited)
 	}
-	if waited < preemptDelay || pool.roomSearches >= maxRoomSearches || !pass.isWorthRoom(step, queue, pool) {
+	if waited < preemptDelay || !pass.maySearch(step, queue, pool) || !pass.isWorthRoom(step, queue, pool) {
 		return
 	}
-	pool.roomSearches++
 	if pass.mayPreempt(step, queue) {
 		pass.makeRoom(step, queue)
 	}
@@ -88,9 +88,10 @@
 	return worker.reservedPass != pass.number || !pass.usesReserved(step, queue.Service)
 }
 
-// usesReserved reports whether a step may start on workers that are reserved for blocked steps.
+// usesReserved reports whether a step may start on workers that are reserved for blocked steps: one that lasts however much of the service
+// is used, since it serves all the time.
 func (pass *pass) usesReserved(step *step, service string) bool {
-	return !step.blockedSince.IsZero() && pass.now.Sub(step.blockedSince) >= maxReservedWait && pass.pool(service).isLightlyUsed()
+	return !step.blockedSince.IsZero() && pass.now.Sub(step.blockedSince) >= maxReservedWait && (step.Standing || pass.pool(service).isLightlyUsed())
 }
 
 // isLightlyUsed reports whether the runs at the start of the pass used little of each resource of the pool.
--- a/library/planner/tables.go
+++ b/library/planner/tables.go
@@ -66,6 +66,8 @@
 	blockedPass int64
 	// examinedPass is the number of the last placement pass that looked at the step.
 	examinedPass int64
+	// searchedPass is the number of the last placement pass that searched for workers to make room for the step on.
+	searchedPass int64
 	charged      stepAccount // account that its tasks are charged to, if teams have shares of each service
 	promised     int         // number of tasks for which room is being given back
 	futileAt     time.Time   // when it was last found that stopping runs makes no room for it
