--- a/tests/fleet_late_orders_test.go
+++ b/tests/fleet_late_orders_test.go
@@ -32,6 +32,36 @@
 	}
 }
 
+// TestFleetLateOrdersInConnections is TestFleetLateOrders for orders that wait for a connection of the decider to a worker: the path between
+// them is cut and heals as the worker starts anew.
+func TestFleetLateOrdersInConnections(t *testing.T) {
+	for healsAfter := 50 * time.Millisecond; healsAfter <= 3*time.Second; healsAfter = healsAfter * 3 / 2 {
+		t.Run(healsAfter.String(), func(t *testing.T) {
+			runFleet(t, 4, noDelegates, func(fleet *fleet) {
+				for _, worker := range fleet.workers {
+					worker.RunTime = 30 * time.Second
+				}
+				decider := fleet.decidingHost()
+				for number, worker := range fleet.workers {
+					heal := fleet.fabric.Cut([]string{decider}, []string{worker.ID})
+					fleet.fabric.Reset(worker.ID) // so that orders wait for new connections
+					if answer := fleet.call("POST", decider, fleetPathPrefix+jobID(number), fleetKey, manyTasksJob); answer.status != http.StatusOK {
+						fleet.Fatalf("job: status %d, want 200", answer.status)
+					}
+					time.Sleep(healsAfter)
+					fleet.rebootWorker(worker)
+					heal()
+					time.Sleep(2 * time.Second)
+					if answer := fleet.call("DELETE", decider, fleetPathPrefix+jobID(number), fleetKey, ""); answer.status != http.StatusOK {
+						fleet.Fatalf("cancel: status %d, want 200", answer.status)
+					}
+					time.Sleep(12 * time.Second)
+				}
+			})
+		})
+	}
+}
+
 // checkLateOrders freezes all hosts but the decider one after the other for a time, submits a job to each fleet so disturbed, and
 // reboots all workers at a time before the host goes on.
 func checkLateOrders(t *testing.T, frozen, rebootedBefore time.Duration) {
