--- a/library/planner/planner.go
+++ b/library/planner/planner.go
@@ -78,14 +78,14 @@
 	// formerRenewalsEnd is the time from which no earlier planner renews leases, and formerLeasesExpireBy the time by which every
 	// lease of an earlier planner has expired.
 	formerRenewalsEnd    time.Time
+	formerLeasesExpireBy time.Time
+	formerOrdersEnded    bool             // whether formerOrdersEnd has passed
+	lastBatch            int64            // number of the last batch that was taken
+	passCount            int64            // number of placement passes so far
 	turnRounds           map[string]int64 // number of the pass in which the round of turns began, by service, see blocked.go
 	searchRounds         map[string]int64 // the same for the round of searches for room
-	formerOrdersEnded    bool             // whether formerOrdersEnd has passed
-	formerLeasesExpireBy time.Time
-	lastBatch            int64     // number of the last batch that was taken
-	passCount            int64     // number of placement passes so far
-	storedBatch          int64     // number of the last batch that is stored
-	now                  time.Time // time of the current event
+	storedBatch          int64            // number of the last batch that is stored
+	now                  time.Time        // time of the current event
 	startedAt            time.Time
 	journalStartMS       int64 // journal's clock when this planner began, see journalMS
 	mayLease             bool  // whether this planner may give leases now
--- a/tests/fleet_late_orders_test.go
+++ b/tests/fleet_late_orders_test.go
@@ -108,12 +108,31 @@
 		"killed":  func(fleet *fleet, host string) { fleet.killHost(host) },
 	} {
 		for wakesAfter := 100 * time.Millisecond; wakesAfter <= 400*time.Millisecond; wakesAfter += 20 * time.Millisecond {
-			t.Run(fmt.Sprintf("%s/%v", name, wakesAfter), func(t *testing.T) { checkLateOrdersAtTakeover(t, end, wakesAfter) })
+			t.Run(fmt.Sprintf("%s/%v", name, wakesAfter), func(t *testing.T) { checkLateOrdersAtTakeover(t, end, 0, wakesAfter) })
 		}
 	}
 }
 
-func checkLateOrdersAtTakeover(t *testing.T, end func(fleet *fleet, host string), wakesAfter time.Duration) {
+// TestFleetLateOrdersOfSlowDecider is TestFleetLateOrdersAtTakeover for a decider whose messages take long, and which therefore gives its
+// orders more time.
+func TestFleetLateOrdersOfSlowDecider(t *testing.T) {
+	for name, end := range map[string]func(fleet *fleet, host string){
+		"stopped": func(fleet *fleet, host string) { fleet.stopHost(host) },
+		"killed":  func(fleet *fleet, host string) { fleet.killHost(host) },
+	} {
+		for _, delay := range []time.Duration{100 * time.Millisecond, 200 * time.Millisecond} {
+			for wakesAfter := 150 * time.Millisecond; wakesAfter <= 900*time.Millisecond; wakesAfter += 50 * time.Millisecond {
+				t.Run(fmt.Sprintf("%s/slow%v/%v", name, delay, wakesAfter), func(t *testing.T) {
+					checkLateOrdersAtTakeover(t, end, delay, wakesAfter)
+				})
+			}
+		}
+	}
+}
+
+// checkLateOrdersAtTakeover freezes a host, submits a job to the decider, whose messages take a delay, and ends the decider. A time after the
+// answer, a worker is started anew and the frozen host goes on.
+func checkLateOrdersAtTakeover(t *testing.T, end func(fleet *fleet, host string), delay, wakesAfter time.Duration) {
 	// The tasks take three quarters of the fleet, so that some are ordered in each zone and may start again in another one.
 	const job = `{"spec":"s","steps":[{"count":9,"cpu":8000,"memMb":10,"estimateMs":20000}]}`
 	const ordersLeave = 50 * time.Millisecond // the decider has sent all orders
@@ -125,18 +144,22 @@
 		if frozen == decider {
 			frozen = fleet.hostNames[1]
 		}
-		submittedAt := time.Now()
+		if delay > 0 {
+			fleet.fabric.SetDelay(decider, delay)
+			time.Sleep(5 * time.Second) // the decider has learned of it
+		}
 		fleet.fabric.Pause(frozen)
 		if answer := fleet.call("POST", decider, fleetPathPrefix+jobID(1), fleetKey, job); answer.status != http.StatusOK {
 			fleet.Fatalf("job: status %d, want 200", answer.status)
 		}
+		answeredAt := time.Now()
 		time.Sleep(ordersLeave)
 		done := make(chan struct{})
 		go func() {
 			end(fleet, decider)
 			close(done)
 		}()
-		time.Sleep(time.Until(submittedAt.Add(wakesAfter)))
+		time.Sleep(time.Until(answeredAt.Add(wakesAfter)))
 		isInZone := func(worker *emulator.Worker) bool { return worker.Zone == frozen[6:7] }
 		fleet.rebootWorker(fleet.workers[slices.IndexFunc(fleet.workers, isInZone)])
 		fleet.fabric.Resume(frozen)
