Server: a job in an open queue belongs to the team that submitted it

Callers of the product's own interface that submitted a job to an open queue of another team were answered 202, and 404 for each later call that named the job; the team of the queue could read, stream and cancel it. Cause: the job had the queue's team only, whose account its use counts in. It now names its submitter, whom the checks ask for; jobs of earlier releases stay with the queue's team.

--- a/daemon/server/job.go
+++ b/daemon/server/job.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -105,7 +106,8 @@
 type Job struct {
 	ID        string    `json:"id"`
 	Team      string    `json:"team"`
-	Zone      string    `json:"zone"` // home zone
+	Submitter string    `json:"submitter,omitempty"` // team that submitted it to an open queue of Team, empty if that is Team itself
+	Zone      string    `json:"zone"`                // home zone
 	Class     string    `json:"class"`
 	Spec      JobSpec   `json:"spec"`
 	Digest    string    `json:"digest"` // of the spec as submitted
@@ -116,6 +118,11 @@
 	Expires   time.Time `json:"expires,omitzero"` // zero until the job is finished
 }
 
+// isOwnedBy reports whether a team submitted the job. No other team may read or cancel it, also not the one whose queue it is in.
+func (job *Job) isOwnedBy(team string) bool {
+	return team == cmp.Or(job.Submitter, job.Team)
+}
+
 // UnmarshalJSON decodes a job. It returns an error for a job without ID or service, or whose number of tasks differs
 // from its spec.
 func (job *Job) UnmarshalJSON(data []byte) error {
--- a/daemon/server/job_reads.go
+++ b/daemon/server/job_reads.go
@@ -115,7 +115,7 @@
 		return
 	}
 	var job Job
-	if found && json.Unmarshal(record.Data, &job) == nil && job.Team == call.Team {
+	if found && json.Unmarshal(record.Data, &job) == nil && job.isOwnedBy(call.Team) {
 		read.JobAnswer = JobAnswer{Job: &job}
 		return
 	}
--- a/daemon/server/jobs.go
+++ b/daemon/server/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -85,7 +86,7 @@
 func (tenure *tenure) answerResubmission(known *jobState, call SubmitJobCall) JobAnswer {
 	tenure.mu.Lock()
 	defer tenure.mu.Unlock()
-	if known.Team != call.Team || known.Digest != call.Spec.digest() {
+	if known.Team != call.Team || !known.isOwnedBy(cmp.Or(call.Caller, call.Team)) || known.Digest != call.Spec.digest() {
 		return JobAnswer{Problem: responder.Refuse(http.StatusUnprocessableEntity, responder.CodeKeyReused,
 			"the idempotency key was used with another job")}
 	}
@@ -123,6 +124,9 @@
 		Submitted: time.Now(),
 		Version:   1,
 	}
+	if call.Caller != call.Team {
+		job.Submitter = call.Caller
+	}
 	for i := range job.Tasks {
 		job.Tasks[i].State = JobQueued
 	}
@@ -383,7 +387,7 @@
 func (tenure *tenure) job(ctx context.Context, call JobCall) (JobAnswer, error) {
 	tenure.mu.Lock()
 	job, found := tenure.jobs[call.ID]
-	if !found || (call.Team != "" && job.Team != call.Team) {
+	if !found || (call.Team != "" && !job.isOwnedBy(call.Team)) {
 		tenure.mu.Unlock()
 		return JobAnswer{Problem: jobNotFound(call.ID)}, nil
 	}
@@ -417,7 +421,7 @@
 	tenure.mu.Lock()
 	defer tenure.mu.Unlock()
 	job, found := tenure.jobs[call.ID]
-	if !found || (call.Team != "" && job.Team != call.Team) {
+	if !found || (call.Team != "" && !job.isOwnedBy(call.Team)) {
 		return JobAnswer{Problem: jobNotFound(call.ID)}, nil
 	}
 	job.Canceled = true
--- a/daemon/server/routes.go
+++ b/daemon/server/routes.go
@@ -183,7 +183,7 @@
 	var answer JobAnswer
 	ctx, cancel := context.WithTimeout(r.Context(), clientTimeout)
 	defer cancel()
-	err := server.callDecider(ctx, home, methodSubmitJob, SubmitJobCall{ID: id, Team: queue.Team, Spec: spec}, &answer)
+	err := server.callDecider(ctx, home, methodSubmitJob, SubmitJobCall{ID: id, Team: queue.Team, Caller: team, Spec: spec}, &answer)
 	body.Close() // a caller that does not read the answer keeps out no other body
 	release := server.claimSubmittedJob(w, &answer)
 	defer release()
--- a/daemon/server/wire.go
+++ b/daemon/server/wire.go
@@ -167,9 +167,10 @@
 
 // SubmitJobCall submits a job to the decider of its home zone.
 type SubmitJobCall struct {
-	ID   string  `json:"id"`
-	Team string  `json:"team"`
-	Spec JobSpec `json:"spec"`
+	ID     string  `json:"id"`
+	Team   string  `json:"team"`             // of the queue
+	Caller string  `json:"caller,omitempty"` // team of the caller, empty from hosts of earlier releases
+	Spec   JobSpec `json:"spec"`
 }
 
 // JobCall requests a job, or its cancellation. If WaitMS (milliseconds) is set, the answer waits up to that long,
