Server: submissions under one idempotency key wait for each other

Of jobs with the same idempotency key and different contents that were submitted at once, each was answered 202 with the first one, and the copies on other hosts could be those of another one. Cause: an ID was looked up before the copies were stored and entered after, without a comparison. A submission now claims its ID first. TestSameKeyAtOnce: 4 of 4 accepted before, 1 after.

--- a/daemon/server/jobs.go
+++ b/daemon/server/jobs.go
@@ -48,21 +48,26 @@
 
 // submitJob accepts a job after another host has stored its record. A repeated submission returns the accepted job.
 func (tenure *tenure) submitJob(ctx context.Context, call SubmitJobCall) (JobAnswer, error) {
+	release, err := tenure.claimJobID(ctx, call.ID)
+	if err != nil {
+		return JobAnswer{}, err
+	}
+	defer release()
 	tenure.mu.Lock()
-	known, found := tenure.jobs[call.ID]
-	tenure.mu.Unlock()
-	if found {
-		return tenure.answerResubmission(known, call), nil
+	if known, found := tenure.jobs[call.ID]; found {
+		defer tenure.mu.Unlock()
+		return known.answerResubmission(call), nil
 	}
+	tenure.mu.Unlock()
 	job, problem := tenure.newJob(call)
 	if problem != nil {
 		return JobAnswer{Problem: problem}, nil
 	}
-	release, problem := tenure.reserveMemory(job)
+	releaseMemory, problem := tenure.reserveMemory(job)
 	if problem != nil {
 		return JobAnswer{Problem: problem}, nil
 	}
-	defer release()
+	defer releaseMemory()
 	record, err := tenure.jobRecord(job)
 	if err != nil {
 		return JobAnswer{}, err
@@ -73,24 +78,49 @@
 	}
 	tenure.mu.Lock()
 	defer tenure.mu.Unlock()
-	if known, raced := tenure.jobs[call.ID]; raced {
-		return JobAnswer{Job: known.copy()}, nil
-	}
 	tenure.jobs[call.ID] = job
 	tenure.jobBytes += job.memory()
 	tenure.enqueueJob(job)
 	return JobAnswer{Job: job.copy()}, nil
 }
 
-// answerResubmission returns the known job, or a problem if the ID was used for another job.
-func (tenure *tenure) answerResubmission(known *jobState, call SubmitJobCall) JobAnswer {
+// claimJobID waits until no other submission under an ID is in progress, and keeps others waiting until release is called: of two that are
+// made at once, the copies of only one may be stored.
+func (tenure *tenure) claimJobID(ctx context.Context, id string) (release func(), err error) {
+	for {
+		tenure.mu.Lock()
+		other, inProgress := tenure.submissions[id]
+		if !inProgress {
+			ended := make(chan struct{})
+			tenure.submissions[id] = ended
+			tenure.mu.Unlock()
+			return func() { tenure.releaseJobID(id, ended) }, nil
+		}
+		tenure.mu.Unlock()
+		select {
+		case <-other:
+		case <-ctx.Done():
+			return nil, fmt.Errorf("wait for another submission of job %s: %w", id, ctx.Err())
+		case <-tenure.ctx.Done():
+			return nil, errNotDeciding
+		}
+	}
+}
+
+func (tenure *tenure) releaseJobID(id string, ended chan struct{}) {
 	tenure.mu.Lock()
 	defer tenure.mu.Unlock()
-	if known.Team != call.Team || !known.isOwnedBy(cmp.Or(call.Caller, call.Team)) || known.Digest != call.Spec.digest() {
+	delete(tenure.submissions, id)
+	close(ended)
+}
+
+// answerResubmission returns the known job, or a problem if the ID was used for another job. The caller holds tenure.mu.
+func (jobState *jobState) answerResubmission(call SubmitJobCall) JobAnswer {
+	if jobState.Team != call.Team || !jobState.isOwnedBy(cmp.Or(call.Caller, call.Team)) || jobState.Digest != call.Spec.digest() {
 		return JobAnswer{Problem: responder.Refuse(http.StatusUnprocessableEntity, responder.CodeKeyReused,
 			"the idempotency key was used with another job")}
 	}
-	return JobAnswer{Job: known.copy()}
+	return JobAnswer{Job: jobState.copy()}
 }
 
 // newJob builds a job from a submission. It refuses a job whose service is not configured or whose tasks fit none of
--- a/daemon/server/tenure.go
+++ b/daemon/server/tenure.go
@@ -30,10 +30,11 @@
 	endWaiters          map[string][]chan struct{}  // by task ID; closed when the end of the task is known
 	recentEnds          map[string]recentEnd        // by work ID
 	jobs                map[string]*jobState
-	jobBytes            int64                   // memory of the jobs, of the answers as of the latest countMemory
-	keyBytes            int64                   // memory of the idempotency keys and their answers
-	reservedBytes       int64                   // memory of the jobs that are being accepted
-	unmatchedEnds       map[string]unmatchedEnd // by work ID; ends of tasks whose jobs are not known yet
+	jobBytes            int64                    // memory of the jobs, of the answers as of the latest countMemory
+	keyBytes            int64                    // memory of the idempotency keys and their answers
+	reservedBytes       int64                    // memory of the jobs that are being accepted
+	submissions         map[string]chan struct{} // in progress, by job ID; closed at their end
+	unmatchedEnds       map[string]unmatchedEnd  // by work ID; ends of tasks whose jobs are not known yet
 	keys                map[string]*keyState
 	replicas            map[string]string // incarnations of the peers that have copies of all records, by name
 	recordsMayBeMissing bool              // neither this host nor a live host of the zone has the records of earlier terms
@@ -87,6 +88,7 @@
 		endWaiters:    map[string][]chan struct{}{},
 		recentEnds:    map[string]recentEnd{},
 		jobs:          map[string]*jobState{},
+		submissions:   map[string]chan struct{}{},
 		unmatchedEnds: map[string]unmatchedEnd{},
 		keys:          map[string]*keyState{},
 		replicas:      map[string]string{},
--- a/tests/jobs_tenants_test.go
+++ b/tests/jobs_tenants_test.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 
 	"ebonyshunt.org/daemon/server"
+	"ebonyshunt.org/library/responder"
 )
 
 const (
@@ -86,3 +88,43 @@
 		}
 	})
 }
+
+// TestSameKeyAtOnce guards against a job that is answered as accepted while another one has its idempotency key, and against copies of a job
+// that was not accepted: both were submitted at the same time.
+func TestSameKeyAtOnce(t *testing.T) {
+	runCellTest(t, 1, func(h *harness) {
+		answers := make([]reply, 4)
+		var wait sync.WaitGroup
+		for number := range answers {
+			wait.Go(func() {
+				body := fmt.Appendf(nil, `{"service":"work","tasks":[{"target":"?workMS=%d"}]}`, 100+number)
+				answers[number] = h.send(h.ctx, "entry-b-0", http.MethodPost, "/v1/jobs", teamKey, body, "Idempotency-Key", "k")
+			})
+		}
+		wait.Wait()
+		var job server.Job
+		accepted := 0
+		for _, answer := range answers {
+			switch {
+			case answer.status == http.StatusAccepted && json.Unmarshal(answer.body, &job) == nil:
+				accepted++
+			case answer.problem.Code() != responder.CodeKeyReused:
+				t.Errorf("got %d %s, want 202 or keyReused", answer.status, answer.body)
+			}
+		}
+		if accepted != 1 {
+			t.Errorf("%d of %d different jobs were accepted under one idempotency key, want 1", accepted, len(answers))
+		}
+		h.fabric.Pause("entry-" + job.Zone + "-0")
+		for _, host := range h.Names {
+			if strings.HasPrefix(host, "entry-"+job.Zone) {
+				continue
+			}
+			var copied server.Job
+			answer := h.send(h.ctx, host, http.MethodGet, "/v1/jobs/"+job.ID, teamKey, nil)
+			if answer.status == http.StatusOK && json.Unmarshal(answer.body, &copied) == nil && copied.Digest != job.Digest {
+				t.Errorf("%s has a copy of another job than the accepted one: %+v", host, copied.Spec.Tasks)
+			}
+		}
+	})
+}
