--- a/tests/fleet_tenants_test.go
+++ b/tests/fleet_tenants_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -10,12 +13,13 @@
 // Keys and queues of TestFleetForeignCalls.
 const (
 	otherCustomerKey = "other-key"
+	thirdCustomerKey = "third-key"
 	secondQueue      = "/rebuild/"
 	publicQueue      = "/open/"
 )
 
-// publishTwoCustomers publishes a configuration with two customers, and with two queues and a public one.
-func (fleet *fleet) publishTwoCustomers() {
+// publishCustomers publishes a configuration with three customers, and with two queues and a public one.
+func (fleet *fleet) publishCustomers() {
 	configuration := fleet.nextConfiguration()
 	route := func(name, prefix string, public bool) map[string]any {
 		return map[string]any{
@@ -26,6 +30,7 @@
 	configuration["tenants"] = []map[string]any{
 		{"name": "wardens", "apiKeys": fleet.apiKeys, "weight": 1000},
 		{"name": "millers", "apiKeys": []string{otherCustomerKey}, "weight": 1000},
+		{"name": "shepherds", "apiKeys": []string{thirdCustomerKey}, "weight": 1000},
 	}
 	fleet.store.PutConfiguration(configuration)
 	time.Sleep(time.Second)
@@ -47,7 +52,7 @@
 	for path, hostOf := range paths {
 		t.Run(path, func(t *testing.T) {
 			runFleetTest(t, 4, func(fleet *fleet) {
-				fleet.publishTwoCustomers()
+				fleet.publishCustomers()
 				for _, worker := range fleet.workers {
 					worker.RunTime = time.Hour
 				}
@@ -97,7 +102,7 @@
 // cost of time.
 func TestFleetForeignCallTime(t *testing.T) {
 	runFleetTest(t, 4, func(fleet *fleet) {
-		fleet.publishTwoCustomers()
+		fleet.publishCustomers()
 		host := fleet.hostNames[len(fleet.hostNames)-1]
 		fleet.submitJob(host, 1)
 		for _, method := range []string{http.MethodGet, http.MethodDelete} {
@@ -113,3 +118,101 @@
 		}
 	})
 }
+
+// drawnCall is a call of a drawn test: of a customer, for a job of the same or another one.
+type drawnCall struct {
+	method  string
+	key     string
+	path    string
+	foreign bool
+	host    int // among those that run
+}
+
+// drawCalls draws calls of three customers: for own jobs, and as often for jobs that another one has submitted before.
+func drawCalls(random *rand.Rand, count int) []drawnCall {
+	keys := []string{fleetKey, otherCustomerKey, thirdCustomerKey}
+	queues := []string{fleetPathPrefix, secondQueue}
+	methods := []string{http.MethodPost, http.MethodGet, http.MethodGet, http.MethodDelete}
+	submitted := make([][]string, len(keys)) // paths of the jobs of each customer
+	var calls []drawnCall
+	for len(calls) < count {
+		customer, owner := random.IntN(len(keys)), random.IntN(len(keys))
+		if random.IntN(2) == 0 {
+			owner = customer
+		}
+		call := drawnCall{method: methods[random.IntN(len(methods))], key: keys[customer], foreign: owner != customer, host: random.IntN(12)}
+		switch {
+		case !call.foreign && (call.method == http.MethodPost || len(submitted[owner]) == 0):
+			call.method = http.MethodPost
+			call.path = queues[random.IntN(len(queues))] + jobID(len(calls))
+			submitted[owner] = append(submitted[owner], call.path)
+		case len(submitted[owner]) == 0:
+			continue
+		default:
+			call.path = submitted[owner][random.IntN(len(submitted[owner]))]
+		}
+		if call.foreign && random.IntN(2) == 0 {
+			call.path = queues[random.IntN(len(queues))] + call.path[strings.LastIndex(call.path, "/")+1:]
+		}
+		calls = append(calls, call)
+	}
+	return calls
+}
+
+// simulateByJob lets the tasks of some jobs run for an hour, and those of the others for less than the time between two calls.
+func simulateByJob(task string, _ int) (time.Duration, string) {
+	job, _, _ := strings.Cut(task, ".")
+	if strings.HasSuffix(job, "1") || strings.HasSuffix(job, "5") || strings.HasSuffix(job, "a") {
+		return time.Hour, "done"
+	}
+	return 50 * time.Millisecond, "done"
+}
+
+// playCalls makes calls at regular times, with or without the foreign ones, and kills the decider after half of them. It returns what the
+// customers were answered to the calls for their own jobs.
+func playCalls(t *testing.T, calls []drawnCall, withForeign bool) []string {
+	t.Helper()
+	const interval = 400 * time.Millisecond
+	var answers []string
+	runFleetTest(t, 4, func(fleet *fleet) {
+		fleet.publishCustomers()
+		for _, worker := range fleet.workers {
+			worker.Simulate = simulateByJob
+		}
+		running, begin := slices.Clone(fleet.hostNames), time.Now()
+		for number, call := range calls {
+			if number == len(calls)/2 {
+				decider := fleet.decidingHost()
+				fleet.killHost(decider)
+				running = slices.DeleteFunc(running, func(name string) bool { return name == decider })
+				fleet.awaitDecider()
+				begin = begin.Add(10 * time.Second) // longer than a takeover
+			}
+			time.Sleep(time.Until(begin.Add(time.Duration(number) * interval)))
+			if call.foreign && !withForeign {
+				continue
+			}
+			answer := fleet.call(call.method, running[call.host%len(running)], call.path, call.key, twoStepJob)
+			switch {
+			case !call.foreign:
+				answers = append(answers, fmt.Sprint(number, " ", call.method, " ", call.path, ": ", answer.status, " ", answer.state))
+			case answer.status != http.StatusGone && answer.status != http.StatusConflict:
+				fleet.Errorf("%s %s with key %q for a job of another customer: status %d, want 410 or 409", call.method, call.path, call.key, answer.status)
+			}
+		}
+	})
+	return answers
+}
+
+// TestFleetForeignCallsChangeNothing guards against calls of customers that change what another one sees or what becomes of its jobs.
+func TestFleetForeignCallsChangeNothing(t *testing.T) {
+	for seed := range uint64(4) {
+		calls := drawCalls(rand.New(rand.NewPCG(seed, 0)), 60)
+		with, without := playCalls(t, calls, true), playCalls(t, calls, false)
+		for number, answer := range without {
+			if with[number] != answer {
+				t.Errorf("seed %d: beside foreign calls %s, without them %s", seed, with[number], answer)
+			}
+		}
+	}
+}
