Soak: a client that calls for jobs of other teams

It makes a call every 0.2 s, with the key of another team, for a job that was accepted, and reports each that is answered with 200.

--- a/tests/soaker/soak.go
+++ b/tests/soaker/soak.go
@@ -150,6 +150,7 @@
 	for _, host := range soak.hosts {
 		traffic.Go(newProber(soak, host).run)
 	}
+	traffic.Go(newForeignClient(soak).run)
 	traffic.Go(soak.checkAtIntervals)
 	for _, event := range soak.plan.Events {
 		faults.Go(func() {
