--- a/library/planner/waiting_property_test.go
+++ b/library/planner/waiting_property_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 )
 
-// TestWaitingProperty draws fleets, what runs there and what waits, and then a small job of another team. It checks the rule's bound with a
+// TestWaitingProperty draws fleets, what runs there and what waits, and then a small job of any kind of another team. It checks the rule's bound with a
 // plain reference: while there is room for the job twice over and under half of the service is in use, the job waits no longer than
 // maxStartWait.
 func TestWaitingProperty(t *testing.T) {
@@ -26,11 +26,27 @@
 		}
 		step := tasksOf(rapid.IntRange(1, 3).Draw(t, "tasks"), int64(rapid.IntRange(1, 8).Draw(t, "cores")))
 		step.Label = rapid.SampledFrom([]string{"", "", "x", "y"}).Draw(t, "label")
-		wanted := fleet.add("other", "batch", step)
+		step.MaxPerWorker = rapid.SampledFrom([]int{0, 0, 1}).Draw(t, "most")
+		drawKind(t, &step)
+		wanted := fleet.add("other", rapid.SampledFrom([]string{testQueue, "batch"}).Draw(t, "queue"), step)
 		fleet.checkWait(t, wanted, step)
 	})
 }
 
+// drawKind draws what kind of tasks a step has: members of a gang, fillers, serving or standing ones, or none of these.
+func drawKind(t *rapid.T, step *planner.Step) {
+	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	case 0:
+		step.Gang = true
+	case 1:
+		step.Filler = true
+	case 2:
+		step.Standing, step.TailMS = true, 200
+	case 3:
+		step.Standing = true
+	}
+}
+
 // drawWork draws jobs that run for longer than the test if they start.
 func drawWork(t *rapid.T, fleet *waitingFleet, when string, workers int) {
 	for range rapid.IntRange(0, 8).Draw(t, when) {
@@ -38,16 +54,7 @@
 		step.Label = rapid.SampledFrom([]string{"", "", "x", "y"}).Draw(t, "label")
 		step.MaxPerWorker = rapid.SampledFrom([]int{0, 0, 1, 2}).Draw(t, "most")
 		step.Checkpoints = rapid.Bool().Draw(t, "checkpoints")
-		switch rapid.IntRange(0, 5).Draw(t, "kind") {
-		case 0:
-			step.Gang = true
-		case 1:
-			step.Filler = true
-		case 2:
-			step.Standing, step.TailMS = true, 200
-		case 3:
-			step.Standing = true
-		}
+		drawKind(t, &step)
 		fleet.add(testTeam, rapid.SampledFrom([]string{testQueue, "batch"}).Draw(t, "queue"), step)
 	}
 }
@@ -82,16 +89,30 @@
 	room := 0
 	for id, worker := range waitingFleet.workers {
 		var here sizer.Size
+		disturbs := false
 		for key := range worker.running {
 			here = here.Add(waitingFleet.sizeOf(key))
+			other := waitingFleet.jobs[key.Job].Steps[key.Step]
+			disturbs = disturbs || step.Filler && other.TailMS > 0 || step.TailMS > 0 && other.Filler
 		}
 		used, total = used.Add(here), total.Add(capacity)
-		if step.Label != "" && step.Label != waitingFleet.kinds(id) {
+		if step.Label != "" && step.Label != waitingFleet.kinds(id) || disturbs {
 			continue
 		}
-		for size := step.Size; size.Fits(capacity.Sub(here)); size = size.Add(step.Size) {
-			room++
-		}
+		room += countRoom(step, capacity.Sub(here))
 	}
 	return room >= 2*step.Count && used.DominantShare(total) < 0.5
 }
+
+// countRoom returns how many tasks of a step fit into what is free on a worker.
+func countRoom(step planner.Step, free sizer.Size) int {
+	size := step.Size
+	if step.Filler {
+		size.MilliCores = 0
+	}
+	room := 0
+	for taken := size; taken.Fits(free) && (step.MaxPerWorker == 0 || room < step.MaxPerWorker); taken = taken.Add(size) {
+		room++
+	}
+	return room
+}
--- a/library/planner/waiting_test.go
+++ b/library/planner/waiting_test.go
@@ -15,7 +15,7 @@
 // waitingFleet is a fleet on which work waits that cannot start, or not for long.
 type waitingFleet struct {
 	*fleet
-	jobs int
+	jobCount int
 }
 
 func newWaitingFleet(t testing.TB, workers int, poolShares bool) *waitingFleet {
@@ -28,8 +28,8 @@
 
 // add submits a job of one step of a team to a queue, and returns its ID.
 func (waitingFleet *waitingFleet) add(team, queue string, step planner.Step) string {
-	waitingFleet.jobs++
-	id := fmt.Sprintf("%016x", waitingFleet.jobs)
+	waitingFleet.jobCount++
+	id := fmt.Sprintf("%016x", waitingFleet.jobCount)
 	step.EstimateMS = longEstimateMS
 	waitingFleet.submitJob(planner.Job{ID: id, Queue: queue, Team: team, Payload: "p", Steps: []planner.Step{step}})
 	return id
