--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -44,6 +44,8 @@
 try 'truncated answers: connection is aborted' daemon/server/request.go 'panic(http.ErrAbortHandler)' 'return' ./tests 'TestUpstreamEnds'
 try 'outcome notRun: only if proven' daemon/server/request.go 'if known && ending == decider.NeverRan {' 'if true {' ./tests 'TestUpstreamEnds'
 try 'idempotency keys: requests in progress' daemon/server/keys.go 'case seen.Outcome == "":' 'case seen.Outcome == "" && false:' ./tests 'TestFaults/hostKilled'
+try 'foreign: jobs in open queues of other teams' daemon/server/job.go 'cmp.Or(job.Submitter, job.Team)' 'cmp.Or(job.Team, job.Submitter)' ./tests 'TestJobsOfOtherTeams'
+try 'foreign: one submission under a key at a time' daemon/server/jobs.go 'if !inProgress {' 'if !inProgress || true {' ./tests 'TestSameKeyAtOnce'
 try 'leaving upstreams: no new work' library/decider/tables.go '!worker.Leaving && ' '' ./tests 'TestUpstreamEnds/leaves'
 try 'graceful shutdown: drain' daemon/server/shutdown.go 'len(server.unfinishedRequests()) > 0 {' 'false {' ./tests 'TestShutdown/cutsNoRequest'
 try 'configuration never reverts: compare and set' library/replayer/register.go 'record.Base != register.sections[record.Section].Offset' 'false' ./library/replayer 'TestRegister'
