TestDelegateOfEarlierRelease counts the calls that reach the worker whole

The transport sends the head of a request before the last part of the body is withheld, and the stand-in counted heads.

--- a/daemon/scheduler/delegate_test.go
+++ b/daemon/scheduler/delegate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -13,7 +14,8 @@
 	"ebonyshunt.org/platform/translator"
 )
 
-// delegateFleet is a delegate with one worker, which counts the calls that reach it.
+// delegateFleet is a delegate with one worker, which counts the calls that reach it whole: the head of a call that is dropped may reach it,
+// but nothing is carried out without the body.
 type delegateFleet struct {
 	*Host
 	address string
@@ -22,7 +24,10 @@
 
 func newDelegateFleet(t *testing.T) *delegateFleet {
 	fleet := &delegateFleet{}
-	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if body, err := io.ReadAll(request.Body); err != nil || len(body) == 0 {
+			return
+		}
 		fleet.calls.Add(1)
 		_, _ = writer.Write([]byte(`{"clockMs":5,"running":[],"finished":[]}`))
 	}))
