Server: a repeated submission through a host of an earlier release is the same job

Such a host does not tell the caller's team; a job in an open queue of another team was then refused as another job under the key. Found by reading the diff.

--- a/daemon/server/jobs.go
+++ b/daemon/server/jobs.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -116,7 +115,8 @@
 
 // answerResubmission returns the known job, or a problem if the ID was used for another job. The caller holds tenure.mu.
 func (jobState *jobState) answerResubmission(call SubmitJobCall) JobAnswer {
-	if jobState.Team != call.Team || !jobState.isOwnedBy(cmp.Or(call.Caller, call.Team)) || jobState.Digest != call.Spec.digest() {
+	isForeign := call.Caller != "" && !jobState.isOwnedBy(call.Caller)
+	if isForeign || jobState.Team != call.Team || jobState.Digest != call.Spec.digest() {
 		return JobAnswer{Problem: responder.Refuse(http.StatusUnprocessableEntity, responder.CodeKeyReused,
 			"the idempotency key was used with another job")}
 	}
